--- /dev/null
+++ b/rackpost/agent/core.py
@@ -0,0 +1,488 @@
+"""The agent: owner of one endpoint's capacity and of all given to it.
+
+One task handles messages; each attempt that runs has a task of its own,
+which alone talks to the endpoint about it.
+"""
+
+import asyncio
+import contextlib
+from typing import AsyncIterator
+from typing import Coroutine
+from typing import Iterator
+
+import msgspec
+
+from rackpost.agent import attempts
+from rackpost.agent import engine as engine_mod
+from rackpost.agent import watchdog
+from rackpost.decide import book as book_mod
+from rackpost.decide import slots
+from rackpost import exceptions
+from rackpost.link import channel
+from rackpost.link import messages
+from rackpost import metrics as metrics_mod
+from rackpost import types
+
+# A promise that is not taken up in this time is given up, in seconds.
+LEASE_S = 1.0
+# Idle agents say their load this often, in seconds.
+SUMMARY_S = 0.5
+# Bytes of a plain answer that may be on the way to a caller at once, and
+# how long the agent waits for a reader that takes none, in seconds.
+WINDOW_BYTES = 256 << 10
+SLOW_READER_S = 5.0
+
+
+class AgentConfig(msgspec.Struct, frozen=True, kw_only=True):
+    """Who the agent is."""
+
+    agent: types.AgentId
+    service: types.ServiceName
+    data_centre: types.DataCentre
+    incarnation: types.Incarnation = types.Incarnation(1)
+    lease_s: float = LEASE_S
+    summary_s: float = SUMMARY_S
+
+
+class Session:
+    """The link to one entry, and the attempts it has here."""
+
+    def __init__(self, *, conn: channel.Channel) -> None:
+        self.conn = conn
+        self.peer = ""
+        self.keys: set[slots.Key] = set()
+        self.spoke_at = 0.0
+
+
+class Agent:
+    """Serves reservations and attempts for one endpoint."""
+
+    def __init__(
+        self,
+        *,
+        cfg: AgentConfig,
+        engine: engine_mod.Engine,
+        book: book_mod.Book,
+        metrics: metrics_mod.Metrics | None = None,
+    ) -> None:
+        self.cfg = cfg
+        self.book = book
+        self.metrics = metrics or metrics_mod.Metrics()
+        self._engine = engine
+        self._sessions: set[Session] = set()
+        self._attempts: dict[slots.Key, attempts.Attempt] = {}
+        self._sealed = attempts.SealMemory()
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    # Links.
+
+    def connect(self, conn: channel.Channel) -> None:
+        """Serve an entry over a new link."""
+        session = Session(conn=conn)
+        self._sessions.add(session)
+        conn.attach(
+            receive=lambda msg: self._on_message(session, msg),
+            closed=lambda: self._on_closed(session),
+        )
+        conn.send(
+            messages.Hello(
+                peer=self.cfg.agent,
+                incarnation=self.cfg.incarnation,
+                data_centre=self.cfg.data_centre,
+                revision=self.book.revision,
+            )
+        )
+        conn.send(messages.Summary(load=self._load()))
+
+    def _on_closed(self, session: Session) -> None:
+        # The entry is gone: so is everyone who would receive the work.
+        self._sessions.discard(session)
+        for key in list(session.keys):
+            self._give_up(key)
+
+    def _on_message(self, session: Session, msg: msgspec.Struct) -> None:
+        if isinstance(msg, messages.Reserve):
+            self._on_reserve(session, msg)
+        elif isinstance(msg, messages.Hello):
+            session.peer = msg.peer
+        elif isinstance(msg, messages.Seal):
+            self._on_seal(session, msg)
+        elif isinstance(msg, messages.Release):
+            self._give_up(slots.Key(msg.req, msg.attempt))
+        elif isinstance(msg, messages.Credit):
+            self._on_credit(msg)
+        else:
+            self._on_run(msg)
+
+    # Promises.
+
+    def _on_reserve(self, session: Session, msg: messages.Reserve) -> None:
+        key = slots.Key(msg.req, msg.attempt)
+        if self._sealed.has(key):
+            made: book_mod.Promise | types.Refusal = types.Refusal.DEADLINE
+        else:
+            made = self.book.promise(msg, key, self._loop.time())
+        if isinstance(made, types.Refusal):
+            self.metrics.count("refused", made, msg.kind)
+            reply: msgspec.Struct = messages.Refused(
+                req=msg.req,
+                attempt=msg.attempt,
+                part=msg.part,
+                reason=made,
+                load=self._load(),
+            )
+            self._say(session, reply)
+            return
+        att = attempts.Attempt(key=key, asked=msg, session=session)
+        lease = self.cfg.lease_s + made.ready_in_s + msg.ready_in_s
+        att.lease = self._loop.call_later(lease, self._expire, key)
+        self._attempts[key] = att
+        session.keys.add(key)
+        self._idle.clear()
+        self._say(
+            session,
+            messages.Granted(
+                req=msg.req,
+                attempt=msg.attempt,
+                part=msg.part,
+                ready_in_s=made.ready_in_s,
+                reuse_blocks=made.reuse_blocks,
+                load=self._load(),
+            ),
+        )
+
+    def _expire(self, key: slots.Key) -> None:
+        att = self._attempts.get(key)
+        if att is None or att.state is not attempts.State.PROMISED:
+            return
+        self.metrics.count("failed", types.Failure.LEASE_EXPIRED)
+        self._fail(att, types.Failure.LEASE_EXPIRED, ran=False)
+
+    def _on_run(self, msg: msgspec.Struct) -> None:
+        if not isinstance(
+            msg, (messages.RunPrefill, messages.RunDecode, messages.RunCall)
+        ):
+            self.metrics.count("dropped", types.Drop.BAD_FRAME)
+            return
+        att = self._attempts.get(slots.Key(msg.req, msg.attempt))
+        if att is None or att.state is not attempts.State.PROMISED:
+            self.metrics.count("dropped", types.Drop.UNKNOWN_REQUEST)
+            return
+        att.take(msg)
+        self.book.ready(att.key)
+        self._start_ready()
+
+    def _start_ready(self) -> None:
+        now = self._loop.time()
+        while True:
+            key = self.book.next_start(now)
+            if key is None:
+                return
+            att = self._attempts[key]
+            att.state = attempts.State.RUNNING
+            att.started_at = now
+            att.task = self._spawn(self._run(att))
+
+    # Running attempts.
+
+    async def _run(self, att: attempts.Attempt) -> None:
+        try:
+            with self._aborted_if_cut(att):
+                if isinstance(att.run, messages.RunPrefill):
+                    await self._run_prefill(att, att.run)
+                elif isinstance(att.run, messages.RunDecode):
+                    await self._run_decode(att, att.run)
+                elif isinstance(att.run, messages.RunCall):
+                    await self._run_call(att, att.run)
+        except exceptions.EngineError as exc:
+            self._fail(att, _failure_of(exc), ran=exc.ran)
+
+    @contextlib.contextmanager
+    def _aborted_if_cut(self, att: attempts.Attempt) -> Iterator[None]:
+        whole = False
+        try:
+            yield
+            whole = True
+        finally:
+            if not whole:
+                # The engine is told even when this task is cancelled.
+                self._spawn(self._abort(att.key))
+
+    async def _abort(self, key: slots.Key) -> None:
+        with contextlib.suppress(exceptions.EngineError):
+            await self._engine.abort(key=key)
+
+    async def _run_prefill(
+        self, att: attempts.Attempt, run: messages.RunPrefill
+    ) -> None:
+        limit = watchdog.prefill_limit(att.asked, self._load())
+        result = await watchdog.within(
+            limit,
+            self._engine.prefill(
+                key=att.key, body=run.body, priority=att.asked.priority
+            ),
+        )
+        took = self._loop.time() - att.started_at
+        self.book.prefilled(att.key, took)
+        self._finish(att, whole=True)
+        self._say(
+            att.session,
+            messages.PrefillDone(
+                req=run.req,
+                attempt=run.attempt,
+                kv=result.kv,
+                cached_tokens=result.cached_tokens,
+                load=self._load(),
+            ),
+        )
+
+    async def _run_decode(
+        self, att: attempts.Attempt, run: messages.RunDecode
+    ) -> None:
+        stream = self._engine.decode(
+            key=att.key,
+            body=run.body,
+            kv=run.kv,
+            offset=run.offset,
+            priority=att.asked.priority,
+        )
+        count = 0
+        last = self._loop.time()
+        limits = watchdog.stream_limits(att.asked, self._load())
+        guarded = watchdog.guarded(stream, limits)
+        async with contextlib.aclosing(guarded) as pieces:
+            async for piece in pieces:
+                now = self._loop.time()
+                count += 1
+                self.book.progress(att.key, run.offset + count, now - last)
+                last = now
+                att.session.conn.send(
+                    messages.Tokens(
+                        req=run.req,
+                        attempt=run.attempt,
+                        offset=run.offset + count - 1,
+                        pieces=(piece,),
+                    )
+                )
+        self._finish(att, whole=True)
+        self._done(att, run.offset + count, "stop")
+
+    async def _run_call(
+        self, att: attempts.Attempt, run: messages.RunCall
+    ) -> None:
+        stream = self._engine.call(
+            key=att.key,
+            method=run.method,
+            path=run.path,
+            query=run.query,
+            headers=run.headers,
+            body=run.body,
+        )
+        sent = 0
+        guarded = watchdog.guarded(stream, watchdog.CALL_LIMITS)
+        async with contextlib.aclosing(guarded) as parts:
+            async for part in parts:
+                if isinstance(part, engine_mod.CallHead):
+                    self._send_head(att, part)
+                    continue
+                await self._wait_for_credit(att, sent)
+                att.session.conn.send(
+                    messages.Body(
+                        req=run.req,
+                        attempt=run.attempt,
+                        offset=sent,
+                        data=part,
+                    )
+                )
+                sent += len(part)
+        self._finish(att, whole=True)
+        self._done(att, sent, "stop")
+
+    def _send_head(
+        self, att: attempts.Attempt, head: engine_mod.CallHead
+    ) -> None:
+        att.session.conn.send(
+            messages.Head(
+                req=att.key.req,
+                attempt=att.key.attempt,
+                status=head.status,
+                headers=head.headers,
+            )
+        )
+
+    async def _wait_for_credit(self, att: attempts.Attempt, sent: int) -> None:
+        while sent - att.taken > WINDOW_BYTES:
+            att.credited.clear()
+            try:
+                async with asyncio.timeout(SLOW_READER_S):
+                    await att.credited.wait()
+            except TimeoutError:
+                raise _SlowReader() from None
+
+    def _on_credit(self, msg: messages.Credit) -> None:
+        att = self._attempts.get(slots.Key(msg.req, msg.attempt))
+        if att is not None:
+            att.taken = max(att.taken, msg.taken)
+            att.credited.set()
+
+    # Ends.
+
+    def _done(self, att: attempts.Attempt, tokens: int, why: str) -> None:
+        self._say(
+            att.session,
+            messages.Done(
+                req=att.key.req,
+                attempt=att.key.attempt,
+                tokens=tokens,
+                finish_reason=why,
+                load=self._load(),
+            ),
+        )
+
+    def _fail(
+        self, att: attempts.Attempt, reason: types.Failure, *, ran: bool
+    ) -> None:
+        self._finish(att, whole=False)
+        self.metrics.count("failed", reason, att.asked.kind)
+        self._say(
+            att.session,
+            messages.Failed(
+                req=att.key.req,
+                attempt=att.key.attempt,
+                part=att.asked.part,
+                reason=reason,
+                ran=ran,
+                load=self._load(),
+            ),
+        )
+
+    def _finish(self, att: attempts.Attempt, *, whole: bool) -> None:
+        if att.state is attempts.State.ENDED:
+            return
+        ran = att.state is attempts.State.RUNNING
+        self._sealed.add(att.key, ran=ran)
+        att.state = attempts.State.ENDED
+        if att.lease is not None:
+            att.lease.cancel()
+        self._attempts.pop(att.key, None)
+        att.session.keys.discard(att.key)
+        self.book.end(att.key, self._loop.time(), whole=whole)
+        self._start_ready()
+        if not self._attempts:
+            self._idle.set()
+
+    def _give_up(self, key: slots.Key) -> None:
+        att = self._attempts.get(key)
+        if att is None:
+            return
+        task = att.task
+        self._finish(att, whole=False)
+        if task is not None:
+            task.cancel()
+
+    def _on_seal(self, session: Session, msg: messages.Seal) -> None:
+        key = slots.Key(msg.req, msg.attempt)
+        att = self._attempts.get(key)
+        if att is not None and att.state is not attempts.State.RUNNING:
+            self._finish(att, whole=False)
+        running = att is not None and att.state is attempts.State.RUNNING
+        ran = running or self._sealed.ran(key)
+        if not running:
+            self._sealed.add(key, ran=ran)
+        self._say(
+            session,
+            messages.Sealed(req=msg.req, attempt=msg.attempt, ran=ran),
+        )
+
+    # The agent's own life.
+
+    def _load(self) -> messages.Load:
+        return self.book.load(self._loop.time())
+
+    def _say(self, session: Session, msg: msgspec.Struct) -> None:
+        session.spoke_at = self._loop.time()
+        session.conn.send(msg)
+
+    def _spawn(self, coro: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = self._loop.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def run(self) -> None:
+        """Tell idle entries the load, until cancelled."""
+        while True:
+            await asyncio.sleep(self.cfg.summary_s)
+            await self._read_cache_events()
+            self._say_summaries()
+
+    async def _read_cache_events(self) -> None:
+        with contextlib.suppress(exceptions.EngineError):
+            seen = await self._engine.events()
+            if isinstance(self.book, book_mod.PromiseBook):
+                self.book.cache_events(seen.stored, seen.removed)
+
+    def _say_summaries(self) -> None:
+        now = self._loop.time()
+        msg = messages.Summary(load=self._load())
+        for session in self._sessions:
+            if now - session.spoke_at >= self.cfg.summary_s:
+                self._say(session, msg)
+
+    def leave(self) -> None:
+        """Refuse new promises at once and tell every entry so."""
+        self.book.leaving = True
+        msg = messages.Summary(load=self._load())
+        for session in self._sessions:
+            self._say(session, msg)
+
+    async def drained(self) -> None:
+        """Wait until no attempt is left."""
+        await self._idle.wait()
+
+    def close(self) -> None:
+        """Give up everything, as when the process dies."""
+        for session in list(self._sessions):
+            for key in list(session.keys):
+                self._give_up(key)
+            session.conn.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    @property
+    def open_attempts(self) -> int:
+        """Promised and running attempts."""
+        return len(self._attempts)
+
+
+class _SlowReader(exceptions.EngineError):
+    """The caller takes nothing of its answer."""
+
+    def __init__(self) -> None:
+        super().__init__("slow reader")
+
+
+def _failure_of(exc: exceptions.EngineError) -> types.Failure:
+    if isinstance(exc, _SlowReader):
+        return types.Failure.SLOW_READER
+    if isinstance(exc, watchdog.Stalled):
+        return types.Failure.ENGINE_STALLED
+    if isinstance(exc, engine_mod.KvExpired):
+        return types.Failure.KV_EXPIRED
+    if isinstance(exc, engine_mod.TransferFailed):
+        return types.Failure.TRANSFER
+    return types.Failure.ENGINE
+
+
+@contextlib.asynccontextmanager
+async def running(agent: Agent) -> AsyncIterator[Agent]:
+    """Run an agent; on leaving, everything it holds is given up."""
+    task = asyncio.create_task(agent.run())
+    try:
+        yield agent
+    finally:
+        task.cancel()
+        agent.close()
--- /dev/null
+++ b/rackpost/decide/book.py
@@ -0,0 +1,257 @@
+"""All promises of one endpoint: slots, memory, prefills and transfers.
+
+The agent asks its book before it does anything; it holds no promises of
+its own.  Pure: times are readings of the agent's clock, in seconds.
+"""
+
+import abc
+import heapq
+from typing import NamedTuple
+
+from rackpost.decide import lengths
+from rackpost.decide import link_budget
+from rackpost.decide import prefill_queue
+from rackpost.decide import prefix
+from rackpost.decide import slots
+from rackpost.link import messages
+from rackpost import types
+
+# Weight of the newest observation in the moving averages.
+_NEW = 0.1
+
+
+class EndpointSpec(NamedTuple):
+    """What an endpoint can do, as its operator has stated it.
+
+    The rates are only where learning starts: the book follows what it
+    sees.
+    """
+
+    role: types.Role
+    slots: int = 20
+    memory_tokens: int = 400_000
+    max_prefills: int = 64
+    prefill_tokens_s: float = 8000.0
+    prefill_base_s: float = 0.01
+    step_s: float = 0.03
+    link_bytes_s: float = 2e9
+    cache_blocks: int = 2048
+
+
+class Promise(NamedTuple):
+    """What was promised: ready in so many seconds, blocks reused."""
+
+    ready_in_s: float
+    reuse_blocks: int
+
+
+class Book(abc.ABC):
+    """The decisions of an agent about its endpoint."""
+
+    def __init__(self, *, spec: EndpointSpec) -> None:
+        self.spec = spec
+        self.role = spec.role
+        self.revision = types.Revision(0)
+        self.leaving = False
+
+    @abc.abstractmethod
+    def promise(
+        self, msg: messages.Reserve, key: slots.Key, now: float
+    ) -> Promise | types.Refusal:
+        """Promise the part that `msg` asks for, or say why not."""
+
+    @abc.abstractmethod
+    def ready(self, key: slots.Key) -> None:
+        """What the promised part needs has arrived: it may start."""
+
+    @abc.abstractmethod
+    def next_start(self, now: float) -> slots.Key | None:
+        """Take the promised part that is to be started now, if any."""
+
+    @abc.abstractmethod
+    def progress(self, key: slots.Key, done: int, step_s: float) -> None:
+        """A decode has made `done` tokens, the last in `step_s`."""
+
+    @abc.abstractmethod
+    def prefilled(self, key: slots.Key, took_s: float) -> None:
+        """A prefill took this long."""
+
+    @abc.abstractmethod
+    def end(self, key: slots.Key, now: float, *, whole: bool) -> None:
+        """The attempt is over here, `whole` or not."""
+
+    @abc.abstractmethod
+    def load(self, now: float) -> messages.Load:
+        """What to tell entries."""
+
+
+class PromiseBook(Book):
+    """The product's book: no work without a promise it can keep."""
+
+    def __init__(self, *, spec: EndpointSpec) -> None:
+        super().__init__(spec=spec)
+        self._slots = slots.SlotLedger(
+            slots=spec.slots, memory_tokens=spec.memory_tokens
+        )
+        self._queue = prefill_queue.PrefillQueue(max_jobs=spec.max_prefills)
+        self._link = link_budget.LinkBudget(bytes_s=spec.link_bytes_s)
+        self._models = lengths.LengthModels()
+        self._cached = prefix.PrefixHints(max_blocks=spec.cache_blocks)
+        self._asked: dict[slots.Key, messages.Reserve] = {}
+        self._cost: dict[slots.Key, float] = {}
+        self._ready: list[tuple[float, slots.Key]] = []
+        self._due: dict[slots.Key, float] = {}
+        self._step_s = spec.step_s
+        # Observed over stated time of prefills; follows a slow engine.
+        self._slowness = 1.0
+
+    def promise(
+        self, msg: messages.Reserve, key: slots.Key, now: float
+    ) -> Promise | types.Refusal:
+        """Promise a prefill, a decode slot, or a call."""
+        if self.leaving:
+            return types.Refusal.LEAVING
+        if msg.part is not self.role:
+            return types.Refusal.WRONG_ROLE
+        if key in self._asked:
+            return types.Refusal.QUEUE_FULL
+        if msg.part is types.Role.PREFILL:
+            made = self._promise_prefill(msg, key, now)
+        else:
+            made = self._promise_slot(msg, key)
+        if isinstance(made, Promise):
+            self._asked[key] = msg
+            self._due[key] = now + msg.within_s
+        return made
+
+    def _promise_prefill(
+        self, msg: messages.Reserve, key: slots.Key, now: float
+    ) -> Promise | types.Refusal:
+        reuse = self._cached.match(msg.blocks)
+        cost = self._prefill_cost(msg.prompt_tokens, reuse)
+        done = self._queue.promise(
+            key=key,
+            cost_s=cost,
+            within_s=msg.within_s,
+            queue_share=msg.queue_share,
+            now=now,
+        )
+        if isinstance(done, types.Refusal):
+            return done
+        self._cost[key] = cost
+        return Promise(done, reuse)
+
+    def _prefill_cost(self, tokens: int, reuse: int) -> float:
+        rest = max(1, tokens - reuse * prefix.BLOCK_TOKENS)
+        cost = self.spec.prefill_base_s + rest / self.spec.prefill_tokens_s
+        return cost * self._slowness
+
+    def _promise_slot(
+        self, msg: messages.Reserve, key: slots.Key
+    ) -> Promise | types.Refusal:
+        link = 0.0
+        if msg.kv_bytes:
+            made = self._link.promise(
+                key=key, size=msg.kv_bytes, within_s=msg.within_s
+            )
+            if isinstance(made, types.Refusal):
+                return made
+            link = made
+        wait = self._slots.promise(
+            key=key,
+            model=self._models.of(msg.service, msg.kind),
+            limit=max(1, msg.max_tokens),
+            memory=msg.prompt_tokens + msg.max_tokens,
+            within_s=msg.within_s,
+            step_s=self._step_s,
+            kept=round(msg.slots_kept * self.spec.slots),
+        )
+        if isinstance(wait, types.Refusal):
+            self._link.end(key)
+            return wait
+        return Promise(max(wait, link), 0)
+
+    def ready(self, key: slots.Key) -> None:
+        """The prompt, or the KV cache, of a promised part is there."""
+        if key not in self._asked:
+            return
+        if self.role is types.Role.PREFILL:
+            self._queue.ready(key)
+        else:
+            heapq.heappush(self._ready, (self._due[key], key))
+
+    def next_start(self, now: float) -> slots.Key | None:
+        """Take the next prefill, decode or call to hand over, if any."""
+        if self.role is types.Role.PREFILL:
+            return self._next_prefill(now)
+        while self._ready:
+            key = self._ready[0][1]
+            if key not in self._asked:
+                heapq.heappop(self._ready)
+                continue
+            if not self._slots.may_start():
+                return None
+            heapq.heappop(self._ready)
+            self._slots.start(key)
+            return key
+        return None
+
+    def _next_prefill(self, now: float) -> slots.Key | None:
+        if self._queue.running:
+            return None
+        return self._queue.next_job(now)
+
+    def progress(self, key: slots.Key, done: int, step_s: float) -> None:
+        """Take in a token and the time since the one before it."""
+        self._slots.progress(key, done)
+        if done == 1:
+            self._link.end(key)
+        elif step_s > 0.0:
+            self._step_s += _NEW * 0.2 * (step_s - self._step_s)
+
+    def prefilled(self, key: slots.Key, took_s: float) -> None:
+        """Take in how long a prefill took."""
+        cost = self._cost.get(key)
+        msg = self._asked.get(key)
+        if cost is None or msg is None:
+            return
+        seen = self._slowness * took_s / cost
+        self._slowness += _NEW * (seen - self._slowness)
+        self._cached.add(msg.blocks)
+
+    def end(self, key: slots.Key, now: float, *, whole: bool) -> None:
+        """Let go of everything the attempt holds here."""
+        self._asked.pop(key, None)
+        self._due.pop(key, None)
+        self._cost.pop(key, None)
+        self._link.end(key)
+        self._slots.end(key, whole=whole)
+        self._queue.end(key, now)
+
+    def cache_events(
+        self,
+        stored: tuple[types.BlockHash, ...],
+        removed: tuple[types.BlockHash, ...],
+    ) -> None:
+        """The endpoint says what it cached and dropped, late."""
+        self._cached.drop(removed)
+        self._cached.add(stored)
+
+    def load(self, now: float) -> messages.Load:
+        """The endpoint's load as its promises stand."""
+        spec = self.spec
+        wait = self._slots.free_in(step_s=self._step_s)
+        return messages.Load(
+            role=self.role,
+            revision=self.revision,
+            leaving=self.leaving,
+            slots=spec.slots,
+            used=self._slots.used,
+            free_in_s=min(wait, 2 * slots.HORIZON_S),
+            backlog_s=self._queue.backlog_s(now),
+            link_backlog_s=self._link.backlog_s(),
+            step_s=self._step_s,
+            prefill_tokens_s=spec.prefill_tokens_s / self._slowness,
+            prefill_base_s=spec.prefill_base_s * self._slowness,
+            link_bytes_s=spec.link_bytes_s,
+        )
--- /dev/null
+++ b/rackpost/decide/prefill_queue.py
@@ -0,0 +1,125 @@
+"""The prefills promised by one endpoint, in order of their deadlines.
+
+Earliest deadline first: a new prefill is promised only if it and every
+one promised before still ends by its deadline.  Pure: the caller hands in
+the reading of its clock, in seconds.
+"""
+
+import bisect
+import enum
+from typing import NamedTuple
+
+from rackpost.decide import slots
+from rackpost import types
+
+
+class JobState(enum.Enum):
+    """How far a promised prefill has come."""
+
+    PROMISED = "promised"
+    READY = "ready"
+    RUNNING = "running"
+
+
+class Job(NamedTuple):
+    """A promised prefill; sorts by its deadline."""
+
+    deadline: float
+    key: slots.Key
+    cost_s: float
+
+
+class PrefillQueue:
+    """The prefill work of one endpoint, which runs one job at a time.
+
+    `max_jobs` bounds the queue whatever the deadlines.
+    """
+
+    def __init__(self, *, max_jobs: int) -> None:
+        self._max_jobs = max_jobs
+        self._jobs: list[Job] = []
+        self._by_key: dict[slots.Key, Job] = {}
+        self._state: dict[slots.Key, JobState] = {}
+        self._running_until = 0.0
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    @property
+    def running(self) -> bool:
+        """Whether a job is at the engine."""
+        return JobState.RUNNING in self._state.values()
+
+    def backlog_s(self, now: float) -> float:
+        """Seconds of promised work, the running job's rest included."""
+        rest = max(0.0, self._running_until - now)
+        return rest + sum(job.cost_s for job in self._jobs)
+
+    def promise(
+        self,
+        *,
+        key: slots.Key,
+        cost_s: float,
+        within_s: float,
+        queue_share: float,
+        now: float,
+    ) -> float | types.Refusal:
+        """Promise a prefill; in how many seconds it is done, or why not.
+
+        A request may wait at most `queue_share` of its slack, so that
+        those which count for more find room.
+        """
+        if len(self._by_key) >= self._max_jobs:
+            return types.Refusal.QUEUE_FULL
+        if cost_s > within_s:
+            return types.Refusal.LATE_FIRST_TOKEN
+        job = Job(deadline=now + within_s, key=key, cost_s=cost_s)
+        pos = bisect.bisect(self._jobs, job)
+        ends = self._end_before(pos, now) + cost_s
+        wait = ends - now - cost_s
+        if wait > (within_s - cost_s) * queue_share:
+            if ends > job.deadline:
+                return types.Refusal.QUEUE_FULL
+            return types.Refusal.QUEUE_KEPT
+        if not self._later_still_meet(pos, ends):
+            return types.Refusal.QUEUE_FULL
+        self._jobs.insert(pos, job)
+        self._by_key[key] = job
+        self._state[key] = JobState.PROMISED
+        return ends - now
+
+    def _end_before(self, pos: int, now: float) -> float:
+        at = max(now, self._running_until)
+        return at + sum(job.cost_s for job in self._jobs[:pos])
+
+    def _later_still_meet(self, pos: int, at: float) -> bool:
+        for job in self._jobs[pos:]:
+            at += job.cost_s
+            if at > job.deadline:
+                return False
+        return True
+
+    def ready(self, key: slots.Key) -> None:
+        """The prompt is here: the job may be taken by `next_job`."""
+        if self._state.get(key) is JobState.PROMISED:
+            self._state[key] = JobState.READY
+
+    def next_job(self, now: float) -> slots.Key | None:
+        """Take the ready job with the earliest deadline, if any."""
+        for idx, job in enumerate(self._jobs):
+            if self._state[job.key] is JobState.READY:
+                del self._jobs[idx]
+                self._state[job.key] = JobState.RUNNING
+                self._running_until = now + job.cost_s
+                return job.key
+        return None
+
+    def end(self, key: slots.Key, now: float) -> None:
+        """The job ended or was given up; an unheld key is ignored."""
+        job = self._by_key.pop(key, None)
+        if job is None:
+            return
+        if self._state.pop(key) is JobState.RUNNING:
+            self._running_until = now
+        else:
+            self._jobs.remove(job)
--- /dev/null
+++ b/rackpost/decide/views.py
@@ -0,0 +1,113 @@
+"""What an entry knows of each endpoint, and of the request in hand."""
+
+from rackpost.decide import prefix
+from rackpost.link import messages
+from rackpost import types
+
+_MAX_HINTS = 4096
+
+
+class EndpointView:
+    """An entry's latest knowledge of one endpoint.
+
+    `delay_s` is the one-way delay to its data centre, `seen_at` the clock
+    reading when `load` was said.  `sent` counts what this entry has put
+    there since, so that a burst does not follow one stale figure.
+    """
+
+    def __init__(
+        self,
+        *,
+        agent: types.AgentId,
+        service: types.ServiceName,
+        data_centre: types.DataCentre,
+        load: messages.Load,
+        delay_s: float,
+        now: float,
+    ) -> None:
+        self.agent = agent
+        self.service = service
+        self.data_centre = data_centre
+        self.delay_s = delay_s
+        self.load = load
+        self.seen_at = now
+        self.sent_slots = 0
+        self.sent_work_s = 0.0
+        self.open = 0
+        self.hints = prefix.PrefixHints(max_blocks=_MAX_HINTS)
+        self.avoided = False
+
+    def update(self, load: messages.Load, now: float) -> None:
+        """The agent has said its load."""
+        self.load = load
+        self.seen_at = now
+        self.sent_slots = 0
+        self.sent_work_s = 0.0
+
+    def backlog_s(self, now: float) -> float:
+        """The prefill work that a new request would find there."""
+        past = self.load.backlog_s + self.sent_work_s
+        return max(0.0, past - (now - self.seen_at))
+
+    def slot_in_s(self, now: float) -> float:
+        """In how many seconds a decode slot is expected there."""
+        if self.load.used + self.sent_slots < self.load.slots:
+            return 0.0
+        more = self.sent_slots * self.load.step_s
+        return max(0.0, self.load.free_in_s + more - (now - self.seen_at))
+
+    def prefill_s(self, tokens: int, blocks: tuple) -> float:
+        """Time to prefill a prompt there, cached prefix left out."""
+        cached = self.hints.match(blocks) * prefix.BLOCK_TOKENS
+        rest = max(1, tokens - cached)
+        return self.load.prefill_base_s + rest / self.load.prefill_tokens_s
+
+
+class Ask:
+    """What a request needs, as the decisions see it.
+
+    `ttft_s` is what is left until the first token is due, `tbt_s` the
+    promised time between tokens, both in seconds; `weight` says how much
+    an answer counts (1 is ordinary).
+    """
+
+    __slots__ = (
+        "service",
+        "kind",
+        "prompt_tokens",
+        "max_tokens",
+        "blocks",
+        "kv_bytes",
+        "ttft_s",
+        "tbt_s",
+        "weight",
+        "slots_kept",
+        "queue_share",
+    )
+
+    def __init__(
+        self,
+        *,
+        service: types.ServiceName,
+        kind: types.KindName,
+        prompt_tokens: int,
+        max_tokens: int,
+        blocks: tuple[types.BlockHash, ...],
+        kv_bytes: int,
+        ttft_s: float,
+        tbt_s: float,
+        weight: float = 1.0,
+        slots_kept: float = 0.0,
+        queue_share: float = 1.0,
+    ) -> None:
+        self.service = service
+        self.kind = kind
+        self.prompt_tokens = prompt_tokens
+        self.max_tokens = max_tokens
+        self.blocks = blocks
+        self.kv_bytes = kv_bytes
+        self.ttft_s = ttft_s
+        self.tbt_s = tbt_s
+        self.weight = weight
+        self.slots_kept = slots_kept
+        self.queue_share = queue_share
--- /dev/null
+++ b/rackpost/entry/attempt.py
@@ -0,0 +1,472 @@
+"""One attempt at a request: reserve both halves, prefill, decode."""
+
+import asyncio
+import contextlib
+from typing import AsyncGenerator
+from typing import Iterator
+from typing import NamedTuple
+
+import msgspec
+
+from rackpost.decide import placement
+from rackpost.decide import views
+from rackpost.entry import pool as pool_mod
+from rackpost.entry import request
+from rackpost.link import messages
+from rackpost import metrics as metrics_mod
+from rackpost import types
+
+# An agent that has not answered a reservation by then is not waited for.
+REPLY_S = 0.25
+# A request is answered, one way or the other, after this many refusals.
+MAX_REFUSALS = 2
+# The KV cache is kept by the engine for under a second; a prefill is not
+# started earlier than this before the decode slot is there, in seconds.
+KEEP_S = 0.4
+# Beyond what the agent itself allows before it reports a stall.
+_AGENT_SILENT_S = 6.0
+# A slow reader's answer waits here; more than this many pieces end it.
+MAX_WAITING_PIECES = 20_000
+
+
+class Refused(NamedTuple):
+    """The attempt ended before anything was started."""
+
+    reason: types.Refusal
+
+
+class Broken(NamedTuple):
+    """The attempt broke off after it had been accepted.
+
+    `agent` is whose part broke; `ran` as in `messages.Failed`.
+    """
+
+    reason: types.Failure
+    ran: bool
+    agent: types.AgentId | None
+
+
+class Whole(NamedTuple):
+    """The attempt's answer has ended, after so many pieces or bytes."""
+
+    length: int
+
+
+Result = Refused | Broken | Whole
+
+
+class _Gone(msgspec.Struct, frozen=True, kw_only=True):
+    """The link to an agent was lost."""
+
+    agent: types.AgentId
+
+
+class _Silent(msgspec.Struct, frozen=True):
+    """Nothing came in time."""
+
+
+_SILENT = _Silent()
+
+
+class Attempt:
+    """Runs one attempt; the pieces come from `run`, then `result` is set.
+
+    `ask` is what the decisions see of the request, with the time that is
+    left for this attempt.
+    """
+
+    def __init__(
+        self,
+        *,
+        req: request.Request,
+        number: types.Attempt,
+        ask: views.Ask,
+        offset: int,
+        pool: pool_mod.Pool,
+        policy: placement.Policy,
+        metrics: metrics_mod.Metrics,
+        priority: int,
+    ) -> None:
+        self.req = req
+        self.number = number
+        self.result: Result = Refused(types.Refusal.NO_ENDPOINT)
+        self.handed_over = False
+        self.refusals = 0
+        self.excluded: set[types.AgentId] = set()
+        self._ask = ask
+        self._offset = offset
+        self._pool = pool
+        self._policy = policy
+        self._metrics = metrics
+        self._priority = priority
+        self._inbox: asyncio.Queue[msgspec.Struct] = asyncio.Queue()
+        self._loop = asyncio.get_running_loop()
+        self._began = self._loop.time()
+        self._used: dict[types.AgentId, pool_mod.Peer] = {}
+        self._granted: dict[types.Role, messages.Granted] = {}
+        self._agents: dict[types.Role, types.AgentId] = {}
+        self._plan: placement.Placement | None = None
+
+    # What the entry hands in.
+
+    def receive(self, agent: types.AgentId, msg: msgspec.Struct) -> bool:
+        """Take a message of this attempt; False if it was not expected."""
+        if agent not in self._used:
+            return False
+        self._inbox.put_nowait(msg)
+        return True
+
+    def lost(self, agent: types.AgentId) -> None:
+        """The link to an agent of this attempt is gone."""
+        if agent in self._used:
+            self._inbox.put_nowait(_Gone(agent=agent))
+
+    @property
+    def uses(self) -> set[types.AgentId]:
+        """The agents that hold something for this attempt."""
+        return set(self._used)
+
+    def holder(self) -> pool_mod.Peer | None:
+        """The agent that will give the answer, once reserved."""
+        agent = self._agents.get(self._answering_role)
+        return self._pool.peer(agent) if agent is not None else None
+
+    @property
+    def _answering_role(self) -> types.Role:
+        plain = self.req.plain is not None
+        return types.Role.PLAIN if plain else types.Role.DECODE
+
+    # Reservation.
+
+    async def reserve(self) -> types.Refusal | None:
+        """Get every part promised; None, or why it can't be."""
+        while True:
+            plan = self._policy.place(
+                ask=self._ask,
+                pool=self._pool.views_of(self.req.service),
+                now=self._loop.time(),
+                excluded=self.excluded,
+            )
+            if isinstance(plan, types.Refusal):
+                return plan
+            self._plan = plan
+            reason = await self._ask_agents(plan)
+            if reason is None:
+                return None
+            self.refusals += 1
+            if self.refusals >= MAX_REFUSALS:
+                return reason
+
+    async def _ask_agents(
+        self, plan: placement.Placement
+    ) -> types.Refusal | None:
+        waiting: dict[types.AgentId, types.Role] = {}
+        for role, agent in self._parts(plan):
+            if role in self._granted:
+                continue
+            if not self._send_reserve(role, agent, plan):
+                return types.Refusal.LINK_LOST
+            waiting[agent] = role
+        reason: types.Refusal | None = None
+        until = self._loop.time() + REPLY_S
+        while waiting:
+            msg = await self._next(until - self._loop.time())
+            if isinstance(msg, _Silent):
+                for agent in waiting:
+                    self._drop(agent)
+                return types.Refusal.NO_REPLY
+            why = self._take_reply(msg, waiting)
+            reason = reason or why
+        return reason
+
+    def _parts(
+        self, plan: placement.Placement
+    ) -> list[tuple[types.Role, types.AgentId]]:
+        if self.req.plain is not None:
+            return [(types.Role.PLAIN, plan.decode)]
+        parts = [(types.Role.DECODE, plan.decode)]
+        if plan.prefill is not None:
+            parts.append((types.Role.PREFILL, plan.prefill))
+        return parts
+
+    def _send_reserve(
+        self,
+        role: types.Role,
+        agent: types.AgentId,
+        plan: placement.Placement,
+    ) -> bool:
+        peer = self._pool.peer(agent)
+        if peer is None:
+            self.excluded.add(agent)
+            return False
+        ask = self._ask
+        load = peer.view.load
+        left = ask.ttft_s - 2 * peer.view.delay_s
+        if self.req.plain is None:
+            # A transfer and a step follow the slot, or the prefill.
+            left -= ask.kv_bytes / load.link_bytes_s + load.step_s
+        self._used[agent] = peer
+        self._agents[role] = agent
+        self._note_sent(role, peer)
+        peer.conn.send(
+            messages.Reserve(
+                req=self.req.req,
+                attempt=self.number,
+                part=role,
+                service=self.req.service,
+                kind=self.req.kind,
+                revision=load.revision,
+                within_s=max(0.0, left),
+                ready_in_s=max(0.0, plan.ready_in_s),
+                prompt_tokens=ask.prompt_tokens,
+                max_tokens=ask.max_tokens,
+                kv_bytes=ask.kv_bytes if role is types.Role.DECODE else 0,
+                blocks=ask.blocks if role is types.Role.PREFILL else (),
+                slots_kept=ask.slots_kept,
+                queue_share=ask.queue_share,
+                priority=self._priority,
+                claim=self.req.claim,
+            )
+        )
+        return True
+
+    def _note_sent(self, role: types.Role, peer: pool_mod.Peer) -> None:
+        view = peer.view
+        now = self._loop.time()
+        self._pool.health.of(view.agent).tried(now)
+        if role is types.Role.PREFILL:
+            view.sent_work_s += view.prefill_s(
+                self._ask.prompt_tokens, self._ask.blocks
+            )
+        else:
+            view.sent_slots += 1
+
+    def _take_reply(
+        self,
+        msg: msgspec.Struct,
+        waiting: dict[types.AgentId, types.Role],
+    ) -> types.Refusal | None:
+        if isinstance(msg, messages.Granted):
+            agent = self._agents[msg.part]
+            waiting.pop(agent, None)
+            self._granted[msg.part] = msg
+            return None
+        if isinstance(msg, messages.Refused):
+            agent = self._agents[msg.part]
+            waiting.pop(agent, None)
+            self._drop(agent)
+            return msg.reason
+        if isinstance(msg, _Gone):
+            if waiting.pop(msg.agent, None) is not None:
+                self._drop(msg.agent)
+                return types.Refusal.LINK_LOST
+            for role, agent in self._agents.items():
+                if agent == msg.agent:
+                    self._granted.pop(role, None)
+            self._drop(msg.agent)
+            return types.Refusal.LINK_LOST
+        return None
+
+    def _drop(self, agent: types.AgentId) -> None:
+        self.excluded.add(agent)
+        peer = self._used.pop(agent, None)
+        if peer is not None:
+            self._send_release(peer)
+
+    # Running.
+
+    async def run(self) -> AsyncGenerator[request.Event, None]:
+        """Run what was reserved; yields the answer's pieces."""
+        self.handed_over = True
+        if self.req.plain is not None:
+            self._send_call()
+            role = types.Role.PLAIN
+        else:
+            kv = await self._prefill()
+            if isinstance(kv, Broken):
+                self.result = kv
+                return
+            self._send_decode(kv)
+            role = types.Role.DECODE
+        stream = self._stream(role)
+        async with contextlib.aclosing(stream) as events:
+            async for event in events:
+                yield event
+
+    async def _prefill(self) -> dict | Broken:
+        agent = self._agents[types.Role.PREFILL]
+        await self._wait_for_slot()
+        peer = self._used[agent]
+        sent_at = self._loop.time()
+        peer.conn.send(
+            messages.RunPrefill(
+                req=self.req.req, attempt=self.number, body=self.req.body
+            )
+        )
+        expected = self._granted[types.Role.PREFILL].ready_in_s
+        until = sent_at + _AGENT_SILENT_S
+        while True:
+            msg = await self._next(until - self._loop.time())
+            if isinstance(msg, messages.PrefillDone):
+                self._used.pop(agent, None)
+                took = self._loop.time() - sent_at
+                self._went_well(agent, took, expected)
+                peer.view.hints.add(self.req.blocks)
+                return msg.kv
+            broken = self._broken(msg)
+            if broken is not None:
+                return broken
+
+    async def _wait_for_slot(self) -> None:
+        slot = self._granted[types.Role.DECODE].ready_in_s
+        done = self._granted[types.Role.PREFILL].ready_in_s
+        early = slot - done - KEEP_S
+        if early > 0.0:
+            await asyncio.sleep(early)
+
+    def _send_decode(self, kv: dict) -> None:
+        peer = self._used.get(self._agents[types.Role.DECODE])
+        if peer is None:
+            return
+        peer.conn.send(
+            messages.RunDecode(
+                req=self.req.req,
+                attempt=self.number,
+                body=self.req.body,
+                kv=kv,
+                offset=self._offset,
+            )
+        )
+
+    def _send_call(self) -> None:
+        peer = self._used.get(self._agents[types.Role.PLAIN])
+        call = self.req.plain
+        if peer is None or call is None:
+            return
+        peer.conn.send(
+            messages.RunCall(
+                req=self.req.req,
+                attempt=self.number,
+                method=call.method,
+                path=call.path,
+                query=call.query,
+                headers=call.headers,
+                body=self.req.body,
+            )
+        )
+
+    async def _stream(
+        self, role: types.Role
+    ) -> AsyncGenerator[request.Event, None]:
+        at = self._offset
+        first = True
+        sent_at = self._loop.time()
+        while True:
+            msg = await self._next(_AGENT_SILENT_S)
+            if isinstance(msg, messages.Done):
+                self._used.pop(self._agents[role], None)
+                self.result = self._check_length(msg, at)
+                return
+            broken = self._broken(msg)
+            if broken is not None:
+                self.result = broken
+                return
+            if first:
+                first = False
+                self._first_came(role, sent_at)
+            for event, size in self._events_of(msg, at):
+                yield event
+                at += size
+            if isinstance(msg, messages.Body):
+                self._send_credit(role, at)
+
+    def _check_length(self, msg: messages.Done, at: int) -> Result:
+        if msg.tokens == at:
+            return Whole(at)
+        self._metrics.count("dropped", types.Drop.GAP)
+        agent = self._agents[self._answering_role]
+        return Broken(types.Failure.TRANSFER, True, agent)
+
+    def _first_came(self, role: types.Role, sent_at: float) -> None:
+        agent = self._agents[role]
+        took = self._loop.time() - sent_at
+        if role is types.Role.DECODE:
+            load = self._granted[role].load
+            usual = self._ask.kv_bytes / load.link_bytes_s
+            usual += load.step_s + self._granted[role].ready_in_s
+        else:
+            usual = took
+        self._went_well(agent, took, usual + 0.01)
+
+    def _events_of(
+        self, msg: msgspec.Struct, at: int
+    ) -> Iterator[tuple[request.Event, int]]:
+        if isinstance(msg, messages.Tokens):
+            if msg.offset != at:
+                self._metrics.count("dropped", types.Drop.DOUBLE)
+                return
+            for text in msg.pieces:
+                yield request.Piece(text=text), 1
+        elif isinstance(msg, messages.Head):
+            yield request.PlainHead(status=msg.status, headers=msg.headers), 0
+        elif isinstance(msg, messages.Body):
+            if msg.offset != at:
+                self._metrics.count("dropped", types.Drop.DOUBLE)
+                return
+            yield request.PlainPart(data=msg.data), len(msg.data)
+
+    def _send_credit(self, role: types.Role, taken: int) -> None:
+        peer = self._used.get(self._agents[role])
+        if peer is not None:
+            peer.conn.send(
+                messages.Credit(
+                    req=self.req.req, attempt=self.number, taken=taken
+                )
+            )
+
+    def _broken(self, msg: msgspec.Struct) -> Broken | None:
+        if isinstance(msg, messages.Failed):
+            agent = self._agents.get(msg.part)
+            if agent is not None:
+                self._used.pop(agent, None)
+            return Broken(msg.reason, msg.ran, agent)
+        if isinstance(msg, _Gone):
+            self._used.pop(msg.agent, None)
+            return Broken(types.Failure.LINK_LOST, True, msg.agent)
+        if isinstance(msg, _Silent):
+            agent = next(iter(self._used), None)
+            return Broken(types.Failure.ENGINE_STALLED, True, agent)
+        if self._inbox.qsize() > MAX_WAITING_PIECES:
+            return Broken(types.Failure.SLOW_READER, True, None)
+        return None
+
+    def _went_well(
+        self, agent: types.AgentId, took_s: float, predicted_s: float
+    ) -> None:
+        self._pool.health.of(agent).succeeded(
+            took_s=took_s, predicted_s=predicted_s, now=self._loop.time()
+        )
+
+    async def _next(self, wait_s: float) -> msgspec.Struct:
+        inbox = self._inbox
+        if not inbox.empty():
+            return inbox.get_nowait()
+        # One timer is cheaper than a task for each wait.
+        timer = self._loop.call_later(
+            max(0.0, wait_s), inbox.put_nowait, _SILENT
+        )
+        try:
+            return await inbox.get()
+        finally:
+            timer.cancel()
+
+    # The end.
+
+    def release(self) -> None:
+        """Give back all that is still held for this attempt."""
+        for peer in self._used.values():
+            self._send_release(peer)
+        self._used.clear()
+
+    def _send_release(self, peer: pool_mod.Peer) -> None:
+        peer.conn.send(messages.Release(req=self.req.req, attempt=self.number))
--- /dev/null
+++ b/rackpost/entry/core.py
@@ -0,0 +1,474 @@
+"""The entry: owner of the callers' requests and of what they are told."""
+
+import asyncio
+import contextlib
+import random
+from typing import AsyncGenerator
+from typing import Iterator
+from typing import Mapping
+
+import msgspec
+
+from rackpost.decide import admission
+from rackpost.decide import placement
+from rackpost.decide import retry
+from rackpost.decide import views
+from rackpost.entry import attempt as attempt_mod
+from rackpost.entry import claims as claims_mod
+from rackpost.entry import pool as pool_mod
+from rackpost.entry import request
+from rackpost import exceptions
+from rackpost.link import channel
+from rackpost.link import messages
+from rackpost import metrics as metrics_mod
+from rackpost import types
+
+# Requests of all callers that one entry holds at once.
+MAX_OPEN = 4096
+# When a refused caller may come back, where nothing better is known.
+_COME_BACK_S = 1.0
+
+
+class EntryConfig(msgspec.Struct, frozen=True, kw_only=True):
+    """Who the entry is."""
+
+    entry: types.EntryId
+    data_centre: types.DataCentre
+    max_open: int = MAX_OPEN
+
+
+class _Open:
+    """A request that is being served, with its present attempt."""
+
+    def __init__(self, *, req: request.Request, began: float) -> None:
+        self.req = req
+        self.began = began
+        self.attempt: attempt_mod.Attempt | None = None
+        self.number = 0
+        self.delivered = 0
+        self.handed_over = False
+        self.first_at: float | None = None
+
+
+class Entry:
+    """Serves requests over the agents that it is linked to."""
+
+    def __init__(
+        self,
+        *,
+        cfg: EntryConfig,
+        models: placement.Policy,
+        plain: placement.Policy,
+        claims: claims_mod.Claims | None = None,
+        metrics: metrics_mod.Metrics | None = None,
+        rng: random.Random,
+    ) -> None:
+        self.cfg = cfg
+        self.metrics = metrics or metrics_mod.Metrics()
+        self.pool = pool_mod.Pool(rng=rng)
+        self._policies: Mapping[bool, placement.Policy] = {
+            False: models,
+            True: plain,
+        }
+        self._claims = claims
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._open: dict[types.RequestId, _Open] = {}
+        self._by_caller: dict[types.CallerId, int] = {}
+        self._admission: dict[types.ServiceName, admission.Admission] = {}
+        self._budgets: dict[types.ServiceName, retry.RetryBudget] = {}
+        self._sealing: dict[
+            tuple[types.RequestId, types.Attempt],
+            asyncio.Future[messages.Sealed],
+        ] = {}
+        self._stopping = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    # Links.
+
+    def add_agent(
+        self, member: pool_mod.Member, conn: channel.Channel
+    ) -> None:
+        """A link to an agent is up."""
+        peer = self.pool.add(member, conn)
+        conn.attach(
+            receive=lambda msg: self._on_message(peer, msg),
+            closed=lambda: self._on_closed(peer),
+        )
+        conn.send(
+            messages.Hello(
+                peer=self.cfg.entry,
+                incarnation=types.Incarnation(0),
+                data_centre=self.cfg.data_centre,
+                revision=types.Revision(0),
+            )
+        )
+
+    def _on_closed(self, peer: pool_mod.Peer) -> None:
+        agent = peer.member.agent
+        if self.pool.peer(agent) is peer:
+            self.pool.remove(agent)
+        for item in list(self._open.values()):
+            if item.attempt is not None:
+                item.attempt.lost(agent)
+
+    def _on_message(self, peer: pool_mod.Peer, msg: msgspec.Struct) -> None:
+        agent = peer.member.agent
+        load = getattr(msg, "load", None)
+        if load is not None:
+            self.pool.learn(agent, load)
+        if isinstance(msg, messages.Hello):
+            peer.incarnation = msg.incarnation
+        elif isinstance(msg, messages.Sealed):
+            self._on_sealed(msg)
+        elif not isinstance(msg, messages.Summary):
+            self._on_answer(peer, msg)
+
+    def _on_answer(self, peer: pool_mod.Peer, msg: msgspec.Struct) -> None:
+        req = getattr(msg, "req")
+        number = getattr(msg, "attempt")
+        item = self._open.get(req)
+        if item is None or item.attempt is None:
+            why = types.Drop.UNKNOWN_REQUEST
+        elif item.attempt.number != number:
+            why = types.Drop.OLD_ATTEMPT
+        elif item.attempt.receive(peer.member.agent, msg):
+            return
+        else:
+            why = types.Drop.OLD_ATTEMPT
+        self.metrics.count("dropped", why)
+        ended = (messages.Done, messages.Failed, messages.Refused)
+        if not isinstance(msg, ended):
+            # Whoever still works on it is told that nobody waits.
+            peer.conn.send(messages.Release(req=req, attempt=number))
+
+    def _on_sealed(self, msg: messages.Sealed) -> None:
+        fut = self._sealing.pop((msg.req, msg.attempt), None)
+        if fut is not None and not fut.done():
+            fut.set_result(msg)
+
+    # Requests.
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that are being served."""
+        return len(self._open)
+
+    def stop(self) -> None:
+        """Refuse new requests; those in flight go on."""
+        self._stopping = True
+
+    async def drained(self) -> None:
+        """Wait until no request is being served."""
+        await self._idle.wait()
+
+    async def serve(
+        self, req: request.Request
+    ) -> AsyncGenerator[request.Event, None]:
+        """Serve one request; the last event is its `End`.
+
+        Closing the generator early, as when the caller is gone, releases
+        all that is held for the request.
+        """
+        reason = self._turn_away(req)
+        if reason is not None:
+            yield self._refuse(req, reason)
+            return
+        with self._opened(req) as item:
+            async with contextlib.aclosing(self._serve(item)) as events:
+                async for event in events:
+                    self._observe(item, event)
+                    yield event
+
+    def _turn_away(self, req: request.Request) -> types.Refusal | None:
+        if self._stopping:
+            return types.Refusal.ENTRY_STOPPING
+        if len(self._open) >= self.cfg.max_open:
+            return types.Refusal.ENTRY_FULL
+        if self._by_caller.get(req.caller, 0) >= req.terms.max_open:
+            return types.Refusal.CALLER_OPEN_LIMIT
+        return None
+
+    @contextlib.contextmanager
+    def _opened(self, req: request.Request) -> Iterator[_Open]:
+        item = _Open(req=req, began=self._loop.time())
+        self._open[req.req] = item
+        self._by_caller[req.caller] = self._by_caller.get(req.caller, 0) + 1
+        self._idle.clear()
+        try:
+            yield item
+        finally:
+            if item.attempt is not None:
+                item.attempt.release()
+            del self._open[req.req]
+            self._by_caller[req.caller] -= 1
+            if not self._by_caller[req.caller]:
+                del self._by_caller[req.caller]
+            if not self._open:
+                self._idle.set()
+
+    async def _serve(self, item: _Open) -> AsyncGenerator[request.Event, None]:
+        req = item.req
+        self._budget(req.service).request()
+        line = self._line(req)
+        while True:
+            att = self._new_attempt(item, line)
+            reason = await att.reserve()
+            if reason is None:
+                self._pressure(req).granted()
+                reason = await self._claim(item, att)
+            elif reason in _WANT_OF_ROOM:
+                self._pressure(req).refused()
+            if reason is not None:
+                att.release()
+                yield self._refuse_reserved(item, reason)
+                return
+            item.handed_over = True
+            async with contextlib.aclosing(att.run()) as events:
+                async for event in events:
+                    if not isinstance(event, request.PlainHead):
+                        item.delivered += 1
+                    yield event
+            att.release()
+            end = await self._after(item, att)
+            if end is not None:
+                yield end
+                return
+
+    def _new_attempt(
+        self, item: _Open, line: admission.Line
+    ) -> attempt_mod.Attempt:
+        req = item.req
+        item.number += 1
+        excluded: set[types.AgentId] = set()
+        if item.attempt is not None:
+            excluded = item.attempt.excluded
+        att = attempt_mod.Attempt(
+            req=req,
+            number=types.Attempt(item.number),
+            ask=self._ask(item, line),
+            offset=item.delivered,
+            pool=self.pool,
+            policy=self._policies[req.plain is not None],
+            metrics=self.metrics,
+            priority=-int(req.terms.weight * 100),
+        )
+        att.excluded |= excluded
+        item.attempt = att
+        return att
+
+    def _ask(self, item: _Open, line: admission.Line) -> views.Ask:
+        req = item.req
+        return views.Ask(
+            service=req.service,
+            kind=req.kind,
+            prompt_tokens=req.prompt_tokens + item.delivered,
+            max_tokens=req.max_tokens,
+            blocks=req.blocks,
+            kv_bytes=req.kv_bytes,
+            ttft_s=self._left_s(item),
+            tbt_s=req.terms.tbt_s,
+            weight=req.terms.weight,
+            slots_kept=min(0.9, line.slots_kept + req.terms.held),
+            queue_share=line.queue_share,
+        )
+
+    def _left_s(self, item: _Open) -> float:
+        past = self._loop.time() - item.began
+        if item.delivered:
+            # The first token was in time; a resumed stream has as long
+            # as a new request would.
+            return min(item.req.terms.ttft_s, item.req.terms.whole_s - past)
+        return item.req.terms.ttft_s - past
+
+    def _line(self, req: request.Request) -> admission.Line:
+        adm = self._admission.get(req.service)
+        if adm is None:
+            adm = admission.Admission()
+            self._admission[req.service] = adm
+        return adm.line(weight=req.terms.weight, cost=self._cost(req))
+
+    def _cost(self, req: request.Request) -> float:
+        pool = self.pool.views_of(req.service)
+        prefill_s, decode_s = 0.0, 0.0
+        for view in pool:
+            load = view.load
+            if load.role is types.Role.PREFILL:
+                prefill_s += load.prefill_tokens_s
+            else:
+                decode_s += load.slots / load.step_s
+        pre = req.prompt_tokens / prefill_s if prefill_s else 0.0
+        dec = (req.max_tokens or 1) / decode_s if decode_s else 0.0
+        return max(pre, dec)
+
+    def _pressure(self, req: request.Request) -> admission.Pressure:
+        return self._admission[req.service].pressure
+
+    def _budget(self, service: types.ServiceName) -> retry.RetryBudget:
+        return self._budgets.setdefault(service, retry.RetryBudget())
+
+    # Claims.
+
+    async def _claim(
+        self, item: _Open, att: attempt_mod.Attempt
+    ) -> types.Refusal | None:
+        key = item.req.claim
+        if key is None or self._claims is None:
+            return None
+        peer = att.holder()
+        if peer is None:
+            return types.Refusal.LINK_LOST
+        holder = claims_mod.Holder(
+            peer.member.agent, peer.incarnation, item.req.req, att.number
+        )
+        try:
+            reply = await self._claims.claim(key=key, holder=holder)
+            if reply.state is claims_mod.ClaimState.RUNNING and reply.holder:
+                if await self._seal(reply.holder):
+                    await self._claims.settle(
+                        key=key, holder=reply.holder, state=None
+                    )
+                    reply = await self._claims.claim(key=key, holder=holder)
+        except exceptions.ControlError:
+            return types.Refusal.CONTROL_AWAY
+        if reply.state is claims_mod.ClaimState.GRANTED:
+            return None
+        if reply.state is claims_mod.ClaimState.UNKNOWN:
+            return types.Refusal.CLAIM_UNKNOWN
+        return types.Refusal.CLAIM_RUNNING
+
+    async def _seal(self, holder: claims_mod.Holder) -> bool:
+        """Have an attempt sealed; True only if it never ran."""
+        peer = self.pool.peer(holder.agent)
+        if peer is None or peer.incarnation != holder.incarnation:
+            return False
+        fut: asyncio.Future[messages.Sealed] = self._loop.create_future()
+        self._sealing[(holder.req, holder.attempt)] = fut
+        peer.conn.send(messages.Seal(req=holder.req, attempt=holder.attempt))
+        try:
+            async with asyncio.timeout(attempt_mod.REPLY_S):
+                return not (await fut).ran
+        except TimeoutError:
+            return False
+        finally:
+            self._sealing.pop((holder.req, holder.attempt), None)
+
+    # Ends.
+
+    async def _after(
+        self, item: _Open, att: attempt_mod.Attempt
+    ) -> request.End | None:
+        result = att.result
+        if isinstance(result, attempt_mod.Whole):
+            self.metrics.count(
+                "requests", types.Outcome.ANSWERED, item.req.kind
+            )
+            return request.End(
+                outcome=types.Outcome.ANSWERED, tokens=result.length
+            )
+        if isinstance(result, attempt_mod.Refused):
+            return self._refuse_reserved(item, result.reason)
+        return await self._after_break(item, att, result)
+
+    async def _after_break(
+        self,
+        item: _Open,
+        att: attempt_mod.Attempt,
+        broken: attempt_mod.Broken,
+    ) -> request.End | None:
+        if broken.agent is not None and broken.reason in _AGENTS_FAULT:
+            self.pool.health.of(broken.agent).failed(self._loop.time())
+            att.excluded.add(broken.agent)
+        stage = retry.Stage.HANDED_OVER
+        if item.delivered:
+            stage = retry.Stage.STREAMING
+        verdict = retry.after_failure(
+            reason=broken.reason,
+            ran=broken.ran,
+            stage=stage,
+            repeat=item.req.terms.repeat,
+            left_s=self._left_s(item),
+            needed_s=self._needed_s(item),
+            budget=self._budget(item.req.service),
+            rng=self._rng,
+        )
+        if isinstance(verdict, retry.GiveUp):
+            self.metrics.count("broken", verdict.reason, item.req.kind)
+            self.metrics.count("requests", verdict.outcome, item.req.kind)
+            return request.End(
+                outcome=verdict.outcome,
+                reason=verdict.reason,
+                retry_in_s=_COME_BACK_S,
+                tokens=item.delivered,
+            )
+        self.metrics.count("retried", broken.reason, item.req.kind)
+        await asyncio.sleep(verdict.pause_s)
+        return None
+
+    def _needed_s(self, item: _Open) -> float:
+        views_ = self.pool.views_of(item.req.service)
+        if item.req.plain is not None or not views_:
+            return 0.0
+        return min(
+            view.prefill_s(item.req.prompt_tokens, item.req.blocks)
+            for view in views_
+        )
+
+    def _refuse_reserved(
+        self, item: _Open, reason: types.Refusal
+    ) -> request.End:
+        outcome = types.Outcome.NOT_RUN
+        if item.handed_over or reason is types.Refusal.CLAIM_UNKNOWN:
+            # An earlier attempt may have run, whatever became of this.
+            outcome = types.Outcome.UNKNOWN
+        return self._refuse(item.req, reason, outcome)
+
+    def _refuse(
+        self,
+        req: request.Request,
+        reason: types.Refusal,
+        outcome: types.Outcome = types.Outcome.NOT_RUN,
+    ) -> request.End:
+        self.metrics.count("refused", reason, req.kind)
+        self.metrics.count("requests", outcome, req.kind)
+        return request.End(
+            outcome=outcome, reason=reason, retry_in_s=_COME_BACK_S
+        )
+
+    def _observe(self, item: _Open, event: request.Event) -> None:
+        now = self._loop.time()
+        kind = item.req.kind
+        if isinstance(event, request.End):
+            if event.outcome is types.Outcome.ANSWERED:
+                self.metrics.time("whole", kind, now - item.began)
+                self._observe_gaps(item, event, now)
+        elif item.first_at is None:
+            item.first_at = now
+            self.metrics.time("first_token", kind, now - item.began)
+
+    def _observe_gaps(self, item: _Open, end: request.End, now: float) -> None:
+        if item.first_at is not None and end.tokens > 1:
+            gap = (now - item.first_at) / (end.tokens - 1)
+            self.metrics.time("between_tokens", item.req.kind, gap)
+
+
+_WANT_OF_ROOM = frozenset(
+    {
+        types.Refusal.SLOTS_FULL,
+        types.Refusal.SLOTS_KEPT,
+        types.Refusal.QUEUE_FULL,
+        types.Refusal.QUEUE_KEPT,
+        types.Refusal.MEMORY_FULL,
+        types.Refusal.LINK_FULL,
+        types.Refusal.LATE_FIRST_TOKEN,
+    }
+)
+_AGENTS_FAULT = frozenset(
+    {
+        types.Failure.ENGINE,
+        types.Failure.ENGINE_STALLED,
+        types.Failure.TRANSFER,
+        types.Failure.LINK_LOST,
+    }
+)
--- /dev/null
+++ b/rackpost/entry/pool.py
@@ -0,0 +1,96 @@
+"""The endpoints that an entry knows, and its links to their agents."""
+
+import asyncio
+import random
+from typing import Iterable
+
+import msgspec
+
+from rackpost.decide import health
+from rackpost.decide import views
+from rackpost.link import channel
+from rackpost.link import messages
+from rackpost import types
+
+
+class Member(msgspec.Struct, frozen=True, kw_only=True):
+    """An agent as the entry is told of it."""
+
+    agent: types.AgentId
+    service: types.ServiceName
+    role: types.Role
+    data_centre: types.DataCentre
+    delay_s: float = 0.0005
+
+
+class Peer:
+    """An agent that the entry is linked to."""
+
+    def __init__(
+        self,
+        *,
+        member: Member,
+        conn: channel.Channel,
+        view: views.EndpointView,
+    ) -> None:
+        self.member = member
+        self.conn = conn
+        self.view = view
+        self.incarnation = types.Incarnation(0)
+
+
+class Pool:
+    """All linked agents, by id and by service."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.health = health.HealthMap(rng=rng)
+        self._peers: dict[types.AgentId, Peer] = {}
+        self._by_service: dict[types.ServiceName, list[views.EndpointView]] = (
+            {}
+        )
+
+    def add(self, member: Member, conn: channel.Channel) -> Peer:
+        """A link to an agent is up."""
+        view = views.EndpointView(
+            agent=member.agent,
+            service=member.service,
+            data_centre=member.data_centre,
+            load=messages.Load(role=member.role, revision=types.Revision(0)),
+            delay_s=member.delay_s,
+            now=self._loop.time(),
+        )
+        peer = Peer(member=member, conn=conn, view=view)
+        self.remove(member.agent)
+        self._peers[member.agent] = peer
+        self._by_service.setdefault(member.service, []).append(view)
+        return peer
+
+    def remove(self, agent: types.AgentId) -> None:
+        """The link to an agent is gone."""
+        peer = self._peers.pop(agent, None)
+        if peer is not None:
+            self._by_service[peer.member.service].remove(peer.view)
+
+    def peer(self, agent: types.AgentId) -> Peer | None:
+        """The link to an agent, if it is up."""
+        return self._peers.get(agent)
+
+    def peers(self) -> Iterable[Peer]:
+        """All links."""
+        return list(self._peers.values())
+
+    def views_of(self, service: types.ServiceName) -> list[views.EndpointView]:
+        """The endpoints of a service, with who is to be avoided."""
+        now = self._loop.time()
+        found = self._by_service.get(service, [])
+        for view in found:
+            state = self.health.of(view.agent).state(now)
+            view.avoided = state is health.State.AVOIDED
+        return found
+
+    def learn(self, agent: types.AgentId, load: messages.Load) -> None:
+        """An agent has said its load."""
+        peer = self._peers.get(agent)
+        if peer is not None:
+            peer.view.update(load, self._loop.time())
--- /dev/null
+++ b/rackpost/exceptions.py
@@ -0,0 +1,62 @@
+"""Every exception that rackpost raises, under one root."""
+
+
+class RackpostError(Exception):
+    """The root of all errors of rackpost."""
+
+
+class UserError(RackpostError):
+    """Something the user can mend; the text says how."""
+
+
+class ConfigError(UserError):
+    """A flag or an environment variable has an unusable value."""
+
+
+class SettingsError(UserError):
+    """A change of the settings tree was not accepted."""
+
+
+class BadRequest(UserError):
+    """A caller's request is not well formed.
+
+    `reason` is the stable word that goes into the answer, `status` the
+    HTTP status it goes with.
+    """
+
+    def __init__(self, reason: str, detail: str, *, status: int = 400):
+        super().__init__(detail)
+        self.reason = reason
+        self.status = status
+
+
+class LinkError(RackpostError):
+    """A link between two of rackpost's processes failed."""
+
+
+class CodecError(LinkError):
+    """Bytes from a peer are not a message of the protocol."""
+
+
+class LinkClosed(LinkError):
+    """The link ended, from this side or the other."""
+
+
+class EngineError(RackpostError):
+    """The endpoint did not do what it was asked.
+
+    `ran` is false only where it is certain that the endpoint has not
+    started, and will not start, the work.
+    """
+
+    def __init__(self, detail: str, *, ran: bool = True):
+        super().__init__(detail)
+        self.ran = ran
+
+
+class ControlError(RackpostError):
+    """The control service could not take or answer a command."""
+
+
+class StorageError(RackpostError):
+    """What lies on the disk cannot be trusted."""
--- /dev/null
+++ b/rackpost/testing/engine.py
@@ -0,0 +1,373 @@
+"""A stand-in model engine: slots, prefill, KV transfer, prefix cache.
+
+It is no engine: it spends time as one would, and its answers are derived
+from the request, so that a crossed, doubled or cut answer is seen.  One
+engine is one object in one event loop; `testing.engine_http` puts it on
+the network.
+"""
+
+import asyncio
+import collections
+import hashlib
+import heapq
+import random
+from typing import Any
+from typing import AsyncGenerator
+
+import msgspec
+
+from rackpost.agent import engine
+from rackpost.decide import prefix
+from rackpost.decide import slots
+from rackpost import exceptions
+from rackpost import types
+
+
+class EngineSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """What the stand-in spends: seconds, tokens, bytes.
+
+    A step takes `step_s` and `step_stream_s` more for each stream, which
+    makes 30 ms at twenty streams; a prefill of 1,500 tokens costs about
+    as much as 6 steps of a full batch, or 120 output tokens.
+    """
+
+    slots: int = 20
+    step_s: float = 0.018
+    step_stream_s: float = 0.0006
+    prefill_base_s: float = 0.01
+    prefill_tokens_s: float = 8000.0
+    kv_keep_s: float = 0.8
+    kv_token_bytes: int = 100_000
+    link_bytes_s: float = 2e9
+    cache_blocks: int = 1024
+    event_lag_s: float = 0.5
+    event_loss: float = 0.05
+    checks_fence: bool = True
+
+
+class Ledger:
+    """Prefill tokens that all engines of a test have spent."""
+
+    def __init__(self) -> None:
+        self.prefilled: collections.Counter[types.RequestId] = (
+            collections.Counter()
+        )
+        self.runs: collections.Counter[types.RequestId] = collections.Counter()
+
+
+class _Kept:
+    """A prefill's result, kept for export."""
+
+    def __init__(self, *, key: slots.Key, size: int) -> None:
+        self.key = key
+        self.size = size
+        self.expiry: asyncio.TimerHandle | None = None
+
+
+class _Stream:
+    """One request in the batch."""
+
+    def __init__(self, *, key: slots.Key, pieces: list[str]) -> None:
+        self.key = key
+        self.pieces = pieces
+        self.at = 0
+        self.out: asyncio.Queue[str | Exception | None] = asyncio.Queue()
+
+
+def prompt_of(body: bytes) -> bytes:
+    """The prompt's text in an OpenAI request body."""
+    req = msgspec.json.decode(body)
+    if "messages" in req:
+        parts = [str(msg.get("content", "")) for msg in req["messages"]]
+        return "\n".join(parts).encode()
+    return str(req.get("prompt", "")).encode()
+
+
+def answer_to(body: bytes) -> list[str]:
+    """The whole answer that any engine gives to a request body.
+
+    Its length is between 0.4 and 1 times the limit that was asked for.
+    """
+    req = msgspec.json.decode(body)
+    limit = int(req.get("max_tokens") or req.get("max_completion_tokens", 16))
+    digest = hashlib.blake2b(prompt_of(body), digest_size=8).digest()
+    share = 0.4 + 0.6 * digest[0] / 255
+    count = max(1, min(limit, round(limit * share)))
+    word = digest.hex()[:6]
+    return [f"{word}.{idx} " for idx in range(count)]
+
+
+class StandInEngine(engine.Engine):
+    """A model engine within this event loop."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        spec: EngineSpec,
+        peers: dict[str, "StandInEngine"],
+        rng: random.Random,
+        ledger: Ledger | None = None,
+    ) -> None:
+        self.name = name
+        self.spec = spec
+        self.ledger = ledger or Ledger()
+        self.slowness = 1.0
+        self.dead = False
+        self.fence = types.Fence(0)
+        self.orders: list[str] = []
+        self.link_free_at = 0.0
+        self.link_up = asyncio.Event()
+        self.link_up.set()
+        self._peers = peers
+        peers[name] = self
+        self._rng = rng
+        self._kept: dict[str, _Kept] = {}
+        self._prefills: list[tuple[int, int, slots.Key]] = []
+        self._turns: dict[slots.Key, asyncio.Event] = {}
+        self._prefilling: slots.Key | None = None
+        self._order = 0
+        self._waiting: collections.OrderedDict[slots.Key, asyncio.Event] = (
+            collections.OrderedDict()
+        )
+        self._taken: set[slots.Key] = set()
+        self._active: dict[slots.Key, _Stream] = {}
+        self._stepper: asyncio.Task[None] | None = None
+        self._cache = prefix.PrefixHints(max_blocks=spec.cache_blocks)
+        self._events: list[tuple[float, tuple[types.BlockHash, ...]]] = []
+
+    # What tests and the bench look at, and what they break.
+
+    def held(self) -> set[types.RequestId]:
+        """The requests for which any memory is held."""
+        kept = {item.key.req for item in self._kept.values()}
+        taken = {key.req for key in self._taken}
+        return kept | taken | {key.req for key in self._turns}
+
+    def kill(self) -> None:
+        """The engine dies: all it holds is lost, calls fail."""
+        self.dead = True
+        error = exceptions.EngineError("engine died")
+        for strm in self._active.values():
+            strm.out.put_nowait(error)
+        self._active.clear()
+        self._taken.clear()
+        self._kept.clear()
+        for turn in [*self._turns.values(), *self._waiting.values()]:
+            turn.set()
+
+    def revive(self) -> None:
+        """The engine is back, with nothing in memory."""
+        self.dead = False
+        self._prefilling = None
+        self._turns.clear()
+        self._prefills.clear()
+        self._waiting.clear()
+
+    def _check(self, *, ran: bool) -> None:
+        if self.dead:
+            raise exceptions.EngineError("engine is dead", ran=ran)
+
+    # Prefill.
+
+    async def prefill(
+        self, *, key: slots.Key, body: bytes, priority: int
+    ) -> engine.PrefillResult:
+        """Wait for the turn, spend the time, keep the result."""
+        self._check(ran=False)
+        prompt = prompt_of(body)
+        try:
+            await self._turn(key, priority)
+            return await self._prefill_now(key, prompt)
+        finally:
+            self._pass_turn(key)
+
+    async def _turn(self, key: slots.Key, priority: int) -> None:
+        turn = asyncio.Event()
+        self._turns[key] = turn
+        self._order += 1
+        heapq.heappush(self._prefills, (priority, self._order, key))
+        self._next_prefill()
+        await turn.wait()
+
+    def _next_prefill(self) -> None:
+        while self._prefilling is None and self._prefills:
+            key = heapq.heappop(self._prefills)[2]
+            turn = self._turns.get(key)
+            if turn is not None:
+                self._prefilling = key
+                turn.set()
+
+    def _pass_turn(self, key: slots.Key) -> None:
+        self._turns.pop(key, None)
+        if self._prefilling == key:
+            self._prefilling = None
+        self._next_prefill()
+
+    async def _prefill_now(
+        self, key: slots.Key, prompt: bytes
+    ) -> engine.PrefillResult:
+        self._check(ran=False)
+        tokens = prefix.count_tokens(prompt)
+        blocks = prefix.block_hashes(prompt)
+        cached = self._cache.match(blocks) * prefix.BLOCK_TOKENS
+        rest = max(1, tokens - cached)
+        spent = self.spec.prefill_base_s + rest / self.spec.prefill_tokens_s
+        self.ledger.prefilled[key.req] += rest
+        await asyncio.sleep(spent * self.slowness)
+        self._check(ran=True)
+        self._cache.add(blocks)
+        self._emit(blocks)
+        return self._keep(key, tokens, cached)
+
+    def _keep(
+        self, key: slots.Key, tokens: int, cached: int
+    ) -> engine.PrefillResult:
+        handle = f"{key.req}.{key.attempt}"
+        item = _Kept(key=key, size=tokens * self.spec.kv_token_bytes)
+        loop = asyncio.get_running_loop()
+        item.expiry = loop.call_later(
+            self.spec.kv_keep_s, self._kept.pop, handle, None
+        )
+        self._kept[handle] = item
+        kv = {"remote_engine_id": self.name, "remote_block_ids": [handle]}
+        return engine.PrefillResult(kv=kv, cached_tokens=cached)
+
+    def _emit(self, blocks: tuple[types.BlockHash, ...]) -> None:
+        if self._rng.random() >= self.spec.event_loss:
+            due = asyncio.get_running_loop().time() + self.spec.event_lag_s
+            self._events.append((due, blocks))
+
+    async def events(self) -> engine.CacheEvents:
+        """The cache events whose lag has passed; some are missing."""
+        now = asyncio.get_running_loop().time()
+        due = [blocks for at, blocks in self._events if at <= now]
+        self._events = [item for item in self._events if item[0] > now]
+        return engine.CacheEvents(stored=tuple(b for bs in due for b in bs))
+
+    # Transfer.
+
+    async def _import(self, kv: dict[str, Any]) -> None:
+        peer = self._peers.get(str(kv.get("remote_engine_id")))
+        handle = str((kv.get("remote_block_ids") or [""])[0])
+        if peer is None or peer.dead:
+            raise engine.TransferFailed("exporting engine is gone")
+        item = peer._kept.get(handle)
+        if item is None:
+            raise engine.KvExpired("KV cache is no longer kept")
+        if item.expiry is not None:
+            item.expiry.cancel()
+        try:
+            await self._move(peer, item.size)
+        finally:
+            peer._kept.pop(handle, None)
+        if peer.dead or self.dead:
+            raise engine.TransferFailed("engine died in transfer")
+
+    async def _move(self, peer: "StandInEngine", size: int) -> None:
+        loop = asyncio.get_running_loop()
+        await peer.link_up.wait()
+        await self.link_up.wait()
+        rate = min(self.spec.link_bytes_s, peer.spec.link_bytes_s)
+        free = max(self.link_free_at, peer.link_free_at, loop.time())
+        done = free + size / rate
+        self.link_free_at = done
+        peer.link_free_at = done
+        await asyncio.sleep(done - loop.time())
+
+    # Decode.
+
+    async def decode(
+        self,
+        *,
+        key: slots.Key,
+        body: bytes,
+        kv: dict[str, Any] | None,
+        offset: int,
+        priority: int,
+    ) -> AsyncGenerator[str, None]:
+        """Wait for memory, import the KV cache, stream the answer."""
+        self._check(ran=False)
+        self.ledger.runs[key.req] += 1
+        strm = _Stream(key=key, pieces=answer_to(body))
+        strm.at = offset
+        try:
+            await self._slot(key)
+            if kv is not None:
+                await self._import(kv)
+            self._check(ran=True)
+            self._join(strm)
+            while True:
+                piece = await strm.out.get()
+                if piece is None:
+                    return
+                if isinstance(piece, Exception):
+                    raise piece
+                yield piece
+        finally:
+            self._free(key)
+
+    async def _slot(self, key: slots.Key) -> None:
+        if len(self._taken) >= self.spec.slots:
+            turn = asyncio.Event()
+            self._waiting[key] = turn
+            await turn.wait()
+            self._check(ran=True)
+        self._taken.add(key)
+
+    def _free(self, key: slots.Key) -> None:
+        self._active.pop(key, None)
+        self._waiting.pop(key, None)
+        self._taken.discard(key)
+        free = self.spec.slots - len(self._taken)
+        while self._waiting and free > 0:
+            _, turn = self._waiting.popitem(last=False)
+            turn.set()
+            free -= 1
+
+    def _join(self, strm: _Stream) -> None:
+        self._active[strm.key] = strm
+        if self._stepper is None or self._stepper.done():
+            self._stepper = asyncio.create_task(self._steps())
+
+    def step_s(self) -> float:
+        """How long a step of the present batch takes, in seconds."""
+        batch = self.spec.step_stream_s * len(self._active)
+        return (self.spec.step_s + batch) * self.slowness
+
+    async def _steps(self) -> None:
+        while self._active:
+            await asyncio.sleep(self.step_s())
+            for strm in list(self._active.values()):
+                self._one_token(strm)
+
+    def _one_token(self, strm: _Stream) -> None:
+        if strm.at < len(strm.pieces):
+            strm.out.put_nowait(strm.pieces[strm.at])
+            strm.at += 1
+        if strm.at >= len(strm.pieces):
+            self._active.pop(strm.key, None)
+            strm.out.put_nowait(None)
+
+    async def abort(self, *, key: slots.Key) -> None:
+        """Forget a request, wherever it is."""
+        self._kept.pop(f"{key.req}.{key.attempt}", None)
+        strm = self._active.pop(key, None)
+        if strm is not None:
+            strm.out.put_nowait(exceptions.EngineError("aborted"))
+        self._free(key)
+
+    async def call(
+        self, **_: Any
+    ) -> AsyncGenerator[engine.CallHead | bytes, None]:
+        """A model engine has no plain calls."""
+        raise exceptions.EngineError("not a plain service", ran=False)
+        yield b""  # This makes the function a generator.
+
+    def order(self, *, fence: types.Fence, what: str) -> bool:
+        """Take an order; one with an old fence is refused if checked."""
+        if self.spec.checks_fence and fence < self.fence:
+            return False
+        self.fence = max(self.fence, fence)
+        self.orders.append(what)
+        return True
--- /dev/null
+++ b/rackpost/testing/plain.py
@@ -0,0 +1,71 @@
+"""A stand-in plain service, whose answers are derived from the call."""
+
+import asyncio
+import hashlib
+from typing import Any
+from typing import AsyncGenerator
+
+from rackpost.agent import engine
+from rackpost.decide import slots
+from rackpost import exceptions
+from rackpost.testing import engine as engine_testing
+
+# Calls that it serves at once, and the seconds that each takes.
+SLOTS = 16
+CALL_S = 0.01
+
+
+def answer_to(method: str, path: str, query: str, body: bytes) -> bytes:
+    """The body that the service gives for a call."""
+    text = f"{method} {path}?{query} ".encode() + body
+    return hashlib.blake2b(text, digest_size=16).hexdigest().encode()
+
+
+class StandInPlain(engine.Engine):
+    """A plain service within this event loop."""
+
+    def __init__(self, *, ledger: engine_testing.Ledger) -> None:
+        self.ledger = ledger
+        self.dead = False
+        self.slowness = 1.0
+        self._room = asyncio.Semaphore(SLOTS)
+
+    async def prefill(
+        self, *, key: slots.Key, body: bytes, priority: int
+    ) -> engine.PrefillResult:
+        """A plain service has no prefill."""
+        raise exceptions.EngineError("not a model engine", ran=False)
+
+    async def decode(self, **_: Any) -> AsyncGenerator[str, None]:
+        """A plain service does not decode."""
+        raise exceptions.EngineError("not a model engine", ran=False)
+        yield ""  # This makes the function a generator.
+
+    async def abort(self, *, key: slots.Key) -> None:
+        """Nothing outlives a call."""
+
+    async def events(self) -> engine.CacheEvents:
+        """A plain service caches no prompts."""
+        return engine.CacheEvents()
+
+    async def call(
+        self,
+        *,
+        key: slots.Key,
+        method: str,
+        path: str,
+        query: str,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> AsyncGenerator[engine.CallHead | bytes, None]:
+        """Spend the time, then answer."""
+        if self.dead:
+            raise exceptions.EngineError("service is down", ran=False)
+        async with self._room:
+            self.ledger.runs[key.req] += 1
+            await asyncio.sleep(CALL_S * self.slowness)
+        if self.dead:
+            raise exceptions.EngineError("service died")
+        kind = ("content-type", "text/plain")
+        yield engine.CallHead(status=200, headers=(kind,))
+        yield answer_to(method, path, query, body)
--- /dev/null
+++ b/rackpost/testing/site.py
@@ -0,0 +1,203 @@
+"""A whole site in one event loop: entries, agents, stand-in endpoints.
+
+The entries and agents are the product's own; only the links (in process,
+with a delay) and the endpoints are stand-ins.
+"""
+
+import asyncio
+import random
+from typing import Callable
+from typing import NamedTuple
+
+from rackpost.agent import core as agent_core
+from rackpost.agent import engine as engine_mod
+from rackpost.decide import book as book_mod
+from rackpost.decide import placement
+from rackpost.entry import claims as claims_mod
+from rackpost.entry import core as entry_core
+from rackpost.entry import pool
+from rackpost.link import channel
+from rackpost.testing import engine
+from rackpost.testing import plain
+from rackpost import types
+
+
+class Delays(NamedTuple):
+    """One-way delays in seconds, within and between data centres."""
+
+    inside_s: float = 0.0001
+    between_s: float = 0.0005
+
+    def of(self, one: str, two: str) -> float:
+        """The delay between two data centres."""
+        return self.inside_s if one == two else self.between_s
+
+
+class Place(NamedTuple):
+    """One endpoint of the site, and where it stands."""
+
+    name: str
+    service: types.ServiceName
+    role: types.Role
+    data_centre: types.DataCentre
+
+
+class Node:
+    """One endpoint with its agent."""
+
+    def __init__(
+        self,
+        *,
+        place: Place,
+        engine: engine_mod.Engine,
+        agent: agent_core.Agent,
+    ) -> None:
+        self.place = place
+        self.engine = engine
+        self.agent = agent
+        self.task = asyncio.create_task(agent.run())
+        self.links: list[channel.LocalChannel] = []
+
+    def kill_agent(self) -> None:
+        """The agent's process dies: its links and work with it."""
+        self.task.cancel()
+        self.agent.close()
+
+
+BookMaker = Callable[[book_mod.EndpointSpec], book_mod.Book]
+
+
+def promise_book(spec: book_mod.EndpointSpec) -> book_mod.Book:
+    """The product's book."""
+    return book_mod.PromiseBook(spec=spec)
+
+
+class Site:
+    """Everything between callers and endpoints, and the endpoints."""
+
+    def __init__(
+        self,
+        *,
+        delays: Delays,
+        seed: int,
+        engine_spec: engine.EngineSpec,
+        make_book: BookMaker = promise_book,
+        claims: claims_mod.Claims | None = None,
+    ) -> None:
+        self.delays = delays
+        self.engine_spec = engine_spec
+        self.ledger = engine.Ledger()
+        self.engines: dict[str, engine.StandInEngine] = {}
+        self.nodes: dict[str, Node] = {}
+        self.entries: list[entry_core.Entry] = []
+        self._seed = seed
+        self._make_book = make_book
+        self._claims = claims
+
+    def rng(self, name: str) -> random.Random:
+        """A generator of its own for a part of the site."""
+        return random.Random(f"{self._seed}/{name}")
+
+    def add_endpoint(self, place: Place) -> Node:
+        """Set up an endpoint and its agent, linked to every entry."""
+        found = self._make_engine(place)
+        agent = agent_core.Agent(
+            cfg=agent_core.AgentConfig(
+                agent=types.AgentId(place.name),
+                service=place.service,
+                data_centre=place.data_centre,
+            ),
+            engine=found,
+            book=self._make_book(self.spec_of(place)),
+        )
+        node = Node(place=place, engine=found, agent=agent)
+        self.nodes[place.name] = node
+        for entry in self.entries:
+            self._link(entry, node)
+        return node
+
+    def _make_engine(self, place: Place) -> engine_mod.Engine:
+        rng = self.rng(place.name)
+        if place.role is types.Role.PLAIN:
+            return plain.StandInPlain(ledger=self.ledger)
+        return engine.StandInEngine(
+            name=place.name,
+            spec=self.engine_spec,
+            peers=self.engines,
+            rng=rng,
+            ledger=self.ledger,
+        )
+
+    def spec_of(self, place: Place) -> book_mod.EndpointSpec:
+        """What the operator states of an endpoint."""
+        spec = self.engine_spec
+        if place.role is types.Role.PLAIN:
+            return book_mod.EndpointSpec(
+                role=place.role, slots=plain.SLOTS, step_s=plain.CALL_S
+            )
+        return book_mod.EndpointSpec(
+            role=place.role,
+            slots=spec.slots,
+            prefill_tokens_s=spec.prefill_tokens_s,
+            prefill_base_s=spec.prefill_base_s,
+            step_s=spec.step_s + spec.step_stream_s * spec.slots,
+            link_bytes_s=spec.link_bytes_s,
+            cache_blocks=spec.cache_blocks,
+        )
+
+    def add_entry(
+        self,
+        name: str,
+        data_centre: types.DataCentre,
+        policy: placement.Policy | None = None,
+    ) -> entry_core.Entry:
+        """Set up an entry, linked to every agent."""
+        rng = self.rng(name)
+        entry = entry_core.Entry(
+            cfg=entry_core.EntryConfig(
+                entry=types.EntryId(name), data_centre=data_centre
+            ),
+            models=policy or placement.JointPolicy(rng=rng),
+            plain=placement.PlainPolicy(rng=rng),
+            claims=self._claims,
+            rng=rng,
+        )
+        self.entries.append(entry)
+        for node in self.nodes.values():
+            self._link(entry, node)
+        return entry
+
+    def _link(self, entry: entry_core.Entry, node: Node) -> None:
+        place = node.place
+        delay = self.delays.of(entry.cfg.data_centre, place.data_centre)
+        here, there = channel.local_pair(delay_s=delay)
+        node.links.append(there)
+        node.agent.connect(there)
+        entry.add_agent(
+            pool.Member(
+                agent=types.AgentId(place.name),
+                service=place.service,
+                role=place.role,
+                data_centre=place.data_centre,
+                delay_s=delay,
+            ),
+            here,
+        )
+
+    def kill_entry(self, entry: entry_core.Entry) -> None:
+        """The entry's process dies: every link of it ends."""
+        self.entries.remove(entry)
+        for peer in entry.pool.peers():
+            peer.conn.close()
+
+    def held(self) -> set[types.RequestId]:
+        """Requests for which any engine holds memory."""
+        found: set[types.RequestId] = set()
+        for item in self.engines.values():
+            found |= item.held()
+        return found
+
+    def close(self) -> None:
+        """End all tasks."""
+        for node in self.nodes.values():
+            node.kill_agent()
--- /dev/null
+++ b/rackpost/version.py
@@ -0,0 +1,3 @@
+"""The version of rackpost."""
+
+VERSION = "0.1.0"
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,173 @@
+"""The path of a request through entry, agents and engines."""
+
+import asyncio
+
+import pytest
+
+from rackpost.testing import engine
+from rackpost.testing import virtual
+from rackpost import types
+from tests import driver
+
+OK = types.Outcome.ANSWERED
+
+
+def test_a_request_is_answered_whole() -> None:
+    async def main() -> None:
+        site = driver.small_site()
+        await asyncio.sleep(0.1)
+        got = await driver.take(site.entries[0], driver.ask("a"))
+        assert got.whole
+        assert got.end.outcome is OK
+        assert not site.held()
+        site.close()
+
+    virtual.run(main())
+
+
+def test_a_plain_call_is_passed_on() -> None:
+    async def main() -> None:
+        site = driver.small_site()
+        await asyncio.sleep(0.1)
+        got = await driver.take(site.entries[0], driver.call("a", b"x"))
+        assert got.whole
+        site.close()
+
+    virtual.run(main())
+
+
+def test_a_burst_is_answered_or_refused_and_never_crossed() -> None:
+    async def main() -> None:
+        site = driver.small_site()
+        await asyncio.sleep(0.1)
+        entry = site.entries[0]
+        got = await asyncio.gather(
+            *(driver.take(entry, driver.ask(f"r{i}")) for i in range(150))
+        )
+        answered = [item for item in got if item.end.outcome is OK]
+        refused = [
+            item for item in got if item.end.outcome is types.Outcome.NOT_RUN
+        ]
+        assert len(answered) + len(refused) == 150
+        assert len(answered) >= 10 and len(refused) >= 20
+        assert all(item.whole for item in answered)
+        assert not any(item.pieces for item in refused)
+        # What was refused as not run must have cost nothing at all.
+        assert len(site.ledger.runs) == len(answered)
+        assert len(site.ledger.prefilled) == len(answered)
+        assert not site.held()
+        site.close()
+
+    virtual.run(main())
+
+
+# Moments at which a caller leaves: in the agent's queue, in prefill, in
+# the transfer, in decode.  The prefill takes 0.5 s, the transfer 0.4 s.
+SLOW = engine.EngineSpec(prefill_base_s=0.5, link_bytes_s=1.3e8, kv_keep_s=0.8)
+
+
+@pytest.mark.parametrize("moment", [0.3, 0.75, 1.2, 1.6])
+def test_engine_memory_is_free_after_the_caller_left(moment: float) -> None:
+    async def main() -> None:
+        site = driver.small_site(prefills=1, decodes=1, spec=SLOW)
+        await asyncio.sleep(0.1)
+        entry = site.entries[0]
+        first = asyncio.create_task(
+            driver.take(entry, driver.ask("first", ttft_s=3.0))
+        )
+        req = driver.ask("gone", ttft_s=3.0, max_tokens=60)
+        await driver.leave_after(entry, req, moment)
+        await asyncio.sleep(0.9)
+        assert "gone" not in site.held()
+        assert (await first).whole
+        assert entry.open_requests == 0
+        await asyncio.sleep(0.1)
+        assert not site.held()
+        site.close()
+
+    virtual.run(main())
+
+
+def test_engine_memory_is_free_after_the_entry_died() -> None:
+    async def main() -> None:
+        site = driver.small_site(spec=SLOW)
+        await asyncio.sleep(0.1)
+        entry = site.entries[0]
+        tasks = [
+            asyncio.create_task(
+                driver.take(entry, driver.ask(f"r{i}", ttft_s=3.0))
+            )
+            for i in range(8)
+        ]
+        await asyncio.sleep(1.3)
+        assert site.held()
+        site.kill_entry(entry)
+        await asyncio.sleep(1.0)
+        assert not site.held()
+        for node in site.nodes.values():
+            assert node.agent.open_attempts == 0
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        site.close()
+
+    virtual.run(main())
+
+
+def test_a_killed_agent_breaks_no_promise_while_others_can_take_over() -> None:
+    async def main() -> None:
+        site = driver.small_site(prefills=2, decodes=3)
+        await asyncio.sleep(0.1)
+        entry = site.entries[0]
+        tasks = [
+            asyncio.create_task(
+                driver.take(entry, driver.ask(f"r{i}", max_tokens=60))
+            )
+            for i in range(6)
+        ]
+        await asyncio.sleep(0.8)
+        site.nodes["t3"].kill_agent()
+        got = await asyncio.gather(*tasks)
+        assert all(item.whole for item in got)
+        assert all(item.end.outcome is OK for item in got)
+        await asyncio.sleep(1.0)
+        assert not site.held()
+        site.close()
+
+    virtual.run(main())
+
+
+def test_a_planned_stop_cuts_nothing_and_takes_nothing_new() -> None:
+    async def main() -> None:
+        site = driver.small_site()
+        await asyncio.sleep(0.1)
+        entry = site.entries[0]
+        tasks = [
+            asyncio.create_task(
+                driver.take(entry, driver.ask(f"r{i}", max_tokens=60))
+            )
+            for i in range(6)
+        ]
+        await asyncio.sleep(0.5)
+        leaving = site.nodes["t2"].agent
+        leaving.leave()
+        await asyncio.sleep(0.01)
+        before = leaving.open_attempts
+        more = [
+            asyncio.create_task(
+                driver.take(entry, driver.ask(f"m{i}", max_tokens=60))
+            )
+            for i in range(6)
+        ]
+        await asyncio.sleep(0.05)
+        assert leaving.open_attempts <= before
+        await leaving.drained()
+        entry.stop()
+        late = await driver.take(entry, driver.ask("late"))
+        assert late.end.reason is types.Refusal.ENTRY_STOPPING
+        got = await asyncio.gather(*tasks, *more)
+        assert all(item.whole for item in got)
+        await entry.drained()
+        site.close()
+
+    virtual.run(main())
