--- /dev/null
+++ b/rackpost/agent/engine_http.py
@@ -0,0 +1,285 @@
+"""Model engines and plain services over HTTP, as docs/ENDPOINTS.md says.
+
+The OpenAI API with the fields that engines publish for separate prefill:
+`kv_transfer_params`, `priority`, and server-sent events with ids.
+"""
+
+import contextlib
+from typing import Any
+from typing import AsyncGenerator
+from typing import AsyncIterator
+
+import aiohttp
+import msgspec
+
+from rackpost.agent import engine
+from rackpost.decide import slots
+from rackpost import exceptions
+from rackpost import types
+
+# The agent's own watchdog is tighter; this only bounds a forgotten call.
+_TOTAL_S = 3600.0
+_CONNECT_S = 1.0
+_PART_BYTES = 16 << 10
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+    }
+)
+_NOT_STARTED = (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError)
+
+
+class _Delta(msgspec.Struct):
+    """The part of a streamed choice that carries text."""
+
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    """One choice of a streamed or whole answer."""
+
+    delta: _Delta | None = None
+    text: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    """An event of a streamed answer."""
+
+    choices: list[_Choice] = []
+    error: str | None = None
+
+
+class _Prefilled(msgspec.Struct):
+    """What a prefill answers."""
+
+    kv_transfer_params: dict[str, Any]
+    cached_tokens: int = 0
+
+
+class _Event(msgspec.Struct):
+    """A cache event, named as engines name them."""
+
+    type: str
+    block_hashes: list[int] = []
+
+
+class _Events(msgspec.Struct):
+    """Cache events after a number."""
+
+    last: int
+    events: list[_Event]
+
+
+def end_to_end(
+    headers: tuple[tuple[str, str], ...],
+) -> tuple[tuple[str, str], ...]:
+    """The headers that are passed on; hop-by-hop ones are dropped."""
+    named = {
+        word.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for word in value.split(",")
+    }
+    drop = _HOP_BY_HOP | named
+    return tuple(item for item in headers if item[0].lower() not in drop)
+
+
+def _name_of(key: slots.Key) -> str:
+    return f"{key.req}.{key.attempt}"
+
+
+class HttpEngine(engine.Engine):
+    """An endpoint at a base URL, usually on the agent's own VM."""
+
+    def __init__(self, *, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._events_after = 0
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(
+                total=_TOTAL_S, sock_connect=_CONNECT_S
+            ),
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            auto_decompress=False,
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    @contextlib.asynccontextmanager
+    async def _call(
+        self, method: str, path: str, **more: Any
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        url = self._url + path
+        try:
+            async with self._session.request(method, url, **more) as resp:
+                yield resp
+        except _NOT_STARTED as exc:
+            raise exceptions.EngineError(str(exc), ran=False) from exc
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise exceptions.EngineError(str(exc)) from exc
+
+    async def prefill(
+        self, *, key: slots.Key, body: bytes, priority: int
+    ) -> engine.PrefillResult:
+        """Run a prefill with the KV cache kept for a remote decode."""
+        req = msgspec.json.decode(body)
+        req["max_tokens"] = 1
+        req["stream"] = False
+        req["priority"] = priority
+        req["kv_transfer_params"] = {"do_remote_decode": True}
+        async with self._post(key, req) as resp:
+            await _check(resp)
+            try:
+                found = msgspec.json.decode(await resp.read(), type=_Prefilled)
+            except msgspec.MsgspecError as exc:
+                raise exceptions.EngineError(f"bad answer: {exc}") from exc
+        return engine.PrefillResult(
+            kv=found.kv_transfer_params, cached_tokens=found.cached_tokens
+        )
+
+    def _post(
+        self, key: slots.Key, req: dict[str, Any], **headers: str
+    ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        chat = "messages" in req
+        return self._call(
+            "POST",
+            "/v1/chat/completions" if chat else "/v1/completions",
+            data=msgspec.json.encode(req),
+            headers={
+                "Content-Type": "application/json",
+                "X-Request-Id": _name_of(key),
+                **headers,
+            },
+        )
+
+    async def decode(
+        self,
+        *,
+        key: slots.Key,
+        body: bytes,
+        kv: dict[str, Any] | None,
+        offset: int,
+        priority: int,
+    ) -> AsyncGenerator[str, None]:
+        """Stream an answer, from `offset` on where it is a resumed one."""
+        req = msgspec.json.decode(body)
+        req["stream"] = True
+        req["priority"] = priority
+        if kv is not None:
+            req["kv_transfer_params"] = {**kv, "do_remote_prefill": True}
+        resume = {"Last-Event-ID": str(offset)} if offset else {}
+        async with self._post(key, req, **resume) as resp:
+            await _check(resp)
+            async for text in _pieces(resp):
+                yield text
+
+    async def abort(self, *, key: slots.Key) -> None:
+        """Abort a request; engines also do so when a call is closed."""
+        payload = msgspec.json.encode({"request_ids": [_name_of(key)]})
+        async with self._call("POST", "/abort_requests", data=payload):
+            pass
+
+    async def call(
+        self,
+        *,
+        key: slots.Key,
+        method: str,
+        path: str,
+        query: str,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> AsyncGenerator[engine.CallHead | bytes, None]:
+        """Pass a call on and its answer back."""
+        target = f"{path}?{query}" if query else path
+        async with self._call(
+            method,
+            target,
+            data=body or None,
+            headers=[*end_to_end(headers), ("X-Request-Id", _name_of(key))],
+            allow_redirects=False,
+        ) as resp:
+            yield engine.CallHead(
+                status=resp.status,
+                headers=end_to_end(tuple(resp.headers.items())),
+            )
+            async for part in resp.content.iter_chunked(_PART_BYTES):
+                yield part
+
+    async def events(self) -> engine.CacheEvents:
+        """Cache events since the last call."""
+        path = f"/kv_events?after={self._events_after}"
+        async with self._call("GET", path) as resp:
+            if resp.status != 200:
+                return engine.CacheEvents()
+            try:
+                found = msgspec.json.decode(await resp.read(), type=_Events)
+            except msgspec.MsgspecError:
+                return engine.CacheEvents()
+        self._events_after = found.last
+        return engine.CacheEvents(
+            stored=_blocks(found, "BlockStored"),
+            removed=_blocks(found, "BlockRemoved"),
+        )
+
+    async def order(self, *, fence: types.Fence, what: str) -> bool:
+        """Give a fenced order; False if the endpoint refused it."""
+        payload = msgspec.json.encode({"fence": fence, "what": what})
+        async with self._call("POST", "/orders", data=payload) as resp:
+            return resp.status == 200
+
+
+def _blocks(found: _Events, kind: str) -> tuple[types.BlockHash, ...]:
+    return tuple(
+        types.BlockHash(block)
+        for event in found.events
+        if event.type == kind
+        for block in event.block_hashes
+    )
+
+
+async def _check(resp: aiohttp.ClientResponse) -> None:
+    if resp.status == 200:
+        return
+    text = (await resp.content.read(500)).decode(errors="replace")
+    if resp.status == 410:
+        raise engine.KvExpired(text)
+    if resp.status == 502:
+        raise engine.TransferFailed(text)
+    # An engine that says it is overloaded, or does not like the request,
+    # has not started it.
+    ran = resp.status not in (400, 404, 422, 429, 503)
+    raise exceptions.EngineError(f"{resp.status}: {text}", ran=ran)
+
+
+async def _pieces(
+    resp: aiohttp.ClientResponse,
+) -> AsyncGenerator[str, None]:
+    async for line in resp.content:
+        if not line.startswith(b"data:"):
+            continue
+        data = line[5:].strip()
+        if data == b"[DONE]":
+            return
+        try:
+            chunk = msgspec.json.decode(data, type=_Chunk)
+        except msgspec.MsgspecError as exc:
+            raise exceptions.EngineError(f"bad event: {exc}") from exc
+        if chunk.error is not None:
+            raise exceptions.EngineError(chunk.error)
+        for choice in chunk.choices:
+            text = choice.text
+            if choice.delta is not None:
+                text = choice.delta.content
+            if text:
+                yield text
+    raise exceptions.EngineError("the stream ended without [DONE]")
--- /dev/null
+++ b/rackpost/consensus/raft.py
@@ -0,0 +1,550 @@
+"""The consensus of the control replicas: messages in, output out.
+
+Follows Raft (Ongaro and Ousterhout, USENIX ATC 2014) with the pre-vote,
+check-quorum, read-index, learner and one-at-a-time membership parts of
+Ongaro's dissertation (2014).  Pure: it reads no clock, and what it wants
+written or sent is in its `Output`.
+"""
+
+import enum
+import random
+from typing import NamedTuple
+
+from rackpost.consensus import log as log_mod
+from rackpost.consensus import messages as m
+
+# In seconds by the replica's own clock.
+HEARTBEAT_S = 0.1
+ELECTION_S = 0.6
+_MAX_BATCH = 512
+
+
+class Role(enum.Enum):
+    """What a replica is at present."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Send(NamedTuple):
+    """A message for another replica."""
+
+    to: m.ReplicaId
+    msg: m.AnyMessage
+
+
+class Output:
+    """What the owner of the replica must do, in this order.
+
+    First `cut_from`, `append`, `hard` and `install` are written and
+    synced, then `sends` are sent, then `committed` is applied, then
+    `reads` are answered (True: confirmed).
+    """
+
+    def __init__(self) -> None:
+        self.hard: m.HardState | None = None
+        self.cut_from: m.Index | None = None
+        self.append: list[m.Entry] = []
+        self.install: m.Snapshot | None = None
+        self.sends: list[Send] = []
+        self.committed: list[m.Entry] = []
+        self.reads: list[tuple[int, bool]] = []
+        self.lost: bool = False
+
+
+class _Peer:
+    """What a leader knows of another replica."""
+
+    def __init__(self, *, next_index: int, now: float) -> None:
+        self.next = next_index
+        self.match = 0
+        self.number = 0
+        self.heard_at = now
+        self.sent_at = -1.0
+
+
+class Replica:
+    """One replica.  `now` is a reading of its own clock, in seconds."""
+
+    def __init__(
+        self,
+        *,
+        me: m.ReplicaId,
+        hard: m.HardState,
+        log: log_mod.Log,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.me = me
+        self.term = hard.term
+        self.log = log
+        self.role = Role.FOLLOWER
+        self.leader: m.ReplicaId | None = None
+        self.commit = log.snapshot.index
+        self.applied = log.snapshot.index
+        self._voted_for = hard.voted_for
+        self._rng = rng
+        self._out = Output()
+        self._votes: set[m.ReplicaId] = set()
+        self._pre = False
+        self._peers: dict[m.ReplicaId, _Peer] = {}
+        self._number = 0
+        self._reads: list[tuple[int, int]] = []
+        self._heard_at = now
+        self._next_beat = now
+        self._deadline = now
+        self._reset_deadline(now)
+
+    # Queries.
+
+    @property
+    def config(self) -> m.Config:
+        """The config that this replica acts on."""
+        return self.log.config()[0]
+
+    @property
+    def hard(self) -> m.HardState:
+        """What must never be forgotten besides the log."""
+        return m.HardState(term=self.term, voted_for=self._voted_for)
+
+    def take(self) -> Output:
+        """What has to be done since the last call."""
+        out = self._out
+        self._out = Output()
+        return out
+
+    def hears_quorum(self, now: float) -> bool:
+        """Whether this replica was in touch with a quorum lately.
+
+        A follower is if it heard of a leader, which steps down when it
+        has no quorum.
+        """
+        if self.role is Role.LEADER:
+            return self._quorum_heard(now)
+        return self.leader is not None and now - self._heard_at < ELECTION_S
+
+    def lag_of(self, peer: m.ReplicaId) -> int:
+        """How many records a replica is behind, by the leader's view."""
+        known = self._peers.get(peer)
+        return self.log.last_index - (known.match if known else 0)
+
+    # Inputs.
+
+    def tick(self, now: float) -> None:
+        """Time has passed."""
+        if self.role is Role.LEADER:
+            if not self._quorum_heard(now):
+                self._follow(self.term, None, now)
+            elif now >= self._next_beat:
+                self._beat(now)
+        elif now >= self._deadline:
+            self._campaign(now, pre=True)
+
+    def propose(self, data: bytes, now: float) -> m.Index | None:
+        """Append a command; its index, or None if this is no leader."""
+        if self.role is not Role.LEADER:
+            return None
+        return self._append_own(data, None, now)
+
+    def read(self, token: int, now: float) -> bool:
+        """Ask for a confirmed read, answered in `Output.reads`.
+
+        False if this replica can't confirm any at present.
+        """
+        if self.role is not Role.LEADER or not self._committed_own_term():
+            return False
+        self._beat(now)
+        self._reads.append((self._number, token))
+        self._confirm_reads(now)
+        return True
+
+    def change_config(self, new: m.Config, now: float) -> str | None:
+        """Propose a config; None, or why it can't be at present."""
+        if self.role is not Role.LEADER:
+            return "not the leader"
+        old, index = self.log.config()
+        if index > self.commit:
+            return "another change of the replicas is under way"
+        if not self._committed_own_term():
+            return "the leader is too new; try again"
+        changed = set(old.voters) ^ set(new.voters)
+        if len(changed) > 1:
+            return "only one voter may come or go at a time"
+        for peer in set(new.voters) - set(old.voters):
+            if peer not in old.learners:
+                return f"{peer} must be a learner first"
+            if self._peers[peer].match < self.commit:
+                return f"{peer} has not caught up"
+        if not new.voters:
+            return "there must be a voter"
+        self._append_own(b"", new, now)
+        return None
+
+    def compact(self, index: m.Index, data: bytes) -> m.Snapshot:
+        """Put a snapshot of the state at `index` in place of the log."""
+        term = self.log.term_at(index)
+        assert term is not None and index <= self.applied
+        snapshot = m.Snapshot(
+            index=index,
+            term=term,
+            config=self.log.config_at(index),
+            data=data,
+        )
+        self.log.compact(snapshot)
+        return snapshot
+
+    def receive(self, msg: m.AnyMessage, now: float) -> None:
+        """Take a message of another replica."""
+        if isinstance(msg, m.VoteRequest):
+            self._on_vote_request(msg, now)
+            return
+        if msg.term > self.term and not (
+            isinstance(msg, m.VoteReply) and msg.pre and msg.granted
+        ):
+            self._follow(msg.term, None, now)
+        if isinstance(msg, m.VoteReply):
+            self._on_vote_reply(msg, now)
+        elif isinstance(msg, m.Append):
+            self._on_append(msg, now)
+        elif isinstance(msg, m.Install):
+            self._on_install(msg, now)
+        else:
+            self._on_append_reply(msg, now)
+
+    # Elections.
+
+    def _reset_deadline(self, now: float) -> None:
+        self._deadline = now + ELECTION_S * (1.0 + self._rng.random())
+
+    def _follow(
+        self, term: int, leader: m.ReplicaId | None, now: float
+    ) -> None:
+        if term > self.term:
+            self.term = m.Term(term)
+            self._voted_for = None
+            self._save()
+        if self.role is Role.LEADER:
+            self._out.lost = True
+            self._out.reads += [(token, False) for _, token in self._reads]
+            self._reads = []
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._votes = set()
+        self._reset_deadline(now)
+
+    def _save(self) -> None:
+        self._out.hard = m.HardState(term=self.term, voted_for=self._voted_for)
+
+    def _campaign(self, now: float, *, pre: bool) -> None:
+        self._reset_deadline(now)
+        if self.me not in self.config.voters:
+            return
+        self.role = Role.CANDIDATE
+        self.leader = None
+        self._pre = pre
+        term = self.term + 1
+        if not pre:
+            self.term = m.Term(term)
+            self._voted_for = self.me
+            self._save()
+        self._votes = {self.me}
+        for peer in self.config.voters:
+            if peer != self.me:
+                self._send(
+                    peer,
+                    m.VoteRequest(
+                        sender=self.me,
+                        term=m.Term(term),
+                        pre=pre,
+                        last_index=self.log.last_index,
+                        last_term=self.log.last_term,
+                    ),
+                )
+        self._count_votes(now)
+
+    def _count_votes(self, now: float) -> None:
+        voters = self.config.voters
+        if len(self._votes & set(voters)) < self.config.quorum:
+            return
+        if self._pre:
+            self._campaign(now, pre=False)
+        else:
+            self._lead(now)
+
+    def _on_vote_request(self, msg: m.VoteRequest, now: float) -> None:
+        # A replica that hears its leader does not help to unseat it.
+        settled = self.leader is not None and now - self._heard_at < ELECTION_S
+        if self.role is Role.LEADER:
+            settled = self._quorum_heard(now)
+        if not msg.pre and msg.term > self.term and not settled:
+            self._follow(msg.term, None, now)
+        granted = not settled and self._would_vote(msg)
+        if granted and not msg.pre:
+            self._voted_for = msg.sender
+            self._save()
+            self._reset_deadline(now)
+        self._send(
+            msg.sender,
+            m.VoteReply(
+                sender=self.me,
+                term=msg.term if granted else self.term,
+                pre=msg.pre,
+                granted=granted,
+            ),
+        )
+
+    def _would_vote(self, msg: m.VoteRequest) -> bool:
+        mine = (self.log.last_term, self.log.last_index)
+        if (msg.last_term, msg.last_index) < mine:
+            return False
+        if msg.pre:
+            return msg.term > self.term
+        free = self._voted_for is None or self._voted_for == msg.sender
+        return msg.term == self.term and free
+
+    def _on_vote_reply(self, msg: m.VoteReply, now: float) -> None:
+        if self.role is not Role.CANDIDATE or msg.pre is not self._pre:
+            return
+        term = self.term + 1 if msg.pre else self.term
+        if msg.granted and msg.term == term:
+            self._votes.add(msg.sender)
+            self._count_votes(now)
+
+    # Leading.
+
+    def _lead(self, now: float) -> None:
+        self.role = Role.LEADER
+        self.leader = self.me
+        self._peers = {}
+        self._reads = []
+        self._append_own(b"", None, now)
+
+    def _committed_own_term(self) -> bool:
+        return self.log.term_at(self.commit) == self.term
+
+    def _append_own(
+        self, data: bytes, config: m.Config | None, now: float
+    ) -> m.Index:
+        entry = m.Entry(
+            index=m.Index(self.log.last_index + 1),
+            term=self.term,
+            data=data,
+            config=config,
+        )
+        self.log.append([entry])
+        self._out.append.append(entry)
+        self._beat(now)
+        self._advance(now)
+        return entry.index
+
+    def _peer(self, peer: m.ReplicaId, now: float) -> _Peer:
+        known = self._peers.get(peer)
+        if known is None:
+            known = _Peer(next_index=self.log.last_index, now=now)
+            self._peers[peer] = known
+        return known
+
+    def _beat(self, now: float) -> None:
+        self._next_beat = now + HEARTBEAT_S
+        self._number += 1
+        for peer in self.config.everyone:
+            if peer != self.me:
+                self._replicate(peer, now)
+
+    def _replicate(self, peer: m.ReplicaId, now: float) -> None:
+        known = self._peer(peer, now)
+        prev = known.next - 1
+        term = self.log.term_at(prev)
+        if prev < self.log.snapshot.index or term is None:
+            self._send_snapshot(peer, known, now)
+            return
+        entries = self.log.after(prev, _MAX_BATCH)
+        # Records are sent on without waiting for the reply to the last.
+        known.next = prev + len(entries) + 1
+        self._send(
+            peer,
+            m.Append(
+                sender=self.me,
+                term=self.term,
+                prev_index=m.Index(prev),
+                prev_term=term,
+                commit=self.commit,
+                number=self._number,
+                entries=entries,
+            ),
+        )
+
+    def _send_snapshot(
+        self, peer: m.ReplicaId, known: _Peer, now: float
+    ) -> None:
+        if now - known.sent_at < ELECTION_S:
+            return
+        known.sent_at = now
+        self._send(
+            peer,
+            m.Install(
+                sender=self.me,
+                term=self.term,
+                snapshot=self.log.snapshot,
+                number=self._number,
+            ),
+        )
+
+    def _on_append_reply(self, msg: m.AppendReply, now: float) -> None:
+        if self.role is not Role.LEADER or msg.term != self.term:
+            return
+        known = self._peer(msg.sender, now)
+        known.heard_at = now
+        known.number = max(known.number, msg.number)
+        if msg.ok:
+            known.match = max(known.match, msg.match)
+            known.next = max(known.next, known.match + 1)
+            self._advance(now)
+            if known.next <= self.log.last_index:
+                self._replicate(msg.sender, now)
+        elif msg.match + 1 < known.next:
+            known.next = max(msg.match, known.match) + 1
+            self._replicate(msg.sender, now)
+        self._confirm_reads(now)
+
+    def _advance(self, now: float) -> None:
+        voters = self.config.voters
+        marks = sorted(
+            (
+                self.log.last_index
+                if peer == self.me
+                else self._peer(peer, now).match
+            )
+            for peer in voters
+        )
+        index = marks[len(marks) - self.config.quorum]
+        # Only records of the own term are counted (Raft, section 5.4.2).
+        if index > self.commit and self.log.term_at(index) == self.term:
+            self._commit_to(index)
+            if self.me not in self.config.voters:
+                self._leave(now)
+
+    def _leave(self, now: float) -> None:
+        config_index = self.log.config()[1]
+        if config_index <= self.commit:
+            self._beat(now)
+            self._follow(self.term, None, now)
+
+    def _commit_to(self, index: int) -> None:
+        self.commit = m.Index(index)
+        self._out.committed += self.log.upto(self.applied, index)
+        self.applied = self.commit
+
+    def _quorum_heard(self, now: float) -> bool:
+        voters = self.config.voters
+        heard = sum(
+            1
+            for peer in voters
+            if peer == self.me
+            or now - self._peer(peer, now).heard_at < 2 * ELECTION_S
+        )
+        return heard >= self.config.quorum
+
+    def _confirm_reads(self, now: float) -> None:
+        voters = self.config.voters
+        marks = sorted(
+            self._number if peer == self.me else self._peer(peer, now).number
+            for peer in voters
+        )
+        number = marks[len(marks) - self.config.quorum]
+        done = [token for at, token in self._reads if at <= number]
+        self._reads = [item for item in self._reads if item[0] > number]
+        self._out.reads += [(token, True) for token in done]
+
+    # Following.
+
+    def _heard_leader(self, msg: m.Append | m.Install, now: float) -> None:
+        if self.role is not Role.FOLLOWER or self.leader != msg.sender:
+            self._follow(msg.term, msg.sender, now)
+        self._heard_at = now
+        self._reset_deadline(now)
+
+    def _on_append(self, msg: m.Append, now: float) -> None:
+        if msg.term < self.term:
+            self._reply(msg, ok=False, match=0)
+            return
+        self._heard_leader(msg, now)
+        if self._missing_before(msg):
+            return
+        self._take_entries(msg)
+        match = msg.prev_index + len(msg.entries)
+        self._reply(msg, ok=True, match=match)
+        if min(msg.commit, match) > self.commit:
+            self._commit_to(min(msg.commit, match))
+
+    def _missing_before(self, msg: m.Append) -> bool:
+        if msg.prev_index < self.commit:
+            # What is committed here can't differ.
+            return False
+        term = self.log.term_at(msg.prev_index)
+        if term == msg.prev_term:
+            return False
+        hint = min(self.log.last_index, msg.prev_index - 1)
+        if term is not None:
+            # A whole term is skipped at once.
+            while hint > self.commit and self.log.term_at(hint) == term:
+                hint -= 1
+        self._reply(msg, ok=False, match=hint)
+        return True
+
+    def _take_entries(self, msg: m.Append) -> None:
+        for at, entry in enumerate(msg.entries):
+            if entry.index <= self.commit:
+                continue
+            term = self.log.term_at(entry.index)
+            if term == entry.term:
+                continue
+            if term is not None:
+                self._cut(entry.index)
+            self.log.append(msg.entries[at:])
+            self._out.append += msg.entries[at:]
+            return
+
+    def _cut(self, index: m.Index) -> None:
+        self.log.cut(index)
+        out = self._out
+        out.append = [item for item in out.append if item.index < index]
+        if out.cut_from is None or index < out.cut_from:
+            out.cut_from = index
+
+    def _on_install(self, msg: m.Install, now: float) -> None:
+        if msg.term < self.term:
+            self._reply(msg, ok=False, match=0)
+            return
+        self._heard_leader(msg, now)
+        snapshot = msg.snapshot
+        if snapshot.index > self.commit:
+            self.log.compact(snapshot)
+            self._out.install = snapshot
+            self._out.append = [
+                item
+                for item in self._out.append
+                if item.index > snapshot.index
+            ]
+            self._out.committed = []
+            self.commit = snapshot.index
+            self.applied = snapshot.index
+        self._reply(msg, ok=True, match=snapshot.index)
+
+    def _reply(
+        self, msg: m.Append | m.Install, *, ok: bool, match: int
+    ) -> None:
+        self._send(
+            msg.sender,
+            m.AppendReply(
+                sender=self.me,
+                term=self.term,
+                ok=ok,
+                match=m.Index(match),
+                number=msg.number,
+            ),
+        )
+
+    def _send(self, to: m.ReplicaId, msg: m.AnyMessage) -> None:
+        self._out.sends.append(Send(to, msg))
--- /dev/null
+++ b/rackpost/control/node.py
@@ -0,0 +1,383 @@
+"""A control replica: the task that owns consensus, disk and state."""
+
+import asyncio
+import contextlib
+import random
+from typing import Callable
+from typing import Iterator
+from typing import TypeVar
+
+import msgspec
+
+from rackpost.consensus import messages as consensus
+from rackpost.consensus import raft
+from rackpost.consensus import storage
+from rackpost.control import messages
+from rackpost import exceptions
+from rackpost.link import channel
+from rackpost.link import codec
+from rackpost.state import commands
+from rackpost.state import machine
+
+T = TypeVar("T")
+
+_TICK_S = 0.02
+# The log is compacted when it holds this many records.
+COMPACT_AT = 4096
+# How long a command or a confirmed read may take before it is given up.
+_PATIENCE_S = 3.0
+_HEARD_EVERY_S = 1.0
+
+_COMMANDS = codec.Decoder(kinds=commands.AnyCommand)
+_IMAGES = codec.Decoder(kinds=machine.Image)
+
+_CONSENSUS = (
+    consensus.VoteRequest,
+    consensus.VoteReply,
+    consensus.Append,
+    consensus.AppendReply,
+    consensus.Install,
+)
+
+Watcher = Callable[[list[machine.Change] | None], None]
+
+
+class Node:
+    """One replica.
+
+    All its state is touched by its own event loop only; what must be on
+    the disk is synced before anything that depends on it is sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        loaded: storage.Loaded,
+        disk: storage.Disk,
+        rng: random.Random,
+        compact_at: int = COMPACT_AT,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.me = loaded.identity.replica
+        self.machine = machine.Machine()
+        self.seen: dict[str, tuple[messages.Status, float]] = {}
+        self._disk = disk
+        self._compact_at = compact_at
+        self._fresh: dict[str, messages.Status] = {}
+        self._heard_sent = 0.0
+        snapshot = loaded.log.snapshot
+        if snapshot.data:
+            self.machine.restore(_IMAGES.decode(snapshot.data))
+        self._raft = raft.Replica(
+            me=self.me,
+            hard=loaded.hard,
+            log=loaded.log,
+            rng=rng,
+            now=self._loop.time(),
+        )
+        self._peers: dict[consensus.ReplicaId, channel.Channel] = {}
+        self._wake = asyncio.Event()
+        self._number = 0
+        self._asked: dict[int, asyncio.Future[commands.Result | None]] = {}
+        self._at_index: dict[int, asyncio.Future[commands.Result | None]] = {}
+        self._reads: dict[int, asyncio.Future[consensus.Index | None]] = {}
+        self._applied_waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._watchers: set[Watcher] = set()
+
+    # Queries.
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads, as far as it knows."""
+        return self._raft.role is raft.Role.LEADER
+
+    @property
+    def leader(self) -> consensus.ReplicaId | None:
+        """The leader, as far as this replica knows."""
+        return self._raft.leader
+
+    @property
+    def config(self) -> consensus.Config:
+        """The replicas of the site."""
+        return self._raft.config
+
+    @property
+    def term(self) -> int:
+        """The present term."""
+        return self._raft.term
+
+    def hears_quorum(self) -> bool:
+        """Whether this replica was in touch with a quorum lately."""
+        return self._raft.hears_quorum(self._loop.time())
+
+    # Links to other replicas.
+
+    def connect(
+        self, peer: consensus.ReplicaId, conn: channel.Channel
+    ) -> None:
+        """A link to another replica is up; it replaces an older one."""
+        self._peers[peer] = conn
+        conn.attach(
+            receive=lambda msg: self._on_message(peer, msg),
+            closed=lambda: self._on_closed(peer, conn),
+        )
+
+    def _on_closed(
+        self, peer: consensus.ReplicaId, conn: channel.Channel
+    ) -> None:
+        if self._peers.get(peer) is conn:
+            del self._peers[peer]
+
+    def _on_message(
+        self, peer: consensus.ReplicaId, msg: msgspec.Struct
+    ) -> None:
+        if isinstance(msg, messages.Forward):
+            self._on_forward(peer, msg)
+        elif isinstance(msg, messages.Forwarded):
+            _settle(self._asked.pop(msg.number, None), msg.result)
+        elif isinstance(msg, messages.ReadAsk):
+            self._on_read_ask(peer, msg)
+        elif isinstance(msg, messages.ReadIndex):
+            _settle(self._reads.pop(msg.number, None), msg.index)
+        elif isinstance(msg, messages.Heard):
+            for status in msg.seen:
+                self.seen[status.name] = (status, self._loop.time())
+        elif not isinstance(msg, messages.ReplicaHello):
+            assert isinstance(msg, _CONSENSUS)
+            self._raft.receive(msg, self._loop.time())
+            self._wake.set()
+
+    def _send(self, peer: consensus.ReplicaId, msg: msgspec.Struct) -> None:
+        conn = self._peers.get(peer)
+        if conn is not None:
+            conn.send(msg)
+
+    # Commands and reads.
+
+    async def ask(self, cmd: commands.AnyCommand) -> commands.Result | None:
+        """Have a command committed; its result.
+
+        None if that is not known: it may have been committed or not, and
+        may be asked again under the same operation id.
+        """
+        fut: asyncio.Future[commands.Result | None]
+        fut = self._loop.create_future()
+        data = codec.encode(cmd)
+        if self.is_leader:
+            self._propose(data, fut)
+        elif self.leader is not None:
+            number = self._next_number()
+            self._asked[number] = fut
+            self._send(
+                self.leader, messages.Forward(number=number, command=data)
+            )
+        else:
+            return None
+        return await _patiently(fut)
+
+    def _propose(
+        self, data: bytes, fut: asyncio.Future[commands.Result | None]
+    ) -> None:
+        index = self._raft.propose(data, self._loop.time())
+        if index is None:
+            _settle(fut, None)
+            return
+        self._at_index[index] = fut
+        self._wake.set()
+
+    def _on_forward(
+        self, peer: consensus.ReplicaId, msg: messages.Forward
+    ) -> None:
+        fut: asyncio.Future[commands.Result | None]
+        fut = self._loop.create_future()
+
+        def reply(done: asyncio.Future[commands.Result | None]) -> None:
+            result = None if done.cancelled() else done.result()
+            self._send(
+                peer, messages.Forwarded(number=msg.number, result=result)
+            )
+
+        fut.add_done_callback(reply)
+        self._propose(msg.command, fut)
+
+    def _next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    async def confirm_read(self) -> bool:
+        """Wait until the state here is at least as new as the question.
+
+        False if no quorum confirms it in time.
+        """
+        fut: asyncio.Future[consensus.Index | None]
+        fut = self._loop.create_future()
+        number = self._next_number()
+        self._reads[number] = fut
+        if self.is_leader:
+            self._read_here(number, fut)
+        elif self.leader is not None:
+            self._send(self.leader, messages.ReadAsk(number=number))
+        else:
+            del self._reads[number]
+            return False
+        index = await _patiently(fut)
+        self._reads.pop(number, None)
+        if index is None:
+            return False
+        return await self._wait_applied(index)
+
+    def _read_here(
+        self,
+        number: int,
+        fut: asyncio.Future[consensus.Index | None],
+    ) -> None:
+        self._reads[number] = fut
+        if not self._raft.read(number, self._loop.time()):
+            _settle(self._reads.pop(number, None), None)
+        self._wake.set()
+
+    def _on_read_ask(
+        self, peer: consensus.ReplicaId, msg: messages.ReadAsk
+    ) -> None:
+        fut: asyncio.Future[consensus.Index | None]
+        fut = self._loop.create_future()
+
+        def reply(done: asyncio.Future[consensus.Index | None]) -> None:
+            index = None if done.cancelled() else done.result()
+            self._send(
+                peer, messages.ReadIndex(number=msg.number, index=index)
+            )
+
+        fut.add_done_callback(reply)
+        self._read_here(self._next_number(), fut)
+
+    async def _wait_applied(self, index: int) -> bool:
+        if self._raft.applied >= index:
+            return True
+        fut: asyncio.Future[None] = self._loop.create_future()
+        self._applied_waiters.append((index, fut))
+        try:
+            async with asyncio.timeout(_PATIENCE_S):
+                await fut
+        except TimeoutError:
+            return False
+        return True
+
+    def change_config(self, new: consensus.Config) -> None:
+        """Propose other replicas; ControlError says why it can't be."""
+        why = self._raft.change_config(new, self._loop.time())
+        self._wake.set()
+        if why is not None:
+            raise exceptions.ControlError(why)
+
+    # Watchers and what the replica has heard of processes.
+
+    @contextlib.contextmanager
+    def watched(self, watcher: Watcher) -> Iterator[None]:
+        """Tell `watcher` of all changes; None when the state jumps."""
+        self._watchers.add(watcher)
+        try:
+            yield
+        finally:
+            self._watchers.discard(watcher)
+
+    def heard(self, status: messages.Status) -> None:
+        """A process has told this replica that it lives."""
+        self.seen[status.name] = (status, self._loop.time())
+        self._fresh[status.name] = status
+
+    # The task.
+
+    async def run(self) -> None:
+        """Run the replica until cancelled.
+
+        Raises StorageError where the disk fails: what it holds is then
+        not known, and only a restart helps.
+        """
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_TICK_S):
+                    await self._wake.wait()
+            self._wake.clear()
+            self._raft.tick(self._loop.time())
+            await self._carry_out(self._raft.take())
+            self._tell_heard()
+
+    async def _carry_out(self, out: raft.Output) -> None:
+        if out.install is not None:
+            await self._install(out)
+        await self._disk.save(out)
+        for send in out.sends:
+            self._send(send.to, send.msg)
+        if out.lost:
+            self._forget_asked()
+        self._apply(out.committed)
+        for token, good in out.reads:
+            index = self._raft.commit if good else None
+            _settle(self._reads.pop(token, None), index)
+        if self._raft.applied - self._raft.log.snapshot.index >= (
+            self._compact_at
+        ):
+            await self._compact()
+
+    async def _install(self, out: raft.Output) -> None:
+        snapshot = out.install
+        assert snapshot is not None
+        await self._disk.compact(snapshot, self._raft.hard, self._raft.log)
+        self.machine.restore(_IMAGES.decode(snapshot.data))
+        for watcher in list(self._watchers):
+            watcher(None)
+
+    async def _compact(self) -> None:
+        image = codec.encode(self.machine.image())
+        snapshot = self._raft.compact(self._raft.applied, image)
+        await self._disk.compact(snapshot, self._raft.hard, self._raft.log)
+
+    def _apply(self, entries: list[consensus.Entry]) -> None:
+        before = self.machine.revision
+        for entry in entries:
+            result: commands.Result | None = None
+            if entry.data:
+                result = self.machine.apply(_COMMANDS.decode(entry.data))
+            _settle(self._at_index.pop(entry.index, None), result)
+        if self.machine.revision != before:
+            changes = self.machine.changes_after(before)
+            for watcher in list(self._watchers):
+                watcher(changes)
+        applied = self._raft.applied
+        for index, fut in self._applied_waiters:
+            if index <= applied:
+                _settle(fut, None)
+        self._applied_waiters = [
+            item for item in self._applied_waiters if item[0] > applied
+        ]
+
+    def _forget_asked(self) -> None:
+        # Another leader may or may not commit them: nobody here knows.
+        asked = self._at_index
+        self._at_index = {}
+        for fut in asked.values():
+            _settle(fut, None)
+
+    def _tell_heard(self) -> None:
+        now = self._loop.time()
+        if now - self._heard_sent < _HEARD_EVERY_S or not self._fresh:
+            return
+        if self.leader is not None and not self.is_leader:
+            seen = tuple(self._fresh.values())
+            self._send(self.leader, messages.Heard(seen=seen))
+        self._heard_sent = now
+        self._fresh = {}
+
+
+async def _patiently(fut: asyncio.Future[T | None]) -> T | None:
+    try:
+        async with asyncio.timeout(_PATIENCE_S):
+            return await fut
+    except TimeoutError:
+        return None
+
+
+def _settle(fut: asyncio.Future[T] | None, value: T) -> None:
+    if fut is not None and not fut.done():
+        fut.set_result(value)
--- /dev/null
+++ b/rackpost/control/process.py
@@ -0,0 +1,166 @@
+"""The control replica as a process: its disk, its peers, its clients."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+from typing import AsyncIterator
+from typing import Union
+
+import msgspec
+
+from rackpost import config
+from rackpost.consensus import messages as consensus
+from rackpost.consensus import storage
+from rackpost.control import messages
+from rackpost.control import node as node_mod
+from rackpost.control import operators
+from rackpost.control import service
+from rackpost import exceptions
+from rackpost import http_server
+from rackpost.link import websocket
+from rackpost import logs
+from rackpost import metrics as metrics_mod
+from rackpost import types
+
+_PAUSE_S = 0.2
+_FromAny = Union[messages.FromClient, messages.FromReplica]
+
+
+class Ports(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the replica listens."""
+
+    links: int
+    operators: int
+
+
+def create(
+    opts: config.ControlOptions, *, replica: str, first: list[str]
+) -> None:
+    """Make the data folder of a new replica.
+
+    `first` are the voters of a new site, this one among them; none for a
+    replica that will be added to a site.
+    """
+    if first and replica not in first:
+        raise exceptions.ConfigError("the first voters must hold this one")
+    voters = tuple(consensus.ReplicaId(item) for item in first)
+    storage.create(
+        pathlib.Path(opts.data),
+        replica=consensus.ReplicaId(replica),
+        config=consensus.Config(voters=voters),
+    )
+
+
+class ControlProcess:
+    """A running control replica."""
+
+    def __init__(self, *, opts: config.ControlOptions) -> None:
+        self.opts = opts
+        self.metrics = metrics_mod.Metrics()
+        self._security = opts.security()
+        self._disk = storage.FileDisk(folder=pathlib.Path(opts.data))
+        loaded = self._disk.load()
+        if loaded.torn_bytes:
+            logs.say(
+                logs.Part.CONTROL,
+                "Cut a torn end off the log.",
+                bytes=loaded.torn_bytes,
+            )
+        self.node = node_mod.Node(
+            loaded=loaded, disk=self._disk, rng=random.Random()
+        )
+        self.service = service.Service(node=self.node, metrics=self.metrics)
+
+    async def _accept(self, conn: websocket.WebSocketChannel) -> None:
+        first: asyncio.Future[msgspec.Struct] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def receive(msg: msgspec.Struct) -> None:
+            if not first.done():
+                first.set_result(msg)
+                self._introduce(conn, msg)
+
+        conn.attach(receive=receive, closed=lambda: None)
+        await conn.run()
+
+    def _introduce(
+        self, conn: websocket.WebSocketChannel, msg: msgspec.Struct
+    ) -> None:
+        if isinstance(msg, messages.ReplicaHello):
+            self.node.connect(msg.replica, conn)
+            return
+        self.service.connect(conn)
+        conn._deliver(msg)
+
+    def _refused(self) -> None:
+        self.metrics.count("refused_peer", types.Refusal.NOT_OF_THE_SITE)
+        logs.say(logs.Part.CONTROL, "Refused a peer without the key.")
+
+    async def _link_to(self, peer: str, address: str) -> None:
+        # Of two replicas the one with the lesser id makes the link.
+        while True:
+            with contextlib.suppress(exceptions.LinkError):
+                async with websocket.connected(
+                    address,
+                    security=self._security,
+                    kinds=messages.FromReplica,
+                ) as conn:
+                    conn.send(messages.ReplicaHello(replica=self.node.me))
+                    self.node.connect(consensus.ReplicaId(peer), conn)
+                    await conn.ended()
+            await asyncio.sleep(_PAUSE_S)
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator[Ports]:
+        """Serve replicas, processes and operators; yields the ports.
+
+        If the disk fails the replica ends: `failed` is then set.
+        """
+        self.failed: asyncio.Event = asyncio.Event()
+        host, port = self.opts.bind()
+        op_host, op_port = config.address(self.opts.operators, "--operators")
+        app = operators.OperatorApp(
+            node=self.node,
+            metrics=self.metrics,
+            key=self.opts.operator_key(),
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self._disk.close)
+            links = await stack.enter_async_context(
+                websocket.serving(
+                    host,
+                    port,
+                    security=self._security,
+                    kinds=_FromAny,
+                    accept=self._accept,
+                    refused=self._refused,
+                )
+            )
+            asked = await stack.enter_async_context(
+                http_server.serving(app.app, host=op_host, port=op_port)
+            )
+            tasks = [
+                asyncio.create_task(self._run_node()),
+                asyncio.create_task(self.service.run()),
+            ]
+            for peer, address in self.opts.peer_addresses().items():
+                if self.node.me < peer:
+                    tasks.append(
+                        asyncio.create_task(self._link_to(peer, address))
+                    )
+            logs.say(logs.Part.CONTROL, "Serving.", links=links)
+            try:
+                yield Ports(links=links, operators=asked)
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.wait(tasks)
+
+    async def _run_node(self) -> None:
+        try:
+            await self.node.run()
+        except exceptions.RackpostError as exc:
+            logs.say(logs.Part.CONTROL, "Replica ended.", why=str(exc))
+            self.failed.set()
--- /dev/null
+++ b/rackpost/control/service.py
@@ -0,0 +1,153 @@
+"""What a control replica serves to entries and agents over their links."""
+
+import asyncio
+from typing import Coroutine
+
+import msgspec
+
+from rackpost.control import messages
+from rackpost.control import node as node_mod
+from rackpost.link import channel
+from rackpost import metrics as metrics_mod
+from rackpost.state import commands
+from rackpost.state import machine
+
+# Watchers are told this often that the replica is in touch.
+ALIVE_S = 1.0
+# A process that no replica has heard of for this long is removed.
+MEMBER_LEASE_S = 10.0
+_MAX_ASKS = 256
+
+
+class _Session:
+    """The link to one process."""
+
+    def __init__(self, *, conn: channel.Channel) -> None:
+        self.conn = conn
+        self.watching = False
+        self.asks = 0
+
+
+class Service:
+    """Feeds watchers, appends what processes ask, and keeps members."""
+
+    def __init__(
+        self,
+        *,
+        node: node_mod.Node,
+        metrics: metrics_mod.Metrics,
+    ) -> None:
+        self._node = node
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+        self._sessions: set[_Session] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._leads_since: float | None = None
+
+    @property
+    def watchers(self) -> int:
+        """Processes that are fed by this replica."""
+        return sum(1 for item in self._sessions if item.watching)
+
+    def connect(self, conn: channel.Channel) -> None:
+        """Serve a process over a new link."""
+        session = _Session(conn=conn)
+        self._sessions.add(session)
+        conn.attach(
+            receive=lambda msg: self._on_message(session, msg),
+            closed=lambda: self._sessions.discard(session),
+        )
+
+    def _on_message(self, session: _Session, msg: msgspec.Struct) -> None:
+        if isinstance(msg, messages.Status):
+            self._node.heard(msg)
+        elif isinstance(msg, messages.Watch):
+            self._spawn(self._watch(session, msg))
+        elif isinstance(msg, messages.Ask):
+            self._on_ask(session, msg)
+
+    def _on_ask(self, session: _Session, msg: messages.Ask) -> None:
+        if session.asks >= _MAX_ASKS:
+            session.conn.send(messages.Answer(number=msg.number, result=None))
+            return
+        session.asks += 1
+        self._spawn(self._ask(session, msg))
+
+    async def _ask(self, session: _Session, msg: messages.Ask) -> None:
+        try:
+            result = await self._node.ask(msg.command)
+        finally:
+            session.asks -= 1
+        session.conn.send(messages.Answer(number=msg.number, result=result))
+
+    async def _watch(self, session: _Session, msg: messages.Watch) -> None:
+        # A replica that is behind must not tell a process, which may have
+        # heard of a newer revision before, that its state is the latest.
+        if not await self._node.confirm_read():
+            session.conn.close()
+            return
+        changes = self._node.machine.changes_after(msg.revision)
+        if changes is None:
+            session.conn.send(messages.Whole(image=self._public_image()))
+        else:
+            session.conn.send(messages.Feed(changes=tuple(changes)))
+        session.watching = True
+
+    def _public_image(self) -> machine.Image:
+        # Watchers need neither the claims nor what is kept for resends.
+        return msgspec.structs.replace(
+            self._node.machine.image(), claims=[], results=[], history=[]
+        )
+
+    def _feed(self, changes: list[machine.Change] | None) -> None:
+        if changes is None:
+            msg: msgspec.Struct = messages.Whole(image=self._public_image())
+        else:
+            msg = messages.Feed(changes=tuple(changes))
+        for session in self._sessions:
+            if session.watching:
+                session.conn.send(msg)
+
+    def _spawn(self, coro: Coroutine[None, None, None]) -> None:
+        task = self._loop.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def run(self) -> None:
+        """Feed watchers and keep members until cancelled."""
+        with self._node.watched(self._feed):
+            while True:
+                await asyncio.sleep(ALIVE_S)
+                self._say_alive()
+                await self._remove_silent()
+
+    def _say_alive(self) -> None:
+        if not self._node.hears_quorum():
+            # Cut off: whoever is fed here must find another replica.
+            for session in list(self._sessions):
+                session.conn.close()
+            return
+        msg = messages.Alive(revision=self._node.machine.revision)
+        for session in self._sessions:
+            if session.watching:
+                session.conn.send(msg)
+
+    async def _remove_silent(self) -> None:
+        now = self._loop.time()
+        if not self._node.is_leader:
+            self._leads_since = None
+            return
+        if self._leads_since is None:
+            self._leads_since = now
+        if now - self._leads_since < MEMBER_LEASE_S:
+            # A new leader has not yet been told who was heard.
+            return
+        for member in list(self._node.machine.members.values()):
+            seen = self._node.seen.get(member.name)
+            if seen is None or now - seen[1] > MEMBER_LEASE_S:
+                self._node.seen.pop(member.name, None)
+                await self._node.ask(
+                    commands.Remove(
+                        name=member.name, incarnation=member.incarnation
+                    )
+                )
--- /dev/null
+++ b/rackpost/entry/http.py
@@ -0,0 +1,522 @@
+"""The entry's HTTP face: one ASGI application for callers."""
+
+import asyncio
+import contextlib
+import hashlib
+import math
+import secrets
+import time
+from typing import Any
+from typing import AsyncGenerator
+from typing import Awaitable
+from typing import Callable
+
+import msgspec
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from rackpost.agent import engine_http
+from rackpost.decide import prefix
+from rackpost.entry import core
+from rackpost.entry import openai
+from rackpost.entry import request
+from rackpost import exceptions
+from rackpost.state import tree as tree_mod
+from rackpost import types
+
+# A caller has this long to send its body, and to take each part of its
+# answer, in seconds.
+BODY_S = 10.0
+READER_S = 10.0
+_KIND_HEADER = "x-rackpost-kind"
+_MAX_KEY = 256
+
+Send = Callable[[Any], Awaitable[None]]
+TreeNow = Callable[[], tree_mod.Tree]
+
+
+class _Caller:
+    """Who asks, for what, on which terms."""
+
+    def __init__(
+        self,
+        *,
+        caller: types.CallerId,
+        service: str,
+        kind: str,
+        tree: tree_mod.Tree,
+    ) -> None:
+        self.caller = caller
+        self.service = service
+        self.kind = kind
+        self._tree = tree
+        self.terms = tree.terms(caller, service, kind, time.time())
+
+    def number(self, name: str) -> int:
+        """An effective setting that is a number."""
+        value = self._tree.value(
+            self.caller, self.service, self.kind, name, time.time()
+        )
+        return int(value)
+
+
+class CallerApp:
+    """Routes of the callers' interface.
+
+    `tree` gives the settings in force, `ready` tells whether there are
+    any yet, and `metrics_text` what /metrics shows.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: core.Entry,
+        tree: TreeNow,
+        ready: Callable[[], bool],
+    ) -> None:
+        self._entry = entry
+        self._tree = tree
+        self._ready = ready
+        plain_methods = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+        self.app = applications.Starlette(
+            routes=[
+                routing.Route(
+                    "/v1/chat/completions", self._chat, methods=["POST"]
+                ),
+                routing.Route("/v1/completions", self._text, methods=["POST"]),
+                routing.Route("/v1/models", self._models),
+                routing.Route(
+                    "/services/{service}/{path:path}",
+                    self._plain,
+                    methods=plain_methods,
+                ),
+                routing.Route("/metrics", self._metrics),
+                routing.Route("/healthz", self._healthz),
+                routing.Route("/readyz", self._readyz),
+            ]
+        )
+
+    # Pages for operators.
+
+    async def _metrics(self, _: requests.Request) -> responses.Response:
+        metrics = self._entry.metrics
+        metrics.gauge("open_requests", self._entry.open_requests)
+        return responses.PlainTextResponse(metrics.text())
+
+    async def _healthz(self, _: requests.Request) -> responses.Response:
+        return responses.PlainTextResponse("ok\n")
+
+    async def _readyz(self, _: requests.Request) -> responses.Response:
+        if self._ready():
+            return responses.PlainTextResponse("ready\n")
+        return responses.PlainTextResponse("no settings yet\n", 503)
+
+    # Requests.
+
+    async def _chat(self, req: requests.Request) -> responses.Response:
+        return await self._model(req, chat=True)
+
+    async def _text(self, req: requests.Request) -> responses.Response:
+        return await self._model(req, chat=False)
+
+    async def _model(
+        self, req: requests.Request, *, chat: bool
+    ) -> responses.Response:
+        name = _new_id()
+        try:
+            tree, caller = self._authenticate(req)
+            data = await _body(req)
+            parsed = openai.parse(data, chat=chat, default_tokens=256)
+            who = self._who(req, tree, caller, parsed.model)
+            asked = self._model_request(req, name, who, parsed)
+        except exceptions.BadRequest as exc:
+            return _bad(exc, name)
+        writer = openai.Writer(
+            parsed=parsed, req=name, created=int(time.time())
+        )
+        return _ModelAnswer(
+            events=self._entry.serve(asked),
+            req=name,
+            writer=writer,
+            stream=parsed.stream,
+        )
+
+    def _model_request(
+        self,
+        req: requests.Request,
+        name: types.RequestId,
+        who: _Caller,
+        parsed: openai.Parsed,
+    ) -> request.Request:
+        if self._type_of(who) != "model":
+            raise exceptions.BadRequest(
+                "unknown-model", f"{who.service!r} is not a model", status=404
+            )
+        tokens = prefix.count_tokens(parsed.prompt)
+        if tokens > who.number("max_prompt"):
+            raise exceptions.BadRequest(
+                "prompt-too-long", f"about {tokens} tokens", status=413
+            )
+        return request.Request(
+            req=name,
+            caller=who.caller,
+            service=types.ServiceName(who.service),
+            kind=types.KindName(who.kind),
+            terms=who.terms,
+            body=parsed.body,
+            prompt_tokens=tokens,
+            max_tokens=parsed.max_tokens,
+            blocks=prefix.block_hashes(parsed.prompt),
+            kv_bytes=tokens * who.number("kv_token_bytes"),
+            claim=_claim_key(req, who),
+        )
+
+    async def _models(self, req: requests.Request) -> responses.Response:
+        try:
+            tree, caller = self._authenticate(req)
+        except exceptions.BadRequest as exc:
+            return _bad(exc, _new_id())
+        now = time.time()
+        found = [
+            {"id": name, "object": "model", "owned_by": "rackpost"}
+            for name in sorted(tree.services())
+            if tree.value(caller, name, "", "type", now) == "model"
+        ]
+        return responses.JSONResponse({"object": "list", "data": found})
+
+    async def _plain(self, req: requests.Request) -> responses.Response:
+        name = _new_id()
+        try:
+            tree, caller = self._authenticate(req)
+            who = self._who(req, tree, caller, req.path_params["service"])
+            if self._type_of(who) != "plain":
+                raise exceptions.BadRequest(
+                    "unknown-service",
+                    f"{who.service!r} is not a plain service",
+                    status=404,
+                )
+            asked = request.Request(
+                req=name,
+                caller=who.caller,
+                service=types.ServiceName(who.service),
+                kind=types.KindName(who.kind),
+                terms=who.terms,
+                body=await _body(req),
+                claim=_claim_key(req, who),
+                plain=request.PlainCall(
+                    method=req.method,
+                    path="/" + req.path_params["path"],
+                    query=req.url.query,
+                    headers=_passed_on(req),
+                ),
+            )
+        except exceptions.BadRequest as exc:
+            return _bad(exc, name)
+        return _PlainAnswer(events=self._entry.serve(asked), req=name)
+
+    def _authenticate(
+        self, req: requests.Request
+    ) -> tuple[tree_mod.Tree, types.CallerId]:
+        if not self._ready():
+            raise exceptions.BadRequest(
+                "not-ready", "no settings yet", status=503
+            )
+        tree = self._tree()
+        scheme, _, key = req.headers.get("authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            raise exceptions.BadRequest(
+                "no-key", "a bearer key is needed", status=401
+            )
+        hashed = hashlib.sha256(key.strip().encode()).hexdigest()
+        caller = tree.caller_of(hashed)
+        if caller is None:
+            raise exceptions.BadRequest(
+                "bad-key", "no caller has this key", status=401
+            )
+        return tree, caller
+
+    def _who(
+        self,
+        req: requests.Request,
+        tree: tree_mod.Tree,
+        caller: types.CallerId,
+        service: str,
+    ) -> _Caller:
+        if service not in tree.services():
+            raise exceptions.BadRequest(
+                "unknown-model", f"no service {service!r}", status=404
+            )
+        kind = req.headers.get(_KIND_HEADER)
+        if kind is None:
+            found = tree.value(
+                caller, service, "", "default_kind", time.time()
+            )
+            kind = str(found)
+        elif kind not in tree.kinds(service):
+            raise exceptions.BadRequest(
+                "unknown-kind", f"{service} has no kind {kind!r}"
+            )
+        return _Caller(caller=caller, service=service, kind=kind, tree=tree)
+
+    def _type_of(self, who: _Caller) -> str:
+        return str(
+            self._tree().value(
+                who.caller, who.service, who.kind, "type", time.time()
+            )
+        )
+
+
+def _new_id() -> types.RequestId:
+    return types.RequestId("rp-" + secrets.token_hex(12))
+
+
+def _passed_on(req: requests.Request) -> tuple[tuple[str, str], ...]:
+    ours = {"authorization", _KIND_HEADER}
+    headers = engine_http.end_to_end(tuple(req.headers.items()))
+    return tuple(item for item in headers if item[0] not in ours)
+
+
+def _claim_key(req: requests.Request, who: _Caller) -> types.ClaimKey | None:
+    if who.terms.repeat is types.RepeatClass.FREE:
+        return None
+    key = req.headers.get("idempotency-key", "")
+    if not key:
+        raise exceptions.BadRequest(
+            "no-idempotency-key",
+            f"requests of kind {who.kind!r} need an Idempotency-Key",
+        )
+    if len(key) > _MAX_KEY:
+        raise exceptions.BadRequest(
+            "bad-idempotency-key", f"longer than {_MAX_KEY}"
+        )
+    whole = f"{who.caller}\n{who.service}\n{key}".encode()
+    return types.ClaimKey(hashlib.sha256(whole).hexdigest()[:32])
+
+
+async def _body(req: requests.Request) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async with asyncio.timeout(BODY_S):
+            async for part in req.stream():
+                size += len(part)
+                if size > openai.MAX_BODY:
+                    raise exceptions.BadRequest(
+                        "too-large",
+                        f"over {openai.MAX_BODY} bytes",
+                        status=413,
+                    )
+                parts.append(part)
+    except TimeoutError:
+        raise exceptions.BadRequest(
+            "slow-body", f"not all there in {BODY_S:g} s", status=408
+        ) from None
+    except requests.ClientDisconnect:
+        raise exceptions.BadRequest(
+            "caller-gone", "the caller left", status=400
+        ) from None
+    return b"".join(parts)
+
+
+def _bad(
+    exc: exceptions.BadRequest, name: types.RequestId
+) -> responses.Response:
+    return _problem(openai.bad_request(exc, name))
+
+
+def _problem(found: openai.Problem) -> responses.Response:
+    headers = {"x-request-id": found.request_id}
+    if found.retry_after_s is not None:
+        headers["retry-after"] = str(math.ceil(found.retry_after_s))
+    return responses.Response(
+        msgspec.json.encode(found),
+        found.status,
+        headers=headers,
+        media_type="application/problem+json",
+    )
+
+
+class _Answer(responses.Response):
+    """An answer written from a request's events.
+
+    The events are closed, and so all that is held for the request is let
+    go, when the caller leaves or takes nothing for READER_S.
+    """
+
+    def __init__(
+        self,
+        *,
+        events: AsyncGenerator[request.Event, None],
+        req: types.RequestId,
+    ) -> None:
+        super().__init__()
+        self._events = events
+        self._req = req
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        writing = asyncio.create_task(self._write_closing(scope, send))
+        leaving = asyncio.create_task(_left(receive))
+        try:
+            await asyncio.wait(
+                [writing, leaving], return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            leaving.cancel()
+            if not writing.done():
+                writing.cancel()
+            await asyncio.wait([writing, leaving])
+        if not writing.cancelled():
+            writing.result()
+
+    async def _write_closing(self, scope: Any, send: Send) -> None:
+        async with contextlib.aclosing(self._events):
+            try:
+                await self._write(scope, send)
+            except _ReaderStopped:
+                return
+
+    async def _write(self, scope: Any, send: Send) -> None:
+        raise NotImplementedError
+
+    async def _start(
+        self, send: Send, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        head = [(b"x-request-id", self._req.encode()), *headers]
+        await _send(
+            send,
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": head,
+            },
+        )
+
+    async def _part(self, send: Send, data: bytes, more: bool) -> None:
+        await _send(
+            send,
+            {"type": "http.response.body", "body": data, "more_body": more},
+        )
+
+
+class _ReaderStopped(exceptions.RackpostError):
+    """The caller takes nothing of its answer."""
+
+
+async def _send(send: Send, event: Any) -> None:
+    try:
+        async with asyncio.timeout(READER_S):
+            await send(event)
+    except TimeoutError:
+        raise _ReaderStopped("the caller takes nothing") from None
+
+
+async def _left(receive: Any) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+class _ModelAnswer(_Answer):
+    """The answer to a model's request, streamed or whole."""
+
+    def __init__(
+        self,
+        *,
+        events: AsyncGenerator[request.Event, None],
+        req: types.RequestId,
+        writer: openai.Writer,
+        stream: bool,
+    ) -> None:
+        super().__init__(events=events, req=req)
+        self._writer = writer
+        self._stream = stream
+
+    async def _write(self, scope: Any, send: Send) -> None:
+        if self._stream:
+            await self._write_stream(scope, send)
+        else:
+            await self._write_whole(scope, send)
+
+    async def _write_stream(self, scope: Any, send: Send) -> None:
+        started = False
+        async for event in self._events:
+            if isinstance(event, request.End):
+                if event.outcome is types.Outcome.ANSWERED:
+                    if not started:
+                        await self._start_stream(send)
+                    last = self._writer.closing(event.tokens)
+                elif started:
+                    last = self._writer.broken(event)
+                else:
+                    await _refuse(event, self._req, scope, send)
+                    return
+                await self._part(send, last, False)
+                return
+            if isinstance(event, request.Piece):
+                if not started:
+                    await self._start_stream(send)
+                    started = True
+                data = self._writer.chunk(event.text, None)
+                await self._part(send, data, True)
+
+    async def _start_stream(self, send: Send) -> None:
+        await self._start(
+            send,
+            200,
+            [
+                (b"content-type", b"text/event-stream; charset=utf-8"),
+                (b"cache-control", b"no-store"),
+            ],
+        )
+
+    async def _write_whole(self, scope: Any, send: Send) -> None:
+        texts: list[str] = []
+        async for event in self._events:
+            if isinstance(event, request.Piece):
+                texts.append(event.text)
+            elif isinstance(event, request.End):
+                if event.outcome is not types.Outcome.ANSWERED:
+                    await _refuse(event, self._req, scope, send)
+                    return
+                data = self._writer.whole("".join(texts), event.tokens)
+                kind = (b"content-type", b"application/json")
+                await self._start(send, 200, [kind])
+                await self._part(send, data, False)
+                return
+
+
+class _PlainAnswer(_Answer):
+    """A plain service's answer, passed on part by part."""
+
+    async def _write(self, scope: Any, send: Send) -> None:
+        started = False
+        async for event in self._events:
+            if isinstance(event, request.PlainHead):
+                started = True
+                headers = [
+                    (name.lower().encode(), value.encode())
+                    for name, value in event.headers
+                ]
+                await self._start(send, event.status, headers)
+            elif isinstance(event, request.PlainPart):
+                await self._part(send, event.data, True)
+            elif isinstance(event, request.End):
+                if event.outcome is types.Outcome.ANSWERED:
+                    await self._part(send, b"", False)
+                elif not started:
+                    await _refuse(event, self._req, scope, send)
+                # A started answer that broke off is left unended, so the
+                # caller sees that it is not whole.
+                return
+
+
+async def _refuse(
+    end: request.End, name: types.RequestId, scope: Any, send: Send
+) -> None:
+    answer = _problem(openai.problem(end, name))
+    await answer(scope, _never, send)
+
+
+async def _never() -> Any:
+    raise RuntimeError("nothing is received here")
--- /dev/null
+++ b/rackpost/entry/openai.py
@@ -0,0 +1,302 @@
+"""The callers' interface: OpenAI requests in, chunks and errors out.
+
+Fields as in the published OpenAI API for chat completions and
+completions; unknown fields are passed on to the engine as they are.
+"""
+
+from typing import Annotated
+from typing import Any
+from typing import Union
+
+import msgspec
+
+from rackpost.decide import prefix
+from rackpost.entry import request
+from rackpost import exceptions
+from rackpost import types
+
+MAX_BODY = 4 << 20
+# JSON nested deeper than this is refused before it is parsed.
+MAX_DEPTH = 64
+_MAX_MESSAGES = 2048
+
+_Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+
+
+class _Part(msgspec.Struct):
+    """One part of a message's content."""
+
+    type: str
+    text: str = ""
+
+
+class _ChatMessage(msgspec.Struct):
+    """One message of a chat."""
+
+    role: str
+    content: Union[str, list[_Part], None] = None
+
+
+class _StreamOptions(msgspec.Struct):
+    """What a streamed answer contains besides its text."""
+
+    include_usage: bool = False
+
+
+class _Asked(msgspec.Struct):
+    """The fields that rackpost looks at."""
+
+    model: str
+    messages: list[_ChatMessage] | None = None
+    prompt: str | None = None
+    max_tokens: _Count | None = None
+    max_completion_tokens: _Count | None = None
+    stream: bool = False
+    stream_options: _StreamOptions | None = None
+    n: int = 1
+
+
+class Parsed(msgspec.Struct, frozen=True, kw_only=True):
+    """A request, checked.  `body` is what the engine is given."""
+
+    model: str
+    chat: bool
+    stream: bool
+    usage: bool
+    prompt: bytes
+    max_tokens: int
+    body: bytes
+
+
+def _check_depth(data: bytes) -> None:
+    depth = 0
+    quoted = False
+    skip = False
+    for byte in data:
+        if skip:
+            skip = False
+        elif quoted:
+            if byte == 0x5C:
+                skip = True
+            elif byte == 0x22:
+                quoted = False
+        elif byte == 0x22:
+            quoted = True
+        elif byte in b"[{":
+            depth += 1
+            if depth > MAX_DEPTH:
+                raise exceptions.BadRequest(
+                    "too-deep", f"JSON is nested over {MAX_DEPTH} deep"
+                )
+        elif byte in b"]}":
+            depth -= 1
+
+
+def parse(data: bytes, *, chat: bool, default_tokens: int) -> Parsed:
+    """Check a request's body; BadRequest says what is wrong with it."""
+    # Only bodies that could be nested too deep need the slow look.
+    if data.count(b"[") + data.count(b"{") > MAX_DEPTH:
+        _check_depth(data)
+    try:
+        raw: Any = msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise exceptions.BadRequest("not-json", str(exc)) from exc
+    try:
+        asked = msgspec.convert(raw, _Asked)
+    except (msgspec.ValidationError, RecursionError) as exc:
+        raise exceptions.BadRequest("wrong-types", str(exc)) from exc
+    if asked.n != 1:
+        raise exceptions.BadRequest("n-not-one", "only n=1 is served")
+    prompt = _prompt(asked, chat)
+    limit = asked.max_completion_tokens or asked.max_tokens or default_tokens
+    raw.pop("stream", None)
+    raw.pop("stream_options", None)
+    raw.pop("max_completion_tokens", None)
+    for name in ("kv_transfer_params", "priority"):
+        # These steer the engine and are not the caller's to set.
+        raw.pop(name, None)
+    raw["max_tokens"] = limit
+    options = asked.stream_options or _StreamOptions()
+    return Parsed(
+        model=asked.model,
+        chat=chat,
+        stream=asked.stream,
+        usage=options.include_usage,
+        prompt=prompt,
+        max_tokens=limit,
+        body=msgspec.json.encode(raw),
+    )
+
+
+def _prompt(asked: _Asked, chat: bool) -> bytes:
+    if not chat:
+        if asked.prompt is None:
+            raise exceptions.BadRequest("no-prompt", "'prompt' is missing")
+        return asked.prompt.encode()
+    if not asked.messages:
+        raise exceptions.BadRequest("no-messages", "'messages' is empty")
+    if len(asked.messages) > _MAX_MESSAGES:
+        raise exceptions.BadRequest("too-many-messages", "too many messages")
+    texts = [_text(msg) for msg in asked.messages]
+    return "\n".join(texts).encode()
+
+
+def _text(msg: _ChatMessage) -> str:
+    if msg.content is None:
+        return ""
+    if isinstance(msg.content, str):
+        return msg.content
+    return "".join(part.text for part in msg.content)
+
+
+class Usage(msgspec.Struct, frozen=True, kw_only=True):
+    """Tokens of the prompt, as estimated, and of the answer."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+def usage_of(prompt: bytes, tokens: int) -> Usage:
+    """The usage of an answer of so many tokens."""
+    asked = prefix.count_tokens(prompt)
+    return Usage(
+        prompt_tokens=asked,
+        completion_tokens=tokens,
+        total_tokens=asked + tokens,
+    )
+
+
+class Writer:
+    """Writes the answer to one request in the API's shapes."""
+
+    def __init__(
+        self, *, parsed: Parsed, req: types.RequestId, created: int
+    ) -> None:
+        self._parsed = parsed
+        self._req = req
+        self._created = created
+        self._first = True
+
+    def _base(self, kind: str) -> dict[str, Any]:
+        return {
+            "id": self._req,
+            "object": kind,
+            "created": self._created,
+            "model": self._parsed.model,
+        }
+
+    def chunk(self, text: str | None, finish: str | None) -> bytes:
+        """A server-sent event with a piece of the answer, or its end."""
+        choice: dict[str, Any] = {"index": 0, "finish_reason": finish}
+        if self._parsed.chat:
+            delta: dict[str, str] = {}
+            if self._first:
+                delta["role"] = "assistant"
+            if text is not None:
+                delta["content"] = text
+            choice["delta"] = delta
+            kind = "chat.completion.chunk"
+        else:
+            choice["text"] = text or ""
+            kind = "text_completion"
+        self._first = False
+        event = self._base(kind)
+        event["choices"] = [choice]
+        return _sse(event)
+
+    def closing(self, tokens: int) -> bytes:
+        """The last events of a streamed answer."""
+        data = self.chunk(None, "stop")
+        if self._parsed.usage:
+            kind = "text_completion"
+            if self._parsed.chat:
+                kind = "chat.completion.chunk"
+            event = self._base(kind)
+            event["choices"] = []
+            event["usage"] = usage_of(self._parsed.prompt, tokens)
+            data += _sse(event)
+        return data + b"data: [DONE]\n\n"
+
+    def broken(self, end: request.End) -> bytes:
+        """The last event of a streamed answer that broke off."""
+        return _sse({"error": problem(end, self._req)})
+
+    def whole(self, text: str, tokens: int) -> bytes:
+        """A whole answer in one body."""
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+        if self._parsed.chat:
+            kind = "chat.completion"
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            kind = "text_completion"
+            choice["text"] = text
+        answer = self._base(kind)
+        answer["choices"] = [choice]
+        answer["usage"] = usage_of(self._parsed.prompt, tokens)
+        return msgspec.json.encode(answer)
+
+
+def _sse(event: Any) -> bytes:
+    return b"data: " + msgspec.json.encode(event) + b"\n\n"
+
+
+class Problem(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """An error, as application/problem+json (RFC 9457)."""
+
+    type: str
+    title: str
+    status: int
+    outcome: str
+    reason: str
+    request_id: str
+    detail: str = ""
+    retry_after_s: float | None = None
+
+
+_STATUS = {
+    types.Refusal.CALLER_OPEN_LIMIT: 429,
+    types.Refusal.CLAIM_RUNNING: 409,
+    types.Refusal.CLAIM_UNKNOWN: 409,
+}
+
+
+def status_of(end: request.End) -> int:
+    """The HTTP status that goes with a request's end."""
+    if end.outcome is types.Outcome.UNKNOWN:
+        if end.reason is types.Refusal.CLAIM_UNKNOWN:
+            return 409
+        return 502
+    if isinstance(end.reason, types.Refusal):
+        return _STATUS.get(end.reason, 503)
+    return 503
+
+
+def problem(end: request.End, req: types.RequestId) -> Problem:
+    """The problem that tells a caller how its request ended."""
+    reason = end.reason.value if end.reason is not None else "none"
+    title = "The request did not run"
+    if end.outcome is types.Outcome.UNKNOWN:
+        title = "It is not known whether the request ran"
+    return Problem(
+        type=f"urn:rackpost:{reason}",
+        title=title,
+        status=status_of(end),
+        outcome=end.outcome.value,
+        reason=reason,
+        request_id=req,
+        retry_after_s=end.retry_in_s,
+    )
+
+
+def bad_request(exc: exceptions.BadRequest, req: types.RequestId) -> Problem:
+    """The problem that tells a caller what is wrong with its request."""
+    return Problem(
+        type=f"urn:rackpost:{exc.reason}",
+        title="The request can't be served as it is",
+        status=exc.status,
+        outcome=types.Outcome.NOT_RUN.value,
+        reason=exc.reason,
+        request_id=req,
+        detail=str(exc),
+    )
--- /dev/null
+++ b/rackpost/entry/process.py
@@ -0,0 +1,164 @@
+"""The entry as a process: its links, its settings, its callers."""
+
+import asyncio
+import contextlib
+import random
+import time
+from typing import AsyncIterator
+
+from rackpost import config
+from rackpost.control import client as client_mod
+from rackpost.control import messages as control_messages
+from rackpost.decide import placement
+from rackpost.decide import subset
+from rackpost.entry import control_claims
+from rackpost.entry import core
+from rackpost.entry import http
+from rackpost.entry import pool
+from rackpost import exceptions
+from rackpost import http_server
+from rackpost.link import messages
+from rackpost.link import websocket
+from rackpost import logs
+from rackpost.state import commands
+from rackpost import types
+
+_FIRST_PAUSE_S = 0.05
+_LONGEST_PAUSE_S = 2.0
+_NEAR_S = 0.0002
+_FAR_S = 0.001
+
+
+class EntryProcess:
+    """A running entry."""
+
+    def __init__(self, *, opts: config.EntryOptions) -> None:
+        self.opts = opts
+        self._security = opts.security()
+        self._rng = random.Random()
+        self.client = client_mod.ControlClient(
+            name=opts.name,
+            incarnation=types.Incarnation(time.time_ns()),
+            addresses=opts.control_addresses(),
+            connect=lambda where: websocket.connected(
+                where,
+                security=self._security,
+                kinds=control_messages.FromControl,
+            ),
+            rng=self._rng,
+            join=self._member(),
+            changed=self._changed,
+        )
+        self.claims = control_claims.ControlClaims(
+            client=self.client, now=time.time
+        )
+        self.entry = core.Entry(
+            cfg=core.EntryConfig(
+                entry=types.EntryId(opts.name),
+                data_centre=types.DataCentre(opts.data_centre),
+            ),
+            models=placement.JointPolicy(rng=self._rng),
+            plain=placement.PlainPolicy(rng=self._rng),
+            claims=self.claims,
+            rng=self._rng,
+        )
+        self._links: dict[str, asyncio.Task[None]] = {}
+        self._linked: dict[str, commands.MemberInfo] = {}
+
+    def _member(self) -> commands.MemberInfo:
+        opts = self.opts
+        return commands.MemberInfo(
+            name=opts.name,
+            vm=types.VmId(opts.vm),
+            data_centre=types.DataCentre(opts.data_centre),
+            address=opts.advertise or opts.listen,
+            incarnation=types.Incarnation(time.time_ns()),
+        )
+
+    def _changed(self) -> None:
+        members = self.client.in_force.members
+        wanted = subset.choose(
+            entry=self.opts.name,
+            data_centre=self.opts.data_centre,
+            members=members.values(),
+            size=self.opts.subset,
+        )
+        for name in list(self._links):
+            if name not in wanted or self._linked[name] != members[name]:
+                self._links.pop(name).cancel()
+        for name in wanted:
+            if name not in self._links:
+                self._linked[name] = members[name]
+                self._links[name] = asyncio.create_task(
+                    self._keep_link(members[name])
+                )
+
+    async def _keep_link(self, member: commands.MemberInfo) -> None:
+        pause = _FIRST_PAUSE_S
+        while True:
+            try:
+                async with websocket.connected(
+                    member.address,
+                    security=self._security,
+                    kinds=messages.FromAgent,
+                ) as conn:
+                    logs.say(
+                        logs.Part.ENTRY, "Linked to agent.", agent=member.name
+                    )
+                    pause = _FIRST_PAUSE_S
+                    self.entry.add_agent(self._pool_member(member), conn)
+                    await conn.ended()
+            except exceptions.LinkError as exc:
+                logs.say(
+                    logs.Part.ENTRY,
+                    "No link to agent.",
+                    agent=member.name,
+                    why=str(exc),
+                )
+            await asyncio.sleep(pause * (0.5 + self._rng.random()))
+            pause = min(_LONGEST_PAUSE_S, pause * 2)
+
+    def _pool_member(self, member: commands.MemberInfo) -> pool.Member:
+        near = member.data_centre == self.opts.data_centre
+        return pool.Member(
+            agent=types.AgentId(member.name),
+            service=member.service,
+            role=member.role,
+            data_centre=member.data_centre,
+            delay_s=_NEAR_S if near else _FAR_S,
+        )
+
+    def _ready(self) -> bool:
+        return self.client.ready.is_set()
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator[int]:
+        """Serve callers; yields the port.  Leaving drops all links."""
+        app = http.CallerApp(
+            entry=self.entry,
+            tree=lambda: self.client.in_force.tree,
+            ready=self._ready,
+        )
+        host, port = self.opts.bind()
+        tls = None
+        if self.opts.caller_cert:
+            tls = (self.opts.caller_cert, self.opts.caller_key)
+        tasks = [
+            asyncio.create_task(self.client.run()),
+            asyncio.create_task(self.claims.run()),
+        ]
+        try:
+            async with http_server.serving(
+                app.app, host=host, port=port, tls=tls
+            ) as found:
+                logs.say(logs.Part.ENTRY, "Serving callers.", port=found)
+                yield found
+        finally:
+            for task in [*tasks, *self._links.values()]:
+                task.cancel()
+
+    async def stop(self) -> None:
+        """Planned stop: nothing new, what is in flight ends first."""
+        logs.say(logs.Part.ENTRY, "Stopping.", open=self.entry.open_requests)
+        self.entry.stop()
+        await self.entry.drained()
--- /dev/null
+++ b/rackpost/http_server.py
@@ -0,0 +1,54 @@
+"""Serving an ASGI application from within an event loop of ours."""
+
+import asyncio
+import contextlib
+import socket
+from typing import Any
+from typing import AsyncIterator
+
+import uvicorn
+
+_STOP_S = 1
+_BACKLOG = 1024
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the program it is part of."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):  # type: ignore[no-untyped-def]
+        """Take no signals."""
+        yield
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    app: Any, *, host: str, port: int, tls: tuple[str, str] | None = None
+) -> AsyncIterator[int]:
+    """Serve `app`; yields the port.  `tls` is a certificate and its key.
+
+    Raises OSError where the address can't be had.
+    """
+    sock = socket.create_server((host, port), backlog=_BACKLOG)
+    cfg = uvicorn.Config(
+        app,
+        log_level="warning",
+        access_log=False,
+        lifespan="off",
+        timeout_graceful_shutdown=_STOP_S,
+        timeout_keep_alive=30,
+        ssl_certfile=tls[0] if tls else None,
+        ssl_keyfile=tls[1] if tls else None,
+        server_header=False,
+        http="h11",
+    )
+    server = _Server(cfg)
+    task = asyncio.create_task(server.serve(sockets=[sock]))
+    try:
+        while not server.started and not task.done():
+            await asyncio.sleep(0.005)
+        yield sock.getsockname()[1]
+    finally:
+        server.should_exit = True
+        await asyncio.wait([task])
+        sock.close()
--- /dev/null
+++ b/rackpost/state/machine.py
@@ -0,0 +1,311 @@
+"""The replicated state: commands in, results out, the same everywhere."""
+
+from collections import OrderedDict
+
+import msgspec
+
+from rackpost import exceptions
+from rackpost.state import claims
+from rackpost.state import commands
+from rackpost.state import schema
+from rackpost.state import tree as tree_mod
+from rackpost import types
+
+# Results of operations are remembered for resends, history for reading.
+_MAX_RESULTS = 4096
+_MAX_HISTORY = 4096
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """What one revision changed, for watchers and for the history.
+
+    A node, an event or a member is given whole; None means removed.
+    """
+
+    revision: types.Revision
+    op: str = ""
+    who: str = ""
+    at: float = 0.0
+    path: str | None = None
+    before: tree_mod.Node | None = None
+    node: tree_mod.Node | None = None
+    event_name: str | None = None
+    event_before: commands.Event | None = None
+    event: commands.Event | None = None
+    member_name: str | None = None
+    member: commands.MemberInfo | None = None
+    order: str | None = None
+    fence: types.Fence = types.Fence(0)
+
+
+class Image(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole state, for snapshots and for new watchers."""
+
+    revision: types.Revision
+    fence: types.Fence
+    nodes: dict[str, tree_mod.Node]
+    events: dict[str, commands.Event]
+    event_revisions: dict[str, types.Revision]
+    members: dict[str, commands.MemberInfo]
+    fences: dict[str, types.Fence]
+    results: list[tuple[str, commands.Result]]
+    history: list[Change]
+    claims: list[tuple[types.ClaimKey, claims.Claim]]
+
+
+class Machine:
+    """Applies commands in the order of the log."""
+
+    def __init__(self) -> None:
+        self.revision = types.Revision(0)
+        self.fence = types.Fence(0)
+        self.tree = tree_mod.Tree()
+        self.event_revisions: dict[str, types.Revision] = {}
+        self.members: dict[str, commands.MemberInfo] = {}
+        self.fences: dict[str, types.Fence] = {}
+        self.claims = claims.ClaimTable()
+        self.history: list[Change] = []
+        self._results: OrderedDict[str, commands.Result] = OrderedDict()
+
+    # Commands.
+
+    def apply(self, cmd: commands.AnyCommand) -> commands.Result:
+        """Apply one command; a resent operation gets its first result."""
+        op = getattr(cmd, "op", "")
+        if op and op in self._results:
+            return self._results[op]
+        try:
+            result = self._apply(cmd)
+        except exceptions.SettingsError as exc:
+            result = commands.Rejected(why=str(exc))
+        if op:
+            self._results[op] = result
+            while len(self._results) > _MAX_RESULTS:
+                self._results.popitem(last=False)
+        return result
+
+    def _apply(self, cmd: commands.AnyCommand) -> commands.Result:
+        if isinstance(cmd, commands.ClaimBatch):
+            return self._claim(cmd)
+        if isinstance(cmd, commands.Write):
+            return self._write(cmd)
+        if isinstance(cmd, commands.Declare):
+            return self._declare(cmd)
+        if isinstance(cmd, commands.Withdraw):
+            return self._withdraw(cmd)
+        if isinstance(cmd, commands.Join):
+            return self._join(cmd)
+        if isinstance(cmd, commands.Remove):
+            return self._remove(cmd)
+        if isinstance(cmd, commands.Order):
+            return self._order(cmd)
+        return commands.Accepted(revision=self.revision)
+
+    def _next(self) -> types.Revision:
+        return types.Revision(self.revision + 1)
+
+    def _made(self, change: Change) -> commands.Accepted:
+        self.revision = change.revision
+        self.history.append(change)
+        del self.history[:-_MAX_HISTORY]
+        return commands.Accepted(revision=change.revision, fence=change.fence)
+
+    def _write(self, cmd: commands.Write) -> commands.Result:
+        check_write(cmd, self.tree)
+        old = self.tree.nodes.get(cmd.path)
+        at = old.revision if old else types.Revision(0)
+        if cmd.based_on != at:
+            return self._conflict(at)
+        values = dict(old.values) if old else {}
+        values.update(cmd.values)
+        for key in cmd.unset:
+            values.pop(key, None)
+        node = tree_mod.Node(revision=self._next(), values=values)
+        self.tree.put(cmd.path, node)
+        return self._made(
+            Change(
+                revision=node.revision,
+                op=cmd.op,
+                who=cmd.who,
+                at=cmd.at,
+                path=cmd.path,
+                before=old,
+                node=node,
+            )
+        )
+
+    def _conflict(self, at: types.Revision) -> commands.Conflict:
+        for change in reversed(self.history):
+            if change.revision == at:
+                what = change.path
+                if what is None:
+                    what = change.event_name
+                theirs = f"{change.who} changed {what or 'the root'}"
+                return commands.Conflict(revision=at, theirs=theirs)
+        return commands.Conflict(revision=at, theirs="an older change")
+
+    def _declare(self, cmd: commands.Declare) -> commands.Result:
+        tree_mod.check_event(cmd.event, self.tree, cmd.at)
+        name = cmd.event.name
+        at = self.event_revisions.get(name, types.Revision(0))
+        if cmd.based_on != at:
+            return self._conflict(at)
+        before = self.tree.events.get(name)
+        self.tree.events[name] = cmd.event
+        self.event_revisions[name] = self._next()
+        return self._made(
+            Change(
+                revision=self._next(),
+                op=cmd.op,
+                who=cmd.who,
+                at=cmd.at,
+                event_name=name,
+                event_before=before,
+                event=cmd.event,
+            )
+        )
+
+    def _withdraw(self, cmd: commands.Withdraw) -> commands.Result:
+        before = self.tree.events.get(cmd.name)
+        if before is None:
+            raise exceptions.SettingsError(f"no event {cmd.name!r}")
+        at = self.event_revisions[cmd.name]
+        if cmd.based_on != at:
+            return self._conflict(at)
+        del self.tree.events[cmd.name]
+        del self.event_revisions[cmd.name]
+        return self._made(
+            Change(
+                revision=self._next(),
+                op=cmd.op,
+                who=cmd.who,
+                at=cmd.at,
+                event_name=cmd.name,
+                event_before=before,
+            )
+        )
+
+    def _join(self, cmd: commands.Join) -> commands.Result:
+        new = cmd.member
+        old = self.members.get(new.name)
+        if old == new:
+            return self._joined(new)
+        if old is not None and new.incarnation < old.incarnation:
+            return commands.Rejected(why="a newer incarnation has joined")
+        self.members[new.name] = new
+        # An agent that comes back may order nothing under an old fence.
+        self.fence = types.Fence(self.fence + 1)
+        self.fences[new.name] = self.fence
+        return self._made(
+            Change(
+                revision=self._next(),
+                member_name=new.name,
+                member=new,
+                fence=self.fence,
+            )
+        )
+
+    def _joined(self, member: commands.MemberInfo) -> commands.Accepted:
+        return commands.Accepted(
+            revision=self.revision, fence=self.fences[member.name]
+        )
+
+    def _remove(self, cmd: commands.Remove) -> commands.Result:
+        old = self.members.get(cmd.name)
+        if old is None or old.incarnation != cmd.incarnation:
+            return commands.Accepted(revision=self.revision)
+        del self.members[cmd.name]
+        self.fences.pop(cmd.name, None)
+        return self._made(Change(revision=self._next(), member_name=cmd.name))
+
+    def _order(self, cmd: commands.Order) -> commands.Result:
+        if cmd.agent not in self.members:
+            raise exceptions.SettingsError(f"no agent {cmd.agent!r}")
+        self.fence = types.Fence(self.fence + 1)
+        self.fences[cmd.agent] = self.fence
+        return self._made(
+            Change(
+                revision=self._next(),
+                op=cmd.op,
+                who=cmd.who,
+                at=cmd.at,
+                member_name=cmd.agent,
+                member=self.members[cmd.agent],
+                order=cmd.what,
+                fence=self.fence,
+            )
+        )
+
+    def _claim(self, cmd: commands.ClaimBatch) -> commands.Result:
+        self.claims.trim(cmd.at)
+        for item in cmd.settled:
+            self.claims.settle(item, at=cmd.at, keep_s=cmd.keep_s)
+        replies = [
+            self.claims.claim(one, at=cmd.at, keep_s=cmd.keep_s)
+            for one in cmd.claims
+        ]
+        return commands.ClaimResults(
+            states=tuple(state for state, _ in replies),
+            holders=tuple(holder for _, holder in replies),
+        )
+
+    # Queries.
+
+    def changes_after(self, revision: types.Revision) -> list[Change] | None:
+        """The changes since `revision`; None if some are forgotten."""
+        if revision > self.revision:
+            return None
+        missing = self.revision - revision
+        if missing > len(self.history):
+            return None
+        return self.history[len(self.history) - missing :]
+
+    def image(self) -> Image:
+        """The whole state."""
+        return Image(
+            revision=self.revision,
+            fence=self.fence,
+            nodes=dict(self.tree.nodes),
+            events=dict(self.tree.events),
+            event_revisions=dict(self.event_revisions),
+            members=dict(self.members),
+            fences=dict(self.fences),
+            results=list(self._results.items()),
+            history=list(self.history),
+            claims=[
+                (key, msgspec.structs.replace(claim))
+                for key, claim in self.claims.claims.items()
+            ],
+        )
+
+    def restore(self, image: Image) -> None:
+        """Take over a whole state."""
+        self.__init__()  # type: ignore[misc]
+        self.revision = image.revision
+        self.fence = image.fence
+        for path, node in image.nodes.items():
+            self.tree.put(path, node)
+        self.tree.events.update(image.events)
+        self.event_revisions.update(image.event_revisions)
+        self.members.update(image.members)
+        self.fences.update(image.fences)
+        self._results.update(image.results)
+        self.history.extend(image.history)
+        self.claims.claims.update(image.claims)
+
+
+def check_write(cmd: commands.Write, tree: tree_mod.Tree) -> None:
+    """Raise SettingsError where a write is not valid as a whole."""
+    schema.check_path(cmd.path)
+    if len(cmd.values) + len(cmd.unset) > 256:
+        raise exceptions.SettingsError("too many keys in one change")
+    for key, value in cmd.values.items():
+        schema.check_value(key, value)
+        if key == "caller_key":
+            taken = tree.caller_of(str(value))
+            if taken is not None and taken != cmd.path:
+                raise exceptions.SettingsError(
+                    f"another caller, {taken}, has this key"
+                )
+    for key in cmd.unset:
+        schema.parse_key(key)
--- a/rackpost/types.py
+++ b/rackpost/types.py
@@ -74,6 +74,7 @@
     CONTROL_AWAY = "control-away"
     LINK_LOST = "link-lost"
     SHED = "shed"
+    NOT_OF_THE_SITE = "not-of-the-site"
 
 
 class Failure(enum.Enum):
