Agent: a fault in an attempt's task ends the attempt

Cause: header names of an endpoint's answer were a subclass of str that the codec refuses; the attempt's task died of it and nobody was told, so the attempt stayed held and each plain call ended as engine-stalled. The agent also asked plain services for cache events, which they took as calls; and control answered at once, with nothing, while an election was under way.

--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -20,6 +20,7 @@
 from rackpost import exceptions
 from rackpost.link import channel
 from rackpost.link import messages
+from rackpost import logs
 from rackpost import metrics as metrics_mod
 from rackpost import types
 
@@ -199,6 +200,10 @@
                     await self._run_call(att, att.run)
         except exceptions.EngineError as exc:
             self._fail(att, _failure_of(exc), ran=exc.ran)
+        except Exception as exc:
+            # A fault of ours must not leave the attempt held for ever.
+            logs.say(logs.Part.AGENT, "Attempt failed.", why=repr(exc))
+            self._fail(att, types.Failure.AGENT, ran=True)
 
     @contextlib.contextmanager
     def _aborted_if_cut(self, att: attempts.Attempt) -> Iterator[None]:
@@ -420,6 +425,8 @@
             self._say_summaries()
 
     async def _read_cache_events(self) -> None:
+        if self.book.role is types.Role.PLAIN:
+            return
         with contextlib.suppress(exceptions.EngineError):
             seen = await self._engine.events()
             if isinstance(self.book, book_mod.PromiseBook):
--- a/rackpost/agent/engine_http.py
+++ b/rackpost/agent/engine_http.py
@@ -90,7 +90,11 @@
         for word in value.split(",")
     }
     drop = _HOP_BY_HOP | named
-    return tuple(item for item in headers if item[0].lower() not in drop)
+    return tuple(
+        (str(name), str(value))
+        for name, value in headers
+        if name.lower() not in drop
+    )
 
 
 def _name_of(key: slots.Key) -> str:
--- a/rackpost/cmd_demo.py
+++ b/rackpost/cmd_demo.py
@@ -36,7 +36,7 @@
     ] = 6.0
     rate: Annotated[
         float, cappa.Arg(long="--rate", help="requests a second of each site")
-    ] = 25.0
+    ] = 8.0
     quiet: Annotated[
         bool, cappa.Arg(long="--quiet", help="do not show the streams")
     ] = False
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -163,6 +163,7 @@
         fut: asyncio.Future[commands.Result | None]
         fut = self._loop.create_future()
         data = codec.encode(cmd)
+        await self._wait_for_leader()
         if self.is_leader:
             self._propose(data, fut)
         elif self.leader is not None:
@@ -175,6 +176,11 @@
             return None
         return await _patiently(fut)
 
+    async def _wait_for_leader(self) -> None:
+        until = self._loop.time() + _PATIENCE_S
+        while self.leader is None and self._loop.time() < until:
+            await asyncio.sleep(_TICK_S)
+
     def _propose(
         self, data: bytes, fut: asyncio.Future[commands.Result | None]
     ) -> None:
@@ -211,6 +217,7 @@
         """
         fut: asyncio.Future[consensus.Index | None]
         fut = self._loop.create_future()
+        await self._wait_for_leader()
         number = self._next_number()
         self._reads[number] = fut
         if self.is_leader:
--- a/rackpost/types.py
+++ b/rackpost/types.py
@@ -80,6 +80,7 @@
 class Failure(enum.Enum):
     """Why an attempt that had been accepted broke off."""
 
+    AGENT = "agent"
     ENGINE = "engine"
     ENGINE_STALLED = "engine-stalled"
     KV_EXPIRED = "kv-expired"
