--- a/rackpost/decide/retry.py
+++ b/rackpost/decide/retry.py
@@ -15,6 +15,8 @@
 _SHARE = 0.1
 _BURST = 10.0
 _JITTER_S = 0.02
+# Whatever the budget, one request is given to endpoints this often.
+MAX_ATTEMPTS = 3
 
 
 class Stage(enum.Enum):
@@ -63,6 +65,7 @@
     reason: types.Failure,
     ran: bool,
     stage: Stage,
+    attempts: int,
     repeat: types.RepeatClass,
     left_s: float,
     needed_s: float,
@@ -80,7 +83,7 @@
     outcome = types.Outcome.UNKNOWN if touched else types.Outcome.NOT_RUN
     if touched and repeat is types.RepeatClass.ONCE:
         return GiveUp(outcome, reason)
-    if left_s < needed_s:
+    if left_s < needed_s or attempts >= MAX_ATTEMPTS:
         return GiveUp(outcome, reason)
     if not budget.take():
         return GiveUp(outcome, types.Refusal.RETRY_BUDGET)
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -387,6 +387,7 @@
             reason=broken.reason,
             ran=broken.ran,
             stage=stage,
+            attempts=item.number,
             repeat=item.req.terms.repeat,
             left_s=self._left_s(item),
             needed_s=self._needed_s(item),
@@ -466,6 +467,7 @@
 )
 _AGENTS_FAULT = frozenset(
     {
+        types.Failure.AGENT,
         types.Failure.ENGINE,
         types.Failure.ENGINE_STALLED,
         types.Failure.TRANSFER,
