--- /dev/null
+++ b/lab/baselines.py
@@ -0,0 +1,185 @@
+"""The policies that the product is compared with.
+
+Each is set up as an operator would: the queue in front of an engine is
+bounded at the length that gave it the most goodput at load 1.3 (see
+docs/MEASUREMENTS.md), and it gets the entry's own retries, avoidance of
+broken endpoints and checks of answers.
+"""
+
+from typing import Collection
+from typing import Sequence
+
+from rackpost.decide import book
+from rackpost.decide import placement
+from rackpost.decide import prefix
+from rackpost.decide import slots
+from rackpost.decide import views
+from rackpost.link import messages
+from rackpost import types
+
+
+class OpenBook(book.Book):
+    """Takes any work at once and leaves the queueing to the engine.
+
+    Work is refused only when the queue at the engine is longer than
+    `queue_limit` requests.
+    """
+
+    def __init__(self, *, spec: book.EndpointSpec, queue_limit: int) -> None:
+        super().__init__(spec=spec)
+        self._limit = queue_limit
+        self._cost: dict[slots.Key, float] = {}
+        self._ready: list[slots.Key] = []
+        self._step_s = spec.step_s
+
+    def _room(self) -> int:
+        if self.role is types.Role.PREFILL:
+            return self._limit
+        return self.spec.slots + self._limit
+
+    def promise(
+        self, msg: messages.Reserve, key: slots.Key, now: float
+    ) -> book.Promise | types.Refusal:
+        """Take the work unless the queue is full."""
+        if self.leaving:
+            return types.Refusal.LEAVING
+        if msg.part is not self.role:
+            return types.Refusal.WRONG_ROLE
+        if len(self._cost) >= self._room():
+            return types.Refusal.QUEUE_FULL
+        self._cost[key] = 0.0
+        if self.role is types.Role.PREFILL:
+            rate = self.spec.prefill_tokens_s
+            self._cost[key] = self.spec.prefill_base_s
+            self._cost[key] += msg.prompt_tokens / rate
+        return book.Promise(0.0, 0)
+
+    def ready(self, key: slots.Key) -> None:
+        """Hand it over at once."""
+        if key in self._cost:
+            self._ready.append(key)
+
+    def next_start(self, now: float) -> slots.Key | None:
+        """The oldest that is ready."""
+        while self._ready:
+            key = self._ready.pop(0)
+            if key in self._cost:
+                return key
+        return None
+
+    def progress(self, key: slots.Key, done: int, step_s: float) -> None:
+        """Follow the time between tokens."""
+        if done > 1:
+            self._step_s += 0.02 * (step_s - self._step_s)
+
+    def prefilled(self, key: slots.Key, took_s: float) -> None:
+        """Nothing is learned."""
+
+    def end(self, key: slots.Key, now: float, *, whole: bool) -> None:
+        """The attempt is over."""
+        self._cost.pop(key, None)
+
+    def engine_queue_s(self, now: float) -> float:
+        """The engine queues whatever it was given."""
+        if self.role is types.Role.PREFILL:
+            return sum(self._cost.values())
+        # A slot frees when an answer of common length has ended.
+        waiting = max(0, len(self._cost) - self.spec.slots)
+        return 10.0 if waiting else 0.0
+
+    def load(self, now: float) -> messages.Load:
+        """What is outstanding at the engine."""
+        return messages.Load(
+            role=self.role,
+            revision=self.revision,
+            leaving=self.leaving,
+            slots=self.spec.slots,
+            used=len(self._cost),
+            backlog_s=sum(self._cost.values()),
+            step_s=self._step_s,
+            prefill_tokens_s=self.spec.prefill_tokens_s,
+            prefill_base_s=self.spec.prefill_base_s,
+            link_bytes_s=self.spec.link_bytes_s,
+        )
+
+
+class _Separate(placement.Policy):
+    """Chooses the two halves one after the other."""
+
+    def place(
+        self,
+        *,
+        ask: views.Ask,
+        pool: Sequence[views.EndpointView],
+        now: float,
+        excluded: Collection[types.AgentId] = (),
+    ) -> placement.Placement | types.Refusal:
+        """Choose a prefill endpoint, then a decode endpoint."""
+        prefills = placement.by_role(pool, types.Role.PREFILL, excluded)
+        decodes = placement.by_role(pool, types.Role.DECODE, excluded)
+        if not prefills or not decodes:
+            return types.Refusal.NO_ENDPOINT
+        pre = self._prefill(ask, prefills, now)
+        dec = self._decode(decodes)
+        return placement.Placement(pre.agent, dec.agent, 0.0, 0.0)
+
+    def _prefill(
+        self,
+        ask: views.Ask,
+        pool: list[views.EndpointView],
+        now: float,
+    ) -> views.EndpointView:
+        raise NotImplementedError
+
+    def _decode(self, pool: list[views.EndpointView]) -> views.EndpointView:
+        return min(pool, key=lambda view: view.load.used + view.sent_slots)
+
+
+class RoundRobin(_Separate):
+    """Each endpoint in its turn."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def _prefill(
+        self,
+        ask: views.Ask,
+        pool: list[views.EndpointView],
+        now: float,
+    ) -> views.EndpointView:
+        self._turn += 1
+        return pool[self._turn % len(pool)]
+
+    def _decode(self, pool: list[views.EndpointView]) -> views.EndpointView:
+        return pool[self._turn % len(pool)]
+
+
+class LeastLoaded(_Separate):
+    """The least work outstanding."""
+
+    def _prefill(
+        self,
+        ask: views.Ask,
+        pool: list[views.EndpointView],
+        now: float,
+    ) -> views.EndpointView:
+        return min(pool, key=lambda view: view.backlog_s(now))
+
+
+class PrefixCost(_Separate):
+    """The paper's cost: uncached prefill, transfer and queue (PAPER)."""
+
+    def _prefill(
+        self,
+        ask: views.Ask,
+        pool: list[views.EndpointView],
+        now: float,
+    ) -> views.EndpointView:
+        def cost(view: views.EndpointView) -> float:
+            cached = view.hints.match(ask.blocks) * prefix.BLOCK_TOKENS
+            rest = max(1, ask.prompt_tokens - cached)
+            queue = view.backlog_s(now)
+            transfer = ask.kv_bytes / view.load.link_bytes_s
+            return rest / view.load.prefill_tokens_s + transfer + queue
+
+        return min(pool, key=cost)
--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -223,7 +223,9 @@
     async def _run_prefill(
         self, att: attempts.Attempt, run: messages.RunPrefill
     ) -> None:
-        limit = watchdog.prefill_limit(att.asked, self._load())
+        limit = watchdog.prefill_limit(
+            att.asked, self._load(), self._queue_s()
+        )
         result = await watchdog.within(
             limit,
             self._engine.prefill(
@@ -256,7 +258,9 @@
         )
         count = 0
         last = self._loop.time()
-        limits = watchdog.stream_limits(att.asked, self._load())
+        limits = watchdog.stream_limits(
+            att.asked, self._load(), self._queue_s()
+        )
         guarded = watchdog.guarded(stream, limits)
         async with contextlib.aclosing(guarded) as pieces:
             async for piece in pieces:
@@ -407,6 +411,9 @@
     def _load(self) -> messages.Load:
         return self.book.load(self._loop.time())
 
+    def _queue_s(self) -> float:
+        return self.book.engine_queue_s(self._loop.time())
+
     def _say(self, session: Session, msg: msgspec.Struct) -> None:
         session.spoke_at = self._loop.time()
         session.conn.send(msg)
--- a/rackpost/agent/watchdog.py
+++ b/rackpost/agent/watchdog.py
@@ -36,17 +36,24 @@
 CALL_LIMITS = Limits(10.0, 10.0)
 
 
-def prefill_limit(asked: messages.Reserve, load: messages.Load) -> float:
-    """How long a prefill may take, in seconds."""
+def prefill_limit(
+    asked: messages.Reserve, load: messages.Load, queue_s: float
+) -> float:
+    """How long a prefill may take, in seconds.
+
+    `queue_s` is the work that waits within the engine before it.
+    """
     usual = load.prefill_base_s + asked.prompt_tokens / load.prefill_tokens_s
-    return _SLOW_FACTOR * usual + _GRACE_S
+    return _SLOW_FACTOR * (usual + queue_s) + _GRACE_S
 
 
-def stream_limits(asked: messages.Reserve, load: messages.Load) -> Limits:
+def stream_limits(
+    asked: messages.Reserve, load: messages.Load, queue_s: float
+) -> Limits:
     """How long a decode may take to its first and to its next token."""
     transfer = asked.kv_bytes / load.link_bytes_s + load.link_backlog_s
     between = max(_MIN_TOKEN_GAP_S, _SLOW_FACTOR * load.step_s)
-    return Limits(_SLOW_FACTOR * transfer + between, between)
+    return Limits(_SLOW_FACTOR * transfer + queue_s + between, between)
 
 
 async def within(limit_s: float, work: Awaitable[T]) -> T:
--- a/rackpost/cmd_demo.py
+++ b/rackpost/cmd_demo.py
@@ -224,7 +224,7 @@
             rows.append(f"  {kind:<10} {word:<40} {count:>5}")
     spent = site.ledger.prefilled
     wasted = sum(
-        tokens for req, tokens in spent.items() if req not in burst.reached
+        tokens for key, tokens in spent.items() if key.req not in burst.reached
     )
     share = wasted / max(1, sum(spent.values()))
     rows.append(f"  goodput: {good} of {total} ({good / max(1, total):.1%})")
--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -80,6 +80,10 @@
     def end(self, key: slots.Key, now: float, *, whole: bool) -> None:
         """The attempt is over here, `whole` or not."""
 
+    def engine_queue_s(self, now: float) -> float:
+        """Seconds of work that wait within the engine itself."""
+        return 0.0
+
     @abc.abstractmethod
     def load(self, now: float) -> messages.Load:
         """What to tell entries."""
--- a/rackpost/testing/engine.py
+++ b/rackpost/testing/engine.py
@@ -49,11 +49,15 @@
     """Prefill tokens that all engines of a test have spent."""
 
     def __init__(self) -> None:
-        self.prefilled: collections.Counter[types.RequestId] = (
-            collections.Counter()
-        )
+        self.prefilled: dict[slots.Key, int] = {}
         self.runs: collections.Counter[types.RequestId] = collections.Counter()
 
+    def prefilled_for(self, req: types.RequestId) -> list[int]:
+        """Tokens prefilled for a request, by attempt, in their order."""
+        return [
+            tokens for key, tokens in self.prefilled.items() if key.req == req
+        ]
+
 
 class _Kept:
     """A prefill's result, kept for export."""
@@ -213,7 +217,7 @@
         cached = self._cache.match(blocks) * prefix.BLOCK_TOKENS
         rest = max(1, tokens - cached)
         spent = self.spec.prefill_base_s + rest / self.spec.prefill_tokens_s
-        self.ledger.prefilled[key.req] += rest
+        self.ledger.prefilled[key] = rest
         await asyncio.sleep(spent * self.slowness)
         self._check(ran=True)
         self._cache.add(blocks)
--- a/rackpost/testing/site.py
+++ b/rackpost/testing/site.py
@@ -83,6 +83,7 @@
         engine_spec: engine.EngineSpec,
         make_book: BookMaker = promise_book,
         claims: claims_mod.Claims | None = None,
+        lease_s: float = agent_core.LEASE_S,
     ) -> None:
         self.delays = delays
         self.engine_spec = engine_spec
@@ -93,6 +94,7 @@
         self._seed = seed
         self._make_book = make_book
         self._claims = claims
+        self._lease_s = lease_s
 
     def rng(self, name: str) -> random.Random:
         """A generator of its own for a part of the site."""
@@ -106,6 +108,7 @@
                 agent=types.AgentId(place.name),
                 service=place.service,
                 data_centre=place.data_centre,
+                lease_s=self._lease_s,
             ),
             engine=found,
             book=self._make_book(self.spec_of(place)),
