Placement: judge prefill room by the request's own deadline

Cause: the entry refused on an endpoint's whole backlog, though the agent runs prefills by deadline. Agents now tell, for eight slacks, the longest prefill that they could still promise, and the entry interpolates.

--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -258,4 +258,12 @@
             prefill_tokens_s=spec.prefill_tokens_s / self._slowness,
             prefill_base_s=spec.prefill_base_s * self._slowness,
             link_bytes_s=spec.link_bytes_s,
+            room_s=self._room_s(now),
+        )
+
+    def _room_s(self, now: float) -> tuple[float, ...]:
+        if self.role is not types.Role.PREFILL:
+            return ()
+        return tuple(
+            self._queue.room_s(slack, now) for slack in messages.ROOM_SLACKS_S
         )
--- a/rackpost/decide/placement.py
+++ b/rackpost/decide/placement.py
@@ -96,52 +96,89 @@
         prefills = by_role(pool, types.Role.PREFILL, excluded)
         if not decodes or not prefills:
             return types.Refusal.NO_ENDPOINT
-        best = self._best_pair(ask, prefills, decodes, now)
-        if best is None:
+        halves = self._prefill_halves(ask, prefills, now)
+        if not halves:
+            return types.Refusal.LATE_FIRST_TOKEN
+        slots = self._decode_halves(ask, decodes, now)
+        if not slots:
             return types.Refusal.SLOW_TOKENS
+        best = _best_pair(ask, halves, slots)
         if best.ttft_s > ask.ttft_s:
             return types.Refusal.LATE_FIRST_TOKEN
         return best
 
-    def _best_pair(
+    def _prefill_halves(
         self,
         ask: views.Ask,
-        prefills: list[views.EndpointView],
-        decodes: list[views.EndpointView],
+        pool: list[views.EndpointView],
         now: float,
-    ) -> Placement | None:
-        rng = self._rng.random
-        fast = [v for v in decodes if v.load.step_s <= ask.tbt_s]
-        if not fast:
-            return None
-        ready = [
-            (
-                2 * view.delay_s
-                + view.backlog_s(now)
-                + view.prefill_s(ask.prompt_tokens, ask.blocks),
-                rng(),
-                view,
-            )
-            for view in prefills
-        ]
-        room = [
-            (
-                view.slot_in_s(now) + view.delay_s + _crowding(view),
-                rng(),
-                view,
-            )
-            for view in fast
-        ]
-        best: Placement | None = None
-        best_cost = float("inf")
-        for ready_s, _, pre in heapq.nsmallest(_SHORT_LIST, ready):
-            for room_s, _, dec in heapq.nsmallest(_SHORT_LIST, room):
-                ttft = _ttft(ask, pre, dec, ready_s, now)
-                cost = max(ttft, room_s) + _TIE_S * rng() + _crowding(dec)
-                if cost < best_cost:
-                    best_cost = cost
-                    best = Placement(pre.agent, dec.agent, ready_s, ttft)
-        return best
+    ) -> list["_Half"]:
+        halves = []
+        for view in pool:
+            cost = view.prefill_s(ask.prompt_tokens, ask.blocks)
+            move = ask.kv_bytes / view.load.link_bytes_s
+            slack = ask.ttft_s - 2 * view.delay_s - move - view.load.step_s
+            room = view.room_s(slack, now)
+            if room < cost:
+                continue
+            # By its deadline a request may run before others' work; the
+            # room that is left over tells how soon.
+            ready = 2 * view.delay_s + max(cost, slack - (room - cost))
+            ready = min(ready, cost + view.backlog_s(now))
+            tie = _TIE_S * self._rng.random()
+            halves.append(_Half(cost - room + tie, ready, view))
+        return heapq.nsmallest(_SHORT_LIST, halves)
+
+    def _decode_halves(
+        self,
+        ask: views.Ask,
+        pool: list[views.EndpointView],
+        now: float,
+    ) -> list["_Half"]:
+        halves = []
+        for view in pool:
+            if view.load.step_s > ask.tbt_s:
+                continue
+            slot = view.slot_in_s(now)
+            cost = slot + 2 * view.delay_s + _crowding(view)
+            tie = _TIE_S * self._rng.random()
+            halves.append(_Half(cost + tie, slot, view))
+        return heapq.nsmallest(_SHORT_LIST, halves)
+
+
+class _Half(NamedTuple):
+    """One half of a placement; the least `cost` is the best."""
+
+    cost: float
+    ready_s: float
+    view: views.EndpointView
+
+
+def _best_pair(
+    ask: views.Ask, prefills: list[_Half], decodes: list[_Half]
+) -> Placement:
+    best: Placement | None = None
+    best_cost = float("inf")
+    for pre in prefills:
+        for dec in decodes:
+            ttft = _ttft(ask, pre, dec)
+            cost = max(ttft, dec.ready_s) + pre.cost + dec.cost
+            if cost < best_cost:
+                best_cost = cost
+                best = Placement(
+                    pre.view.agent, dec.view.agent, pre.ready_s, ttft
+                )
+    assert best is not None
+    return best
+
+
+def _ttft(ask: views.Ask, pre: _Half, dec: _Half) -> float:
+    out = pre.view.load
+    into = dec.view.load
+    transfer = ask.kv_bytes / min(out.link_bytes_s, into.link_bytes_s)
+    backlog = max(out.link_backlog_s, into.link_backlog_s)
+    start = max(pre.ready_s, backlog, dec.ready_s)
+    return start + transfer + 2 * dec.view.delay_s + into.step_s
 
 
 def _crowding(view: views.EndpointView) -> float:
@@ -151,20 +188,6 @@
     return 0.05 * used / max(1, view.load.slots)
 
 
-def _ttft(
-    ask: views.Ask,
-    pre: views.EndpointView,
-    dec: views.EndpointView,
-    ready_s: float,
-    now: float,
-) -> float:
-    rate = min(pre.load.link_bytes_s, dec.load.link_bytes_s)
-    backlog = max(pre.load.link_backlog_s, dec.load.link_backlog_s)
-    transfer = ask.kv_bytes / rate
-    start = max(ready_s, backlog, dec.slot_in_s(now))
-    return start + transfer + 2 * dec.delay_s + dec.load.step_s
-
-
 class PlainPolicy(Policy):
     """For plain services: the least loaded, nearest endpoint."""
 
--- a/rackpost/decide/prefill_queue.py
+++ b/rackpost/decide/prefill_queue.py
@@ -99,6 +99,19 @@
                 return False
         return True
 
+    def room_s(self, slack_s: float, now: float) -> float:
+        """The longest prefill that could be promised within `slack_s`."""
+        deadline = now + slack_s
+        at = max(now, self._running_until)
+        room = deadline - at
+        for job in self._jobs:
+            at += job.cost_s
+            if job.deadline <= deadline:
+                room = deadline - at
+            else:
+                room = min(room, job.deadline - at)
+        return max(0.0, room)
+
     def ready(self, key: slots.Key) -> None:
         """The prompt is here: the job may be taken by `next_job`."""
         if self._state.get(key) is JobState.PROMISED:
--- a/rackpost/decide/views.py
+++ b/rackpost/decide/views.py
@@ -1,5 +1,7 @@
 """What an entry knows of each endpoint, and of the request in hand."""
 
+import bisect
+
 from rackpost.decide import prefix
 from rackpost.link import messages
 from rackpost import types
@@ -49,6 +51,23 @@
         past = self.load.backlog_s + self.sent_work_s
         return max(0.0, past - (now - self.seen_at))
 
+    def room_s(self, slack_s: float, now: float) -> float:
+        """The longest prefill that it could probably still promise."""
+        rooms = self.load.room_s
+        if not rooms:
+            return slack_s - self.backlog_s(now)
+        slacks = messages.ROOM_SLACKS_S
+        at = bisect.bisect_right(slacks, slack_s) - 1
+        if at < 0:
+            room = rooms[0] * slack_s / slacks[0]
+        elif at + 1 >= len(slacks):
+            room = rooms[-1]
+        else:
+            part = (slack_s - slacks[at]) / (slacks[at + 1] - slacks[at])
+            room = rooms[at] + part * (rooms[at + 1] - rooms[at])
+        # What was sent since is ahead; what has passed was worked off.
+        return room - self.sent_work_s + min(now - self.seen_at, 0.05)
+
     def slot_in_s(self, now: float) -> float:
         """In how many seconds a decode slot is expected there."""
         if self.load.used + self.sent_slots < self.load.slots:
--- a/rackpost/link/messages.py
+++ b/rackpost/link/messages.py
@@ -12,6 +12,9 @@
 
 from rackpost import types
 
+# The slacks, in seconds, for which an agent tells its room.
+ROOM_SLACKS_S = (0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0)
+
 
 class Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """The base of every message."""
@@ -26,6 +29,8 @@
         used: slots taken or promised.
         free_in_s: after how long the next slot can be promised.
         backlog_s: promised prefill work ahead of a new request.
+        room_s: for each slack in `ROOM_SLACKS_S`, the longest prefill
+            that could still be promised to end within it.
         link_backlog_s: promised transfers ahead of a new one.
         step_s: present time between tokens.
         prefill_tokens_s: tokens prefilled in a second.
@@ -45,6 +50,7 @@
     prefill_tokens_s: float = 8000.0
     prefill_base_s: float = 0.01
     link_bytes_s: float = 1e9
+    room_s: tuple[float, ...] = ()
 
 
 class Hello(Message, frozen=True, tag="hello"):
