Admission: what a request must leave follows from the denser demand

Cause: less weighted work was promised all the room, so the most weighted kind found none. Each agent now counts the demand of the last two seconds by density (weight over cost) and promises a prefill only if it still ends in time with what denser requests leave, a slot only if the denser ones of the next moments still find one. This replaces the ranks and the pressure at the entry.

Conclusion: the agent is the place to keep room, as it alone sees the demand of all entries. Short requests behind long prefills remain late.

--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -8,6 +8,7 @@
 import heapq
 from typing import NamedTuple
 
+from rackpost.decide import demand
 from rackpost.decide import lengths
 from rackpost.decide import link_budget
 from rackpost.decide import prefill_queue
@@ -101,6 +102,7 @@
         self._link = link_budget.LinkBudget(bytes_s=spec.link_bytes_s)
         self._models = lengths.LengthModels()
         self._cached = prefix.PrefixHints(max_blocks=spec.cache_blocks)
+        self._demand = demand.Demand()
         self._asked: dict[slots.Key, messages.Reserve] = {}
         self._cost: dict[slots.Key, float] = {}
         self._ready: list[tuple[float, slots.Key]] = []
@@ -122,7 +124,7 @@
         if msg.part is types.Role.PREFILL:
             made = self._promise_prefill(msg, key, now)
         else:
-            made = self._promise_slot(msg, key)
+            made = self._promise_slot(msg, key, now)
         if isinstance(made, Promise):
             self._asked[key] = msg
             self._due[key] = now + msg.within_s
@@ -133,11 +135,12 @@
     ) -> Promise | types.Refusal:
         reuse = self._cached.match(msg.blocks)
         cost = self._prefill_cost(msg.prompt_tokens, reuse)
+        self._offered(msg, cost, now)
         done = self._queue.promise(
             key=key,
             cost_s=cost,
             within_s=msg.within_s,
-            queue_share=msg.queue_share,
+            denser=self._demand.above(msg.density, now).load,
             now=now,
         )
         if isinstance(done, types.Refusal):
@@ -150,9 +153,17 @@
         cost = self.spec.prefill_base_s + rest / self.spec.prefill_tokens_s
         return cost * self._slowness
 
+    def _offered(
+        self, msg: messages.Reserve, cost_s: float, now: float
+    ) -> None:
+        self._demand.offered(
+            kind=msg.kind, density=msg.density, cost_s=cost_s, now=now
+        )
+
     def _promise_slot(
-        self, msg: messages.Reserve, key: slots.Key
+        self, msg: messages.Reserve, key: slots.Key, now: float
     ) -> Promise | types.Refusal:
+        self._offered(msg, msg.max_tokens * self._step_s, now)
         link = 0.0
         if msg.kv_bytes:
             made = self._link.promise(
@@ -168,7 +179,7 @@
             memory=msg.prompt_tokens + msg.max_tokens,
             within_s=msg.within_s,
             step_s=self._step_s,
-            kept=round(msg.slots_kept * self.spec.slots),
+            denser_rate=self._demand.above(msg.density, now).rate,
         )
         if isinstance(wait, types.Refusal):
             self._link.end(key)
--- a/rackpost/decide/prefill_queue.py
+++ b/rackpost/decide/prefill_queue.py
@@ -12,6 +12,9 @@
 from rackpost.decide import slots
 from rackpost import types
 
+# However much denser work comes, this is the most that is kept for it.
+_MOST_DENSER = 0.95
+
 
 class JobState(enum.Enum):
     """How far a promised prefill has come."""
@@ -61,13 +64,14 @@
         key: slots.Key,
         cost_s: float,
         within_s: float,
-        queue_share: float,
+        denser: float,
         now: float,
     ) -> float | types.Refusal:
         """Promise a prefill; in how many seconds it is done, or why not.
 
-        A request may wait at most `queue_share` of its slack, so that
-        those which count for more find room.
+        `denser` is the share of the engine's time that requests which
+        count for more are expected to take: with what they leave, the
+        prefill must still end in time.
         """
         if len(self._by_key) >= self._max_jobs:
             return types.Refusal.QUEUE_FULL
@@ -76,10 +80,10 @@
         job = Job(deadline=now + within_s, key=key, cost_s=cost_s)
         pos = bisect.bisect(self._jobs, job)
         ends = self._end_before(pos, now) + cost_s
-        wait = ends - now - cost_s
-        if wait > (within_s - cost_s) * queue_share:
-            if ends > job.deadline:
-                return types.Refusal.QUEUE_FULL
+        if ends > job.deadline:
+            return types.Refusal.QUEUE_FULL
+        left = 1.0 - min(denser, _MOST_DENSER)
+        if (ends - now) / left > within_s:
             return types.Refusal.QUEUE_KEPT
         if not self._later_still_meet(pos, ends):
             return types.Refusal.QUEUE_FULL
--- a/rackpost/decide/slots.py
+++ b/rackpost/decide/slots.py
@@ -13,6 +13,8 @@
 # Promises are made for moments on this grid, at most HORIZON_S ahead.
 _GRID_S = 0.05
 HORIZON_S = 1.2
+# Denser requests can wait about this long for a slot.
+_NEAR_S = 0.3
 # A promise ahead counts on the expected number of ends less this many
 # standard deviations.
 _CAUTION = 1.0
@@ -109,16 +111,16 @@
         memory: int,
         within_s: float,
         step_s: float,
-        kept: int,
+        denser_rate: float,
     ) -> float | types.Refusal:
         """Promise a slot; after how many seconds it is there, or why not.
 
-        `kept` slots stay free for requests that count for more; the same
-        share of the memory is kept with them.
+        `denser_rate` is how many requests a second that count for more
+        are expected: those of the next moments must still find a slot.
         """
-        room = self.memory_tokens * (1 - kept / max(1, self.slots))
-        if self._memory + memory > room:
+        if self._memory + memory > self.memory_tokens:
             return types.Refusal.MEMORY_FULL
+        kept = self._kept(denser_rate, step_s)
         wait = self.free_in(step_s=step_s, kept=kept)
         if wait > within_s:
             full = self.free_in(step_s=step_s) > within_s
@@ -129,6 +131,13 @@
         self._memory += memory
         return wait
 
+    def _kept(self, denser_rate: float, step_s: float) -> int:
+        coming = denser_rate * _NEAR_S
+        if coming <= 0.0:
+            return 0
+        lack = coming + math.sqrt(coming) - self._ends_by(_NEAR_S, step_s)
+        return max(0, math.ceil(lack))
+
     def may_start(self) -> bool:
         """Whether a promised stream can be handed to the engine now."""
         return len(self._running) < self.slots
--- a/rackpost/decide/views.py
+++ b/rackpost/decide/views.py
@@ -86,8 +86,8 @@
     """What a request needs, as the decisions see it.
 
     `ttft_s` is what is left until the first token is due, `tbt_s` the
-    promised time between tokens, both in seconds; `weight` says how much
-    an answer counts (1 is ordinary).
+    promised time between tokens, both in seconds; `density` is the
+    weight of the answer over its cost.
     """
 
     __slots__ = (
@@ -99,9 +99,7 @@
         "kv_bytes",
         "ttft_s",
         "tbt_s",
-        "weight",
-        "slots_kept",
-        "queue_share",
+        "density",
     )
 
     def __init__(
@@ -115,9 +113,7 @@
         kv_bytes: int,
         ttft_s: float,
         tbt_s: float,
-        weight: float = 1.0,
-        slots_kept: float = 0.0,
-        queue_share: float = 1.0,
+        density: float = 1.0,
     ) -> None:
         self.service = service
         self.kind = kind
@@ -127,6 +123,4 @@
         self.kv_bytes = kv_bytes
         self.ttft_s = ttft_s
         self.tbt_s = tbt_s
-        self.weight = weight
-        self.slots_kept = slots_kept
-        self.queue_share = queue_share
+        self.density = density
--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -222,8 +222,7 @@
                 max_tokens=ask.max_tokens,
                 kv_bytes=ask.kv_bytes if role is types.Role.DECODE else 0,
                 blocks=ask.blocks if role is types.Role.PREFILL else (),
-                slots_kept=ask.slots_kept,
-                queue_share=ask.queue_share,
+                density=ask.density,
                 priority=self._priority,
                 claim=self.req.claim,
             )
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from rackpost.decide import admission
 from rackpost.decide import placement
 from rackpost.decide import retry
 from rackpost.decide import views
@@ -75,7 +74,6 @@
         self._loop = asyncio.get_running_loop()
         self._open: dict[types.RequestId, _Open] = {}
         self._by_caller: dict[types.CallerId, int] = {}
-        self._admission: dict[types.ServiceName, admission.Admission] = {}
         self._budgets: dict[types.ServiceName, retry.RetryBudget] = {}
         self._sealing: dict[
             tuple[types.RequestId, types.Attempt],
@@ -211,15 +209,12 @@
     async def _serve(self, item: _Open) -> AsyncGenerator[request.Event, None]:
         req = item.req
         self._budget(req.service).request()
-        line = self._line(req)
+        density = req.terms.weight / self._cost(req)
         while True:
-            att = self._new_attempt(item, line)
+            att = self._new_attempt(item, density)
             reason = await att.reserve()
             if reason is None:
-                self._pressure(req).granted()
                 reason = await self._claim(item, att)
-            elif reason in _WANT_OF_ROOM:
-                self._pressure(req).refused()
             if reason is not None:
                 att.release()
                 yield self._refuse_reserved(item, reason)
@@ -236,9 +231,7 @@
                 yield end
                 return
 
-    def _new_attempt(
-        self, item: _Open, line: admission.Line
-    ) -> attempt_mod.Attempt:
+    def _new_attempt(self, item: _Open, density: float) -> attempt_mod.Attempt:
         req = item.req
         item.number += 1
         excluded: set[types.AgentId] = set()
@@ -247,7 +240,7 @@
         att = attempt_mod.Attempt(
             req=req,
             number=types.Attempt(item.number),
-            ask=self._ask(item, line),
+            ask=self._ask(item, density),
             offset=item.delivered,
             pool=self.pool,
             policy=self._policies[req.plain is not None],
@@ -258,7 +251,7 @@
         item.attempt = att
         return att
 
-    def _ask(self, item: _Open, line: admission.Line) -> views.Ask:
+    def _ask(self, item: _Open, density: float) -> views.Ask:
         req = item.req
         return views.Ask(
             service=req.service,
@@ -269,9 +262,7 @@
             kv_bytes=req.kv_bytes,
             ttft_s=self._left_s(item),
             tbt_s=req.terms.tbt_s,
-            weight=req.terms.weight,
-            slots_kept=min(0.9, line.slots_kept + req.terms.held),
-            queue_share=line.queue_share,
+            density=density,
         )
 
     def _left_s(self, item: _Open) -> float:
@@ -282,14 +273,8 @@
             return min(item.req.terms.ttft_s, item.req.terms.whole_s - past)
         return item.req.terms.ttft_s - past
 
-    def _line(self, req: request.Request) -> admission.Line:
-        adm = self._admission.get(req.service)
-        if adm is None:
-            adm = admission.Admission()
-            self._admission[req.service] = adm
-        return adm.line(weight=req.terms.weight, cost=self._cost(req))
-
     def _cost(self, req: request.Request) -> float:
+        """Seconds of the whole pool that the request takes."""
         pool = self.pool.views_of(req.service)
         prefill_s, decode_s = 0.0, 0.0
         for view in pool:
@@ -300,10 +285,7 @@
                 decode_s += load.slots / load.step_s
         pre = req.prompt_tokens / prefill_s if prefill_s else 0.0
         dec = (req.max_tokens or 1) / decode_s if decode_s else 0.0
-        return max(pre, dec)
-
-    def _pressure(self, req: request.Request) -> admission.Pressure:
-        return self._admission[req.service].pressure
+        return max(pre, dec, 1e-6)
 
     def _budget(self, service: types.ServiceName) -> retry.RetryBudget:
         return self._budgets.setdefault(service, retry.RetryBudget())
@@ -454,17 +436,6 @@
             self.metrics.time("between_tokens", item.req.kind, gap)
 
 
-_WANT_OF_ROOM = frozenset(
-    {
-        types.Refusal.SLOTS_FULL,
-        types.Refusal.SLOTS_KEPT,
-        types.Refusal.QUEUE_FULL,
-        types.Refusal.QUEUE_KEPT,
-        types.Refusal.MEMORY_FULL,
-        types.Refusal.LINK_FULL,
-        types.Refusal.LATE_FIRST_TOKEN,
-    }
-)
 _AGENTS_FAULT = frozenset(
     {
         types.Failure.AGENT,
--- a/rackpost/link/messages.py
+++ b/rackpost/link/messages.py
@@ -70,8 +70,8 @@
         within_s: the part must be able to start (decode) or be finished
             (prefill) within this time, else it is of no use.
         ready_in_s: for decode, when the prefill is expected to be done.
-        slots_kept: share of the slots that this request must leave free.
-        queue_share: share of `within_s` that it may spend in the queue.
+        density: weight of the answer over its cost; denser requests go
+            first where there is not room for all.
         kv_bytes: size of the KV cache that will be transferred.
     """
 
@@ -87,8 +87,7 @@
     max_tokens: int = 0
     kv_bytes: int = 0
     blocks: tuple[types.BlockHash, ...] = ()
-    slots_kept: float = 0.0
-    queue_share: float = 1.0
+    density: float = 1.0
     priority: int = 0
     claim: types.ClaimKey | None = None
 
--- a/rackpost/state/terms.py
+++ b/rackpost/state/terms.py
@@ -15,7 +15,6 @@
         repeat: how often such a request may run.
         max_open: open requests of the caller at one entry.
         whole_s: time in which the whole answer must have ended.
-        held: share of the slots kept free for kinds of events in force.
     """
 
     ttft_s: float = 0.59
@@ -24,4 +23,3 @@
     repeat: types.RepeatClass = types.RepeatClass.FREE
     max_open: int = 64
     whole_s: float = 60.0
-    held: float = 0.0
