Prefill: long prompts in parts, through the engine's prefix cache

Cause: a prefill of 6,000 tokens holds an engine for 0.75 s, more than a short prompt's whole slack. The agent now prefills long prompts in parts of 1,024 tokens; each part is a request of its own for one token, the next finds it cached, and between parts the most urgent job goes first.

--- a/rackpost/agent/attempts.py
+++ b/rackpost/agent/attempts.py
@@ -38,8 +38,9 @@
         self.run: Run | None = None
         self.task: asyncio.Task[None] | None = None
         self.lease: asyncio.TimerHandle | None = None
-        self.started_at = 0.0
+        self.spent_s = 0.0
         self.taken = 0
+        self.turn = asyncio.Event()
         self.credited = asyncio.Event()
 
     def take(self, run: Run) -> None:
--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -7,13 +7,16 @@
 import asyncio
 import contextlib
 from typing import AsyncIterator
+from typing import Awaitable
 from typing import Coroutine
 from typing import Iterator
+from typing import TypeVar
 
 import msgspec
 
 from rackpost.agent import attempts
 from rackpost.agent import engine as engine_mod
+from rackpost.agent import segments
 from rackpost.agent import watchdog
 from rackpost.decide import book as book_mod
 from rackpost.decide import slots
@@ -24,6 +27,8 @@
 from rackpost import metrics as metrics_mod
 from rackpost import types
 
+T = TypeVar("T")
+
 # A promise that is not taken up in this time is given up, in seconds.
 LEASE_S = 1.0
 # Idle agents say their load this often, in seconds.
@@ -183,8 +188,10 @@
             if key is None:
                 return
             att = self._attempts[key]
+            if att.task is not None:
+                att.turn.set()
+                continue
             att.state = attempts.State.RUNNING
-            att.started_at = now
             att.task = self._spawn(self._run(att))
 
     # Running attempts.
@@ -223,17 +230,17 @@
     async def _run_prefill(
         self, att: attempts.Attempt, run: messages.RunPrefill
     ) -> None:
-        limit = watchdog.prefill_limit(
-            att.asked, self._load(), self._queue_s()
-        )
-        result = await watchdog.within(
-            limit,
+        done = 0
+        while (part := self.book.part_tokens(att.key)) is not None:
+            done += part
+            await self._run_part(att, segments.cut_body(run.body, done))
+        result = await self._timed(
+            att,
             self._engine.prefill(
                 key=att.key, body=run.body, priority=att.asked.priority
             ),
         )
-        took = self._loop.time() - att.started_at
-        self.book.prefilled(att.key, took)
+        self.book.prefilled(att.key, att.spent_s)
         self._finish(att, whole=True)
         self._say(
             att.session,
@@ -246,6 +253,27 @@
             ),
         )
 
+    async def _run_part(self, att: attempts.Attempt, body: bytes) -> None:
+        await self._timed(
+            att,
+            self._engine.warm(
+                key=att.key, body=body, priority=att.asked.priority
+            ),
+        )
+        att.turn.clear()
+        self.book.part_done(att.key, self._loop.time())
+        self._start_ready()
+        await att.turn.wait()
+
+    async def _timed(self, att: attempts.Attempt, work: Awaitable[T]) -> T:
+        limit = watchdog.prefill_limit(
+            att.asked, self._load(), self._queue_s()
+        )
+        began = self._loop.time()
+        result = await watchdog.within(limit, work)
+        att.spent_s += self._loop.time() - began
+        return result
+
     async def _run_decode(
         self, att: attempts.Attempt, run: messages.RunDecode
     ) -> None:
--- a/rackpost/agent/engine.py
+++ b/rackpost/agent/engine.py
@@ -60,6 +60,12 @@
     ) -> PrefillResult:
         """Run a prefill and keep its KV cache for export."""
 
+    @abc.abstractmethod
+    async def warm(
+        self, *, key: slots.Key, body: bytes, priority: int
+    ) -> None:
+        """Have a prompt's prefix cached; nothing is kept for export."""
+
     @abc.abstractmethod
     def decode(
         self,
--- a/rackpost/agent/engine_http.py
+++ b/rackpost/agent/engine_http.py
@@ -151,6 +151,18 @@
             kv=found.kv_transfer_params, cached_tokens=found.cached_tokens
         )
 
+    async def warm(
+        self, *, key: slots.Key, body: bytes, priority: int
+    ) -> None:
+        """Run a prompt for one token, which leaves its prefix cached."""
+        req = msgspec.json.decode(body)
+        req["max_tokens"] = 1
+        req["stream"] = False
+        req["priority"] = priority
+        async with self._post(key, req) as resp:
+            await _check(resp)
+            await resp.read()
+
     def _post(
         self, key: slots.Key, req: dict[str, Any], **headers: str
     ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse]:
--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -37,6 +37,7 @@
     step_s: float = 0.03
     link_bytes_s: float = 2e9
     cache_blocks: int = 2048
+    segment_tokens: int = 1024
 
 
 class Promise(NamedTuple):
@@ -69,6 +70,13 @@
     def next_start(self, now: float) -> slots.Key | None:
         """Take the promised part that is to be started now, if any."""
 
+    def part_tokens(self, key: slots.Key) -> int | None:
+        """How many tokens of a started prefill to run now; None: all."""
+        return None
+
+    def part_done(self, key: slots.Key, now: float) -> None:
+        """A part of a prefill is done; `next_start` gives it again."""
+
     @abc.abstractmethod
     def progress(self, key: slots.Key, done: int, step_s: float) -> None:
         """A decode has made `done` tokens, the last in `step_s`."""
@@ -98,7 +106,10 @@
         self._slots = slots.SlotLedger(
             slots=spec.slots, memory_tokens=spec.memory_tokens
         )
-        self._queue = prefill_queue.PrefillQueue(max_jobs=spec.max_prefills)
+        self._queue = prefill_queue.PrefillQueue(
+            max_jobs=spec.max_prefills,
+            segment_s=spec.segment_tokens / spec.prefill_tokens_s,
+        )
         self._link = link_budget.LinkBudget(bytes_s=spec.link_bytes_s)
         self._models = lengths.LengthModels()
         self._cached = prefix.PrefixHints(max_blocks=spec.cache_blocks)
@@ -150,7 +161,11 @@
 
     def _prefill_cost(self, tokens: int, reuse: int) -> float:
         rest = max(1, tokens - reuse * prefix.BLOCK_TOKENS)
-        cost = self.spec.prefill_base_s + rest / self.spec.prefill_tokens_s
+        spec = self.spec
+        cost = spec.prefill_base_s + rest / spec.prefill_tokens_s
+        if spec.segment_tokens:
+            # Each part after the first has the fixed cost once more.
+            cost += rest // spec.segment_tokens * spec.prefill_base_s
         return cost * self._slowness
 
     def _offered(
@@ -211,6 +226,16 @@
             return key
         return None
 
+    def part_tokens(self, key: slots.Key) -> int | None:
+        """The tokens of the part that was started; None: all the rest."""
+        if self.role is types.Role.PREFILL and self._queue.in_part(key):
+            return self.spec.segment_tokens
+        return None
+
+    def part_done(self, key: slots.Key, now: float) -> None:
+        """Put the rest of the prefill back into the queue."""
+        self._queue.part_done(key, now)
+
     def _next_prefill(self, now: float) -> slots.Key | None:
         if self._queue.running:
             return None
--- a/rackpost/decide/prefill_queue.py
+++ b/rackpost/decide/prefill_queue.py
@@ -16,6 +16,10 @@
 _MOST_DENSER = 0.95
 
 
+# Only jobs of this many segments or more are run in parts.
+_SPLIT_FROM = 1.5
+
+
 class JobState(enum.Enum):
     """How far a promised prefill has come."""
 
@@ -35,10 +39,12 @@
 class PrefillQueue:
     """The prefill work of one endpoint, which runs one job at a time.
 
-    `max_jobs` bounds the queue whatever the deadlines.
+    `max_jobs` bounds the queue whatever the deadlines.  Jobs much longer
+    than `segment_s` are run in parts of that length, 0 for never.
     """
 
-    def __init__(self, *, max_jobs: int) -> None:
+    def __init__(self, *, max_jobs: int, segment_s: float = 0.0) -> None:
+        self._segment_s = segment_s
         self._max_jobs = max_jobs
         self._jobs: list[Job] = []
         self._by_key: dict[slots.Key, Job] = {}
@@ -122,15 +128,42 @@
             self._state[key] = JobState.READY
 
     def next_job(self, now: float) -> slots.Key | None:
-        """Take the ready job with the earliest deadline, if any."""
+        """Take the ready job with the earliest deadline, if any.
+
+        Of a long job only a part is taken, see `part_s`; the rest stays
+        in the queue, where more urgent jobs may pass it.
+        """
         for idx, job in enumerate(self._jobs):
-            if self._state[job.key] is JobState.READY:
+            if self._state[job.key] is not JobState.READY:
+                continue
+            part = self.part_s(job.cost_s)
+            if part is None:
                 del self._jobs[idx]
-                self._state[job.key] = JobState.RUNNING
                 self._running_until = now + job.cost_s
-                return job.key
+            else:
+                self._jobs[idx] = job._replace(cost_s=job.cost_s - part)
+                self._by_key[job.key] = self._jobs[idx]
+                self._running_until = now + part
+            self._state[job.key] = JobState.RUNNING
+            return job.key
         return None
 
+    def part_s(self, cost_s: float) -> float | None:
+        """How much of a job of this cost is run at once; None for all."""
+        if self._segment_s <= 0.0 or cost_s < _SPLIT_FROM * self._segment_s:
+            return None
+        return self._segment_s
+
+    def in_part(self, key: slots.Key) -> bool:
+        """Whether the running job has a rest in the queue."""
+        return self._by_key.get(key) in self._jobs
+
+    def part_done(self, key: slots.Key, now: float) -> None:
+        """A part of the job is done; the rest waits for its turn."""
+        if self._state.get(key) is JobState.RUNNING:
+            self._state[key] = JobState.READY
+            self._running_until = now
+
     def end(self, key: slots.Key, now: float) -> None:
         """The job ended or was given up; an unheld key is ignored."""
         job = self._by_key.pop(key, None)
@@ -138,5 +171,5 @@
             return
         if self._state.pop(key) is JobState.RUNNING:
             self._running_until = now
-        else:
+        if job in self._jobs:
             self._jobs.remove(job)
--- a/rackpost/testing/engine.py
+++ b/rackpost/testing/engine.py
@@ -178,6 +178,18 @@
         self, *, key: slots.Key, body: bytes, priority: int
     ) -> engine.PrefillResult:
         """Wait for the turn, spend the time, keep the result."""
+        tokens, cached = await self._prefill(key, body, priority)
+        return self._keep(key, tokens, cached)
+
+    async def warm(
+        self, *, key: slots.Key, body: bytes, priority: int
+    ) -> None:
+        """Wait for the turn and spend the time; keep nothing."""
+        await self._prefill(key, body, priority)
+
+    async def _prefill(
+        self, key: slots.Key, body: bytes, priority: int
+    ) -> tuple[int, int]:
         self._check(ran=False)
         prompt = prompt_of(body)
         try:
@@ -210,19 +222,20 @@
 
     async def _prefill_now(
         self, key: slots.Key, prompt: bytes
-    ) -> engine.PrefillResult:
+    ) -> tuple[int, int]:
         self._check(ran=False)
         tokens = prefix.count_tokens(prompt)
         blocks = prefix.block_hashes(prompt)
         cached = self._cache.match(blocks) * prefix.BLOCK_TOKENS
         rest = max(1, tokens - cached)
         spent = self.spec.prefill_base_s + rest / self.spec.prefill_tokens_s
-        self.ledger.prefilled[key] = rest
+        spent_before = self.ledger.prefilled.get(key, 0)
+        self.ledger.prefilled[key] = spent_before + rest
         await asyncio.sleep(spent * self.slowness)
         self._check(ran=True)
         self._cache.add(blocks)
         self._emit(blocks)
-        return self._keep(key, tokens, cached)
+        return tokens, cached
 
     def _keep(
         self, key: slots.Key, tokens: int, cached: int
@@ -299,6 +312,8 @@
             await self._slot(key)
             if kv is not None:
                 await self._import(kv)
+            elif not offset:
+                await self._prefill(key, body, priority)
             self._check(ran=True)
             self._join(strm)
             while True:
--- a/rackpost/testing/plain.py
+++ b/rackpost/testing/plain.py
@@ -36,6 +36,12 @@
         """A plain service has no prefill."""
         raise exceptions.EngineError("not a model engine", ran=False)
 
+    async def warm(
+        self, *, key: slots.Key, body: bytes, priority: int
+    ) -> None:
+        """A plain service has no prompts."""
+        raise exceptions.EngineError("not a model engine", ran=False)
+
     async def decode(self, **_: Any) -> AsyncGenerator[str, None]:
         """A plain service does not decode."""
         raise exceptions.EngineError("not a model engine", ran=False)
--- /dev/null
+++ b/tests/test_segments.py
@@ -0,0 +1,48 @@
+"""Prompts cut short for prefill in parts."""
+
+import asyncio
+import json
+
+from rackpost.agent import segments
+from rackpost.decide import prefix
+from rackpost.testing import engine
+from rackpost.testing import virtual
+from rackpost import types
+from tests import driver
+
+
+def test_a_cut_prompt_shares_its_blocks_with_the_whole_one() -> None:
+    texts = ["a" * 700, "b" * 3000, "cé" * 900]
+    body = json.dumps(
+        {"messages": [{"role": "user", "content": text} for text in texts]}
+    ).encode()
+    whole = prefix.block_hashes(engine.prompt_of(body))
+    for tokens in (64, 128, 500, 1024):
+        cut = engine.prompt_of(segments.cut_body(body, tokens))
+        found = prefix.block_hashes(cut)
+        assert len(found) >= tokens // prefix.BLOCK_TOKENS - 1
+        assert found == whole[: len(found)]
+        assert len(cut) <= tokens * prefix.BYTES_PER_TOKEN + 1
+
+
+def test_a_short_prompt_passes_a_long_one_that_runs() -> None:
+    async def main() -> None:
+        site = driver.small_site(prefills=1, decodes=1)
+        await asyncio.sleep(0.1)
+        entry = site.entries[0]
+        # About 1.1 s of prefill, in nine parts.
+        long = asyncio.create_task(
+            driver.take(entry, driver.ask("long", words=7000, ttft_s=4.0))
+        )
+        await asyncio.sleep(0.05)
+        short = await driver.take(entry, driver.ask("short"))
+        assert short.end.outcome is types.Outcome.ANSWERED
+        assert not long.done()
+        assert (await long).whole
+        parts = site.ledger.prefilled_for(types.RequestId("long"))
+        # What the parts prefill is not prefilled again.
+        assert sum(parts) <= 8800
+        assert not site.held()
+        site.close()
+
+    virtual.run(main())
