--- a/rackpost/agent/attempts.py
+++ b/rackpost/agent/attempts.py
@@ -39,6 +39,7 @@
         self.task: asyncio.Task[None] | None = None
         self.lease: asyncio.TimerHandle | None = None
         self.spent_s = 0.0
+        self.reuse_tokens = 0
         self.taken = 0
         self.turn = asyncio.Event()
         self.credited = asyncio.Event()
--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -19,6 +19,7 @@
 from rackpost.agent import segments
 from rackpost.agent import watchdog
 from rackpost.decide import book as book_mod
+from rackpost.decide import prefix
 from rackpost.decide import slots
 from rackpost import exceptions
 from rackpost.link import channel
@@ -143,6 +144,7 @@
             self._say(session, reply)
             return
         att = attempts.Attempt(key=key, asked=msg, session=session)
+        att.reuse_tokens = made.reuse_blocks * prefix.BLOCK_TOKENS
         lease = self.cfg.lease_s + made.ready_in_s + msg.ready_in_s
         att.lease = self._loop.call_later(lease, self._expire, key)
         self._attempts[key] = att
@@ -230,7 +232,7 @@
     async def _run_prefill(
         self, att: attempts.Attempt, run: messages.RunPrefill
     ) -> None:
-        done = 0
+        done = att.reuse_tokens
         while (part := self.book.part_tokens(att.key)) is not None:
             done += part
             await self._run_part(att, segments.cut_body(run.body, done))
--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -106,10 +106,7 @@
         self._slots = slots.SlotLedger(
             slots=spec.slots, memory_tokens=spec.memory_tokens
         )
-        self._queue = prefill_queue.PrefillQueue(
-            max_jobs=spec.max_prefills,
-            segment_s=spec.segment_tokens / spec.prefill_tokens_s,
-        )
+        self._queue = prefill_queue.PrefillQueue(max_jobs=spec.max_prefills)
         self._link = link_budget.LinkBudget(bytes_s=spec.link_bytes_s)
         self._models = lengths.LengthModels()
         self._cached = prefix.PrefixHints(max_blocks=spec.cache_blocks)
@@ -145,7 +142,9 @@
         self, msg: messages.Reserve, key: slots.Key, now: float
     ) -> Promise | types.Refusal:
         reuse = self._cached.match(msg.blocks)
-        cost = self._prefill_cost(msg.prompt_tokens, reuse)
+        rest = max(1, msg.prompt_tokens - reuse * prefix.BLOCK_TOKENS)
+        parts = self._parts(rest)
+        cost = self._prefill_cost(rest, parts)
         self._offered(msg, cost, now)
         done = self._queue.promise(
             key=key,
@@ -153,19 +152,20 @@
             within_s=msg.within_s,
             denser=self._demand.above(msg.density, now).load,
             now=now,
+            parts=parts,
         )
         if isinstance(done, types.Refusal):
             return done
         self._cost[key] = cost
         return Promise(done, reuse)
 
-    def _prefill_cost(self, tokens: int, reuse: int) -> float:
-        rest = max(1, tokens - reuse * prefix.BLOCK_TOKENS)
+    def _parts(self, tokens: int) -> int:
+        segment = self.spec.segment_tokens
+        return max(1, round(tokens / segment)) if segment else 1
+
+    def _prefill_cost(self, tokens: int, parts: int) -> float:
         spec = self.spec
-        cost = spec.prefill_base_s + rest / spec.prefill_tokens_s
-        if spec.segment_tokens:
-            # Each part after the first has the fixed cost once more.
-            cost += rest // spec.segment_tokens * spec.prefill_base_s
+        cost = parts * spec.prefill_base_s + tokens / spec.prefill_tokens_s
         return cost * self._slowness
 
     def _offered(
--- a/rackpost/decide/prefill_queue.py
+++ b/rackpost/decide/prefill_queue.py
@@ -16,10 +16,6 @@
 _MOST_DENSER = 0.95
 
 
-# Only jobs of this many segments or more are run in parts.
-_SPLIT_FROM = 1.5
-
-
 class JobState(enum.Enum):
     """How far a promised prefill has come."""
 
@@ -29,22 +25,24 @@
 
 
 class Job(NamedTuple):
-    """A promised prefill; sorts by its deadline."""
+    """A promised prefill, or what is left of it; sorts by deadline.
+
+    A long one is run in `parts` of equal length.
+    """
 
     deadline: float
     key: slots.Key
     cost_s: float
+    parts: int
 
 
 class PrefillQueue:
     """The prefill work of one endpoint, which runs one job at a time.
 
-    `max_jobs` bounds the queue whatever the deadlines.  Jobs much longer
-    than `segment_s` are run in parts of that length, 0 for never.
+    `max_jobs` bounds the queue whatever the deadlines.
     """
 
-    def __init__(self, *, max_jobs: int, segment_s: float = 0.0) -> None:
-        self._segment_s = segment_s
+    def __init__(self, *, max_jobs: int) -> None:
         self._max_jobs = max_jobs
         self._jobs: list[Job] = []
         self._by_key: dict[slots.Key, Job] = {}
@@ -72,6 +70,7 @@
         within_s: float,
         denser: float,
         now: float,
+        parts: int = 1,
     ) -> float | types.Refusal:
         """Promise a prefill; in how many seconds it is done, or why not.
 
@@ -83,7 +82,7 @@
             return types.Refusal.QUEUE_FULL
         if cost_s > within_s:
             return types.Refusal.LATE_FIRST_TOKEN
-        job = Job(deadline=now + within_s, key=key, cost_s=cost_s)
+        job = Job(now + within_s, key, cost_s, parts)
         pos = bisect.bisect(self._jobs, job)
         ends = self._end_before(pos, now) + cost_s
         if ends > job.deadline:
@@ -130,30 +129,26 @@
     def next_job(self, now: float) -> slots.Key | None:
         """Take the ready job with the earliest deadline, if any.
 
-        Of a long job only a part is taken, see `part_s`; the rest stays
-        in the queue, where more urgent jobs may pass it.
+        Of a long job only a part is taken; the rest stays in the queue,
+        where more urgent jobs may pass it.
         """
         for idx, job in enumerate(self._jobs):
             if self._state[job.key] is not JobState.READY:
                 continue
-            part = self.part_s(job.cost_s)
-            if part is None:
+            part_s = job.cost_s / job.parts
+            if job.parts == 1:
                 del self._jobs[idx]
-                self._running_until = now + job.cost_s
             else:
-                self._jobs[idx] = job._replace(cost_s=job.cost_s - part)
-                self._by_key[job.key] = self._jobs[idx]
-                self._running_until = now + part
+                rest = job._replace(
+                    cost_s=job.cost_s - part_s, parts=job.parts - 1
+                )
+                self._jobs[idx] = rest
+                self._by_key[job.key] = rest
+            self._running_until = now + part_s
             self._state[job.key] = JobState.RUNNING
             return job.key
         return None
 
-    def part_s(self, cost_s: float) -> float | None:
-        """How much of a job of this cost is run at once; None for all."""
-        if self._segment_s <= 0.0 or cost_s < _SPLIT_FROM * self._segment_s:
-            return None
-        return self._segment_s
-
     def in_part(self, key: slots.Key) -> bool:
         """Whether the running job has a rest in the queue."""
         return self._by_key.get(key) in self._jobs
