Link: transfers promised by deadline, not as one long queue

Cause: a decode endpoint counted all promised transfers, also those whose prefill had not begun, as ahead of a new one, so short requests were refused as late. Prefills and transfers now share one pure check by deadlines; agents tell the room on their link as they do for prefills. The lease of a reservation lasts as long as the part may take to start: it expired under requests whose prefill was passed by more urgent ones.

--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -145,7 +145,7 @@
             return
         att = attempts.Attempt(key=key, asked=msg, session=session)
         att.reuse_tokens = made.reuse_blocks * prefix.BLOCK_TOKENS
-        lease = self.cfg.lease_s + made.ready_in_s + msg.ready_in_s
+        lease = self.cfg.lease_s + max(made.ready_in_s, msg.within_s)
         att.lease = self._loop.call_later(lease, self._expire, key)
         self._attempts[key] = att
         session.keys.add(key)
--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -180,19 +180,20 @@
     ) -> Promise | types.Refusal:
         self._offered(msg, msg.max_tokens * self._step_s, now)
         link = 0.0
+        transfer = msg.kv_bytes / self.spec.link_bytes_s
         if msg.kv_bytes:
             made = self._link.promise(
-                key=key, size=msg.kv_bytes, within_s=msg.within_s
+                key=key, size=msg.kv_bytes, within_s=msg.within_s, now=now
             )
             if isinstance(made, types.Refusal):
                 return made
-            link = made
+            link = made - transfer
         wait = self._slots.promise(
             key=key,
             model=self._models.of(msg.service, msg.kind),
             limit=max(1, msg.max_tokens),
             memory=msg.prompt_tokens + msg.max_tokens,
-            within_s=msg.within_s,
+            within_s=msg.within_s - transfer,
             step_s=self._step_s,
             denser_rate=self._demand.above(msg.density, now).rate,
         )
@@ -223,6 +224,7 @@
                 return None
             heapq.heappop(self._ready)
             self._slots.start(key)
+            self._link.start(key)
             return key
         return None
 
@@ -298,8 +300,7 @@
         )
 
     def _room_s(self, now: float) -> tuple[float, ...]:
-        if self.role is not types.Role.PREFILL:
-            return ()
-        return tuple(
-            self._queue.room_s(slack, now) for slack in messages.ROOM_SLACKS_S
-        )
+        room_s = self._link.room_s
+        if self.role is types.Role.PREFILL:
+            room_s = self._queue.room_s
+        return tuple(room_s(slack, now) for slack in messages.ROOM_SLACKS_S)
--- /dev/null
+++ b/rackpost/decide/deadlines.py
@@ -0,0 +1,82 @@
+"""Work for one resource, run by deadline: does more of it still fit?
+
+Pure: times are readings of the owner's clock, in seconds.
+"""
+
+import bisect
+from typing import Iterator
+from typing import NamedTuple
+
+from rackpost.decide import slots
+
+
+class Job(NamedTuple):
+    """Promised work, or what is left of it; sorts by its deadline."""
+
+    deadline: float
+    key: slots.Key
+    cost_s: float
+    parts: int = 1
+
+
+class Deadlines:
+    """Jobs that are to be run one at a time, earliest deadline first.
+
+    `busy_until` is when the job that runs at present ends.
+    """
+
+    def __init__(self) -> None:
+        self.busy_until = 0.0
+        self._jobs: list[Job] = []
+        self._by_key: dict[slots.Key, Job] = {}
+
+    def __iter__(self) -> Iterator[Job]:
+        return iter(self._jobs)
+
+    def __contains__(self, key: slots.Key) -> bool:
+        return key in self._by_key
+
+    def total_s(self) -> float:
+        """The work of all jobs, without the one that runs."""
+        return sum(job.cost_s for job in self._jobs)
+
+    def ends_at(self, job: Job, now: float) -> float | None:
+        """When a new job would end; None if an older one would be late."""
+        pos = bisect.bisect(self._jobs, job)
+        at = max(now, self.busy_until) + job.cost_s
+        at += sum(item.cost_s for item in self._jobs[:pos])
+        ends = at
+        for item in self._jobs[pos:]:
+            at += item.cost_s
+            if at > item.deadline:
+                return None
+        return ends
+
+    def add(self, job: Job) -> None:
+        """Take a job in."""
+        bisect.insort(self._jobs, job)
+        self._by_key[job.key] = job
+
+    def replace(self, job: Job) -> None:
+        """Put what is left of a job in its place."""
+        self.remove(job.key)
+        self.add(job)
+
+    def remove(self, key: slots.Key) -> None:
+        """Take a job out; one that is not there is ignored."""
+        job = self._by_key.pop(key, None)
+        if job is not None:
+            self._jobs.remove(job)
+
+    def room_s(self, slack_s: float, now: float) -> float:
+        """The longest job that would still fit with this slack."""
+        deadline = now + slack_s
+        at = max(now, self.busy_until)
+        room = deadline - at
+        for job in self._jobs:
+            at += job.cost_s
+            if job.deadline <= deadline:
+                room = deadline - at
+            else:
+                room = min(room, job.deadline - at)
+        return max(0.0, room)
--- a/rackpost/decide/placement.py
+++ b/rackpost/decide/placement.py
@@ -100,12 +100,9 @@
         if not halves:
             return types.Refusal.LATE_FIRST_TOKEN
         slots = self._decode_halves(ask, decodes, now)
-        if not slots:
-            return types.Refusal.SLOW_TOKENS
-        best = _best_pair(ask, halves, slots)
-        if best.ttft_s > ask.ttft_s:
-            return types.Refusal.LATE_FIRST_TOKEN
-        return best
+        if isinstance(slots, types.Refusal):
+            return slots
+        return _best_pair(ask, halves, slots)
 
     def _prefill_halves(
         self,
@@ -134,15 +131,25 @@
         ask: views.Ask,
         pool: list[views.EndpointView],
         now: float,
-    ) -> list["_Half"]:
+    ) -> list["_Half"] | types.Refusal:
         halves = []
+        late = False
         for view in pool:
             if view.load.step_s > ask.tbt_s:
                 continue
             slot = view.slot_in_s(now)
+            slack = ask.ttft_s - 2 * view.delay_s - view.load.step_s
+            transfer = ask.kv_bytes / view.load.link_bytes_s
+            if view.room_s(slack, now) < transfer or slot > slack - transfer:
+                late = True
+                continue
             cost = slot + 2 * view.delay_s + _crowding(view)
             tie = _TIE_S * self._rng.random()
             halves.append(_Half(cost + tie, slot, view))
+        if not halves:
+            if late:
+                return types.Refusal.LATE_FIRST_TOKEN
+            return types.Refusal.SLOW_TOKENS
         return heapq.nsmallest(_SHORT_LIST, halves)
 
 
@@ -176,8 +183,7 @@
     out = pre.view.load
     into = dec.view.load
     transfer = ask.kv_bytes / min(out.link_bytes_s, into.link_bytes_s)
-    backlog = max(out.link_backlog_s, into.link_backlog_s)
-    start = max(pre.ready_s, backlog, dec.ready_s)
+    start = max(pre.ready_s, dec.ready_s)
     return start + transfer + 2 * dec.view.delay_s + into.step_s
 
 
--- a/rackpost/decide/views.py
+++ b/rackpost/decide/views.py
@@ -52,7 +52,7 @@
         return max(0.0, past - (now - self.seen_at))
 
     def room_s(self, slack_s: float, now: float) -> float:
-        """The longest prefill that it could probably still promise."""
+        """The longest prefill or transfer that it probably has room for."""
         rooms = self.load.room_s
         if not rooms:
             return slack_s - self.backlog_s(now)
@@ -76,7 +76,7 @@
         return max(0.0, self.load.free_in_s + more - (now - self.seen_at))
 
     def prefill_s(self, tokens: int, blocks: tuple) -> float:
-        """Time to prefill a prompt there, cached prefix left out."""
+        """Seconds to prefill a prompt there, cached prefix left out."""
         cached = self.hints.match(blocks) * prefix.BLOCK_TOKENS
         rest = max(1, tokens - cached)
         return self.load.prefill_base_s + rest / self.load.prefill_tokens_s
--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -202,9 +202,10 @@
         ask = self._ask
         load = peer.view.load
         left = ask.ttft_s - 2 * peer.view.delay_s
-        if self.req.plain is None:
-            # A transfer and a step follow the slot, or the prefill.
-            left -= ask.kv_bytes / load.link_bytes_s + load.step_s
+        if role is not types.Role.PLAIN:
+            left -= load.step_s
+        if role is types.Role.PREFILL:
+            left -= ask.kv_bytes / load.link_bytes_s
         self._used[agent] = peer
         self._agents[role] = agent
         self._note_sent(role, peer)
--- a/rackpost/link/messages.py
+++ b/rackpost/link/messages.py
@@ -30,7 +30,8 @@
         free_in_s: after how long the next slot can be promised.
         backlog_s: promised prefill work ahead of a new request.
         room_s: for each slack in `ROOM_SLACKS_S`, the longest prefill
-            that could still be promised to end within it.
+            (or, of a decode endpoint, transfer) that could still be
+            promised to end within it.
         link_backlog_s: promised transfers ahead of a new one.
         step_s: present time between tokens.
         prefill_tokens_s: tokens prefilled in a second.
@@ -67,8 +68,9 @@
 
     Attributes:
         part: the role in which the endpoint is asked.
-        within_s: the part must be able to start (decode) or be finished
-            (prefill) within this time, else it is of no use.
+        within_s: the prefill, or the transfer to a decode slot, must be
+            done within this time, else it is of no use; a call must be
+            able to start.
         ready_in_s: for decode, when the prefill is expected to be done.
         density: weight of the answer over its cost; denser requests go
             first where there is not room for all.
