Link: the agent moves one KV cache at a time, the most urgent first

Cause: the agent handed every decode to its engine as soon as it was ready; the engine moves them in the order it was told, so a short prompt's cache waited for several long ones.

The export side is not promised yet: two decode endpoints may still pull from one prefill endpoint at once.

--- a/lab/baselines.py
+++ b/lab/baselines.py
@@ -67,7 +67,9 @@
                 return key
         return None
 
-    def progress(self, key: slots.Key, done: int, step_s: float) -> None:
+    def progress(
+        self, key: slots.Key, done: int, step_s: float, now: float
+    ) -> None:
         """Follow the time between tokens."""
         if done > 1:
             self._step_s += 0.02 * (step_s - self._step_s)
--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -38,6 +38,7 @@
 # how long the agent waits for a reader that takes none, in seconds.
 WINDOW_BYTES = 256 << 10
 SLOW_READER_S = 5.0
+_ROUND_S = 1e-4
 
 
 class AgentConfig(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,6 +82,7 @@
         self._sealed = attempts.SealMemory()
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._waker: asyncio.TimerHandle | None = None
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -188,6 +190,7 @@
         while True:
             key = self.book.next_start(now)
             if key is None:
+                self._wake_later(now)
                 return
             att = self._attempts[key]
             if att.task is not None:
@@ -196,6 +199,17 @@
             att.state = attempts.State.RUNNING
             att.task = self._spawn(self._run(att))
 
+    def _wake_later(self, now: float) -> None:
+        wait = self.book.wake_in_s(now)
+        if self._waker is not None:
+            self._waker.cancel()
+            self._waker = None
+        if wait is not None:
+            # A little more, as the time of a timer may be rounded.
+            self._waker = self._loop.call_later(
+                wait + _ROUND_S, self._start_ready
+            )
+
     # Running attempts.
 
     async def _run(self, att: attempts.Attempt) -> None:
@@ -296,7 +310,9 @@
             async for piece in pieces:
                 now = self._loop.time()
                 count += 1
-                self.book.progress(att.key, run.offset + count, now - last)
+                self.book.progress(
+                    att.key, run.offset + count, now - last, now
+                )
                 last = now
                 att.session.conn.send(
                     messages.Tokens(
@@ -495,6 +511,8 @@
             session.conn.close()
         for task in list(self._tasks):
             task.cancel()
+        if self._waker is not None:
+            self._waker.cancel()
 
     @property
     def open_attempts(self) -> int:
--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -77,8 +77,14 @@
     def part_done(self, key: slots.Key, now: float) -> None:
         """A part of a prefill is done; `next_start` gives it again."""
 
+    def wake_in_s(self, now: float) -> float | None:
+        """When `next_start` may have something without any message."""
+        return None
+
     @abc.abstractmethod
-    def progress(self, key: slots.Key, done: int, step_s: float) -> None:
+    def progress(
+        self, key: slots.Key, done: int, step_s: float, now: float
+    ) -> None:
         """A decode has made `done` tokens, the last in `step_s`."""
 
     @abc.abstractmethod
@@ -198,7 +204,7 @@
             denser_rate=self._demand.above(msg.density, now).rate,
         )
         if isinstance(wait, types.Refusal):
-            self._link.end(key)
+            self._link.end(key, now)
             return wait
         return Promise(max(wait, link), 0)
 
@@ -220,11 +226,11 @@
             if key not in self._asked:
                 heapq.heappop(self._ready)
                 continue
-            if not self._slots.may_start():
+            if not self._slots.may_start() or self._link.busy_s(now) > 0.0:
                 return None
             heapq.heappop(self._ready)
             self._slots.start(key)
-            self._link.start(key)
+            self._link.start(key, now)
             return key
         return None
 
@@ -243,11 +249,18 @@
             return None
         return self._queue.next_job(now)
 
-    def progress(self, key: slots.Key, done: int, step_s: float) -> None:
+    def wake_in_s(self, now: float) -> float | None:
+        """When the transfer that moves should be done, if one waits."""
+        busy = self._link.busy_s(now)
+        return busy if busy > 0.0 and self._ready else None
+
+    def progress(
+        self, key: slots.Key, done: int, step_s: float, now: float
+    ) -> None:
         """Take in a token and the time since the one before it."""
         self._slots.progress(key, done)
         if done == 1:
-            self._link.end(key)
+            self._link.end(key, now)
         elif step_s > 0.0:
             self._step_s += _NEW * 0.2 * (step_s - self._step_s)
 
@@ -266,7 +279,7 @@
         self._asked.pop(key, None)
         self._due.pop(key, None)
         self._cost.pop(key, None)
-        self._link.end(key)
+        self._link.end(key, now)
         self._slots.end(key, whole=whole)
         self._queue.end(key, now)
 
@@ -291,7 +304,7 @@
             used=self._slots.used,
             free_in_s=min(wait, 2 * slots.HORIZON_S),
             backlog_s=self._queue.backlog_s(now),
-            link_backlog_s=self._link.backlog_s(),
+            link_backlog_s=self._link.backlog_s(now),
             step_s=self._step_s,
             prefill_tokens_s=spec.prefill_tokens_s / self._slowness,
             prefill_base_s=spec.prefill_base_s * self._slowness,
--- a/rackpost/decide/link_budget.py
+++ b/rackpost/decide/link_budget.py
@@ -9,21 +9,25 @@
 
 
 class LinkBudget:
-    """Promised transfers, the most urgent first, at `bytes_s`.
+    """Promised transfers, one at a time, the most urgent first.
 
     A transfer holds its share from the promise until it is done.  One
     that moves can't be passed, so the longest that is less urgent counts
-    as ahead of a new one.
+    as ahead of a new one.  The link moves `bytes_s`.
     """
 
     def __init__(self, *, bytes_s: float) -> None:
         self.bytes_s = bytes_s
         self._jobs = deadlines.Deadlines()
-        self._moving: dict[slots.Key, float] = {}
+        self._moving: slots.Key | None = None
 
-    def backlog_s(self) -> float:
+    def backlog_s(self, now: float) -> float:
         """Seconds of promised transfers that are not done."""
-        return self._jobs.total_s() + sum(self._moving.values())
+        return self.busy_s(now) + self._jobs.total_s()
+
+    def busy_s(self, now: float) -> float:
+        """After how many seconds the transfer that moves should be done."""
+        return max(0.0, self._jobs.busy_until - now)
 
     def promise(
         self, *, key: slots.Key, size: int, within_s: float, now: float
@@ -41,21 +45,24 @@
 
     def _blocking_s(self, deadline: float) -> float:
         later = [job.cost_s for job in self._jobs if job.deadline > deadline]
-        return sum(self._moving.values()) + max(later, default=0.0)
+        return max(later, default=0.0)
 
     def room_s(self, slack_s: float, now: float) -> float:
         """The longest transfer that could be promised within a slack."""
         room = self._jobs.room_s(slack_s, now)
         return max(0.0, room - self._blocking_s(now + slack_s))
 
-    def start(self, key: slots.Key) -> None:
+    def start(self, key: slots.Key, now: float) -> None:
         """The engine was told to move it."""
         for job in self._jobs:
             if job.key == key:
-                self._moving[key] = job.cost_s
+                self._jobs.busy_until = now + job.cost_s
+                self._moving = key
         self._jobs.remove(key)
 
-    def end(self, key: slots.Key) -> None:
+    def end(self, key: slots.Key, now: float) -> None:
         """The transfer is done or given up; an unheld key is ignored."""
-        self._moving.pop(key, None)
+        if self._moving == key:
+            self._moving = None
+            self._jobs.busy_until = min(now, self._jobs.busy_until)
         self._jobs.remove(key)
