Admission: demand counted by the entries; slots promised by deadline

Causes, found one after the other: (1) agents counted the demand that reached them, so a second choice counted twice and the one that refused most looked emptiest and was asked first (39 of 43 requests a second went to one of two decode endpoints); entries now count each offer once and tell the agent what is denser. (2) Work that is denser but not more urgent does not pass, it only needs room: counted as passing, a third of the sorting was refused at load 0.7. (3) A promised slot was held from the promise on; slots are now promised by deadline, like prefills. (4) The stand-in's link of 2 GB/s was busy 96 in 100 of the time, so neither slots nor prefill decided; it is 4 GB/s now, for all policies, and the baselines' queue limits were tuned again (4 and 2).

--- a/lab/cases.py
+++ b/lab/cases.py
@@ -32,7 +32,7 @@
 _LEASE_S = 1.0
 # Requests that a prefill engine is given at once, tuned per deployment: of
 # 2, 3, 4 and 6 the one with the most goodput at load 1.3.
-_PREFILL_LIMITS = {"fjordvik": 3, "pentagrama": 2}
+_PREFILL_LIMITS = {"fjordvik": 4, "pentagrama": 2}
 _DECODE_QUEUE = 4
 
 
--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -8,7 +8,6 @@
 import heapq
 from typing import NamedTuple
 
-from rackpost.decide import demand
 from rackpost.decide import lengths
 from rackpost.decide import link_budget
 from rackpost.decide import prefill_queue
@@ -116,7 +115,6 @@
         self._link = link_budget.LinkBudget(bytes_s=spec.link_bytes_s)
         self._models = lengths.LengthModels()
         self._cached = prefix.PrefixHints(max_blocks=spec.cache_blocks)
-        self._demand = demand.Demand()
         self._asked: dict[slots.Key, messages.Reserve] = {}
         self._cost: dict[slots.Key, float] = {}
         self._ready: list[tuple[float, slots.Key]] = []
@@ -151,12 +149,12 @@
         rest = max(1, msg.prompt_tokens - reuse * prefix.BLOCK_TOKENS)
         parts = self._parts(rest)
         cost = self._prefill_cost(rest, parts)
-        self._offered(msg, cost, now)
         done = self._queue.promise(
             key=key,
             cost_s=cost,
             within_s=msg.within_s,
-            denser=self._demand.above(msg.density, now).load,
+            urgent=msg.urgent,
+            denser=msg.denser,
             now=now,
             parts=parts,
         )
@@ -174,17 +172,9 @@
         cost = parts * spec.prefill_base_s + tokens / spec.prefill_tokens_s
         return cost * self._slowness
 
-    def _offered(
-        self, msg: messages.Reserve, cost_s: float, now: float
-    ) -> None:
-        self._demand.offered(
-            kind=msg.kind, density=msg.density, cost_s=cost_s, now=now
-        )
-
     def _promise_slot(
         self, msg: messages.Reserve, key: slots.Key, now: float
     ) -> Promise | types.Refusal:
-        self._offered(msg, msg.max_tokens * self._step_s, now)
         link = 0.0
         transfer = msg.kv_bytes / self.spec.link_bytes_s
         if msg.kv_bytes:
@@ -201,7 +191,9 @@
             memory=msg.prompt_tokens + msg.max_tokens,
             within_s=msg.within_s - transfer,
             step_s=self._step_s,
-            denser_rate=self._demand.above(msg.density, now).rate,
+            urgent_rate=msg.urgent,
+            denser_rate=msg.denser,
+            now=now,
         )
         if isinstance(wait, types.Refusal):
             self._link.end(key, now)
@@ -295,14 +287,14 @@
     def load(self, now: float) -> messages.Load:
         """The endpoint's load as its promises stand."""
         spec = self.spec
-        wait = self._slots.free_in(step_s=self._step_s)
+        wait = self._slots.free_in(step_s=self._step_s, now=now)
         return messages.Load(
             role=self.role,
             revision=self.revision,
             leaving=self.leaving,
             slots=spec.slots,
             used=self._slots.used,
-            free_in_s=min(wait, 2 * slots.HORIZON_S),
+            free_in_s=wait,
             backlog_s=self._queue.backlog_s(now),
             link_backlog_s=self._link.backlog_s(now),
             step_s=self._step_s,
--- a/rackpost/decide/lengths.py
+++ b/rackpost/decide/lengths.py
@@ -1,5 +1,7 @@
 """How long answers are, learned per kind, to foresee when slots free."""
 
+import itertools
+
 from rackpost import types
 
 # Lengths are kept as shares of the limit the caller set, in this many
@@ -15,6 +17,8 @@
     def __init__(self) -> None:
         self._bins = [0.0] * _BINS
         self._seen = 0.0
+        # For each bin, how many answers were at least that long.
+        self._alive = [0.0] * (_BINS + 1)
 
     def learn(self, *, tokens: int, limit: int) -> None:
         """Take in the length of an answer that has ended."""
@@ -23,6 +27,8 @@
         self._bins = [b * _FADE for b in self._bins]
         self._bins[idx] += 1.0
         self._seen = self._seen * _FADE + 1.0
+        tails = itertools.accumulate(reversed(self._bins), initial=0.0)
+        self._alive = list(tails)[::-1]
 
     def ends_within(self, *, done: int, more: int, limit: int) -> float:
         """The chance that a stream ends within `more` further tokens.
@@ -34,12 +40,12 @@
             return 1.0
         if self._seen < _MIN_SEEN:
             return 0.0
-        lo = min(_BINS - 1, int(done / limit * _BINS))
-        hi = min(_BINS - 1, int((done + more) / limit * _BINS))
-        alive = sum(self._bins[lo:])
+        low = min(_BINS - 1, int(done / limit * _BINS))
+        alive = self._alive[low]
         if alive <= 0.0:
             return 0.0
-        return sum(self._bins[lo:hi]) / alive
+        high = min(_BINS - 1, int((done + more) / limit * _BINS))
+        return (alive - self._alive[high]) / alive
 
 
 class LengthModels:
--- a/rackpost/decide/placement.py
+++ b/rackpost/decide/placement.py
@@ -115,9 +115,11 @@
             cost = view.prefill_s(ask.prompt_tokens, ask.blocks)
             move = ask.kv_bytes / view.load.link_bytes_s
             slack = ask.ttft_s - 2 * view.delay_s - move - view.load.step_s
-            room = view.room_s(slack, now)
-            if room < cost:
+            if cost > slack:
                 continue
+            # Without room the agent is asked all the same: it may have
+            # some by now, and must learn of the demand that there is.
+            room = view.room_s(slack, now)
             # By its deadline a request may run before others' work; the
             # room that is left over tells how soon.
             ready = 2 * view.delay_s + max(cost, slack - (room - cost))
@@ -140,10 +142,11 @@
             slot = view.slot_in_s(now)
             slack = ask.ttft_s - 2 * view.delay_s - view.load.step_s
             transfer = ask.kv_bytes / view.load.link_bytes_s
-            if view.room_s(slack, now) < transfer or slot > slack - transfer:
+            if transfer > slack:
                 late = True
                 continue
-            cost = slot + 2 * view.delay_s + _crowding(view)
+            lack = max(0.0, transfer - view.room_s(slack, now))
+            cost = lack + slot + 2 * view.delay_s + _crowding(view)
             tie = _TIE_S * self._rng.random()
             halves.append(_Half(cost + tie, slot, view))
         if not halves:
--- a/rackpost/decide/prefill_queue.py
+++ b/rackpost/decide/prefill_queue.py
@@ -11,8 +11,10 @@
 from rackpost.decide import slots
 from rackpost import types
 
-# However much denser work comes, this is the most that is kept for it.
-_MOST_DENSER = 0.95
+# However much urgent work comes, this is the most that is kept for it.
+_MOST_URGENT = 0.95
+# Room is left for the denser work of this long, in seconds.
+_KEPT_S = 0.1
 
 
 class JobState(enum.Enum):
@@ -56,15 +58,18 @@
         key: slots.Key,
         cost_s: float,
         within_s: float,
+        urgent: float,
         denser: float,
         now: float,
         parts: int = 1,
     ) -> float | types.Refusal:
         """Promise a prefill; in how many seconds it is done, or why not.
 
-        `denser` is the share of the engine's time that requests which
-        count for more are expected to take: with what they leave, the
-        prefill must still end in time.
+        `urgent` is the share of the engine's time that requests which
+        count for more and are more urgent are expected to take: with what
+        they leave, the prefill must still end in time.  `denser` is the
+        share of those which count for more but come in their turn: room
+        for the next of them is left.
         """
         if len(self) >= self._max_jobs:
             return types.Refusal.QUEUE_FULL
@@ -74,8 +79,8 @@
         ends = self._jobs.ends_at(job, now)
         if ends is None or ends > job.deadline:
             return types.Refusal.QUEUE_FULL
-        left = 1.0 - min(denser, _MOST_DENSER)
-        if (ends - now) / left > within_s:
+        left = 1.0 - min(urgent, _MOST_URGENT)
+        if (ends - now) / left + denser * _KEPT_S > within_s:
             return types.Refusal.QUEUE_KEPT
         self._jobs.add(job)
         self._state[key] = JobState.PROMISED
--- a/rackpost/decide/slots.py
+++ b/rackpost/decide/slots.py
@@ -1,20 +1,23 @@
 """Decode slots: which are taken, which are promised, when others free.
 
 One ledger belongs to one agent, which alone grants its endpoint's slots.
-Pure: the caller hands in the reading of its clock, in seconds.
+A promise is kept by a deadline, so that an urgent request may be given
+the next free slot while one with time waits for a later one.  Pure: the
+caller hands in the reading of its clock, in seconds.
 """
 
+import bisect
 import math
 from typing import NamedTuple
 
 from rackpost.decide import lengths
 from rackpost import types
 
-# Promises are made for moments on this grid, at most HORIZON_S ahead.
+# Ends of streams are foreseen on this grid, at most HORIZON_S ahead.
 _GRID_S = 0.05
-HORIZON_S = 1.2
-# Denser requests can wait about this long for a slot.
-_NEAR_S = 0.3
+HORIZON_S = 2.0
+# Room is left for the denser requests of this long, in seconds.
+_KEPT_S = 0.1
 # A promise ahead counts on the expected number of ends less this many
 # standard deviations.
 _CAUTION = 1.0
@@ -28,14 +31,20 @@
 
 
 class _Stream:
-    """A stream that holds a slot."""
+    """A stream that holds a slot, or is promised one by `deadline`."""
 
     def __init__(
-        self, *, model: lengths.LengthModel, limit: int, memory: int
+        self,
+        *,
+        model: lengths.LengthModel,
+        limit: int,
+        memory: int,
+        deadline: float,
     ) -> None:
         self.model = model
         self.limit = limit
         self.memory = memory
+        self.deadline = deadline
         self.done = 0
 
 
@@ -51,6 +60,7 @@
         self.memory_tokens = memory_tokens
         self._running: dict[Key, _Stream] = {}
         self._promised: dict[Key, _Stream] = {}
+        self._deadlines: list[float] = []
         self._memory = 0
 
     @property
@@ -68,30 +78,43 @@
         """Tokens of KV memory that are taken or promised."""
         return self._memory
 
-    def free_in(self, *, step_s: float, kept: int = 0) -> float:
-        """After how many seconds one more slot can be promised.
+    def free_in(self, *, step_s: float, now: float) -> float:
+        """After how many seconds an urgent request could have a slot.
 
-        `kept` slots are left out of the count.  `math.inf` where none
-        is foreseen within HORIZON_S.
+        HORIZON_S where none is foreseen before.
         """
-        need = self.used + kept + 1 - self.slots
-        if need <= 0:
+        if self.used < self.slots:
             return 0.0
-        if need > len(self._running):
-            return math.inf
         low, high = 0, int(HORIZON_S / _GRID_S)
-        if self._ends_by(high * _GRID_S, step_s) < need:
-            return math.inf
         while high - low > 1:
             mid = (low + high) // 2
-            if self._ends_by(mid * _GRID_S, step_s) >= need:
+            after = mid * _GRID_S
+            due = bisect.bisect_right(self._deadlines, now + after)
+            if self._free_by(after, step_s) >= due + 1:
                 high = mid
             else:
                 low = mid
         return high * _GRID_S
 
-    def _ends_by(self, horizon: float, step_s: float) -> float:
-        more = int(horizon / step_s)
+    def _wait_of(self, rank: int, step_s: float) -> float:
+        """When the promise that is served as number `rank` is served."""
+        if self.slots - len(self._running) >= rank:
+            return 0.0
+        low, high = 0, int(HORIZON_S / _GRID_S)
+        while high - low > 1:
+            mid = (low + high) // 2
+            if self._free_by(mid * _GRID_S, step_s) >= rank:
+                high = mid
+            else:
+                low = mid
+        return high * _GRID_S
+
+    def _free_by(self, after_s: float, step_s: float) -> float:
+        """Slots that are free now or by then, ends being foreseen."""
+        free = self.slots - len(self._running)
+        if after_s <= 0.0:
+            return free
+        more = int(min(after_s, HORIZON_S) / step_s)
         mean = 0.0
         var = 0.0
         for strm in self._running.values():
@@ -100,7 +123,7 @@
             )
             mean += chance
             var += chance * (1.0 - chance)
-        return mean - _CAUTION * math.sqrt(var)
+        return free + mean - _CAUTION * math.sqrt(var)
 
     def promise(
         self,
@@ -111,32 +134,57 @@
         memory: int,
         within_s: float,
         step_s: float,
+        urgent_rate: float,
         denser_rate: float,
+        now: float,
     ) -> float | types.Refusal:
         """Promise a slot; after how many seconds it is there, or why not.
 
-        `denser_rate` is how many requests a second that count for more
-        are expected: those of the next moments must still find a slot.
+        `urgent_rate` is how many requests a second are expected that
+        count for more and are more urgent, so find slots before this one
+        does; `denser_rate` those that count for more but are not: room
+        for the next of them is left.
         """
         if self._memory + memory > self.memory_tokens:
             return types.Refusal.MEMORY_FULL
-        kept = self._kept(denser_rate, step_s)
-        wait = self.free_in(step_s=step_s, kept=kept)
-        if wait > within_s:
-            full = self.free_in(step_s=step_s) > within_s
-            if full:
+        if within_s < 0.0:
+            return types.Refusal.SLOTS_FULL
+        strm = _Stream(
+            model=model, limit=limit, memory=memory, deadline=now + within_s
+        )
+        if self.used >= self.slots:
+            if not self._all_in_time(strm.deadline, step_s, now):
                 return types.Refusal.SLOTS_FULL
-            return types.Refusal.SLOTS_KEPT
-        self._promised[key] = _Stream(model=model, limit=limit, memory=memory)
+        due = bisect.bisect_right(self._deadlines, strm.deadline) + 1
+        denser = urgent_rate * min(within_s, HORIZON_S)
+        denser += denser_rate * _KEPT_S
+        if due + denser > self._free_by(within_s, step_s):
+            if denser and self.used + denser >= self.slots:
+                return types.Refusal.SLOTS_KEPT
+        wait = self._wait_of(due, step_s)
+        self._promised[key] = strm
+        bisect.insort(self._deadlines, strm.deadline)
         self._memory += memory
-        return wait
-
-    def _kept(self, denser_rate: float, step_s: float) -> int:
-        coming = denser_rate * _NEAR_S
-        if coming <= 0.0:
-            return 0
-        lack = coming + math.sqrt(coming) - self._ends_by(_NEAR_S, step_s)
-        return max(0, math.ceil(lack))
+        return min(wait, within_s)
+
+    def _all_in_time(self, new: float, step_s: float, now: float) -> bool:
+        """Whether the new promise and all with later deadlines are kept."""
+        pos = bisect.bisect_right(self._deadlines, new)
+        later = [new, *self._deadlines[pos:]]
+        checked = -1
+        for idx, deadline in enumerate(later):
+            after = deadline - now
+            grid = int(after / _GRID_S)
+            last = idx + 1 == len(later)
+            # Of deadlines in one cell only the last needs the check.
+            if not last and int((later[idx + 1] - now) / _GRID_S) == grid:
+                continue
+            if grid == checked:
+                continue
+            checked = grid
+            if self._free_by(after, step_s) < pos + idx + 1:
+                return False
+        return True
 
     def may_start(self) -> bool:
         """Whether a promised stream can be handed to the engine now."""
@@ -144,7 +192,9 @@
 
     def start(self, key: Key) -> None:
         """A promised stream was handed to the engine."""
-        self._running[key] = self._promised.pop(key)
+        strm = self._promised.pop(key)
+        self._deadlines.remove(strm.deadline)
+        self._running[key] = strm
 
     def progress(self, key: Key, done: int) -> None:
         """A running stream has produced `done` tokens."""
@@ -163,5 +213,7 @@
             strm.model.learn(tokens=strm.done, limit=strm.limit)
         if strm is None:
             strm = self._promised.pop(key, None)
+            if strm is not None:
+                self._deadlines.remove(strm.deadline)
         if strm is not None:
             self._memory -= strm.memory
--- a/rackpost/decide/views.py
+++ b/rackpost/decide/views.py
@@ -2,6 +2,7 @@
 
 import bisect
 
+from rackpost.decide import demand
 from rackpost.decide import prefix
 from rackpost.link import messages
 from rackpost import types
@@ -86,8 +87,8 @@
     """What a request needs, as the decisions see it.
 
     `ttft_s` is what is left until the first token is due, `tbt_s` the
-    promised time between tokens, both in seconds; `density` is the
-    weight of the answer over its cost.
+    promised time between tokens, both in seconds; `denser` is what is
+    expected of requests that count for more, for one endpoint.
     """
 
     __slots__ = (
@@ -99,7 +100,7 @@
         "kv_bytes",
         "ttft_s",
         "tbt_s",
-        "density",
+        "denser",
     )
 
     def __init__(
@@ -113,7 +114,7 @@
         kv_bytes: int,
         ttft_s: float,
         tbt_s: float,
-        density: float = 1.0,
+        denser: demand.Share = demand.NONE,
     ) -> None:
         self.service = service
         self.kind = kind
@@ -123,4 +124,4 @@
         self.kv_bytes = kv_bytes
         self.ttft_s = ttft_s
         self.tbt_s = tbt_s
-        self.density = density
+        self.denser = denser
--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -223,7 +223,16 @@
                 max_tokens=ask.max_tokens,
                 kv_bytes=ask.kv_bytes if role is types.Role.DECODE else 0,
                 blocks=ask.blocks if role is types.Role.PREFILL else (),
-                density=ask.density,
+                urgent=(
+                    ask.denser.urgent_load
+                    if role is types.Role.PREFILL
+                    else ask.denser.urgent_rate
+                ),
+                denser=(
+                    ask.denser.other_load
+                    if role is types.Role.PREFILL
+                    else ask.denser.other_rate
+                ),
                 priority=self._priority,
                 claim=self.req.claim,
             )
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -4,11 +4,14 @@
 import contextlib
 import random
 from typing import AsyncGenerator
+from typing import Callable
 from typing import Iterator
 from typing import Mapping
 
 import msgspec
 
+from rackpost.decide import capacity
+from rackpost.decide import demand
 from rackpost.decide import placement
 from rackpost.decide import retry
 from rackpost.decide import views
@@ -50,7 +53,10 @@
 
 
 class Entry:
-    """Serves requests over the agents that it is linked to."""
+    """Serves requests over the agents that it is linked to.
+
+    `entries` tells how many entries the site has at present.
+    """
 
     def __init__(
         self,
@@ -61,8 +67,10 @@
         claims: claims_mod.Claims | None = None,
         metrics: metrics_mod.Metrics | None = None,
         rng: random.Random,
+        entries: Callable[[], int] = lambda: 1,
     ) -> None:
         self.cfg = cfg
+        self.entries = entries
         self.metrics = metrics or metrics_mod.Metrics()
         self.pool = pool_mod.Pool(rng=rng)
         self._policies: Mapping[bool, placement.Policy] = {
@@ -74,6 +82,7 @@
         self._loop = asyncio.get_running_loop()
         self._open: dict[types.RequestId, _Open] = {}
         self._by_caller: dict[types.CallerId, int] = {}
+        self._demand: dict[types.ServiceName, demand.Demand] = {}
         self._budgets: dict[types.ServiceName, retry.RetryBudget] = {}
         self._sealing: dict[
             tuple[types.RequestId, types.Attempt],
@@ -209,9 +218,9 @@
     async def _serve(self, item: _Open) -> AsyncGenerator[request.Event, None]:
         req = item.req
         self._budget(req.service).request()
-        density = req.terms.weight / self._cost(req)
+        denser = self._denser(req)
         while True:
-            att = self._new_attempt(item, density)
+            att = self._new_attempt(item, denser)
             reason = await att.reserve()
             if reason is None:
                 reason = await self._claim(item, att)
@@ -231,7 +240,9 @@
                 yield end
                 return
 
-    def _new_attempt(self, item: _Open, density: float) -> attempt_mod.Attempt:
+    def _new_attempt(
+        self, item: _Open, denser: demand.Share
+    ) -> attempt_mod.Attempt:
         req = item.req
         item.number += 1
         excluded: set[types.AgentId] = set()
@@ -240,7 +251,7 @@
         att = attempt_mod.Attempt(
             req=req,
             number=types.Attempt(item.number),
-            ask=self._ask(item, density),
+            ask=self._ask(item, denser),
             offset=item.delivered,
             pool=self.pool,
             policy=self._policies[req.plain is not None],
@@ -251,7 +262,7 @@
         item.attempt = att
         return att
 
-    def _ask(self, item: _Open, density: float) -> views.Ask:
+    def _ask(self, item: _Open, denser: demand.Share) -> views.Ask:
         req = item.req
         return views.Ask(
             service=req.service,
@@ -262,7 +273,7 @@
             kv_bytes=req.kv_bytes,
             ttft_s=self._left_s(item),
             tbt_s=req.terms.tbt_s,
-            density=density,
+            denser=denser,
         )
 
     def _left_s(self, item: _Open) -> float:
@@ -273,19 +284,30 @@
             return min(item.req.terms.ttft_s, item.req.terms.whole_s - past)
         return item.req.terms.ttft_s - past
 
-    def _cost(self, req: request.Request) -> float:
-        """Seconds of the whole pool that the request takes."""
-        pool = self.pool.views_of(req.service)
-        prefill_s, decode_s = 0.0, 0.0
-        for view in pool:
-            load = view.load
-            if load.role is types.Role.PREFILL:
-                prefill_s += load.prefill_tokens_s
-            else:
-                decode_s += load.slots / load.step_s
-        pre = req.prompt_tokens / prefill_s if prefill_s else 0.0
-        dec = (req.max_tokens or 1) / decode_s if decode_s else 0.0
-        return max(pre, dec, 1e-6)
+    def _denser(self, req: request.Request) -> demand.Share:
+        """What denser requests will take, of all entries, per endpoint.
+
+        The platform's balancer spreads callers evenly, so the other
+        entries are taken to be offered as much as this one.
+        """
+        if req.plain is not None:
+            return demand.NONE
+        pool = capacity.of(self.pool.views_of(req.service))
+        prefill_s = pool.prefill_s(req.prompt_tokens)
+        cost = pool.cost(prefill_s, req.max_tokens)
+        density = req.terms.weight / cost
+        seen = self._demand.setdefault(req.service, demand.Demand())
+        offer = demand.Offer(
+            at=self._loop.time(),
+            density=density,
+            cost_s=prefill_s,
+            target_s=req.terms.ttft_s,
+        )
+        seen.offered(req.kind, offer)
+        entries = self.entries()
+        return seen.above(offer).times(
+            entries / max(1, pool.decodes), entries / max(1, pool.prefills)
+        )
 
     def _budget(self, service: types.ServiceName) -> retry.RetryBudget:
         return self._budgets.setdefault(service, retry.RetryBudget())
--- a/rackpost/entry/process.py
+++ b/rackpost/entry/process.py
@@ -61,6 +61,7 @@
             plain=placement.PlainPolicy(rng=self._rng),
             claims=self.claims,
             rng=self._rng,
+            entries=self._count_entries,
         )
         self._links: dict[str, asyncio.Task[None]] = {}
         self._linked: dict[str, commands.MemberInfo] = {}
@@ -75,6 +76,10 @@
             incarnation=types.Incarnation(time.time_ns()),
         )
 
+    def _count_entries(self) -> int:
+        members = self.client.in_force.members.values()
+        return max(1, sum(1 for member in members if not member.service))
+
     def _changed(self) -> None:
         members = self.client.in_force.members
         wanted = subset.choose(
--- a/rackpost/link/messages.py
+++ b/rackpost/link/messages.py
@@ -72,8 +72,10 @@
             done within this time, else it is of no use; a call must be
             able to start.
         ready_in_s: for decode, when the prefill is expected to be done.
-        density: weight of the answer over its cost; denser requests go
-            first where there is not room for all.
+        urgent: what is expected of requests that count for more and are
+            more urgent: of a prefill endpoint the share of its time, of a
+            decode endpoint the requests a second.
+        denser: the same of those that count for more, but are not.
         kv_bytes: size of the KV cache that will be transferred.
     """
 
@@ -89,7 +91,8 @@
     max_tokens: int = 0
     kv_bytes: int = 0
     blocks: tuple[types.BlockHash, ...] = ()
-    density: float = 1.0
+    urgent: float = 0.0
+    denser: float = 0.0
     priority: int = 0
     claim: types.ClaimKey | None = None
 
--- a/rackpost/testing/engine.py
+++ b/rackpost/testing/engine.py
@@ -38,7 +38,7 @@
     prefill_tokens_s: float = 8000.0
     kv_keep_s: float = 0.8
     kv_token_bytes: int = 100_000
-    link_bytes_s: float = 2e9
+    link_bytes_s: float = 4e9
     cache_blocks: int = 1024
     event_lag_s: float = 0.5
     event_loss: float = 0.05
--- a/rackpost/testing/site.py
+++ b/rackpost/testing/site.py
@@ -164,6 +164,7 @@
             plain=placement.PlainPolicy(rng=rng),
             claims=self._claims,
             rng=rng,
+            entries=lambda: len(self.entries),
         )
         self.entries.append(entry)
         for node in self.nodes.values():
