Agent: notice overdue work, rest after failures, give promises back

Cause: each entry found out by itself, in more than a second, that an endpoint was stuck, and promises behind a slow prefill or a stuck transfer were kept until nobody could help. The agent now counts overdue work as needing more, refuses for a while after its endpoint failed (one trial then), and gives back at once what it can't keep in time any more.

A decode that was not begun still prefills again.

--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -39,6 +39,8 @@
 WINDOW_BYTES = 256 << 10
 SLOW_READER_S = 5.0
 _ROUND_S = 1e-4
+# Promises that can't be kept any more are looked for this often.
+_CHECK_S = 0.05
 
 
 class AgentConfig(msgspec.Struct, frozen=True, kw_only=True):
@@ -257,6 +259,7 @@
             ),
         )
         self.book.prefilled(att.key, att.spent_s)
+        self._went_well()
         self._finish(att, whole=True)
         self._say(
             att.session,
@@ -277,7 +280,7 @@
             ),
         )
         att.turn.clear()
-        self.book.part_done(att.key, self._loop.time())
+        self.book.part_done(att.key)
         self._start_ready()
         await att.turn.wait()
 
@@ -310,6 +313,8 @@
             async for piece in pieces:
                 now = self._loop.time()
                 count += 1
+                if count == 1:
+                    self._went_well()
                 self.book.progress(
                     att.key, run.offset + count, now - last, now
                 )
@@ -383,6 +388,11 @@
             att.taken = max(att.taken, msg.taken)
             att.credited.set()
 
+    def _went_well(self) -> None:
+        self.book.health.succeeded(
+            took_s=0.0, predicted_s=1.0, now=self._loop.time()
+        )
+
     # Ends.
 
     def _done(self, att: attempts.Attempt, tokens: int, why: str) -> None:
@@ -400,6 +410,8 @@
     def _fail(
         self, att: attempts.Attempt, reason: types.Failure, *, ran: bool
     ) -> None:
+        if reason in _ENDPOINTS_FAULT:
+            self.book.health.failed(self._loop.time())
         self._finish(att, whole=False)
         self.metrics.count("failed", reason, att.asked.kind)
         self._say(
@@ -472,10 +484,23 @@
 
     async def run(self) -> None:
         """Tell idle entries the load, until cancelled."""
+        checking = self._spawn(self._check_promises())
+        try:
+            while True:
+                await asyncio.sleep(self.cfg.summary_s)
+                await self._read_cache_events()
+                self._say_summaries()
+        finally:
+            checking.cancel()
+
+    async def _check_promises(self) -> None:
+        """Give promises back while another endpoint can still keep them."""
         while True:
-            await asyncio.sleep(self.cfg.summary_s)
-            await self._read_cache_events()
-            self._say_summaries()
+            await asyncio.sleep(_CHECK_S)
+            for key in self.book.lost(self._loop.time()):
+                att = self._attempts.get(key)
+                if att is not None:
+                    self._fail(att, types.Failure.DEADLINE, ran=False)
 
     async def _read_cache_events(self) -> None:
         if self.book.role is types.Role.PLAIN:
@@ -539,6 +564,11 @@
     return types.Failure.ENGINE
 
 
+_ENDPOINTS_FAULT = frozenset(
+    {types.Failure.ENGINE, types.Failure.ENGINE_STALLED}
+)
+
+
 @contextlib.asynccontextmanager
 async def running(agent: Agent) -> AsyncIterator[Agent]:
     """Run an agent; on leaving, everything it holds is given up."""
--- a/rackpost/agent/watchdog.py
+++ b/rackpost/agent/watchdog.py
@@ -51,9 +51,9 @@
     asked: messages.Reserve, load: messages.Load, queue_s: float
 ) -> Limits:
     """How long a decode may take to its first and to its next token."""
-    transfer = asked.kv_bytes / load.link_bytes_s + load.link_backlog_s
     between = max(_MIN_TOKEN_GAP_S, _SLOW_FACTOR * load.step_s)
-    return Limits(_SLOW_FACTOR * transfer + queue_s + between, between)
+    first = _SLOW_FACTOR * (asked.kv_bytes / load.link_bytes_s + load.step_s)
+    return Limits(first + _GRACE_S + queue_s, between)
 
 
 async def within(limit_s: float, work: Awaitable[T]) -> T:
--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -6,8 +6,10 @@
 
 import abc
 import heapq
+import random
 from typing import NamedTuple
 
+from rackpost.decide import health
 from rackpost.decide import lengths
 from rackpost.decide import link_budget
 from rackpost.decide import prefill_queue
@@ -54,6 +56,7 @@
         self.role = spec.role
         self.revision = types.Revision(0)
         self.leaving = False
+        self.health = health.Health(rng=random.Random(0))
 
     @abc.abstractmethod
     def promise(
@@ -73,13 +76,17 @@
         """How many tokens of a started prefill to run now; None: all."""
         return None
 
-    def part_done(self, key: slots.Key, now: float) -> None:
+    def part_done(self, key: slots.Key) -> None:
         """A part of a prefill is done; `next_start` gives it again."""
 
     def wake_in_s(self, now: float) -> float | None:
         """When `next_start` may have something without any message."""
         return None
 
+    def lost(self, now: float) -> list[slots.Key]:
+        """Promised parts, not begun, that can't be kept any more."""
+        return []
+
     @abc.abstractmethod
     def progress(
         self, key: slots.Key, done: int, step_s: float, now: float
@@ -131,6 +138,8 @@
             return types.Refusal.LEAVING
         if msg.part is not self.role:
             return types.Refusal.WRONG_ROLE
+        if self.health.state(now) is health.State.AVOIDED:
+            return types.Refusal.ENDPOINT_AVOIDED
         if key in self._asked:
             return types.Refusal.QUEUE_FULL
         if msg.part is types.Role.PREFILL:
@@ -138,6 +147,7 @@
         else:
             made = self._promise_slot(msg, key, now)
         if isinstance(made, Promise):
+            self.health.tried(now)
             self._asked[key] = msg
             self._due[key] = now + msg.within_s
         return made
@@ -196,7 +206,7 @@
             now=now,
         )
         if isinstance(wait, types.Refusal):
-            self._link.end(key, now)
+            self._link.end(key)
             return wait
         return Promise(max(wait, link), 0)
 
@@ -218,7 +228,7 @@
             if key not in self._asked:
                 heapq.heappop(self._ready)
                 continue
-            if not self._slots.may_start() or self._link.busy_s(now) > 0.0:
+            if not self._slots.may_start() or self._link_busy(now):
                 return None
             heapq.heappop(self._ready)
             self._slots.start(key)
@@ -226,15 +236,20 @@
             return key
         return None
 
+    def _link_busy(self, now: float) -> bool:
+        # The end of a transfer shows some steps late, in the first token;
+        # by then the next one should be moving.
+        return self._link.due_s(now) > 0.0 or self._link.stalled(now)
+
     def part_tokens(self, key: slots.Key) -> int | None:
         """The tokens of the part that was started; None: all the rest."""
         if self.role is types.Role.PREFILL and self._queue.in_part(key):
             return self.spec.segment_tokens
         return None
 
-    def part_done(self, key: slots.Key, now: float) -> None:
+    def part_done(self, key: slots.Key) -> None:
         """Put the rest of the prefill back into the queue."""
-        self._queue.part_done(key, now)
+        self._queue.part_done(key)
 
     def _next_prefill(self, now: float) -> slots.Key | None:
         if self._queue.running:
@@ -243,7 +258,7 @@
 
     def wake_in_s(self, now: float) -> float | None:
         """When the transfer that moves should be done, if one waits."""
-        busy = self._link.busy_s(now)
+        busy = self._link.due_s(now)
         return busy if busy > 0.0 and self._ready else None
 
     def progress(
@@ -252,10 +267,18 @@
         """Take in a token and the time since the one before it."""
         self._slots.progress(key, done)
         if done == 1:
-            self._link.end(key, now)
+            self._link.end(key)
         elif step_s > 0.0:
             self._step_s += _NEW * 0.2 * (step_s - self._step_s)
 
+    def lost(self, now: float) -> list[slots.Key]:
+        """Promises to give back while there is time for another try."""
+        if self.role is types.Role.PREFILL:
+            return self._queue.late(now)
+        if self._link.stalled(now):
+            return [key for _, key in self._ready if key in self._asked]
+        return []
+
     def prefilled(self, key: slots.Key, took_s: float) -> None:
         """Take in how long a prefill took."""
         cost = self._cost.get(key)
@@ -271,9 +294,9 @@
         self._asked.pop(key, None)
         self._due.pop(key, None)
         self._cost.pop(key, None)
-        self._link.end(key, now)
+        self._link.end(key)
         self._slots.end(key, whole=whole)
-        self._queue.end(key, now)
+        self._queue.end(key)
 
     def cache_events(
         self,
@@ -292,6 +315,7 @@
             role=self.role,
             revision=self.revision,
             leaving=self.leaving,
+            avoided=self.health.state(now) is health.State.AVOIDED,
             slots=spec.slots,
             used=self._slots.used,
             free_in_s=wait,
--- a/rackpost/decide/deadlines.py
+++ b/rackpost/decide/deadlines.py
@@ -9,6 +9,8 @@
 
 from rackpost.decide import slots
 
+_OVERDUE = 2.0
+
 
 class Job(NamedTuple):
     """Promised work, or what is left of it; sorts by its deadline."""
@@ -20,13 +22,11 @@
 
 
 class Deadlines:
-    """Jobs that are to be run one at a time, earliest deadline first.
-
-    `busy_until` is when the job that runs at present ends.
-    """
+    """Jobs that are to be run one at a time, earliest deadline first."""
 
     def __init__(self) -> None:
-        self.busy_until = 0.0
+        self._running = False
+        self._busy_until = 0.0
         self._jobs: list[Job] = []
         self._by_key: dict[slots.Key, Job] = {}
 
@@ -36,6 +36,44 @@
     def __contains__(self, key: slots.Key) -> bool:
         return key in self._by_key
 
+    def start(self, cost_s: float, now: float) -> None:
+        """A job, or a part of one, begins to run."""
+        self._running = True
+        self._busy_until = now + cost_s
+
+    def stop(self) -> None:
+        """What ran has ended."""
+        self._running = False
+
+    def free_at(self, now: float) -> float:
+        """When what runs should have ended.
+
+        What is overdue is taken to need as much again, and once more.
+        """
+        if not self._running:
+            return now
+        over = now - self._busy_until
+        return self._busy_until if over <= 0.0 else now + _OVERDUE * over
+
+    def due_s(self, now: float) -> float:
+        """After how many seconds what runs was expected to have ended."""
+        return max(0.0, self._busy_until - now) if self._running else 0.0
+
+    def overdue_s(self, now: float) -> float:
+        """How long what runs is overdue."""
+        return max(0.0, now - self._busy_until) if self._running else 0.0
+
+    def late(self, now: float, grace_s: float) -> list[slots.Key]:
+        """The jobs that can no longer end in time."""
+        found = []
+        at = self.free_at(now)
+        for job in self._jobs:
+            if at + job.cost_s > job.deadline + grace_s:
+                found.append(job.key)
+            else:
+                at += job.cost_s
+        return found
+
     def total_s(self) -> float:
         """The work of all jobs, without the one that runs."""
         return sum(job.cost_s for job in self._jobs)
@@ -43,7 +81,7 @@
     def ends_at(self, job: Job, now: float) -> float | None:
         """When a new job would end; None if an older one would be late."""
         pos = bisect.bisect(self._jobs, job)
-        at = max(now, self.busy_until) + job.cost_s
+        at = self.free_at(now) + job.cost_s
         at += sum(item.cost_s for item in self._jobs[:pos])
         ends = at
         for item in self._jobs[pos:]:
@@ -71,7 +109,7 @@
     def room_s(self, slack_s: float, now: float) -> float:
         """The longest job that would still fit with this slack."""
         deadline = now + slack_s
-        at = max(now, self.busy_until)
+        at = self.free_at(now)
         room = deadline - at
         for job in self._jobs:
             at += job.cost_s
--- a/rackpost/decide/link_budget.py
+++ b/rackpost/decide/link_budget.py
@@ -7,6 +7,10 @@
 from rackpost.decide import slots
 from rackpost import types
 
+# The first token, which shows that a transfer is done, comes some steps
+# after it; past this, in seconds, the transfer itself must be stuck.
+_STALLED_S = 0.2
+
 
 class LinkBudget:
     """Promised transfers, one at a time, the most urgent first.
@@ -27,7 +31,11 @@
 
     def busy_s(self, now: float) -> float:
         """After how many seconds the transfer that moves should be done."""
-        return max(0.0, self._jobs.busy_until - now)
+        return self._jobs.free_at(now) - now
+
+    def due_s(self, now: float) -> float:
+        """After how many seconds what moves was expected to be done."""
+        return self._jobs.due_s(now)
 
     def promise(
         self, *, key: slots.Key, size: int, within_s: float, now: float
@@ -56,13 +64,17 @@
         """The engine was told to move it."""
         for job in self._jobs:
             if job.key == key:
-                self._jobs.busy_until = now + job.cost_s
+                self._jobs.start(job.cost_s, now)
                 self._moving = key
         self._jobs.remove(key)
 
-    def end(self, key: slots.Key, now: float) -> None:
+    def stalled(self, now: float) -> bool:
+        """Whether what moves is long overdue."""
+        return self._jobs.overdue_s(now) > _STALLED_S
+
+    def end(self, key: slots.Key) -> None:
         """The transfer is done or given up; an unheld key is ignored."""
         if self._moving == key:
             self._moving = None
-            self._jobs.busy_until = min(now, self._jobs.busy_until)
+            self._jobs.stop()
         self._jobs.remove(key)
--- a/rackpost/decide/placement.py
+++ b/rackpost/decide/placement.py
@@ -74,7 +74,8 @@
         and not view.load.leaving
         and view.agent not in excluded
     ]
-    return [view for view in fit if not view.avoided] or fit
+    sound = [v for v in fit if not v.avoided and not v.load.avoided]
+    return sound or fit
 
 
 class JointPolicy(Policy):
--- a/rackpost/decide/prefill_queue.py
+++ b/rackpost/decide/prefill_queue.py
@@ -13,16 +13,19 @@
 
 # However much urgent work comes, this is the most that is kept for it.
 _MOST_URGENT = 0.95
+# A job this little late is still run, in seconds.
+_GRACE_S = 0.02
 # Room is left for the denser work of this long, in seconds.
 _KEPT_S = 0.1
 
 
 class JobState(enum.Enum):
-    """How far a promised prefill has come."""
+    """How far a promised prefill has come; BEGUN: a part of it is done."""
 
     PROMISED = "promised"
     READY = "ready"
     RUNNING = "running"
+    BEGUN = "begun"
 
 
 class PrefillQueue:
@@ -46,7 +49,7 @@
 
     def backlog_s(self, now: float) -> float:
         """Seconds of promised work, the running job's rest included."""
-        return max(0.0, self._jobs.busy_until - now) + self._jobs.total_s()
+        return self._jobs.free_at(now) - now + self._jobs.total_s()
 
     def room_s(self, slack_s: float, now: float) -> float:
         """The longest prefill that could be promised within `slack_s`."""
@@ -98,7 +101,7 @@
         where more urgent jobs may pass it.
         """
         for job in self._jobs:
-            if self._state[job.key] is JobState.READY:
+            if self._state[job.key] in (JobState.READY, JobState.BEGUN):
                 self._take_part(job, now)
                 return job.key
         return None
@@ -112,21 +115,30 @@
                 cost_s=job.cost_s - part_s, parts=job.parts - 1
             )
             self._jobs.replace(rest)
-        self._jobs.busy_until = now + part_s
+        self._jobs.start(part_s, now)
         self._state[job.key] = JobState.RUNNING
 
     def in_part(self, key: slots.Key) -> bool:
         """Whether the running job has a rest in the queue."""
         return key in self._jobs
 
-    def part_done(self, key: slots.Key, now: float) -> None:
+    def part_done(self, key: slots.Key) -> None:
         """A part of the job is done; the rest waits for its turn."""
         if self._state.get(key) is JobState.RUNNING:
-            self._state[key] = JobState.READY
-            self._jobs.busy_until = now
-
-    def end(self, key: slots.Key, now: float) -> None:
+            self._state[key] = JobState.BEGUN
+            self._jobs.stop()
+
+    def late(self, now: float) -> list[slots.Key]:
+        """Jobs that have not begun and can no longer end in time."""
+        begun = (JobState.RUNNING, JobState.BEGUN)
+        return [
+            key
+            for key in self._jobs.late(now, _GRACE_S)
+            if self._state[key] not in begun
+        ]
+
+    def end(self, key: slots.Key) -> None:
         """The job ended or was given up; an unheld key is ignored."""
         if self._state.pop(key, None) is JobState.RUNNING:
-            self._jobs.busy_until = now
+            self._jobs.stop()
         self._jobs.remove(key)
--- a/rackpost/link/messages.py
+++ b/rackpost/link/messages.py
@@ -25,6 +25,8 @@
 
     Attributes:
         revision: settings revision the agent runs on.
+        leaving: it takes nothing new, for good.
+        avoided: its endpoint failed lately; it takes nothing for now.
         slots: decode slots of the endpoint.
         used: slots taken or promised.
         free_in_s: after how long the next slot can be promised.
@@ -42,6 +44,7 @@
     role: types.Role
     revision: types.Revision
     leaving: bool = False
+    avoided: bool = False
     slots: int = 0
     used: int = 0
     free_in_s: float = 0.0
--- a/rackpost/types.py
+++ b/rackpost/types.py
@@ -60,6 +60,7 @@
     MEMORY_FULL = "memory-full"
     LINK_FULL = "link-full"
     LEAVING = "leaving"
+    ENDPOINT_AVOIDED = "endpoint-avoided"
     WRONG_ROLE = "wrong-role"
     STALE_REVISION = "stale-revision"
     CALLER_OPEN_LIMIT = "caller-open-limit"
