--- a/lab/cases.py
+++ b/lab/cases.py
@@ -8,6 +8,7 @@
 
 from lab import baselines
 from rackpost.decide import book
+from rackpost.decide import events
 from rackpost.decide import placement
 from rackpost.decide import prefix
 from rackpost.entry import core as entry_core
@@ -26,7 +27,18 @@
 FAULT_AT = 8.0
 RUSH_AT = 8.0
 RUSH_S = 6.0
+# The rush's rate, as a share of all that the engines can carry.
+RUSH_SHARE = 0.4
 CALLER_DELAY_S = 0.003
+# How much too late an event was declared to start, in seconds, and its
+# declared rate over the true one.
+_DECLARED = {
+    "declared": (0.0, 1.0),
+    "declared-late": (4.0, 1.0),
+    "declared-early": (-4.0, 1.0),
+    "declared-half": (0.0, 0.5),
+    "declared-none": (0.0, 1.0),
+}
 PRODUCT = "product"
 # Baselines queue within the engine, where a lease would only cut them.
 _LEASE_S = 1.0
@@ -98,7 +110,8 @@
     """The schedule of a case."""
     deployment = workload.DEPLOYMENTS[case.deployment]
     rate = full_rate(deployment)
-    if case.load in ("declared", "undeclared"):
+    if case.load in _DECLARED or case.load == "undeclared":
+        rush = 0.0 if case.load == "declared-none" else RUSH_SHARE
         return workload.schedule(
             deployment,
             rate=0.6 * rate,
@@ -106,7 +119,7 @@
             seed=case.seed,
             rush_at=RUSH_AT,
             rush_s=RUSH_S,
-            rush_rate=0.9 * rate,
+            rush_rate=rush * rate,
         )
     return workload.schedule(
         deployment,
@@ -185,6 +198,17 @@
             site.add_endpoint(
                 site_mod.Place(f"p{idx}", plain_name, types.Role.PLAIN, centre)
             )
+        if self.case.load in _DECLARED:
+            early, size = _DECLARED[self.case.load]
+            rate = size * RUSH_SHARE * full_rate(self.deployment)
+            site.events.append(
+                events.Declared(
+                    RUSH_AT + early,
+                    RUSH_S,
+                    (types.KindName(self.deployment.rush),),
+                    rate,
+                )
+            )
         for idx, name in enumerate(where):
             centre = types.DataCentre(name)
             site.add_entry(f"e{idx}", centre, self._policy(site, idx))
--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -22,6 +22,10 @@
 _NEW = 0.1
 
 
+# An endpoint that failed is tried with prompts of at most this length.
+_TRIAL_TOKENS = 1024
+
+
 class EndpointSpec(NamedTuple):
     """What an endpoint can do, as its operator has stated it.
 
@@ -138,7 +142,7 @@
             return types.Refusal.LEAVING
         if msg.part is not self.role:
             return types.Refusal.WRONG_ROLE
-        if self.health.state(now) is health.State.AVOIDED:
+        if not self._sound_for(msg, now):
             return types.Refusal.ENDPOINT_AVOIDED
         if key in self._asked:
             return types.Refusal.QUEUE_FULL
@@ -152,6 +156,13 @@
             self._due[key] = now + msg.within_s
         return made
 
+    def _sound_for(self, msg: messages.Reserve, now: float) -> bool:
+        state = self.health.state(now)
+        if state is health.State.TRIAL:
+            # A trial that fails costs its prefill: let it be a short one.
+            return msg.prompt_tokens <= _TRIAL_TOKENS
+        return state is health.State.GOOD
+
     def _promise_prefill(
         self, msg: messages.Reserve, key: slots.Key, now: float
     ) -> Promise | types.Refusal:
--- a/rackpost/decide/demand.py
+++ b/rackpost/decide/demand.py
@@ -101,6 +101,10 @@
         """Requests a second of each kind that are declared for now."""
         self._declared = rates
 
+    def rates(self, now: float) -> dict[types.KindName, float]:
+        """Requests a second of each kind of late."""
+        return {name: kind.rate(now) for name, kind in self._kinds.items()}
+
     def above(self, mine: Offer) -> Share:
         """The demand of requests denser than `mine`, at its moment.
 
--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from typing import Any
 from typing import AsyncGenerator
 from typing import Iterator
 from typing import NamedTuple
@@ -35,15 +36,24 @@
     reason: types.Refusal
 
 
+class Kept(NamedTuple):
+    """A KV cache that its prefill endpoint still keeps for export."""
+
+    kv: dict[str, Any]
+    since: float
+
+
 class Broken(NamedTuple):
     """The attempt broke off after it had been accepted.
 
-    `agent` is whose part broke; `ran` as in `messages.Failed`.
+    `agent` is whose part broke; `ran` as in `messages.Failed`.  `kept` is
+    set where the prefill was done and the decode never begun.
     """
 
     reason: types.Failure
     ran: bool
     agent: types.AgentId | None
+    kept: Kept | None = None
 
 
 class Whole(NamedTuple):
@@ -86,7 +96,9 @@
         policy: placement.Policy,
         metrics: metrics_mod.Metrics,
         priority: int,
+        kept: Kept | None = None,
     ) -> None:
+        self._kept = kept
         self.req = req
         self.number = number
         self.result: Result = Refused(types.Refusal.NO_ENDPOINT)
@@ -185,7 +197,7 @@
         if self.req.plain is not None:
             return [(types.Role.PLAIN, plan.decode)]
         parts = [(types.Role.DECODE, plan.decode)]
-        if plan.prefill is not None:
+        if plan.prefill is not None and self._kept is None:
             parts.append((types.Role.PREFILL, plan.prefill))
         return parts
 
@@ -291,18 +303,19 @@
             self._send_call()
             role = types.Role.PLAIN
         else:
-            kv = await self._prefill()
-            if isinstance(kv, Broken):
-                self.result = kv
-                return
-            self._send_decode(kv)
+            if self._kept is None:
+                broken = await self._prefill()
+                if broken is not None:
+                    self.result = broken
+                    return
+            self._send_decode()
             role = types.Role.DECODE
         stream = self._stream(role)
         async with contextlib.aclosing(stream) as events:
             async for event in events:
                 yield event
 
-    async def _prefill(self) -> dict | Broken:
+    async def _prefill(self) -> Broken | None:
         agent = self._agents[types.Role.PREFILL]
         await self._wait_for_slot()
         peer = self._used[agent]
@@ -321,7 +334,8 @@
                 took = self._loop.time() - sent_at
                 self._went_well(agent, took, expected)
                 peer.view.hints.add(self.req.blocks)
-                return msg.kv
+                self._kept = Kept(msg.kv, self._loop.time())
+                return None
             broken = self._broken(msg)
             if broken is not None:
                 return broken
@@ -333,16 +347,16 @@
         if early > 0.0:
             await asyncio.sleep(early)
 
-    def _send_decode(self, kv: dict) -> None:
+    def _send_decode(self) -> None:
         peer = self._used.get(self._agents[types.Role.DECODE])
-        if peer is None:
+        if peer is None or self._kept is None:
             return
         peer.conn.send(
             messages.RunDecode(
                 req=self.req.req,
                 attempt=self.number,
                 body=self.req.body,
-                kv=kv,
+                kv=self._kept.kv,
                 offset=self._offset,
             )
         )
@@ -438,7 +452,8 @@
             agent = self._agents.get(msg.part)
             if agent is not None:
                 self._used.pop(agent, None)
-            return Broken(msg.reason, msg.ran, agent)
+            kept = None if msg.ran else self._kept
+            return Broken(msg.reason, msg.ran, agent, kept)
         if isinstance(msg, _Gone):
             self._used.pop(msg.agent, None)
             return Broken(types.Failure.LINK_LOST, True, msg.agent)
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -3,15 +3,18 @@
 import asyncio
 import contextlib
 import random
+import time
 from typing import AsyncGenerator
 from typing import Callable
 from typing import Iterator
 from typing import Mapping
+from typing import Sequence
 
 import msgspec
 
 from rackpost.decide import capacity
 from rackpost.decide import demand
+from rackpost.decide import events as events_mod
 from rackpost.decide import placement
 from rackpost.decide import retry
 from rackpost.decide import views
@@ -27,10 +30,16 @@
 
 # Requests of all callers that one entry holds at once.
 MAX_OPEN = 4096
+# A KV cache that was not fetched is used by another decode endpoint if it
+# is not older than this; engines keep it for less than a second.
+_REUSE_S = 0.4
 # When a refused caller may come back, where nothing better is known.
 _COME_BACK_S = 1.0
 
 
+Events = Callable[[types.ServiceName], Sequence[events_mod.Declared]]
+
+
 class EntryConfig(msgspec.Struct, frozen=True, kw_only=True):
     """Who the entry is."""
 
@@ -55,7 +64,8 @@
 class Entry:
     """Serves requests over the agents that it is linked to.
 
-    `entries` tells how many entries the site has at present.
+    `entries` tells how many entries the site has at present, `events`
+    what is declared for a service, `wall` seconds since the epoch.
     """
 
     def __init__(
@@ -68,9 +78,13 @@
         metrics: metrics_mod.Metrics | None = None,
         rng: random.Random,
         entries: Callable[[], int] = lambda: 1,
+        events: Events = lambda service: (),
+        wall: Callable[[], float] = time.time,
     ) -> None:
         self.cfg = cfg
         self.entries = entries
+        self.events = events
+        self.wall = wall
         self.metrics = metrics or metrics_mod.Metrics()
         self.pool = pool_mod.Pool(rng=rng)
         self._policies: Mapping[bool, placement.Policy] = {
@@ -246,8 +260,10 @@
         req = item.req
         item.number += 1
         excluded: set[types.AgentId] = set()
+        kept: attempt_mod.Kept | None = None
         if item.attempt is not None:
             excluded = item.attempt.excluded
+            kept = self._still_kept(item.attempt.result)
         att = attempt_mod.Attempt(
             req=req,
             number=types.Attempt(item.number),
@@ -257,11 +273,22 @@
             policy=self._policies[req.plain is not None],
             metrics=self.metrics,
             priority=-int(req.terms.weight * 100),
+            kept=kept,
         )
         att.excluded |= excluded
         item.attempt = att
         return att
 
+    def _still_kept(
+        self, result: attempt_mod.Result
+    ) -> attempt_mod.Kept | None:
+        if not isinstance(result, attempt_mod.Broken):
+            return None
+        kept = result.kept
+        if kept is None or self._loop.time() - kept.since > _REUSE_S:
+            return None
+        return kept
+
     def _ask(self, item: _Open, denser: demand.Share) -> views.Ask:
         req = item.req
         return views.Ask(
@@ -305,10 +332,28 @@
         )
         seen.offered(req.kind, offer)
         entries = self.entries()
+        self._declare(req.service, seen, offer.at, entries)
         return seen.above(offer).times(
             entries / max(1, pool.decodes), entries / max(1, pool.prefills)
         )
 
+    def _declare(
+        self,
+        service: types.ServiceName,
+        seen: demand.Demand,
+        at: float,
+        entries: int,
+    ) -> None:
+        declared = self.events(service)
+        if not declared:
+            seen.declare({})
+            return
+        rates = {kind: rate * entries for kind, rate in seen.rates(at).items()}
+        wall = self.wall()
+        found = events_mod.expected(declared, seen=rates, now=wall)
+        # This entry's part of what the whole site expects.
+        seen.declare({kind: rate / entries for kind, rate in found.items()})
+
     def _budget(self, service: types.ServiceName) -> retry.RetryBudget:
         return self._budgets.setdefault(service, retry.RetryBudget())
 
@@ -394,7 +439,7 @@
             attempts=item.number,
             repeat=item.req.terms.repeat,
             left_s=self._left_s(item),
-            needed_s=self._needed_s(item),
+            needed_s=self._needed_s(item, kept=broken.kept is not None),
             budget=self._budget(item.req.service),
             rng=self._rng,
         )
@@ -411,10 +456,12 @@
         await asyncio.sleep(verdict.pause_s)
         return None
 
-    def _needed_s(self, item: _Open) -> float:
+    def _needed_s(self, item: _Open, *, kept: bool) -> float:
         views_ = self.pool.views_of(item.req.service)
         if item.req.plain is not None or not views_:
             return 0.0
+        if kept:
+            return 0.0
         return min(
             view.prefill_s(item.req.prompt_tokens, item.req.blocks)
             for view in views_
--- a/rackpost/entry/process.py
+++ b/rackpost/entry/process.py
@@ -9,6 +9,7 @@
 from rackpost import config
 from rackpost.control import client as client_mod
 from rackpost.control import messages as control_messages
+from rackpost.decide import events as events_mod
 from rackpost.decide import placement
 from rackpost.decide import subset
 from rackpost.entry import control_claims
@@ -62,6 +63,7 @@
             claims=self.claims,
             rng=self._rng,
             entries=self._count_entries,
+            events=self._events,
         )
         self._links: dict[str, asyncio.Task[None]] = {}
         self._linked: dict[str, commands.MemberInfo] = {}
@@ -80,6 +82,16 @@
         members = self.client.in_force.members.values()
         return max(1, sum(1 for member in members if not member.service))
 
+    def _events(self, service: types.ServiceName) -> list[events_mod.Declared]:
+        declared = self.client.in_force.tree.events.values()
+        return [
+            events_mod.Declared(
+                event.start, event.length_s, event.kinds, event.rate
+            )
+            for event in declared
+            if service in event.services
+        ]
+
     def _changed(self) -> None:
         members = self.client.in_force.members
         wanted = subset.choose(
--- a/rackpost/testing/site.py
+++ b/rackpost/testing/site.py
@@ -12,6 +12,7 @@
 from rackpost.agent import core as agent_core
 from rackpost.agent import engine as engine_mod
 from rackpost.decide import book as book_mod
+from rackpost.decide import events
 from rackpost.decide import placement
 from rackpost.entry import claims as claims_mod
 from rackpost.entry import core as entry_core
@@ -91,6 +92,7 @@
         self.engines: dict[str, engine.StandInEngine] = {}
         self.nodes: dict[str, Node] = {}
         self.entries: list[entry_core.Entry] = []
+        self.events: list[events.Declared] = []
         self._seed = seed
         self._make_book = make_book
         self._claims = claims
@@ -165,6 +167,8 @@
             claims=self._claims,
             rng=rng,
             entries=lambda: len(self.entries),
+            events=lambda service: self.events,
+            wall=asyncio.get_running_loop().time,
         )
         self.entries.append(entry)
         for node in self.nodes.values():
--- a/rackpost/testing/workload.py
+++ b/rackpost/testing/workload.py
@@ -183,7 +183,7 @@
     """An open-loop schedule: Poisson arrivals, the same for each seed.
 
     From `rush_at` on, `rush_rate` more requests a second of the
-    deployment's rush kind come for `rush_s`.
+    deployment's rush kind come for `rush_s`, most of them at first.
     """
     rng = random.Random(f"{deployment.name}/{seed}")
     weights = [kind.share for kind in deployment.kinds]
@@ -195,10 +195,10 @@
         at += rng.expovariate(rate)
     if rush_at is not None and rush_rate > 0.0:
         kind = next(k for k in deployment.kinds if k.name == deployment.rush)
-        at = rush_at + rng.expovariate(rush_rate)
-        while at < rush_at + rush_s:
+        for _ in range(round(rush_rate * rush_s)):
+            # They come together: a third within a tenth of the time.
+            at = rush_at + rush_s * rng.random() ** 2
             offers.append(make_offer(kind, at, len(offers), rng))
-            at += rng.expovariate(rush_rate)
     return sorted(offers, key=lambda offer: offer.at)
 
 
