--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -16,6 +16,7 @@
 # In seconds by the replica's own clock.
 HEARTBEAT_S = 0.1
 ELECTION_S = 0.6
+_SOON_S = 0.2
 _MAX_BATCH = 512
 
 
@@ -141,6 +142,17 @@
         elif now >= self._deadline:
             self._campaign(now, pre=True)
 
+    def lost_link(self, peer: m.ReplicaId, now: float) -> None:
+        """The link to a replica broke: a hint that it may be gone.
+
+        If it led, this replica asks the others soon; a leader that is
+        well is heard by a quorum, which then gives no pre-vote.
+        """
+        if self.role is Role.FOLLOWER and peer == self.leader:
+            self.leader = None
+            soon = now + _SOON_S * (0.2 + self._rng.random())
+            self._deadline = min(self._deadline, soon)
+
     def propose(self, data: bytes, now: float) -> m.Index | None:
         """Append a command; its index, or None if this is no leader."""
         if self.role is not Role.LEADER:
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -125,8 +125,21 @@
     def _on_closed(
         self, peer: consensus.ReplicaId, conn: channel.Channel
     ) -> None:
-        if self._peers.get(peer) is conn:
-            del self._peers[peer]
+        if self._peers.get(peer) is not conn:
+            return
+        del self._peers[peer]
+        if peer == self.leader:
+            self._raft.lost_link(peer, self._loop.time())
+            self._forget_forwarded()
+
+    def _forget_forwarded(self) -> None:
+        # Whether the leader took them is not known: they may be resent.
+        asked, reads = self._asked, self._reads
+        self._asked, self._reads = {}, {}
+        for fut in asked.values():
+            _settle(fut, None)
+        for read in reads.values():
+            _settle(read, None)
 
     def _on_message(
         self, peer: consensus.ReplicaId, msg: msgspec.Struct
@@ -215,9 +228,18 @@
 
         False if no quorum confirms it in time.
         """
+        until = self._loop.time() + _PATIENCE_S
+        while self._loop.time() < until:
+            index = await self._read_index()
+            if index is not None:
+                return await self._wait_applied(index)
+            # There is no leader, or one too new to confirm anything.
+            await asyncio.sleep(_TICK_S)
+        return False
+
+    async def _read_index(self) -> consensus.Index | None:
         fut: asyncio.Future[consensus.Index | None]
         fut = self._loop.create_future()
-        await self._wait_for_leader()
         number = self._next_number()
         self._reads[number] = fut
         if self.is_leader:
@@ -226,12 +248,10 @@
             self._send(self.leader, messages.ReadAsk(number=number))
         else:
             del self._reads[number]
-            return False
+            return None
         index = await _patiently(fut)
         self._reads.pop(number, None)
-        if index is None:
-            return False
-        return await self._wait_applied(index)
+        return index
 
     def _read_here(
         self,
