--- a/rackpost/agent/attempts.py
+++ b/rackpost/agent/attempts.py
@@ -52,24 +52,28 @@
             self.lease.cancel()
 
 
+class Ending(enum.Enum):
+    """How an attempt ended at its agent."""
+
+    NEVER_RAN = "never-ran"
+    RAN = "ran"
+    WHOLE = "whole"
+
+
 class SealMemory:
-    """Which ended attempts the endpoint had, and which it never will."""
+    """How ended attempts ended; what is here is never handed over."""
 
     def __init__(self) -> None:
-        self._ran: collections.OrderedDict[slots.Key, bool] = (
+        self._endings: collections.OrderedDict[slots.Key, Ending] = (
             collections.OrderedDict()
         )
 
-    def add(self, key: slots.Key, *, ran: bool) -> None:
-        """The attempt is over; one that ran stays one that ran."""
-        self._ran[key] = ran or self._ran.get(key, False)
-        while len(self._ran) > _REMEMBERED:
-            self._ran.popitem(last=False)
-
-    def has(self, key: slots.Key) -> bool:
-        """Whether the attempt is over."""
-        return key in self._ran
+    def add(self, key: slots.Key, ending: Ending) -> None:
+        """The attempt is over; its first ending stays."""
+        self._endings.setdefault(key, ending)
+        while len(self._endings) > _REMEMBERED:
+            self._endings.popitem(last=False)
 
-    def ran(self, key: slots.Key) -> bool:
-        """Whether the endpoint had the attempt."""
-        return self._ran.get(key, False)
+    def ending(self, key: slots.Key) -> Ending | None:
+        """How the attempt ended; None if it has not, or is forgotten."""
+        return self._endings.get(key)
--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -132,7 +132,7 @@
 
     def _on_reserve(self, session: Session, msg: messages.Reserve) -> None:
         key = slots.Key(msg.req, msg.attempt)
-        if self._sealed.has(key):
+        if self._sealed.ending(key) is not None:
             made: book_mod.Promise | types.Refusal = types.Refusal.DEADLINE
         else:
             made = self.book.promise(msg, key, self._loop.time())
@@ -429,8 +429,12 @@
     def _finish(self, att: attempts.Attempt, *, whole: bool) -> None:
         if att.state is attempts.State.ENDED:
             return
-        ran = att.state is attempts.State.RUNNING
-        self._sealed.add(att.key, ran=ran)
+        ending = attempts.Ending.NEVER_RAN
+        if att.state is attempts.State.RUNNING:
+            ending = attempts.Ending.RAN
+            if whole and att.asked.part is not types.Role.PREFILL:
+                ending = attempts.Ending.WHOLE
+        self._sealed.add(att.key, ending)
         att.state = attempts.State.ENDED
         if att.lease is not None:
             att.lease.cancel()
@@ -456,12 +460,19 @@
         if att is not None and att.state is not attempts.State.RUNNING:
             self._finish(att, whole=False)
         running = att is not None and att.state is attempts.State.RUNNING
-        ran = running or self._sealed.ran(key)
         if not running:
-            self._sealed.add(key, ran=ran)
+            # From now on it can't begin here, whatever is on the way.
+            self._sealed.add(key, attempts.Ending.NEVER_RAN)
+        ending = self._sealed.ending(key)
         self._say(
             session,
-            messages.Sealed(req=msg.req, attempt=msg.attempt, ran=ran),
+            messages.Sealed(
+                req=msg.req,
+                attempt=msg.attempt,
+                running=running,
+                ran=running or ending is not attempts.Ending.NEVER_RAN,
+                whole=ending is attempts.Ending.WHOLE,
+            ),
         )
 
     # The agent's own life.
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -59,6 +59,7 @@
         self.delivered = 0
         self.handed_over = False
         self.first_at: float | None = None
+        self.claimed: claims_mod.Holder | None = None
 
 
 class Entry:
@@ -249,6 +250,7 @@
                         item.delivered += 1
                     yield event
             att.release()
+            await self._settle(item, att)
             end = await self._after(item, att)
             if end is not None:
                 yield end
@@ -374,7 +376,7 @@
         try:
             reply = await self._claims.claim(key=key, holder=holder)
             if reply.state is claims_mod.ClaimState.RUNNING and reply.holder:
-                if await self._seal(reply.holder):
+                if await self._seal(reply.holder, item.req.terms.repeat):
                     await self._claims.settle(
                         key=key, holder=reply.holder, state=None
                     )
@@ -382,13 +384,42 @@
         except exceptions.ControlError:
             return types.Refusal.CONTROL_AWAY
         if reply.state is claims_mod.ClaimState.GRANTED:
+            item.claimed = holder
             return None
+        if reply.state is claims_mod.ClaimState.ANSWERED:
+            return types.Refusal.CLAIM_ANSWERED
         if reply.state is claims_mod.ClaimState.UNKNOWN:
             return types.Refusal.CLAIM_UNKNOWN
         return types.Refusal.CLAIM_RUNNING
 
-    async def _seal(self, holder: claims_mod.Holder) -> bool:
-        """Have an attempt sealed; True only if it never ran."""
+    async def _settle(self, item: _Open, att: attempt_mod.Attempt) -> None:
+        """Tell control how a claimed attempt ended."""
+        holder = item.claimed
+        if item.req.claim is None or self._claims is None or holder is None:
+            return
+        item.claimed = None
+        state: claims_mod.ClaimState | None = claims_mod.ClaimState.UNKNOWN
+        if isinstance(att.result, attempt_mod.Whole):
+            state = claims_mod.ClaimState.ANSWERED
+        elif isinstance(att.result, attempt_mod.Broken):
+            # Of what broke, only what an agent has sealed may run again
+            # under this key; a kind that may repeat inside is freed too,
+            # as this entry alone decides on its next attempt.
+            single = item.req.terms.repeat is types.RepeatClass.SINGLE
+            if not att.result.ran or single:
+                state = None
+        await self._claims.settle(
+            key=item.req.claim, holder=holder, state=state
+        )
+
+    async def _seal(
+        self, holder: claims_mod.Holder, repeat: types.RepeatClass
+    ) -> bool:
+        """Have an attempt sealed; True if its key may be claimed again.
+
+        It may if the attempt never ran; and for a kind that may be tried
+        again inside, if it is over without its whole answer being sent.
+        """
         peer = self.pool.peer(holder.agent)
         if peer is None or peer.incarnation != holder.incarnation:
             return False
@@ -397,7 +428,11 @@
         peer.conn.send(messages.Seal(req=holder.req, attempt=holder.attempt))
         try:
             async with asyncio.timeout(attempt_mod.REPLY_S):
-                return not (await fut).ran
+                sealed = await fut
+                cut = not sealed.running and not sealed.whole
+                if cut and repeat is types.RepeatClass.SINGLE:
+                    return True
+                return not sealed.ran
         except TimeoutError:
             return False
         finally:
@@ -471,7 +506,7 @@
         self, item: _Open, reason: types.Refusal
     ) -> request.End:
         outcome = types.Outcome.NOT_RUN
-        if item.handed_over or reason is types.Refusal.CLAIM_UNKNOWN:
+        if item.handed_over or reason in _OTHERS_CLAIM:
             # An earlier attempt may have run, whatever became of this.
             outcome = types.Outcome.UNKNOWN
         return self._refuse(item.req, reason, outcome)
@@ -505,6 +540,14 @@
             self.metrics.time("between_tokens", item.req.kind, gap)
 
 
+# The key's own request may have run, or runs, under another attempt.
+_OTHERS_CLAIM = frozenset(
+    {
+        types.Refusal.CLAIM_UNKNOWN,
+        types.Refusal.CLAIM_RUNNING,
+        types.Refusal.CLAIM_ANSWERED,
+    }
+)
 _AGENTS_FAULT = frozenset(
     {
         types.Failure.AGENT,
--- a/rackpost/entry/openai.py
+++ b/rackpost/entry/openai.py
@@ -258,14 +258,15 @@
     types.Refusal.CALLER_OPEN_LIMIT: 429,
     types.Refusal.CLAIM_RUNNING: 409,
     types.Refusal.CLAIM_UNKNOWN: 409,
+    types.Refusal.CLAIM_ANSWERED: 409,
 }
 
 
 def status_of(end: request.End) -> int:
     """The HTTP status that goes with a request's end."""
     if end.outcome is types.Outcome.UNKNOWN:
-        if end.reason is types.Refusal.CLAIM_UNKNOWN:
-            return 409
+        if isinstance(end.reason, types.Refusal):
+            return _STATUS.get(end.reason, 502)
         return 502
     if isinstance(end.reason, types.Refusal):
         return _STATUS.get(end.reason, 503)
--- a/rackpost/link/messages.py
+++ b/rackpost/link/messages.py
@@ -235,11 +235,16 @@
 
 
 class Sealed(Message, frozen=True, tag="sealed"):
-    """Answer to `Seal`: whether the endpoint had the attempt before."""
+    """Answer to `Seal`: what became of the attempt here before.
+
+    `whole` says that its whole answer was sent to its entry.
+    """
 
     req: types.RequestId
     attempt: types.Attempt
+    running: bool
     ran: bool
+    whole: bool
 
 
 class Summary(Message, frozen=True, tag="summary"):
--- /dev/null
+++ b/rackpost/testing/claims.py
@@ -0,0 +1,62 @@
+"""Claims kept in this event loop, by the product's own table."""
+
+import asyncio
+
+from rackpost.entry import claims
+from rackpost import exceptions
+from rackpost.state import claims as table
+from rackpost.state import commands
+from rackpost import types
+
+_KEEP_S = 600.0
+
+
+class LocalClaims(claims.Claims):
+    """The claim table behind a delay, as control would answer."""
+
+    def __init__(self, *, delay_s: float = 0.003) -> None:
+        self.table = table.ClaimTable()
+        self.away = False
+        self._delay_s = delay_s
+
+    async def _trip(self) -> None:
+        await asyncio.sleep(self._delay_s)
+        if self.away:
+            raise exceptions.ControlError("control is away")
+
+    async def claim(
+        self, *, key: types.ClaimKey, holder: claims.Holder
+    ) -> claims.ClaimReply:
+        """Claim the key in the table."""
+        await self._trip()
+        asked = commands.ClaimOne(
+            key=key,
+            agent=holder.agent,
+            incarnation=holder.incarnation,
+            req=holder.req,
+            attempt=holder.attempt,
+        )
+        now = asyncio.get_running_loop().time()
+        state, held = self.table.claim(asked, at=now, keep_s=_KEEP_S)
+        found = None
+        if held is not None:
+            found = claims.Holder(
+                held.agent, held.incarnation, held.req, held.attempt
+            )
+        return claims.ClaimReply(claims.ClaimState(state), found)
+
+    async def settle(
+        self,
+        *,
+        key: types.ClaimKey,
+        holder: claims.Holder,
+        state: claims.ClaimState | None,
+    ) -> None:
+        """Settle the claim in the table."""
+        await self._trip()
+        now = asyncio.get_running_loop().time()
+        word = "sealed" if state is None else state.value
+        item = commands.SettleOne(
+            key=key, req=holder.req, attempt=holder.attempt, state=word
+        )
+        self.table.settle(item, at=now, keep_s=_KEEP_S)
--- a/rackpost/types.py
+++ b/rackpost/types.py
@@ -71,6 +71,7 @@
     DEADLINE = "deadline"
     NO_REPLY = "no-reply"
     CLAIM_RUNNING = "claim-running"
+    CLAIM_ANSWERED = "claim-answered"
     CLAIM_UNKNOWN = "claim-unknown"
     CONTROL_AWAY = "control-away"
     LINK_LOST = "link-lost"
