Control: what is applied is not what consensus has committed

Cause, found by the first run of the history checker: while an output was being synced, consensus went on; the replica took consensus' index for what its state machine held.

The test fails without the mend.

Conclusion: the state machine's own index is kept beside it.

--- /dev/null
+++ b/lab/linear.py
@@ -0,0 +1,141 @@
+"""Checks histories of settings and of claims.
+
+Accepted writes are numbered by their revisions, so a history of them is
+linearizable if those numbers agree with real time: no search is needed.
+"""
+
+from typing import NamedTuple
+
+
+class Wrote(NamedTuple):
+    """A write: when it was asked and answered, and its revision.
+
+    `end` and `revision` are None for one whose result was never learned.
+    """
+
+    path: str
+    value: float
+    based_on: int
+    start: float
+    end: float | None
+    revision: int | None
+
+
+class Read(NamedTuple):
+    """A confirmed read of a node: its revision (0: none) and value."""
+
+    path: str
+    start: float
+    end: float
+    revision: int
+    value: float | None
+
+
+class Claimed(NamedTuple):
+    """A claim that was granted, sealed or answered, in real time."""
+
+    key: str
+    holder: str
+    what: str
+    start: float
+    end: float
+
+
+def check_writes(writes: list[Wrote], reads: list[Read]) -> list[str]:
+    """What is wrong with a history of settings; nothing if it is well."""
+    known = [item for item in writes if item.revision is not None]
+    faults = []
+    revisions = [item.revision for item in known]
+    if len(set(revisions)) != len(revisions):
+        faults.append("two writes have one revision")
+    faults += _check_order(known)
+    faults += _check_chain(known)
+    for read in reads:
+        faults += _check_read(read, writes)
+    return faults
+
+
+def _check_order(known: list[Wrote]) -> list[str]:
+    faults = []
+    for one in known:
+        for two in known:
+            assert one.revision is not None and two.revision is not None
+            if one.end is not None and one.end < two.start:
+                if one.revision > two.revision:
+                    faults.append(
+                        f"{one.revision} was accepted before "
+                        f"{two.revision} was asked"
+                    )
+    return faults
+
+
+def _check_chain(known: list[Wrote]) -> list[str]:
+    """Of two writes of a node based on one revision, one may win."""
+    seen: dict[tuple[str, int], int] = {}
+    faults = []
+    for item in known:
+        key = (item.path, item.based_on)
+        if key in seen:
+            faults.append(f"two writes won on {key}")
+        seen[key] = item.revision or 0
+    return faults
+
+
+def _check_read(read: Read, writes: list[Wrote]) -> list[str]:
+    mine = [item for item in writes if item.path == read.path]
+    before = [
+        item.revision or 0
+        for item in mine
+        if item.end is not None
+        and item.revision is not None
+        and item.end < read.start
+    ]
+    if before and read.revision < max(before):
+        return [f"a read saw {read.revision} after {max(before)}"]
+    if read.revision == 0:
+        return []
+    source = [item for item in mine if item.revision == read.revision]
+    if source:
+        item = source[0]
+        if item.value != read.value:
+            return [f"a read saw {read.value} at {read.revision}"]
+        if item.start > read.end:
+            return [f"a read saw {read.revision} before it was asked"]
+        return []
+    unknown = [
+        item
+        for item in mine
+        if item.revision is None and item.value == read.value
+    ]
+    if not unknown:
+        return [f"a read saw {read.value}, which nobody wrote"]
+    return []
+
+
+def check_claims(events: list[Claimed]) -> list[str]:
+    """What is wrong with a history of claims."""
+    faults = []
+    by_key: dict[str, list[Claimed]] = {}
+    for item in events:
+        by_key.setdefault(item.key, []).append(item)
+    for key, items in by_key.items():
+        answered = [item for item in items if item.what == "answered"]
+        if len(answered) > 1:
+            faults.append(f"{key} was answered {len(answered)} times")
+        granted = [item for item in items if item.what == "granted"]
+        for one in granted:
+            for two in granted:
+                if one.holder == two.holder or one.end > two.start:
+                    continue
+                freed = any(
+                    item.what == "sealed"
+                    and item.holder == one.holder
+                    and item.start < two.end
+                    for item in items
+                )
+                if not freed:
+                    faults.append(
+                        f"{key} granted to {two.holder} while "
+                        f"{one.holder} held it"
+                    )
+    return faults
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -75,6 +75,9 @@
             rng=rng,
             now=self._loop.time(),
         )
+        # What the state machine holds; consensus itself may be ahead while
+        # an output is being synced.
+        self._applied = loaded.log.snapshot.index
         self._peers: dict[consensus.ReplicaId, channel.Channel] = {}
         self._wake = asyncio.Event()
         self._number = 0
@@ -279,7 +282,7 @@
         self._read_here(self._next_number(), fut)
 
     async def _wait_applied(self, index: int) -> bool:
-        if self._raft.applied >= index:
+        if self._applied >= index:
             return True
         fut: asyncio.Future[None] = self._loop.create_future()
         self._applied_waiters.append((index, fut))
@@ -342,9 +345,7 @@
         for token, good in out.reads:
             index = self._raft.commit if good else None
             _settle(self._reads.pop(token, None), index)
-        if self._raft.applied - self._raft.log.snapshot.index >= (
-            self._compact_at
-        ):
+        if self._applied - self._raft.log.snapshot.index >= self._compact_at:
             await self._compact()
 
     async def _install(self, out: raft.Output) -> None:
@@ -352,12 +353,13 @@
         assert snapshot is not None
         await self._disk.compact(snapshot, self._raft.hard, self._raft.log)
         self.machine.restore(_IMAGES.decode(snapshot.data))
+        self._applied = snapshot.index
         for watcher in list(self._watchers):
             watcher(None)
 
     async def _compact(self) -> None:
         image = codec.encode(self.machine.image())
-        snapshot = self._raft.compact(self._raft.applied, image)
+        snapshot = self._raft.compact(self._applied, image)
         await self._disk.compact(snapshot, self._raft.hard, self._raft.log)
 
     def _apply(self, entries: list[consensus.Entry]) -> None:
@@ -371,7 +373,9 @@
             changes = self.machine.changes_after(before)
             for watcher in list(self._watchers):
                 watcher(changes)
-        applied = self._raft.applied
+        if entries:
+            self._applied = entries[-1].index
+        applied = self._applied
         for index, fut in self._applied_waiters:
             if index <= applied:
                 _settle(fut, None)
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,47 @@
+"""The checker of histories finds wrong ones; runs leave none."""
+
+from lab import history
+from lab import linear
+
+W = linear.Wrote
+R = linear.Read
+C = linear.Claimed
+
+
+def test_a_good_history_is_passed() -> None:
+    writes = [W("a", 1.0, 0, 0, 1, 1), W("a", 2.0, 1, 2, None, None)]
+    reads = [R("a", 1.5, 1.6, 1, 1.0), R("a", 3, 4, 2, 2.0)]
+    assert not linear.check_writes(writes, reads)
+
+
+def test_wrong_histories_of_settings_are_found() -> None:
+    one = W("a", 1.0, 0, 0, 1, 1)
+    assert linear.check_writes([one, W("b", 1.0, 0, 2, 3, 1)], [])
+    assert linear.check_writes([W("a", 1.0, 0, 0, 1, 5), one], []) == [
+        "two writes won on ('a', 0)"
+    ]
+    late = W("b", 1.0, 0, 2, 3, 1)
+    assert linear.check_writes([W("a", 1.0, 0, 0, 1, 5), late], [])
+    assert linear.check_writes([one], [R("a", 2, 3, 0, None)])
+    assert linear.check_writes([one], [R("a", 2, 3, 1, 9.0)])
+    assert linear.check_writes([one], [R("a", 2, 3, 2, 9.0)])
+    assert linear.check_writes(
+        [W("a", 1.0, 0, 9, 10, 1)], [R("a", 2, 3, 1, 1)]
+    )
+
+
+def test_wrong_histories_of_claims_are_found() -> None:
+    first = C("k", "x", "granted", 0, 1)
+    second = C("k", "y", "granted", 2, 3)
+    assert linear.check_claims([first, second])
+    sealed = C("k", "x", "sealed", 1.2, 1.3)
+    assert not linear.check_claims([first, sealed, second])
+    done = C("k", "x", "answered", 1.2, 1.3)
+    assert linear.check_claims([first, done, done])
+
+
+def test_runs_with_kills_and_cuts_leave_a_good_history() -> None:
+    for seed in range(4):
+        _, writes, claims, wrong = history.run_seed(seed)
+        assert writes > 5 and claims > 10
+        assert not wrong
