--- /dev/null
+++ b/lab/slopes.py
@@ -0,0 +1,499 @@
+"""Measures what each thing costs: python -m lab.slopes.
+
+Prints, for docs/CAPACITY.md, the raw points and a fitted line for each
+slope, beside a calibration loop, since machines differ.  Everything runs
+in this process on loopback or in memory, and ends by itself.
+"""
+
+import asyncio
+import gc
+import json
+import pathlib
+import random
+import statistics
+import tempfile
+import time
+import tracemalloc
+from typing import Callable
+from typing import NamedTuple
+
+from rackpost.consensus import messages as consensus
+from rackpost.consensus import raft
+from rackpost.consensus import storage
+from rackpost.control import messages as control
+from rackpost.decide import book
+from rackpost.decide import demand
+from rackpost.decide import placement
+from rackpost.decide import slots
+from rackpost.decide import views
+from rackpost.entry import attempt
+from rackpost.link import codec
+from rackpost.link import messages
+from rackpost.state import commands
+from rackpost.state import machine
+from rackpost.state import terms
+from rackpost.state import tree
+from rackpost.testing import cluster
+from rackpost.testing import virtual
+from rackpost import types
+
+BUILD = pathlib.Path("build")
+_TRIES = 5
+
+
+class Line(NamedTuple):
+    """A fitted line: cost at nothing, cost for each, error of the fit."""
+
+    base: float
+    slope: float
+    error: float
+
+
+def fit(points: list[tuple[float, float]]) -> Line:
+    """The least-squares line, and its root mean square error."""
+    xs = [x for x, _ in points]
+    ys = [y for _, y in points]
+    slope, base = statistics.linear_regression(xs, ys)
+    squares = [(y - base - slope * x) ** 2 for x, y in points]
+    return Line(base, slope, (sum(squares) / len(points)) ** 0.5)
+
+
+def calibration() -> float:
+    """Seconds for a fixed loop of this interpreter."""
+    times = []
+    for _ in range(_TRIES):
+        began = time.process_time()
+        total = 0
+        for number in range(1_000_000):
+            total += number & 7
+        times.append(time.process_time() - began)
+    return min(times)
+
+
+def cpu_of(work: Callable[[], None]) -> float:
+    """The least processor time of a few runs, in seconds."""
+    times = []
+    for _ in range(_TRIES):
+        gc.collect()
+        began = time.process_time()
+        work()
+        times.append(time.process_time() - began)
+    return min(times)
+
+
+def memory_of(make: Callable[[], object]) -> int:
+    """Bytes that what `make` gives holds."""
+    gc.collect()
+    tracemalloc.start()
+    held = make()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del held
+    return size
+
+
+# What is measured; each gives (size, seconds or bytes) points.
+
+
+def _load(role: types.Role) -> messages.Load:
+    room = tuple(0.1 for _ in messages.ROOM_SLACKS_S)
+    return messages.Load(
+        role=role,
+        revision=types.Revision(9),
+        slots=20,
+        used=9,
+        room_s=room,
+    )
+
+
+def _views(count: int) -> list[views.EndpointView]:
+    found = []
+    for idx in range(count):
+        role = types.Role.PREFILL if idx % 2 else types.Role.DECODE
+        found.append(
+            views.EndpointView(
+                agent=types.AgentId(f"a{idx}"),
+                service=types.ServiceName("s"),
+                data_centre=types.DataCentre("d"),
+                load=_load(role),
+                delay_s=0.0005,
+                now=0.0,
+            )
+        )
+    return found
+
+
+def _ask() -> views.Ask:
+    return views.Ask(
+        service=types.ServiceName("s"),
+        kind=types.KindName("k"),
+        prompt_tokens=2000,
+        max_tokens=100,
+        blocks=tuple(types.BlockHash(n) for n in range(15)),
+        kv_bytes=200_000_000,
+        ttft_s=0.59,
+        tbt_s=0.058,
+    )
+
+
+def placement_times() -> dict[int, tuple[float, float]]:
+    """Microseconds of a placement: median and p99, by replicas."""
+    policy = placement.JointPolicy(rng=random.Random(1))
+    found = {}
+    for count in (8, 16, 32, 64, 600):
+        pool = _views(count)
+        ask = _ask()
+        times = []
+        for _ in range(600):
+            began = time.perf_counter()
+            policy.place(ask=ask, pool=pool, now=1.0)
+            times.append((time.perf_counter() - began) * 1e6)
+        times.sort()
+        found[count] = (times[len(times) // 2], times[int(len(times) * 0.99)])
+    return found
+
+
+def reserve_cpu() -> list[tuple[float, float]]:
+    """Processor time of promises and ends at an agent, by how many."""
+    points = []
+    for count in (500, 1000, 2000):
+
+        def work() -> None:
+            kept = book.PromiseBook(
+                spec=book.EndpointSpec(role=types.Role.DECODE)
+            )
+            for idx in range(count):
+                key = slots.Key(types.RequestId(f"r{idx}"), types.Attempt(1))
+                kept.promise(_reserve(idx), key, idx * 0.01)
+                kept.ready(key)
+                kept.next_start(idx * 0.01)
+                kept.load(idx * 0.01)
+                if idx >= 18:
+                    old = slots.Key(
+                        types.RequestId(f"r{idx - 18}"), types.Attempt(1)
+                    )
+                    kept.end(old, idx * 0.01, whole=True)
+
+        points.append((float(count), cpu_of(work)))
+    return points
+
+
+def _reserve(idx: int) -> messages.Reserve:
+    return messages.Reserve(
+        req=types.RequestId(f"r{idx}"),
+        attempt=types.Attempt(1),
+        part=types.Role.DECODE,
+        service=types.ServiceName("s"),
+        kind=types.KindName("k"),
+        revision=types.Revision(1),
+        within_s=0.5,
+        prompt_tokens=2000,
+        max_tokens=100,
+        kv_bytes=20_000_000,
+    )
+
+
+def token_cpu() -> list[tuple[float, float]]:
+    """Processor time to code and decode token frames, by how many."""
+    decoder = codec.Decoder(kinds=messages.FromAgent)
+    points = []
+    for count in (5_000, 10_000, 20_000):
+
+        def work() -> None:
+            for idx in range(count):
+                msg = messages.Tokens(
+                    req=types.RequestId("rp-0123456789abcdef01234567"),
+                    attempt=types.Attempt(1),
+                    offset=idx,
+                    pieces=("token ",),
+                )
+                decoder.decode(codec.encode(msg))
+
+        points.append((float(count), cpu_of(work)))
+    return points
+
+
+def demand_cpu() -> list[tuple[float, float]]:
+    """Processor time to count demand, by requests a second."""
+    points = []
+    for rate in (5, 10, 20, 40):
+
+        def work() -> None:
+            seen = demand.Demand()
+            for idx in range(2000):
+                offer = demand.Offer(idx / rate, idx % 7, 0.05, 0.5)
+                seen.offered(types.KindName("k"), offer)
+                seen.above(offer)
+
+        points.append((float(rate), cpu_of(work) / 2000))
+    return points
+
+
+def settings_memory() -> list[tuple[float, float]]:
+    """Bytes of a settings tree, by nodes of four values."""
+    points = []
+    for count in (500, 1000, 2000):
+
+        def make() -> object:
+            kept = tree.Tree()
+            for idx in range(count):
+                values = {
+                    "weight": float(idx),
+                    "ttft_s": 0.5,
+                    "max_open": 10,
+                    "caller_key": f"{idx:064x}",
+                }
+                node = tree.Node(
+                    revision=types.Revision(idx), values=dict(values)
+                )
+                kept.put(f"district/{idx}", node)
+            return kept
+
+        points.append((float(count), float(memory_of(make))))
+    return points
+
+
+def endpoint_memory() -> list[tuple[float, float]]:
+    """Bytes that an entry holds for known endpoints, hints not full."""
+    return [
+        (float(count), float(memory_of(lambda: _views(count))))
+        for count in (100, 200, 400)
+    ]
+
+
+def stream_memory() -> list[tuple[float, float]]:
+    """Bytes that an entry holds for open attempts."""
+    points = []
+    for count in (200, 400, 800):
+
+        async def main() -> int:
+            return memory_of(lambda: [_attempt(idx) for idx in range(count)])
+
+        points.append((float(count), float(virtual.run(main()))))
+    return points
+
+
+def _attempt(idx: int) -> attempt.Attempt:
+    from rackpost.entry import pool
+    from rackpost.entry import request
+    from rackpost import metrics
+
+    rng = random.Random(idx)
+    return attempt.Attempt(
+        req=request.Request(
+            req=types.RequestId(f"r{idx}"),
+            caller=types.CallerId("c"),
+            service=types.ServiceName("s"),
+            kind=types.KindName("k"),
+            terms=terms.Terms(),
+            body=bytes(4000),
+        ),
+        number=types.Attempt(1),
+        ask=_ask(),
+        offset=0,
+        pool=pool.Pool(rng=rng),
+        policy=placement.JointPolicy(rng=rng),
+        metrics=metrics.Metrics(),
+        priority=0,
+    )
+
+
+def claim_cpu() -> list[tuple[float, float]]:
+    """Processor time of claims and ends in the table, by how many."""
+    points = []
+    for count in (2_000, 4_000, 8_000):
+
+        def work() -> None:
+            state = machine.Machine()
+            for at in range(0, count, 100):
+                state.apply(_claim_batch(at))
+
+        points.append((float(count), cpu_of(work)))
+    return points
+
+
+def _claim_batch(at: int) -> commands.ClaimBatch:
+    claims = []
+    settled = []
+    for idx in range(at, at + 100):
+        one = commands.ClaimOne(
+            key=types.ClaimKey(f"{idx:032x}"),
+            agent=types.AgentId("a"),
+            incarnation=types.Incarnation(1),
+            req=types.RequestId(f"r{idx}"),
+            attempt=types.Attempt(1),
+        )
+        claims.append(one)
+        settled.append(
+            commands.SettleOne(
+                key=one.key, req=one.req, attempt=one.attempt, state="answered"
+            )
+        )
+    return commands.ClaimBatch(
+        at=float(at),
+        keep_s=600.0,
+        claims=tuple(claims),
+        settled=tuple(settled),
+    )
+
+
+def claim_bytes() -> list[tuple[float, float]]:
+    """Bytes of a claim batch in the log, by claims in it."""
+    points = []
+    for count in (10, 50, 100):
+        batch = _claim_batch(0)
+        cut = commands.ClaimBatch(
+            at=0.0,
+            keep_s=600.0,
+            claims=batch.claims[:count],
+            settled=batch.settled[:count],
+        )
+        points.append((float(count), float(len(codec.encode(cut)))))
+    return points
+
+
+def change_bytes() -> dict[str, int]:
+    """Bytes of the messages of control and of the agents' summaries."""
+    node = tree.Node(
+        revision=types.Revision(9), values={"tolk/dispatch.ttft_s": 0.4}
+    )
+    change = machine.Change(
+        revision=types.Revision(9),
+        op="0123456789abcdef",
+        who="operator",
+        at=1.0,
+        path="district/school",
+        before=node,
+        node=node,
+    )
+    status = control.Status(
+        name="entry-1",
+        incarnation=types.Incarnation(time.time_ns()),
+        revision=types.Revision(9),
+    )
+    alive = control.Alive(revision=types.Revision(9))
+    summary = messages.Summary(load=_load(types.Role.DECODE))
+    return {
+        "feed of one change": len(
+            codec.encode(control.Feed(changes=(change,)))
+        ),
+        "status": len(codec.encode(status)),
+        "alive": len(codec.encode(alive)),
+        "summary": len(codec.encode(summary)),
+    }
+
+
+def feed_cpu() -> list[tuple[float, float]]:
+    """Processor time to feed one change, by watchers."""
+    points = []
+    node = tree.Node(revision=types.Revision(9), values={"weight": 2.0})
+    change = machine.Change(
+        revision=types.Revision(9), path="district", node=node
+    )
+    msg = control.Feed(changes=(change,))
+    for count in (100, 200, 400):
+
+        def work() -> None:
+            for _ in range(count):
+                codec.encode(msg)
+
+        points.append((float(count), cpu_of(work)))
+    return points
+
+
+async def _sync_times(folder: pathlib.Path) -> tuple[float, float]:
+    """Milliseconds of a synced append: median and p99."""
+    storage.create(
+        folder,
+        replica=consensus.ReplicaId("c0"),
+        config=consensus.Config(voters=(consensus.ReplicaId("c0"),)),
+    )
+    disk = storage.FileDisk(folder=folder)
+    disk.load()
+    times = []
+    for index in range(1, 301):
+        out = raft.Output()
+        out.append = [
+            consensus.Entry(
+                index=consensus.Index(index),
+                term=consensus.Term(1),
+                data=bytes(300),
+            )
+        ]
+        began = time.perf_counter()
+        await disk.save(out)
+        times.append((time.perf_counter() - began) * 1e3)
+    disk.close()
+    times.sort()
+    return times[150], times[297]
+
+
+def leaderless() -> tuple[float, float]:
+    """Virtual seconds without a leader after a kill: median, most."""
+
+    async def main(seed: int) -> float:
+        names = ("c0", "c1", "c2")
+        group = cluster.Cluster(names=names, seed=seed)
+        old = await group.await_leader()
+        await asyncio.sleep(0.5)
+        loop = asyncio.get_running_loop()
+        group.kill(old)
+        began = loop.time()
+        await group.await_leader(but=old)
+        took = loop.time() - began
+        group.close()
+        return took
+
+    times = sorted(virtual.run(main(seed)) for seed in range(40))
+    return times[20], times[-1]
+
+
+_LINES = {
+    "agent: reservation and end (s)": reserve_cpu,
+    "link: token frame, coded and decoded (s)": token_cpu,
+    "entry: counting demand, by requests a second (s)": demand_cpu,
+    "entry: known endpoint (bytes)": endpoint_memory,
+    "entry: open attempt (bytes)": stream_memory,
+    "all: settings node (bytes)": settings_memory,
+    "control: claim and its end (s)": claim_cpu,
+    "control: claim and its end in the log (bytes)": claim_bytes,
+    "control: feeding one change to a watcher (s)": feed_cpu,
+}
+
+
+def main() -> None:
+    """Measure everything and print it."""
+    loop = calibration()
+    print(f"calibration: a million turns of a loop take {loop * 1e3:.1f} ms")
+    report: dict[str, object] = {"calibration_s": loop}
+    for name, measure in _LINES.items():
+        points = measure()
+        line = fit(points)
+        report[name] = {"points": points, "line": line._asdict()}
+        shown = " ".join(f"{x:g}:{y:.4g}" for x, y in points)
+        print(
+            f"{name}: {line.slope:.4g} each, base {line.base:.3g}, "
+            f"error {line.error:.2g}  [{shown}]"
+        )
+    for count, (middle, high) in placement_times().items():
+        print(
+            f"placement among {count}: {middle:.0f} us median, "
+            f"{high:.0f} us p99, {middle / loop / 1e3:.2f} of a thousandth "
+            "of the loop"
+        )
+    for name, size in change_bytes().items():
+        print(f"{name}: {size} bytes")
+    with tempfile.TemporaryDirectory() as folder:
+        middle, high = asyncio.run(
+            _sync_times(pathlib.Path(folder) / "replica")
+        )
+    print(f"synced append: {middle:.2f} ms median, {high:.2f} ms p99")
+    middle, high = leaderless()
+    print(f"without a leader: {middle:.2f} s median, {high:.2f} s at most")
+    BUILD.mkdir(exist_ok=True)
+    (BUILD / "slopes.json").write_text(json.dumps(report, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/rackpost/decide/placement.py
+++ b/rackpost/decide/placement.py
@@ -19,6 +19,9 @@
 # Pairs are only formed among this many of the best of each pool, which
 # bounds the time of a decision however large the pools are.
 _SHORT_LIST = 4
+# Of a larger pool only this many, drawn by chance, are looked at: the best
+# of many is nearly as good as the best of all (Mitzenmacher, 2001).
+_LARGE_POOL = 48
 # Predictions that differ by less than this are taken as equal, so that
 # entries with the same figures do not all choose the same endpoint.
 _TIE_S = 0.005
@@ -93,6 +96,20 @@
         excluded: Collection[types.AgentId] = (),
     ) -> Placement | types.Refusal:
         """Choose the pair with the least predicted time."""
+        if len(pool) > _LARGE_POOL:
+            some = self._rng.sample(pool, _LARGE_POOL)
+            found = self._place(ask, some, now, excluded)
+            if found is not types.Refusal.NO_ENDPOINT:
+                return found
+        return self._place(ask, pool, now, excluded)
+
+    def _place(
+        self,
+        ask: views.Ask,
+        pool: Sequence[views.EndpointView],
+        now: float,
+        excluded: Collection[types.AgentId],
+    ) -> Placement | types.Refusal:
         decodes = by_role(pool, types.Role.DECODE, excluded)
         prefills = by_role(pool, types.Role.PREFILL, excluded)
         if not decodes or not prefills:
