Entry: the steps of each request, and what entry and agent add

Cause: nothing told why a request was placed where it was, or where its time went. The entry keeps the steps of its latest 2,048 requests; rackpost explain prints them to their caller. make overhead compares the path with the engines called directly.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CODE := rackpost tests lab spec
 
 .PHONY: test demo format lint bench bench-quick model model-mutants \
-	history slopes drill drill-quick lock clean
+	history slopes overhead drill drill-quick lock clean
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv .venv
@@ -41,6 +41,9 @@
 history: $(STAMP)
 	$(PY) -m lab.history
 
+overhead: $(STAMP)
+	$(PY) -m lab.overhead
+
 slopes: $(STAMP)
 	$(PY) -m lab.slopes
 
--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -277,6 +277,7 @@
 def _attempt(idx: int) -> attempt.Attempt:
     from rackpost.entry import pool
     from rackpost.entry import request
+    from rackpost.entry import trace
     from rackpost import metrics
 
     rng = random.Random(idx)
@@ -295,6 +296,7 @@
         pool=pool.Pool(rng=rng),
         policy=placement.JointPolicy(rng=rng),
         metrics=metrics.Metrics(),
+        traces=trace.Traces(),
         priority=0,
     )
 
--- a/rackpost/cmd_operator.py
+++ b/rackpost/cmd_operator.py
@@ -189,13 +189,32 @@
     ] = ""
 
 
+@cappa.command(name="explain", help="Show the steps of a request.")
+@dataclasses.dataclass(kw_only=True)
+class Explain:
+    """Show where a request was placed, why, and what became of it."""
+
+    request_id: Annotated[str, cappa.Arg(help="id that the answer carries")]
+    entry: Annotated[
+        str,
+        cappa.Arg(
+            long="--entry",
+            default=cappa.Env("RACKPOST_ENTRY"),
+            help="address of the entry that served it [RACKPOST_ENTRY]",
+        ),
+    ]
+    caller_key_file: Annotated[
+        str, cappa.Arg(long="--caller-key-file", help="the caller's key")
+    ]
+
+
 @cappa.command(name="rackpost")
 @dataclasses.dataclass(kw_only=True)
 class Operator:
     """Look at a site and change it."""
 
     what: cappa.Subcommands[
-        Settings | Apply | Events | Status | Order | Replicas
+        Settings | Apply | Events | Status | Order | Replicas | Explain
     ]
 
 
@@ -525,6 +544,36 @@
     return json.dumps(Control(site=asked).post("/v1/replicas", body))
 
 
+def explain(asked: Explain) -> str:
+    """The steps of a request as text."""
+    try:
+        key = pathlib.Path(asked.caller_key_file).read_text().strip()
+    except OSError as exc:
+        raise exceptions.ConfigError(
+            f"--caller-key-file: {exc.strerror}"
+        ) from exc
+    base = asked.entry if "//" in asked.entry else f"http://{asked.entry}"
+    req = urllib.request.Request(
+        f"{base}/v1/requests/{urllib.parse.quote(asked.request_id)}",
+        headers={"Authorization": f"Bearer {key}"},
+    )
+    try:
+        with urllib.request.urlopen(req, timeout=_TIMEOUT_S) as resp:
+            found = json.load(resp)
+    except urllib.error.HTTPError as exc:
+        text = exc.read().decode(errors="replace")
+        raise exceptions.SettingsError(_explain(text)) from exc
+    except OSError as exc:
+        raise exceptions.ControlError(f"{base}: {exc}") from exc
+    lines = [f"{found['req']}: {found['service']}, {found['kind']}"]
+    for step in found["steps"]:
+        lines.append(
+            f"  {step['at_s']:>9.4f} s  {step['what']:<10} "
+            f"{step['agent']:<16} {step['detail']}"
+        )
+    return "\n".join(lines)
+
+
 _ACTIONS: dict[type, Callable[[Any], str]] = {
     Show: show,
     Set: change,
@@ -537,6 +586,7 @@
     Status: status,
     Order: order,
     Replicas: replicas,
+    Explain: explain,
 }
 
 
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -21,7 +21,7 @@
 
 T = TypeVar("T")
 
-_TICK_S = 0.02
+_TICK_S = 0.05
 # The log is compacted when it holds this many records.
 COMPACT_AT = 4096
 # How long a command or a confirmed read may take before it is given up.
--- a/rackpost/decide/placement.py
+++ b/rackpost/decide/placement.py
@@ -21,7 +21,7 @@
 _SHORT_LIST = 4
 # Of a larger pool only this many, drawn by chance, are looked at: the best
 # of many is nearly as good as the best of all (Mitzenmacher, 2001).
-_LARGE_POOL = 48
+_LARGE_POOL = 24
 # Predictions that differ by less than this are taken as equal, so that
 # entries with the same figures do not all choose the same endpoint.
 _TIE_S = 0.005
--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -13,6 +13,7 @@
 from rackpost.decide import views
 from rackpost.entry import pool as pool_mod
 from rackpost.entry import request
+from rackpost.entry import trace as trace_mod
 from rackpost.link import messages
 from rackpost import metrics as metrics_mod
 from rackpost import types
@@ -95,6 +96,7 @@
         pool: pool_mod.Pool,
         policy: placement.Policy,
         metrics: metrics_mod.Metrics,
+        traces: trace_mod.Traces,
         priority: int,
         kept: Kept | None = None,
     ) -> None:
@@ -110,6 +112,7 @@
         self._pool = pool
         self._policy = policy
         self._metrics = metrics
+        self._traces = traces
         self._priority = priority
         self._inbox: asyncio.Queue[msgspec.Struct] = asyncio.Queue()
         self._loop = asyncio.get_running_loop()
@@ -162,6 +165,12 @@
             if isinstance(plan, types.Refusal):
                 return plan
             self._plan = plan
+            self._note(
+                "placed",
+                plan.decode,
+                f"prefill at {plan.prefill}, first token expected in "
+                f"{plan.ttft_s:.3f} s",
+            )
             reason = await self._ask_agents(plan)
             if reason is None:
                 return None
@@ -169,6 +178,9 @@
             if self.refusals >= MAX_REFUSALS:
                 return reason
 
+    def _note(self, what: str, agent: str = "", detail: str = "") -> None:
+        self._traces.note(self.req.req, what, agent=agent, detail=detail)
+
     async def _ask_agents(
         self, plan: placement.Placement
     ) -> types.Refusal | None:
@@ -271,11 +283,13 @@
             agent = self._agents[msg.part]
             waiting.pop(agent, None)
             self._granted[msg.part] = msg
+            self._note("promised", agent, f"in {msg.ready_in_s:.3f} s")
             return None
         if isinstance(msg, messages.Refused):
             agent = self._agents[msg.part]
             waiting.pop(agent, None)
             self._drop(agent)
+            self._note("refused", agent, msg.reason.value)
             return msg.reason
         if isinstance(msg, _Gone):
             if waiting.pop(msg.agent, None) is not None:
@@ -333,6 +347,7 @@
                 self._used.pop(agent, None)
                 took = self._loop.time() - sent_at
                 self._went_well(agent, took, expected)
+                self._note("prefilled", agent, f"{msg.cached_tokens} cached")
                 peer.view.hints.add(self.req.blocks)
                 self._kept = Kept(msg.kv, self._loop.time())
                 return None
@@ -396,6 +411,7 @@
                 return
             if first:
                 first = False
+                self._note("first part", self._agents[role])
                 self._first_came(role, sent_at)
             for event, size in self._events_of(msg, at):
                 yield event
@@ -453,6 +469,7 @@
             if agent is not None:
                 self._used.pop(agent, None)
             kept = None if msg.ran else self._kept
+            self._note("broke", agent or "", msg.reason.value)
             return Broken(msg.reason, msg.ran, agent, kept)
         if isinstance(msg, _Gone):
             self._used.pop(msg.agent, None)
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -22,6 +22,7 @@
 from rackpost.entry import claims as claims_mod
 from rackpost.entry import pool as pool_mod
 from rackpost.entry import request
+from rackpost.entry import trace as trace_mod
 from rackpost import exceptions
 from rackpost.link import channel
 from rackpost.link import messages
@@ -87,6 +88,7 @@
         self.events = events
         self.wall = wall
         self.metrics = metrics or metrics_mod.Metrics()
+        self.traces = trace_mod.Traces()
         self.pool = pool_mod.Pool(rng=rng)
         self._policies: Mapping[bool, placement.Policy] = {
             False: models,
@@ -193,6 +195,12 @@
         Closing the generator early, as when the caller is gone, releases
         all that is held for the request.
         """
+        self.traces.begin(
+            req=req.req,
+            caller=req.caller,
+            service=req.service,
+            kind=req.kind,
+        )
         reason = self._turn_away(req)
         if reason is not None:
             yield self._refuse(req, reason)
@@ -274,6 +282,7 @@
             pool=self.pool,
             policy=self._policies[req.plain is not None],
             metrics=self.metrics,
+            traces=self.traces,
             priority=-int(req.terms.weight * 100),
             kept=kept,
         )
@@ -527,6 +536,8 @@
         now = self._loop.time()
         kind = item.req.kind
         if isinstance(event, request.End):
+            why = event.reason.value if event.reason else ""
+            self.traces.note(item.req.req, event.outcome.value, detail=why)
             if event.outcome is types.Outcome.ANSWERED:
                 self.metrics.time("whole", kind, now - item.began)
                 self._observe_gaps(item, event, now)
--- a/rackpost/entry/http.py
+++ b/rackpost/entry/http.py
@@ -92,6 +92,7 @@
                     self._plain,
                     methods=plain_methods,
                 ),
+                routing.Route("/v1/requests/{request_id}", self._explain),
                 routing.Route("/metrics", self._metrics),
                 routing.Route("/healthz", self._healthz),
                 routing.Route("/readyz", self._readyz),
@@ -113,6 +114,22 @@
             return responses.PlainTextResponse("ready\n")
         return responses.PlainTextResponse("no settings yet\n", 503)
 
+    async def _explain(self, req: requests.Request) -> responses.Response:
+        """The steps of one of the caller's own latest requests."""
+        name = types.RequestId(req.path_params["request_id"])
+        try:
+            _, caller = self._authenticate(req)
+            found = self._entry.traces.get(name)
+            if found is None or found.caller != caller:
+                raise exceptions.BadRequest(
+                    "unknown-request", "not one of your latest", status=404
+                )
+        except exceptions.BadRequest as exc:
+            return _bad(exc, name)
+        return responses.Response(
+            msgspec.json.encode(found), media_type="application/json"
+        )
+
     # Requests.
 
     async def _chat(self, req: requests.Request) -> responses.Response:
--- /dev/null
+++ b/rackpost/entry/trace.py
@@ -0,0 +1,81 @@
+"""What became of each of the latest requests, step by step."""
+
+import asyncio
+from collections import OrderedDict
+
+import msgspec
+
+from rackpost import types
+
+# The latest requests whose steps are kept, and steps of one request.
+_KEPT = 2048
+_MAX_STEPS = 64
+
+
+class Step(msgspec.Struct, frozen=True, kw_only=True):
+    """One step: seconds since the request came, what, at which agent."""
+
+    at_s: float
+    what: str
+    agent: str = ""
+    detail: str = ""
+
+
+class Trace(msgspec.Struct, kw_only=True):
+    """The steps of one request, as `rackpost explain` prints them."""
+
+    req: types.RequestId
+    caller: types.CallerId
+    service: types.ServiceName
+    kind: types.KindName
+    began: float
+    steps: list[Step]
+
+
+class Traces:
+    """The traces of the latest requests of an entry."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._traces: OrderedDict[types.RequestId, Trace] = OrderedDict()
+
+    def begin(
+        self,
+        *,
+        req: types.RequestId,
+        caller: types.CallerId,
+        service: types.ServiceName,
+        kind: types.KindName,
+    ) -> None:
+        """A request came in."""
+        self._traces[req] = Trace(
+            req=req,
+            caller=caller,
+            service=service,
+            kind=kind,
+            began=self._loop.time(),
+            steps=[],
+        )
+        while len(self._traces) > _KEPT:
+            self._traces.popitem(last=False)
+
+    def note(
+        self,
+        req: types.RequestId,
+        what: str,
+        *,
+        agent: str = "",
+        detail: str = "",
+    ) -> None:
+        """Add a step; of a request that is forgotten, nothing."""
+        trace = self._traces.get(req)
+        if trace is None or len(trace.steps) >= _MAX_STEPS:
+            return
+        at = round(self._loop.time() - trace.began, 6)
+        trace.steps.append(
+            Step(at_s=at, what=what, agent=agent, detail=detail)
+        )
+
+    def get(self, req: types.RequestId) -> Trace | None:
+        """The trace of a request, if it is still kept."""
+        return self._traces.get(req)
