Programs: uvloop and httptools under asyncio

Cause: entry and agent add 9.1 ms to the first token, most of it in the event loop and the HTTP parser.

Measured (make overhead, one run each): added at the median 9.1 ms before, 7.0 ms after; with fifty streams open 100 ms before, 48 ms after; the entry 235 us a token before, 217 us after; resident memory of entry and agent 52 and 48 MB before, 55 and 51 MB after.

Conclusion: kept, the goal of 2 ms is still missed. One in a hundred takes 40 to 60 ms longer; the cause is not found yet.

--- a/rackpost/http_server.py
+++ b/rackpost/http_server.py
@@ -40,7 +40,7 @@
         ssl_certfile=tls[0] if tls else None,
         ssl_keyfile=tls[1] if tls else None,
         server_header=False,
-        http="h11",
+        http="httptools",
     )
     server = _Server(cfg)
     task = asyncio.create_task(server.serve(sockets=[sock]))
--- a/rackpost/program.py
+++ b/rackpost/program.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 import cappa
+import uvloop
 
 from rackpost import exceptions
 from rackpost import logs
@@ -32,7 +33,7 @@
     """Run a program to its end; a bad setting gives one clear line."""
     logs.to_stream()
     try:
-        asyncio.run(main())  # type: ignore[arg-type]
+        uvloop.run(_as_coroutine(main))
     except exceptions.UserError as exc:
         die(str(exc))
     except exceptions.StorageError as exc:
@@ -43,6 +44,10 @@
         sys.exit(130)
 
 
+async def _as_coroutine(main: Callable[[], Awaitable[Any]]) -> None:
+    await main()
+
+
 def die(text: str, *, code: int = BAD_USE) -> NoReturn:
     """End the program with one line on standard error."""
     print(f"rackpost: {text}", file=sys.stderr)
