--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CODE := rackpost tests lab spec
 
 .PHONY: test demo format lint bench bench-quick model model-mutants \
-	history slopes overhead drill drill-quick lock clean
+	history settings-page slopes overhead drill drill-quick lock clean
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv .venv
@@ -44,6 +44,9 @@
 overhead: $(STAMP)
 	$(PY) -m lab.overhead
 
+settings-page: $(STAMP)
+	$(PY) -m lab.settings_page
+
 slopes: $(STAMP)
 	$(PY) -m lab.slopes
 
