--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CODE := rackpost tests lab spec
 
 .PHONY: test demo format lint bench bench-quick model model-mutants \
-	history settings-page slopes overhead drill drill-quick lock clean
+	history settings-page slopes control-load overhead drill drill-quick lock clean
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv .venv
@@ -47,6 +47,9 @@
 settings-page: $(STAMP)
 	$(PY) -m lab.settings_page
 
+control-load: $(STAMP)
+	$(PY) -m lab.control_load
+
 slopes: $(STAMP)
 	$(PY) -m lab.slopes
 
