In force: entries and agents tell each other their revision

Cause: the revision on a reservation was the agent's own, sent back; a process whose feed was lost only learned of a change from the next Alive. Entries now send theirs, agents send theirs with each load, and the one behind fetches. Three refusal reasons that nothing gave are gone.

The one behind does not wait for the fetch before it decides its next request.

--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -297,6 +297,7 @@
         policy=placement.JointPolicy(rng=rng),
         metrics=metrics.Metrics(),
         traces=trace.Traces(),
+        revision=types.Revision(1),
         priority=0,
     )
 
--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -8,6 +8,7 @@
 import contextlib
 from typing import AsyncIterator
 from typing import Awaitable
+from typing import Callable
 from typing import Coroutine
 from typing import Iterator
 from typing import TypeVar
@@ -65,7 +66,11 @@
 
 
 class Agent:
-    """Serves reservations and attempts for one endpoint."""
+    """Serves reservations and attempts for one endpoint.
+
+    `behind` is told of each revision that an entry runs on, so that a
+    newer one is fetched.
+    """
 
     def __init__(
         self,
@@ -74,8 +79,10 @@
         engine: engine_mod.Engine,
         book: book_mod.Book,
         metrics: metrics_mod.Metrics | None = None,
+        behind: Callable[[types.Revision], object] = lambda revision: None,
     ) -> None:
         self.cfg = cfg
+        self._behind = behind
         self.book = book
         self.metrics = metrics or metrics_mod.Metrics()
         self._engine = engine
@@ -131,6 +138,7 @@
     # Promises.
 
     def _on_reserve(self, session: Session, msg: messages.Reserve) -> None:
+        self._behind(msg.revision)
         key = slots.Key(msg.req, msg.attempt)
         if self._sealed.ending(key) is not None:
             made: book_mod.Promise | types.Refusal = types.Refusal.DEADLINE
--- a/rackpost/agent/process.py
+++ b/rackpost/agent/process.py
@@ -51,6 +51,7 @@
             engine=self._engine,
             book=self.book,
             metrics=self.metrics,
+            behind=self._on_peer_revision,
         )
         self.client: client_mod.ControlClient | None = None
         self.orders: orders.Orders | None = None
@@ -92,6 +93,10 @@
         assert self.client is not None
         self.book.revision = self.client.in_force.revision
 
+    def _on_peer_revision(self, revision: types.Revision) -> None:
+        if self.client is not None:
+            self.client.behind(revision)
+
     async def _accept(self, conn: websocket.WebSocketChannel) -> None:
         self.agent.connect(conn)
         await conn.run()
--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -97,6 +97,7 @@
         policy: placement.Policy,
         metrics: metrics_mod.Metrics,
         traces: trace_mod.Traces,
+        revision: types.Revision,
         priority: int,
         kept: Kept | None = None,
     ) -> None:
@@ -113,6 +114,7 @@
         self._policy = policy
         self._metrics = metrics
         self._traces = traces
+        self._revision = revision
         self._priority = priority
         self._inbox: asyncio.Queue[msgspec.Struct] = asyncio.Queue()
         self._loop = asyncio.get_running_loop()
@@ -240,7 +242,7 @@
                 part=role,
                 service=self.req.service,
                 kind=self.req.kind,
-                revision=load.revision,
+                revision=self._revision,
                 within_s=max(0.0, left),
                 ready_in_s=max(0.0, plan.ready_in_s),
                 prompt_tokens=ask.prompt_tokens,
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -41,6 +41,20 @@
 Events = Callable[[types.ServiceName], Sequence[events_mod.Declared]]
 
 
+class InForce:
+    """The settings that the entry runs on, as far as agents matter.
+
+    The base knows of none; a process's own knows its link to control.
+    """
+
+    def revision(self) -> types.Revision:
+        """The revision that is in force here."""
+        return types.Revision(0)
+
+    def behind(self, revision: types.Revision) -> None:
+        """A peer runs on `revision`; fetch it if it is newer."""
+
+
 class EntryConfig(msgspec.Struct, frozen=True, kw_only=True):
     """Who the entry is."""
 
@@ -81,11 +95,13 @@
         rng: random.Random,
         entries: Callable[[], int] = lambda: 1,
         events: Events = lambda service: (),
+        in_force: InForce | None = None,
         wall: Callable[[], float] = time.time,
     ) -> None:
         self.cfg = cfg
         self.entries = entries
         self.events = events
+        self._in_force = in_force or InForce()
         self.wall = wall
         self.metrics = metrics or metrics_mod.Metrics()
         self.traces = trace_mod.Traces()
@@ -125,7 +141,7 @@
                 peer=self.cfg.entry,
                 incarnation=types.Incarnation(0),
                 data_centre=self.cfg.data_centre,
-                revision=types.Revision(0),
+                revision=self._in_force.revision(),
             )
         )
 
@@ -142,6 +158,7 @@
         load = getattr(msg, "load", None)
         if load is not None:
             self.pool.learn(agent, load)
+            self._in_force.behind(load.revision)
         if isinstance(msg, messages.Hello):
             peer.incarnation = msg.incarnation
         elif isinstance(msg, messages.Sealed):
@@ -283,6 +300,7 @@
             policy=self._policies[req.plain is not None],
             metrics=self.metrics,
             traces=self.traces,
+            revision=self._in_force.revision(),
             priority=-int(req.terms.weight * 100),
             kept=kept,
         )
--- a/rackpost/entry/process.py
+++ b/rackpost/entry/process.py
@@ -30,6 +30,21 @@
 _FAR_S = 0.001
 
 
+class _InForce(core.InForce):
+    """What the entry's link to control has put in force."""
+
+    def __init__(self, *, client: client_mod.ControlClient) -> None:
+        self._client = client
+
+    def revision(self) -> types.Revision:
+        """The revision that is in force here."""
+        return self._client.in_force.revision
+
+    def behind(self, revision: types.Revision) -> None:
+        """Fetch what a peer has and this process lacks."""
+        self._client.behind(revision)
+
+
 class EntryProcess:
     """A running entry."""
 
@@ -64,6 +79,7 @@
             rng=self._rng,
             entries=self._count_entries,
             events=self._events,
+            in_force=_InForce(client=self.client),
         )
         self._links: dict[str, asyncio.Task[None]] = {}
         self._linked: dict[str, commands.MemberInfo] = {}
--- a/rackpost/types.py
+++ b/rackpost/types.py
@@ -62,11 +62,9 @@
     LEAVING = "leaving"
     ENDPOINT_AVOIDED = "endpoint-avoided"
     WRONG_ROLE = "wrong-role"
-    STALE_REVISION = "stale-revision"
     CALLER_OPEN_LIMIT = "caller-open-limit"
     ENTRY_STOPPING = "entry-stopping"
     ENTRY_FULL = "entry-full"
-    TWO_REFUSALS = "two-refusals"
     RETRY_BUDGET = "retry-budget"
     DEADLINE = "deadline"
     NO_REPLY = "no-reply"
@@ -75,7 +73,6 @@
     CLAIM_UNKNOWN = "claim-unknown"
     CONTROL_AWAY = "control-away"
     LINK_LOST = "link-lost"
-    SHED = "shed"
     NOT_OF_THE_SITE = "not-of-the-site"
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -233,3 +233,36 @@
         group.close()
 
     virtual.run(main())
+
+
+def test_a_process_that_hears_of_a_newer_revision_fetches_it() -> None:
+    async def main() -> None:
+        group = cluster.Cluster(names=THREE, seed=8)
+        leader = await group.await_leader()
+        client = group.client("e1")
+        running = asyncio.create_task(client.run())
+        await asyncio.sleep(0.5)
+        # Its feed is lost: only a peer tells it of the change.
+        group.up[leader].service._sessions.clear()
+        for item in group.up.values():
+            item.service._feed = lambda changes: None  # type: ignore
+            for session in item.service._sessions:
+                session.watching = False
+        result = await ask(group, write("a"))
+        assert isinstance(result, commands.Accepted)
+        assert client.in_force.revision < result.revision
+        assert client.behind(result.revision)
+        await asyncio.sleep(0.2)
+        assert client.in_force.revision == result.revision
+        # What is older, fed late, is not applied.
+        image = group.up[leader].node.machine.image()
+        assert client.in_force.take_whole(image)
+        await ask(group, write("b", based_on=1))
+        assert client.behind(types.Revision(result.revision + 1))
+        await asyncio.sleep(0.2)
+        assert not client.in_force.take_whole(image)
+        assert client.in_force.revision == result.revision + 1
+        running.cancel()
+        group.close()
+
+    virtual.run(main())
