Scale: idle links nearly silent, demand shared by the whole pool

Cause, from the arithmetic for the capacity page: an entry with 192 links would receive 82 KB/s of summaries and 21 KB/s of keep-alives where 5 KB/s are allowed; and an entry linked to some of a pool took the site's whole demand to fall on those few. An agent now tells an idle entry only what has changed, or every 5 s; links are pinged every 5 s; the demand is divided by the members that control knows.

--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -35,6 +35,11 @@
 LEASE_S = 1.0
 # Idle agents say their load this often, in seconds.
 SUMMARY_S = 0.5
+# One whose load has hardly changed says so this often, in seconds, which
+# bounds what hundreds of idle links cost (docs/CAPACITY.md).
+_SUMMARY_MOST_S = 5.0
+_SLOTS_CHANGED = 2
+_BACKLOG_CHANGED_S = 0.05
 # Bytes of a plain answer that may be on the way to a caller at once, and
 # how long the agent waits for a reader that takes none, in seconds.
 WINDOW_BYTES = 256 << 10
@@ -63,6 +68,7 @@
         self.peer = ""
         self.keys: set[slots.Key] = set()
         self.spoke_at = 0.0
+        self.told: messages.Load | None = None
 
 
 class Agent:
@@ -531,10 +537,15 @@
 
     def _say_summaries(self) -> None:
         now = self._loop.time()
-        msg = messages.Summary(load=self._load())
+        load = self._load()
+        msg = messages.Summary(load=load)
         for session in self._sessions:
-            if now - session.spoke_at >= self.cfg.summary_s:
+            silent = now - session.spoke_at
+            if silent < self.cfg.summary_s:
+                continue
+            if silent >= _SUMMARY_MOST_S or _differs(load, session.told):
                 self._say(session, msg)
+                session.told = load
 
     def leave(self) -> None:
         """Refuse new promises at once and tell every entry so."""
@@ -571,6 +582,17 @@
         super().__init__("slow reader")
 
 
+def _differs(load: messages.Load, told: messages.Load | None) -> bool:
+    if told is None:
+        return True
+    return (
+        abs(load.used - told.used) >= _SLOTS_CHANGED
+        or abs(load.backlog_s - told.backlog_s) >= _BACKLOG_CHANGED_S
+        or (load.leaving, load.avoided) != (told.leaving, told.avoided)
+        or load.revision != told.revision
+    )
+
+
 def _failure_of(exc: exceptions.EngineError) -> types.Failure:
     if isinstance(exc, _SlowReader):
         return types.Failure.SLOW_READER
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -54,6 +54,15 @@
     def behind(self, revision: types.Revision) -> None:
         """A peer runs on `revision`; fetch it if it is newer."""
 
+    def members(
+        self, service: types.ServiceName, role: types.Role
+    ) -> int | None:
+        """How many endpoints the site has; None where that is not known.
+
+        An entry is linked to a few of many.
+        """
+        return None
+
 
 class EntryConfig(msgspec.Struct, frozen=True, kw_only=True):
     """Who the entry is."""
@@ -362,10 +371,15 @@
         seen.offered(req.kind, offer)
         entries = self.entries()
         self._declare(req.service, seen, offer.at, entries)
+        prefills = self._members(req, types.Role.PREFILL) or pool.prefills
+        decodes = self._members(req, types.Role.DECODE) or pool.decodes
         return seen.above(offer).times(
-            entries / max(1, pool.decodes), entries / max(1, pool.prefills)
+            entries / max(1, decodes), entries / max(1, prefills)
         )
 
+    def _members(self, req: request.Request, role: types.Role) -> int | None:
+        return self._in_force.members(req.service, role)
+
     def _declare(
         self,
         service: types.ServiceName,
--- a/rackpost/entry/process.py
+++ b/rackpost/entry/process.py
@@ -44,6 +44,17 @@
         """Fetch what a peer has and this process lacks."""
         self._client.behind(revision)
 
+    def members(
+        self, service: types.ServiceName, role: types.Role
+    ) -> int | None:
+        """How many endpoints of a service and role have joined."""
+        found = self._client.in_force.members.values()
+        return sum(
+            1
+            for member in found
+            if member.service == service and member.role is role
+        )
+
 
 class EntryProcess:
     """A running entry."""
--- a/rackpost/link/websocket.py
+++ b/rackpost/link/websocket.py
@@ -27,9 +27,10 @@
 # A peer that takes nothing is cut off when this much waits for it.
 MAX_WAITING = 16 << 20
 _HANDSHAKE_S = 3.0
-# A silent peer is given up after this long, in seconds.
-_PING_S = 1.0
-_PING_TIMEOUT_S = 2.0
+# A silent peer is given up after both of these, in seconds.  Reservations
+# notice it sooner; a shorter time costs more than all else on idle links.
+_PING_S = 5.0
+_PING_TIMEOUT_S = 3.0
 
 _Conn = websockets.asyncio.connection.Connection
 
--- /dev/null
+++ b/tests/test_demand.py
@@ -0,0 +1,68 @@
+"""Demand of what counts more, for one endpoint of the whole pool."""
+
+import asyncio
+
+from rackpost.decide import demand
+from rackpost.decide import events
+from rackpost.entry import core
+from rackpost.testing import virtual
+from rackpost import types
+from tests import driver
+
+KIND = types.KindName("note")
+
+
+def offer(at: float, density: float, target: float = 0.5) -> demand.Offer:
+    return demand.Offer(at, density, 0.1, target)
+
+
+def test_only_denser_work_counts_and_urgent_work_apart() -> None:
+    seen = demand.Demand()
+    seen.offered(KIND, offer(0.0, 9.0, target=0.2))
+    seen.offered(KIND, offer(0.0, 8.0, target=0.9))
+    seen.offered(KIND, offer(0.0, 1.0, target=0.2))
+    share = seen.above(offer(0.1, 5.0))
+    assert share.urgent_rate == 1 / demand.WINDOW_S
+    assert share.other_rate == 1 / demand.WINDOW_S
+    assert seen.above(offer(9.0, 5.0)) == demand.NONE
+
+
+def test_a_declared_kind_counts_until_it_has_not_shown() -> None:
+    declared = [events.Declared(100.0, 60.0, (KIND,), 30.0)]
+
+    def rate(now: float, seen: float) -> float:
+        found = events.expected(declared, seen={KIND: seen}, now=now)
+        return found.get(KIND, 0.0)
+
+    assert rate(90.0, 0.0) == 0.0
+    assert rate(99.9, 0.0) == 30.0
+    assert rate(100.5, 0.0) == 30.0
+    assert rate(110.0, 0.0) == 0.0
+    assert rate(110.0, 20.0) == 30.0
+    assert rate(161.0, 20.0) == 0.0
+
+
+class _Known(core.InForce):
+    """A site of twenty endpoints of each role."""
+
+    def members(
+        self, service: types.ServiceName, role: types.Role
+    ) -> int | None:
+        return 20
+
+
+def test_demand_is_shared_by_all_endpoints_not_only_the_linked_ones() -> None:
+    # Bug: an entry that is linked to 4 of 20 took the site's demand to
+    # fall on those 4, and asked each to keep five times too much room.
+    async def main() -> None:
+        site = driver.small_site(prefills=2, decodes=2)
+        await asyncio.sleep(0.1)
+        entry = site.entries[0]
+        entry._denser(driver.ask("dense", weight=50.0))
+        few = entry._denser(driver.ask("light"))
+        entry._in_force = _Known()
+        many = entry._denser(driver.ask("light2"))
+        assert abs(few.other_rate / many.other_rate - 10.0) < 1e-9
+        site.close()
+
+    virtual.run(main())
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -215,3 +215,38 @@
         site.close()
 
     virtual.run(main())
+
+
+def test_idle_links_are_nearly_silent_and_changes_are_told_soon() -> None:
+    # 192 links with two summaries a second each cost 80 KB/s (CAPACITY).
+    async def main() -> None:
+        site = driver.small_site()
+        await asyncio.sleep(6.0)
+        entry = site.entries[0]
+        told: list[float] = []
+        loop = asyncio.get_running_loop()
+        learn = entry.pool.learn
+
+        def counting(agent: types.AgentId, load: object) -> None:
+            told.append(loop.time())
+            learn(agent, load)  # type: ignore[arg-type]
+
+        entry.pool.learn = counting  # type: ignore[method-assign]
+        await asyncio.sleep(20.0)
+        assert len(told) <= 5 * len(site.nodes)
+        # Another entry fills an endpoint; this one is told in a second.
+        other = site.add_entry("e1", driver.HALL)
+        await asyncio.sleep(0.1)
+        told.clear()
+        asked = [
+            asyncio.create_task(
+                driver.take(other, driver.ask(f"r{i}", max_tokens=60))
+            )
+            for i in range(8)
+        ]
+        await asyncio.sleep(1.0)
+        assert told
+        await asyncio.gather(*asked)
+        site.close()
+
+    virtual.run(main())
