HTTP: no delayed second parts

Cause: one in a hundred first tokens came 35 to 60 ms late. The listening socket was made without naming TCP, and event loops turn Nagle's algorithm off only on sockets that say they are TCP; so the second part of an answer waited for a delayed acknowledgement.

Ruled out: the links between processes (their servers make their own sockets) and the agent's polling of cache events.

--- a/lab/overhead.py
+++ b/lab/overhead.py
@@ -131,6 +131,14 @@
         )
 
 
+def _agents_cpu(site: procs.Site) -> list[float]:
+    count = _DEPLOYMENT.prefills + _DEPLOYMENT.decodes
+    return [
+        site.processes[f"{_DEPLOYMENT.model}-{idx}"].cpu_s()
+        for idx in range(count)
+    ]
+
+
 async def measure() -> None:
     """Measure, on a site of its own."""
     with tempfile.TemporaryDirectory() as folder:
@@ -173,8 +181,12 @@
         await asyncio.sleep(2.0)
         entry = site.processes["entry-0"]
         began, cpu = time.perf_counter(), entry.cpu_s()
+        agents = _agents_cpu(site)
         mine, theirs = await _pairs(session, url, engines)
         span, used = time.perf_counter() - began, entry.cpu_s() - cpu
+        by_agents = [
+            now - then for now, then in zip(_agents_cpu(site), agents)
+        ]
         stop.set()
         tokens = sum(await asyncio.gather(*others))
         _report(f"first token, {_OPEN} open", mine, theirs)
@@ -184,6 +196,12 @@
             f"{used / span:.1%} of a core, "
             f"{used / span / rate * 1e6:.0f} us a token, all included"
         )
+        decodes = sum(by_agents[_DEPLOYMENT.prefills :]) / span
+        prefills = sum(by_agents[: _DEPLOYMENT.prefills]) / span
+        print(
+            f"agents of the decode engines: {decodes / rate * 1e6:.0f} us a "
+            f"token, of the prefill engines: {prefills:.1%} of a core"
+        )
         print(f"spread of the added time: {statistics.stdev(mine):.4f} s")
 
 
--- a/rackpost/http_server.py
+++ b/rackpost/http_server.py
@@ -21,6 +21,22 @@
         yield
 
 
+def _listening(host: str, port: int) -> socket.socket:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    # The protocol is named since event loops turn Nagle's algorithm off
+    # only on sockets that say that they are TCP; with it on, the second
+    # part of an answer waits for the peer's delayed acknowledgement.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(_BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 @contextlib.asynccontextmanager
 async def serving(
     app: Any, *, host: str, port: int, tls: tuple[str, str] | None = None
@@ -29,7 +45,7 @@
 
     Raises OSError where the address can't be had.
     """
-    sock = socket.create_server((host, port), backlog=_BACKLOG)
+    sock = _listening(host, port)
     cfg = uvicorn.Config(
         app,
         log_level="warning",
