--- a/lab/promises.py
+++ b/lab/promises.py
@@ -67,7 +67,7 @@
         "When a caller is told 'not run', the request did not run",
         "test_frames.py::test_a_run_that_arrives_after_the_seal_is_dropped",
         "rackpost/agent/core.py",
-        "            self._sealed.add(key, attempts.Ending.NEVER_RAN)\n",
+        "            self._sealed.add(key, never, self._loop.time())\n",
         "            pass\n",
     ),
     Mechanism(
--- a/rackpost/agent/attempts.py
+++ b/rackpost/agent/attempts.py
@@ -4,14 +4,14 @@
 import collections
 import enum
 from typing import Any
+from typing import NamedTuple
 from typing import Union
 
 from rackpost.decide import slots
 from rackpost.link import messages
 
-# Ended attempts are remembered, oldest dropped first; at 100 attempts a
-# second this covers ten minutes, longer than a claim lives.
-_REMEMBERED = 65536
+# Ended attempts are remembered for longer than a claim runs, in seconds.
+KEEP_S = 900.0
 
 Run = Union[messages.RunPrefill, messages.RunDecode, messages.RunCall]
 
@@ -60,20 +60,31 @@
     WHOLE = "whole"
 
 
+class _Ended(NamedTuple):
+    """How an attempt ended, and when by the agent's clock."""
+
+    ending: Ending
+    at: float
+
+
 class SealMemory:
     """How ended attempts ended; what is here is never handed over."""
 
     def __init__(self) -> None:
-        self._endings: collections.OrderedDict[slots.Key, Ending] = (
+        self._ended: collections.OrderedDict[slots.Key, _Ended] = (
             collections.OrderedDict()
         )
 
-    def add(self, key: slots.Key, ending: Ending) -> None:
+    def __len__(self) -> int:
+        return len(self._ended)
+
+    def add(self, key: slots.Key, ending: Ending, now: float) -> None:
         """The attempt is over; its first ending stays."""
-        self._endings.setdefault(key, ending)
-        while len(self._endings) > _REMEMBERED:
-            self._endings.popitem(last=False)
+        self._ended.setdefault(key, _Ended(ending, now))
+        while next(iter(self._ended.values())).at < now - KEEP_S:
+            self._ended.popitem(last=False)
 
     def ending(self, key: slots.Key) -> Ending | None:
         """How the attempt ended; None if it has not, or is forgotten."""
-        return self._endings.get(key)
+        found = self._ended.get(key)
+        return found.ending if found is not None else None
--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -448,7 +448,7 @@
             ending = attempts.Ending.RAN
             if whole and att.asked.part is not types.Role.PREFILL:
                 ending = attempts.Ending.WHOLE
-        self._sealed.add(att.key, ending)
+        self._sealed.add(att.key, ending, self._loop.time())
         att.state = attempts.State.ENDED
         if att.lease is not None:
             att.lease.cancel()
@@ -476,7 +476,8 @@
         running = att is not None and att.state is attempts.State.RUNNING
         if not running:
             # From now on it can't begin here, whatever is on the way.
-            self._sealed.add(key, attempts.Ending.NEVER_RAN)
+            never = attempts.Ending.NEVER_RAN
+            self._sealed.add(key, never, self._loop.time())
         ending = self._sealed.ending(key)
         self._say(
             session,
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+from rackpost.agent import attempts
 from rackpost.agent import core
 from rackpost.agent import orders
+from rackpost.decide import slots
 from rackpost.link import channel
 from rackpost.link import messages
 from rackpost.testing import virtual
@@ -145,3 +147,13 @@
     gate = orders.FenceGate()
     passed = [gate.passes(types.Fence(number)) for number in (3, 2, 3, 4, 1)]
     assert passed == [True, False, False, True, False]
+
+
+def test_ended_attempts_are_forgotten_after_a_while() -> None:
+    # At 5 attempts a second a memory of 65,536 took 13 MB (CAPACITY).
+    memory = attempts.SealMemory()
+    for number in range(5000):
+        key = slots.Key(types.RequestId(f"r{number}"), types.Attempt(1))
+        memory.add(key, attempts.Ending.RAN, float(number))
+    assert len(memory) <= attempts.KEEP_S + 1
+    assert memory.ending(key) is attempts.Ending.RAN
