Fairness: an excess over the even share counts for less

Cause: a caller that floods took the room of the others of its kind; only max_open bounded it. A caller's density is now lowered by as much as it asks for more than an even share of its service.

--- a/lab/cases.py
+++ b/lab/cases.py
@@ -39,6 +39,8 @@
     "declared-half": (0.0, 0.5),
     "declared-none": (0.0, 1.0),
 }
+# Callers of each kind, who ask for about the same.
+_CALLERS = 8
 PRODUCT = "product"
 # Baselines queue within the engine, where a lease would only cut them.
 _LEASE_S = 1.0
@@ -297,7 +299,7 @@
             prompt = engine.prompt_of(offer.body)
         return request.Request(
             req=types.RequestId(f"r{offer.number}"),
-            caller=types.CallerId(kind.name),
+            caller=types.CallerId(f"{kind.name}-{offer.number % _CALLERS}"),
             service=types.ServiceName(kind.service),
             kind=types.KindName(kind.name),
             terms=kind.terms(),
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -15,6 +15,7 @@
 from rackpost.decide import capacity
 from rackpost.decide import demand
 from rackpost.decide import events as events_mod
+from rackpost.decide import fairness
 from rackpost.decide import placement
 from rackpost.decide import retry
 from rackpost.decide import views
@@ -124,6 +125,7 @@
         self._loop = asyncio.get_running_loop()
         self._open: dict[types.RequestId, _Open] = {}
         self._by_caller: dict[types.CallerId, int] = {}
+        self._fairness: dict[types.ServiceName, fairness.Fairness] = {}
         self._demand: dict[types.ServiceName, demand.Demand] = {}
         self._budgets: dict[types.ServiceName, retry.RetryBudget] = {}
         self._sealing: dict[
@@ -360,7 +362,9 @@
         pool = capacity.of(self.pool.views_of(req.service))
         prefill_s = pool.prefill_s(req.prompt_tokens)
         cost = pool.cost(prefill_s, req.max_tokens)
-        density = req.terms.weight / cost
+        fair = self._fairness.setdefault(req.service, fairness.Fairness())
+        share = fair.asked(req.caller, cost, self._loop.time())
+        density = req.terms.weight * share / cost
         seen = self._demand.setdefault(req.service, demand.Demand())
         offer = demand.Offer(
             at=self._loop.time(),
