--- a/rackpost/decide/slots.py
+++ b/rackpost/decide/slots.py
@@ -17,10 +17,10 @@
 _GRID_S = 0.05
 HORIZON_S = 2.0
 # Room is left for the denser requests of this long, in seconds.
-_KEPT_S = 0.1
+_KEPT_S = 0.05
 # A promise ahead counts on the expected number of ends less this many
 # standard deviations.
-_CAUTION = 1.0
+_CAUTION = 0.0
 
 
 class Key(NamedTuple):
