Entry: claims, offers and answers in modules of their own

Cause: read as a newcomer, entry/core.py (640 lines) did admission, claims and serving at once, and entry/http.py (540) routes and writing. While moving: a once request whose entry had died stayed claim-running until its key was forgotten, though its agent knew that it was over; it is settled as unknown now, and the test of it asks for that.

--- a/lab/promises.py
+++ b/lab/promises.py
@@ -45,7 +45,7 @@
     Mechanism(
         "Nothing is answered twice",
         "test_claims.py::test_a_resend_of_an_answered_request_runs_nothing",
-        "rackpost/entry/core.py",
+        "rackpost/entry/claiming.py",
         "            state = claims_mod.ClaimState.ANSWERED\n",
         "            state = None\n",
     ),
@@ -74,9 +74,9 @@
         "What may not be repeated runs at most once",
         "test_claims.py::test_after_the_entry_died_a_once_request_is_never"
         "_run_again",
-        "rackpost/entry/core.py",
-        "                return not sealed.ran\n",
-        "                return True\n",
+        "rackpost/entry/claiming.py",
+        "        if not sealed.ran or (single and not sealed.whole):\n",
+        "        if True:\n",
     ),
     Mechanism(
         "An endpoint that is leaving receives no new work",
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -8,23 +8,20 @@
 from typing import Callable
 from typing import Iterator
 from typing import Mapping
-from typing import Sequence
 
 import msgspec
 
-from rackpost.decide import capacity
 from rackpost.decide import demand
-from rackpost.decide import events as events_mod
-from rackpost.decide import fairness
 from rackpost.decide import placement
 from rackpost.decide import retry
 from rackpost.decide import views
 from rackpost.entry import attempt as attempt_mod
+from rackpost.entry import claiming
 from rackpost.entry import claims as claims_mod
+from rackpost.entry import offers
 from rackpost.entry import pool as pool_mod
 from rackpost.entry import request
 from rackpost.entry import trace as trace_mod
-from rackpost import exceptions
 from rackpost.link import channel
 from rackpost.link import messages
 from rackpost import metrics as metrics_mod
@@ -39,9 +36,6 @@
 _COME_BACK_S = 1.0
 
 
-Events = Callable[[types.ServiceName], Sequence[events_mod.Declared]]
-
-
 class InForce:
     """The settings that the entry runs on, as far as agents matter.
 
@@ -104,15 +98,18 @@
         metrics: metrics_mod.Metrics | None = None,
         rng: random.Random,
         entries: Callable[[], int] = lambda: 1,
-        events: Events = lambda service: (),
+        events: offers.Events = lambda service: (),
         in_force: InForce | None = None,
         wall: Callable[[], float] = time.time,
     ) -> None:
         self.cfg = cfg
-        self.entries = entries
-        self.events = events
         self._in_force = in_force or InForce()
-        self.wall = wall
+        self.offers = offers.Offers(
+            entries=entries,
+            events=events,
+            members=self._in_force.members,
+            wall=wall,
+        )
         self.metrics = metrics or metrics_mod.Metrics()
         self.traces = trace_mod.Traces()
         self.pool = pool_mod.Pool(rng=rng)
@@ -120,18 +117,14 @@
             False: models,
             True: plain,
         }
-        self._claims = claims
+        self._claiming: claiming.Claiming | None = None
+        if claims is not None:
+            self._claiming = claiming.Claiming(claims=claims, pool=self.pool)
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._open: dict[types.RequestId, _Open] = {}
         self._by_caller: dict[types.CallerId, int] = {}
-        self._fairness: dict[types.ServiceName, fairness.Fairness] = {}
-        self._demand: dict[types.ServiceName, demand.Demand] = {}
         self._budgets: dict[types.ServiceName, retry.RetryBudget] = {}
-        self._sealing: dict[
-            tuple[types.RequestId, types.Attempt],
-            asyncio.Future[messages.Sealed],
-        ] = {}
         self._stopping = False
         self._idle = asyncio.Event()
         self._idle.set()
@@ -173,7 +166,8 @@
         if isinstance(msg, messages.Hello):
             peer.incarnation = msg.incarnation
         elif isinstance(msg, messages.Sealed):
-            self._on_sealed(msg)
+            if self._claiming is not None:
+                self._claiming.on_sealed(msg)
         elif not isinstance(msg, messages.Summary):
             self._on_answer(peer, msg)
 
@@ -195,11 +189,6 @@
             # Whoever still works on it is told that nobody waits.
             peer.conn.send(messages.Release(req=req, attempt=number))
 
-    def _on_sealed(self, msg: messages.Sealed) -> None:
-        fut = self._sealing.pop((msg.req, msg.attempt), None)
-        if fut is not None and not fut.done():
-            fut.set_result(msg)
-
     # Requests.
 
     @property
@@ -269,7 +258,7 @@
     async def _serve(self, item: _Open) -> AsyncGenerator[request.Event, None]:
         req = item.req
         self._budget(req.service).request()
-        denser = self._denser(req)
+        denser = self.offers.denser(req, self.pool.views_of(req.service))
         while True:
             att = self._new_attempt(item, denser)
             reason = await att.reserve()
@@ -286,12 +275,25 @@
                         item.delivered += 1
                     yield event
             att.release()
-            await self._settle(item, att)
+            if self._claiming is not None and item.claimed is not None:
+                await self._claiming.settle(req, item.claimed, att.result)
+                item.claimed = None
             end = await self._after(item, att)
             if end is not None:
                 yield end
                 return
 
+    async def _claim(
+        self, item: _Open, att: attempt_mod.Attempt
+    ) -> types.Refusal | None:
+        if item.req.claim is None or self._claiming is None:
+            return None
+        found = await self._claiming.claim(item.req, att)
+        if isinstance(found, types.Refusal):
+            return found
+        item.claimed = found
+        return None
+
     def _new_attempt(
         self, item: _Open, denser: demand.Share
     ) -> attempt_mod.Attempt:
@@ -351,138 +353,9 @@
             return min(item.req.terms.ttft_s, item.req.terms.whole_s - past)
         return item.req.terms.ttft_s - past
 
-    def _denser(self, req: request.Request) -> demand.Share:
-        """What denser requests will take, of all entries, per endpoint.
-
-        The platform's balancer spreads callers evenly, so the other
-        entries are taken to be offered as much as this one.
-        """
-        if req.plain is not None:
-            return demand.NONE
-        pool = capacity.of(self.pool.views_of(req.service))
-        prefill_s = pool.prefill_s(req.prompt_tokens)
-        cost = pool.cost(prefill_s, req.max_tokens)
-        fair = self._fairness.setdefault(req.service, fairness.Fairness())
-        share = fair.asked(req.caller, cost, self._loop.time())
-        density = req.terms.weight * share / cost
-        seen = self._demand.setdefault(req.service, demand.Demand())
-        offer = demand.Offer(
-            at=self._loop.time(),
-            density=density,
-            cost_s=prefill_s,
-            target_s=req.terms.ttft_s,
-        )
-        seen.offered(req.kind, offer)
-        entries = self.entries()
-        self._declare(req.service, seen, offer.at, entries)
-        prefills = self._members(req, types.Role.PREFILL) or pool.prefills
-        decodes = self._members(req, types.Role.DECODE) or pool.decodes
-        return seen.above(offer).times(
-            entries / max(1, decodes), entries / max(1, prefills)
-        )
-
-    def _members(self, req: request.Request, role: types.Role) -> int | None:
-        return self._in_force.members(req.service, role)
-
-    def _declare(
-        self,
-        service: types.ServiceName,
-        seen: demand.Demand,
-        at: float,
-        entries: int,
-    ) -> None:
-        declared = self.events(service)
-        if not declared:
-            seen.declare({})
-            return
-        rates = {kind: rate * entries for kind, rate in seen.rates(at).items()}
-        wall = self.wall()
-        found = events_mod.expected(declared, seen=rates, now=wall)
-        # This entry's part of what the whole site expects.
-        seen.declare({kind: rate / entries for kind, rate in found.items()})
-
     def _budget(self, service: types.ServiceName) -> retry.RetryBudget:
         return self._budgets.setdefault(service, retry.RetryBudget())
 
-    # Claims.
-
-    async def _claim(
-        self, item: _Open, att: attempt_mod.Attempt
-    ) -> types.Refusal | None:
-        key = item.req.claim
-        if key is None or self._claims is None:
-            return None
-        peer = att.holder()
-        if peer is None:
-            return types.Refusal.LINK_LOST
-        holder = claims_mod.Holder(
-            peer.member.agent, peer.incarnation, item.req.req, att.number
-        )
-        try:
-            reply = await self._claims.claim(key=key, holder=holder)
-            if reply.state is claims_mod.ClaimState.RUNNING and reply.holder:
-                if await self._seal(reply.holder, item.req.terms.repeat):
-                    await self._claims.settle(
-                        key=key, holder=reply.holder, state=None
-                    )
-                    reply = await self._claims.claim(key=key, holder=holder)
-        except exceptions.ControlError:
-            return types.Refusal.CONTROL_AWAY
-        if reply.state is claims_mod.ClaimState.GRANTED:
-            item.claimed = holder
-            return None
-        if reply.state is claims_mod.ClaimState.ANSWERED:
-            return types.Refusal.CLAIM_ANSWERED
-        if reply.state is claims_mod.ClaimState.UNKNOWN:
-            return types.Refusal.CLAIM_UNKNOWN
-        return types.Refusal.CLAIM_RUNNING
-
-    async def _settle(self, item: _Open, att: attempt_mod.Attempt) -> None:
-        """Tell control how a claimed attempt ended."""
-        holder = item.claimed
-        if item.req.claim is None or self._claims is None or holder is None:
-            return
-        item.claimed = None
-        state: claims_mod.ClaimState | None = claims_mod.ClaimState.UNKNOWN
-        if isinstance(att.result, attempt_mod.Whole):
-            state = claims_mod.ClaimState.ANSWERED
-        elif isinstance(att.result, attempt_mod.Broken):
-            # Of what broke, only what an agent has sealed may run again
-            # under this key; a kind that may repeat inside is freed too,
-            # as this entry alone decides on its next attempt.
-            single = item.req.terms.repeat is types.RepeatClass.SINGLE
-            if not att.result.ran or single:
-                state = None
-        await self._claims.settle(
-            key=item.req.claim, holder=holder, state=state
-        )
-
-    async def _seal(
-        self, holder: claims_mod.Holder, repeat: types.RepeatClass
-    ) -> bool:
-        """Have an attempt sealed; True if its key may be claimed again.
-
-        It may if the attempt never ran; and for a kind that may be tried
-        again inside, if it is over without its whole answer being sent.
-        """
-        peer = self.pool.peer(holder.agent)
-        if peer is None or peer.incarnation != holder.incarnation:
-            return False
-        fut: asyncio.Future[messages.Sealed] = self._loop.create_future()
-        self._sealing[(holder.req, holder.attempt)] = fut
-        peer.conn.send(messages.Seal(req=holder.req, attempt=holder.attempt))
-        try:
-            async with asyncio.timeout(attempt_mod.REPLY_S):
-                sealed = await fut
-                cut = not sealed.running and not sealed.whole
-                if cut and repeat is types.RepeatClass.SINGLE:
-                    return True
-                return not sealed.ran
-        except TimeoutError:
-            return False
-        finally:
-            self._sealing.pop((holder.req, holder.attempt), None)
-
     # Ends.
 
     async def _after(
--- a/rackpost/entry/http.py
+++ b/rackpost/entry/http.py
@@ -1,14 +1,9 @@
 """The entry's HTTP face: one ASGI application for callers."""
 
 import asyncio
-import contextlib
 import hashlib
-import math
 import secrets
 import time
-from typing import Any
-from typing import AsyncGenerator
-from typing import Awaitable
 from typing import Callable
 
 import msgspec
@@ -19,6 +14,7 @@
 
 from rackpost.agent import engine_http
 from rackpost.decide import prefix
+from rackpost.entry import answers
 from rackpost.entry import core
 from rackpost.entry import openai
 from rackpost.entry import request
@@ -26,14 +22,11 @@
 from rackpost.state import tree as tree_mod
 from rackpost import types
 
-# A caller has this long to send its body, and to take each part of its
-# answer, in seconds.
+# A caller has this long to send its body, in seconds.
 BODY_S = 10.0
-READER_S = 10.0
 _KIND_HEADER = "x-rackpost-kind"
 _MAX_KEY = 256
 
-Send = Callable[[Any], Awaitable[None]]
 TreeNow = Callable[[], tree_mod.Tree]
 
 
@@ -153,7 +146,7 @@
         writer = openai.Writer(
             parsed=parsed, req=name, created=int(time.time())
         )
-        return _ModelAnswer(
+        return answers.ModelAnswer(
             events=self._entry.serve(asked),
             req=name,
             writer=writer,
@@ -231,7 +224,7 @@
             )
         except exceptions.BadRequest as exc:
             return _bad(exc, name)
-        return _PlainAnswer(events=self._entry.serve(asked), req=name)
+        return answers.PlainAnswer(events=self._entry.serve(asked), req=name)
 
     def _authenticate(
         self, req: requests.Request
@@ -340,200 +333,4 @@
 def _bad(
     exc: exceptions.BadRequest, name: types.RequestId
 ) -> responses.Response:
-    return _problem(openai.bad_request(exc, name))
-
-
-def _problem(found: openai.Problem) -> responses.Response:
-    headers = {"x-request-id": found.request_id}
-    if found.retry_after_s is not None:
-        headers["retry-after"] = str(math.ceil(found.retry_after_s))
-    return responses.Response(
-        msgspec.json.encode(found),
-        found.status,
-        headers=headers,
-        media_type="application/problem+json",
-    )
-
-
-class _Answer(responses.Response):
-    """An answer written from a request's events.
-
-    The events are closed, and so all that is held for the request is let
-    go, when the caller leaves or takes nothing for READER_S.
-    """
-
-    def __init__(
-        self,
-        *,
-        events: AsyncGenerator[request.Event, None],
-        req: types.RequestId,
-    ) -> None:
-        super().__init__()
-        self._events = events
-        self._req = req
-
-    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        writing = asyncio.create_task(self._write_closing(scope, send))
-        leaving = asyncio.create_task(_left(receive))
-        try:
-            await asyncio.wait(
-                [writing, leaving], return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            leaving.cancel()
-            if not writing.done():
-                writing.cancel()
-            await asyncio.wait([writing, leaving])
-        if not writing.cancelled():
-            writing.result()
-
-    async def _write_closing(self, scope: Any, send: Send) -> None:
-        async with contextlib.aclosing(self._events):
-            try:
-                await self._write(scope, send)
-            except _ReaderStopped:
-                return
-
-    async def _write(self, scope: Any, send: Send) -> None:
-        raise NotImplementedError
-
-    async def _start(
-        self, send: Send, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> None:
-        head = [(b"x-request-id", self._req.encode()), *headers]
-        await _send(
-            send,
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": head,
-            },
-        )
-
-    async def _part(self, send: Send, data: bytes, more: bool) -> None:
-        await _send(
-            send,
-            {"type": "http.response.body", "body": data, "more_body": more},
-        )
-
-
-class _ReaderStopped(exceptions.RackpostError):
-    """The caller takes nothing of its answer."""
-
-
-async def _send(send: Send, event: Any) -> None:
-    try:
-        async with asyncio.timeout(READER_S):
-            await send(event)
-    except TimeoutError:
-        raise _ReaderStopped("the caller takes nothing") from None
-
-
-async def _left(receive: Any) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
-class _ModelAnswer(_Answer):
-    """The answer to a model's request, streamed or whole."""
-
-    def __init__(
-        self,
-        *,
-        events: AsyncGenerator[request.Event, None],
-        req: types.RequestId,
-        writer: openai.Writer,
-        stream: bool,
-    ) -> None:
-        super().__init__(events=events, req=req)
-        self._writer = writer
-        self._stream = stream
-
-    async def _write(self, scope: Any, send: Send) -> None:
-        if self._stream:
-            await self._write_stream(scope, send)
-        else:
-            await self._write_whole(scope, send)
-
-    async def _write_stream(self, scope: Any, send: Send) -> None:
-        started = False
-        async for event in self._events:
-            if isinstance(event, request.End):
-                if event.outcome is types.Outcome.ANSWERED:
-                    if not started:
-                        await self._start_stream(send)
-                    last = self._writer.closing(event.tokens)
-                elif started:
-                    last = self._writer.broken(event)
-                else:
-                    await _refuse(event, self._req, scope, send)
-                    return
-                await self._part(send, last, False)
-                return
-            if isinstance(event, request.Piece):
-                if not started:
-                    await self._start_stream(send)
-                    started = True
-                data = self._writer.chunk(event.text, None)
-                await self._part(send, data, True)
-
-    async def _start_stream(self, send: Send) -> None:
-        await self._start(
-            send,
-            200,
-            [
-                (b"content-type", b"text/event-stream; charset=utf-8"),
-                (b"cache-control", b"no-store"),
-            ],
-        )
-
-    async def _write_whole(self, scope: Any, send: Send) -> None:
-        texts: list[str] = []
-        async for event in self._events:
-            if isinstance(event, request.Piece):
-                texts.append(event.text)
-            elif isinstance(event, request.End):
-                if event.outcome is not types.Outcome.ANSWERED:
-                    await _refuse(event, self._req, scope, send)
-                    return
-                data = self._writer.whole("".join(texts), event.tokens)
-                kind = (b"content-type", b"application/json")
-                await self._start(send, 200, [kind])
-                await self._part(send, data, False)
-                return
-
-
-class _PlainAnswer(_Answer):
-    """A plain service's answer, passed on part by part."""
-
-    async def _write(self, scope: Any, send: Send) -> None:
-        started = False
-        async for event in self._events:
-            if isinstance(event, request.PlainHead):
-                started = True
-                headers = [
-                    (name.lower().encode(), value.encode())
-                    for name, value in event.headers
-                ]
-                await self._start(send, event.status, headers)
-            elif isinstance(event, request.PlainPart):
-                await self._part(send, event.data, True)
-            elif isinstance(event, request.End):
-                if event.outcome is types.Outcome.ANSWERED:
-                    await self._part(send, b"", False)
-                elif not started:
-                    await _refuse(event, self._req, scope, send)
-                # A started answer that broke off is left unended, so the
-                # caller sees that it is not whole.
-                return
-
-
-async def _refuse(
-    end: request.End, name: types.RequestId, scope: Any, send: Send
-) -> None:
-    answer = _problem(openai.problem(end, name))
-    await answer(scope, _never, send)
-
-
-async def _never() -> Any:
-    raise RuntimeError("nothing is received here")
+    return answers.of_problem(openai.bad_request(exc, name))
--- /dev/null
+++ b/rackpost/entry/offers.py
@@ -0,0 +1,104 @@
+"""The demand that an entry is offered, and what counts more of it."""
+
+import asyncio
+from typing import Callable
+from typing import Sequence
+
+from rackpost.decide import capacity
+from rackpost.decide import demand
+from rackpost.decide import events as events_mod
+from rackpost.decide import fairness
+from rackpost.decide import views
+from rackpost.entry import request
+from rackpost import types
+
+Events = Callable[[types.ServiceName], Sequence[events_mod.Declared]]
+# How many endpoints of a service and role the site has; None if unknown.
+Members = Callable[[types.ServiceName, types.Role], int | None]
+
+
+class _Service:
+    """What is offered to one service."""
+
+    def __init__(self) -> None:
+        self.demand = demand.Demand()
+        self.fairness = fairness.Fairness()
+
+
+class Offers:
+    """Counts each request once, and says what is denser than it.
+
+    `entries` tells how many entries the site has, `wall` seconds since
+    the epoch, which declared events are given in.
+    """
+
+    def __init__(
+        self,
+        *,
+        entries: Callable[[], int],
+        events: Events,
+        members: Members,
+        wall: Callable[[], float],
+    ) -> None:
+        self._entries = entries
+        self._events = events
+        self._members = members
+        self._wall = wall
+        self._loop = asyncio.get_running_loop()
+        self._services: dict[types.ServiceName, _Service] = {}
+
+    def denser(
+        self, req: request.Request, linked: Sequence[views.EndpointView]
+    ) -> demand.Share:
+        """What denser requests will take, of all entries, per endpoint.
+
+        The platform's balancer spreads callers evenly, so the other
+        entries are taken to be offered as much as this one.
+        """
+        if req.plain is not None:
+            return demand.NONE
+        service = self._services.setdefault(req.service, _Service())
+        pool = capacity.of(linked)
+        offer = self._offer(req, service, pool)
+        service.demand.offered(req.kind, offer)
+        entries = self._entries()
+        self._declare(req.service, service.demand, offer.at, entries)
+        prefills = self._members(req.service, types.Role.PREFILL)
+        decodes = self._members(req.service, types.Role.DECODE)
+        return service.demand.above(offer).times(
+            entries / max(1, decodes or pool.decodes),
+            entries / max(1, prefills or pool.prefills),
+        )
+
+    def _offer(
+        self,
+        req: request.Request,
+        service: _Service,
+        pool: capacity.Capacity,
+    ) -> demand.Offer:
+        now = self._loop.time()
+        prefill_s = pool.prefill_s(req.prompt_tokens)
+        cost = pool.cost(prefill_s, req.max_tokens)
+        share = service.fairness.asked(req.caller, cost, now)
+        return demand.Offer(
+            at=now,
+            density=req.terms.weight * share / cost,
+            cost_s=prefill_s,
+            target_s=req.terms.ttft_s,
+        )
+
+    def _declare(
+        self,
+        service: types.ServiceName,
+        seen: demand.Demand,
+        at: float,
+        entries: int,
+    ) -> None:
+        declared = self._events(service)
+        if not declared:
+            seen.declare({})
+            return
+        rates = {kind: rate * entries for kind, rate in seen.rates(at).items()}
+        found = events_mod.expected(declared, seen=rates, now=self._wall())
+        # This entry's part of what the whole site expects.
+        seen.declare({kind: rate / entries for kind, rate in found.items()})
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -70,7 +70,9 @@
         got = await driver.take(
             second, driver.ask("a2", repeat=ONCE, claim="deed")
         )
+        # Not claim-running: the agent knows that it is over, for good.
         assert got.end.outcome is OUT.UNKNOWN
+        assert got.end.reason is types.Refusal.CLAIM_UNKNOWN
         assert sum(site.ledger.runs.values()) == 1
         site.close()
 
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -58,10 +58,11 @@
         site = driver.small_site(prefills=2, decodes=2)
         await asyncio.sleep(0.1)
         entry = site.entries[0]
-        entry._denser(driver.ask("dense", weight=50.0))
-        few = entry._denser(driver.ask("light"))
-        entry._in_force = _Known()
-        many = entry._denser(driver.ask("light2"))
+        linked = entry.pool.views_of(driver.SERVICE)
+        entry.offers.denser(driver.ask("dense", weight=50.0), linked)
+        few = entry.offers.denser(driver.ask("light"), linked)
+        entry.offers._members = _Known().members
+        many = entry.offers.denser(driver.ask("light2"), linked)
         assert abs(few.other_rate / many.other_rate - 10.0) < 1e-9
         site.close()
 
