--- a/rackpost/cmd_operator.py
+++ b/rackpost/cmd_operator.py
@@ -1,281 +1,29 @@
 """The program `rackpost`, for operators."""
 
-import dataclasses
 import datetime
 import getpass
 import json
 import pathlib
 import secrets
 import sys
-from typing import Annotated
 from typing import Any
 from typing import Callable
 import urllib.error
 import urllib.parse
 import urllib.request
 
-import cappa
-
 from rackpost import exceptions
+from rackpost import operator_client
+from rackpost import operator_commands
 from rackpost import program
 
 _TIMEOUT_S = 5.0
-_TRIES = 5
-
-
-@dataclasses.dataclass(kw_only=True)
-class Site:
-    """Where control is, and as whom to speak to it."""
-
-    control: Annotated[
-        str,
-        cappa.Arg(
-            long="--control",
-            default=cappa.Env("RACKPOST_OPERATORS", default=""),
-            help="operators' addresses of control, by commas "
-            "[RACKPOST_OPERATORS]",
-        ),
-    ] = ""
-    operator_key_file: Annotated[
-        str,
-        cappa.Arg(
-            long="--operator-key-file",
-            default=cappa.Env("RACKPOST_OPERATOR_KEY_FILE", default=""),
-            help="file with the operators' key "
-            "[RACKPOST_OPERATOR_KEY_FILE]",
-        ),
-    ] = ""
-    json: Annotated[
-        bool, cappa.Arg(long="--json", help="print JSON for programs")
-    ] = False
-
-
-@cappa.command(name="show", help="Show a node of the settings.")
-@dataclasses.dataclass(kw_only=True)
-class Show(Site):
-    """Show a node of the settings."""
-
-    path: Annotated[str, cappa.Arg(help="path of the node")] = ""
-    effective: Annotated[
-        bool, cappa.Arg(long="--effective", help="what is in force there")
-    ] = False
-    why: Annotated[
-        bool, cappa.Arg(long="--why", help="where each value comes from")
-    ] = False
-    service: Annotated[
-        str, cappa.Arg(long="--service", help="for this service")
-    ] = ""
-    kind: Annotated[str, cappa.Arg(long="--kind", help="for this kind")] = ""
-
-
-@cappa.command(name="set", help="Change a node of the settings.")
-@dataclasses.dataclass(kw_only=True)
-class Set(Site):
-    """Change a node of the settings."""
-
-    path: Annotated[str, cappa.Arg(help="path of the node, '' for the root")]
-    assign: Annotated[
-        list[str], cappa.Arg(help="key=value, or key= to inherit again")
-    ]
-    based_on: Annotated[
-        int,
-        cappa.Arg(long="--based-on", help="revision that you had read"),
-    ] = -1
-    op: Annotated[
-        str, cappa.Arg(long="--op", help="operation id, to resend one")
-    ] = ""
-    dry_run: Annotated[
-        bool, cappa.Arg(long="--dry-run", help="only show the difference")
-    ] = False
-
-
-@cappa.command(name="history", help="Show who changed what.")
-@dataclasses.dataclass(kw_only=True)
-class History(Site):
-    """Show who changed what."""
-
-
-@cappa.command(name="undo", help="Undo a change, as a new change.")
-@dataclasses.dataclass(kw_only=True)
-class Undo(Site):
-    """Undo a change, as a new change."""
-
-    revision: Annotated[int, cappa.Arg(help="revision of the change")]
-
-
-@cappa.command(name="settings", help="The settings tree.")
-@dataclasses.dataclass(kw_only=True)
-class Settings:
-    """The settings tree."""
-
-    what: cappa.Subcommands[Show | Set | History | Undo]
-
-
-@cappa.command(name="apply", help="Apply a file of nodes.")
-@dataclasses.dataclass(kw_only=True)
-class Apply(Site):
-    """Apply a file of nodes: JSON, {path: {key: value}}."""
-
-    file: Annotated[str, cappa.Arg(short="-f", long="--file", help="file")]
-    dry_run: Annotated[
-        bool, cappa.Arg(long="--dry-run", help="only show the difference")
-    ] = False
-
-
-@cappa.command(name="list", help="List declared events.")
-@dataclasses.dataclass(kw_only=True)
-class ListEvents(Site):
-    """List declared events."""
-
-
-@cappa.command(name="declare", help="Declare or change an event.")
-@dataclasses.dataclass(kw_only=True)
-class Declare(Site):
-    """Declare or change an event."""
-
-    name: Annotated[str, cappa.Arg(help="name of the event")]
-    start: Annotated[
-        str, cappa.Arg(long="--start", help="ISO 8601 with its time zone")
-    ]
-    length: Annotated[float, cappa.Arg(long="--length", help="seconds")]
-    services: Annotated[str, cappa.Arg(long="--services", help="by commas")]
-    kinds: Annotated[str, cappa.Arg(long="--kinds", help="by commas")]
-    rate: Annotated[float, cappa.Arg(long="--rate", help="requests a second")]
-    path: Annotated[str, cappa.Arg(long="--path", help="of the node")] = ""
-    values: Annotated[
-        str, cappa.Arg(long="--values", help="settings meanwhile, as JSON")
-    ] = "{}"
-
-
-@cappa.command(name="withdraw", help="Withdraw an event.")
-@dataclasses.dataclass(kw_only=True)
-class Withdraw(Site):
-    """Withdraw an event."""
-
-    name: Annotated[str, cappa.Arg(help="name of the event")]
-
-
-@cappa.command(name="events", help="Declared events.")
-@dataclasses.dataclass(kw_only=True)
-class Events:
-    """Declared events."""
-
-    what: cappa.Subcommands[ListEvents | Declare | Withdraw]
 
 
-@cappa.command(name="status", help="Show replicas and processes.")
-@dataclasses.dataclass(kw_only=True)
-class Status(Site):
-    """Show replicas and processes, and on which revision they run."""
-
-
-@cappa.command(name="order", help="Order an agent to do something.")
-@dataclasses.dataclass(kw_only=True)
-class Order(Site):
-    """Order an agent to do something with its endpoint."""
-
-    agent: Annotated[str, cappa.Arg(help="name of the agent")]
-    what: Annotated[str, cappa.Arg(help="the order, for example 'leave'")]
-
-
-@cappa.command(name="replicas", help="Set the control replicas.")
-@dataclasses.dataclass(kw_only=True)
-class Replicas(Site):
-    """Set which control replicas vote, and which learn."""
-
-    voters: Annotated[str, cappa.Arg(long="--voters", help="by commas")]
-    learners: Annotated[
-        str, cappa.Arg(long="--learners", help="by commas")
-    ] = ""
-
-
-@cappa.command(name="explain", help="Show the steps of a request.")
-@dataclasses.dataclass(kw_only=True)
-class Explain:
-    """Show where a request was placed, why, and what became of it."""
-
-    request_id: Annotated[str, cappa.Arg(help="id that the answer carries")]
-    entry: Annotated[
-        str,
-        cappa.Arg(
-            long="--entry",
-            default=cappa.Env("RACKPOST_ENTRY"),
-            help="address of the entry that served it [RACKPOST_ENTRY]",
-        ),
-    ]
-    caller_key_file: Annotated[
-        str, cappa.Arg(long="--caller-key-file", help="the caller's key")
-    ]
-
-
-@cappa.command(name="rackpost")
-@dataclasses.dataclass(kw_only=True)
-class Operator:
-    """Look at a site and change it."""
-
-    what: cappa.Subcommands[
-        Settings | Apply | Events | Status | Order | Replicas | Explain
-    ]
-
-
-class Control:
-    """The operators' interface, at whichever replica answers."""
-
-    def __init__(self, *, site: Site) -> None:
-        self._urls = [
-            url if "//" in url else f"http://{url}"
-            for url in site.control.split(",")
-            if url
-        ]
-        if not self._urls:
-            raise exceptions.ConfigError("--control names no replica")
-        try:
-            key = pathlib.Path(site.operator_key_file).read_text().strip()
-        except OSError as exc:
-            raise exceptions.ConfigError(
-                f"--operator-key-file: {exc.strerror}"
-            ) from exc
-        self._headers = {"Authorization": f"Bearer {key}"}
-
-    def get(self, page: str, **query: str) -> Any:
-        """The answer to a question."""
-        text = urllib.parse.urlencode(query)
-        return self._ask(f"{page}?{text}" if text else page, None)
-
-    def post(self, path: str, body: dict[str, Any]) -> Any:
-        """The result of a change; it is resent under its operation id."""
-        return self._ask(path, json.dumps(body).encode())
-
-    def _ask(self, path: str, data: bytes | None) -> Any:
-        last = "no control replica answers"
-        for url in self._urls * _TRIES:
-            req = urllib.request.Request(
-                url + path, data=data, headers=self._headers
-            )
-            try:
-                with urllib.request.urlopen(req, timeout=_TIMEOUT_S) as resp:
-                    return json.load(resp)
-            except urllib.error.HTTPError as exc:
-                text = exc.read().decode(errors="replace")
-                if exc.code != 503:
-                    raise exceptions.SettingsError(_explain(text)) from exc
-                last = _explain(text)
-            except OSError as exc:
-                last = f"{url}: {exc}"
-        raise exceptions.ControlError(last)
-
-
-def _explain(text: str) -> str:
-    try:
-        body = json.loads(text)
-    except ValueError:
-        return text
-    if body.get("type") == "conflict":
-        return (
-            f"conflict: {body['theirs']} (revision {body['revision']}); "
-            "read it again, then change what it is now"
-        )
-    return str(body.get("detail", text))
+def _control(asked: operator_commands.Site) -> operator_client.Control:
+    return operator_client.Control(
+        addresses=asked.control, key_file=asked.operator_key_file
+    )
 
 
 def _value(text: str) -> str | int | float:
@@ -287,13 +35,13 @@
     return text
 
 
-def _head(who: Control, path: str) -> int:
+def _head(who: operator_client.Control, path: str) -> int:
     return int(who.get("/v1/settings", path=path)["revision"])
 
 
-def show(asked: Show) -> str:
+def show(asked: operator_commands.Show) -> str:
     """A node as text."""
-    found = Control(site=asked).get(
+    found = _control(asked).get(
         "/v1/settings",
         path=asked.path,
         service=asked.service,
@@ -322,9 +70,9 @@
     return f"{item['node'] or 'the root'}, {item['key']}"
 
 
-def change(asked: Set) -> str:
+def change(asked: operator_commands.Set) -> str:
     """Change a node; the result as text."""
-    who = Control(site=asked)
+    who = _control(asked)
     values: dict[str, Any] = {}
     unset = []
     for item in asked.assign:
@@ -350,7 +98,7 @@
     return _written(who.post("/v1/settings", body), asked)
 
 
-def _written(result: dict[str, Any], asked: Site) -> str:
+def _written(result: dict[str, Any], asked: operator_commands.Site) -> str:
     if asked.json:
         return json.dumps(result)
     if "changes" in result:
@@ -362,9 +110,9 @@
     return f"accepted as revision {result['revision']}"
 
 
-def history(asked: History) -> str:
+def history(asked: operator_commands.History) -> str:
     """The latest changes as text."""
-    found = Control(site=asked).get("/v1/history")
+    found = _control(asked).get("/v1/history")
     if asked.json:
         return json.dumps(found, indent=1)
     lines = []
@@ -382,9 +130,9 @@
     return "\n".join(lines)
 
 
-def undo(asked: Undo) -> str:
+def undo(asked: operator_commands.Undo) -> str:
     """Put a node back to what it was before a change."""
-    who = Control(site=asked)
+    who = _control(asked)
     found = [
         item
         for item in who.get("/v1/history")
@@ -408,9 +156,9 @@
     return _written(who.post("/v1/settings", body), asked)
 
 
-def apply_file(asked: Apply) -> str:
+def apply_file(asked: operator_commands.Apply) -> str:
     """Apply a file; one change for each node that differs."""
-    who = Control(site=asked)
+    who = _control(asked)
     try:
         nodes = json.loads(pathlib.Path(asked.file).read_text())
     except (OSError, ValueError) as exc:
@@ -434,9 +182,9 @@
     return "\n".join(lines) or "nothing to change"
 
 
-def list_events(asked: ListEvents) -> str:
+def list_events(asked: operator_commands.ListEvents) -> str:
     """Declared events as a table."""
-    found = Control(site=asked).get("/v1/events")
+    found = _control(asked).get("/v1/events")
     if asked.json:
         return json.dumps(found, indent=1)
     lines = [f"{'event':<20} {'start':<21} {'s':>6} {'rate':>7}  kinds"]
@@ -453,16 +201,16 @@
     return "\n".join(lines)
 
 
-def _event_revision(who: Control, name: str) -> int:
+def _event_revision(who: operator_client.Control, name: str) -> int:
     for item in who.get("/v1/events"):
         if item["event"]["name"] == name:
             return int(item["revision"])
     return 0
 
 
-def declare(asked: Declare) -> str:
+def declare(asked: operator_commands.Declare) -> str:
     """Declare an event."""
-    who = Control(site=asked)
+    who = _control(asked)
     try:
         start = datetime.datetime.fromisoformat(asked.start)
         values = json.loads(asked.values)
@@ -488,9 +236,9 @@
     return _written(who.post("/v1/events", body), asked)
 
 
-def withdraw(asked: Withdraw) -> str:
+def withdraw(asked: operator_commands.Withdraw) -> str:
     """Withdraw an event."""
-    who = Control(site=asked)
+    who = _control(asked)
     body = {
         "op": secrets.token_hex(8),
         "who": getpass.getuser(),
@@ -500,9 +248,9 @@
     return _written(who.post("/v1/events/withdraw", body), asked)
 
 
-def status(asked: Status) -> str:
+def status(asked: operator_commands.Status) -> str:
     """Replicas and processes as a table."""
-    found = Control(site=asked).get("/v1/status")
+    found = _control(asked).get("/v1/status")
     if asked.json:
         return json.dumps(found, indent=1)
     lines = [
@@ -524,7 +272,7 @@
     return "\n".join(lines)
 
 
-def order(asked: Order) -> str:
+def order(asked: operator_commands.Order) -> str:
     """Give an order."""
     body = {
         "op": secrets.token_hex(8),
@@ -532,19 +280,19 @@
         "agent": asked.agent,
         "what": asked.what,
     }
-    return _written(Control(site=asked).post("/v1/orders", body), asked)
+    return _written(_control(asked).post("/v1/orders", body), asked)
 
 
-def replicas(asked: Replicas) -> str:
+def replicas(asked: operator_commands.Replicas) -> str:
     """Change the replicas."""
     body = {
         "voters": [item for item in asked.voters.split(",") if item],
         "learners": [item for item in asked.learners.split(",") if item],
     }
-    return json.dumps(Control(site=asked).post("/v1/replicas", body))
+    return json.dumps(_control(asked).post("/v1/replicas", body))
 
 
-def explain(asked: Explain) -> str:
+def explain(asked: operator_commands.Explain) -> str:
     """The steps of a request as text."""
     try:
         key = pathlib.Path(asked.caller_key_file).read_text().strip()
@@ -562,7 +310,7 @@
             found = json.load(resp)
     except urllib.error.HTTPError as exc:
         text = exc.read().decode(errors="replace")
-        raise exceptions.SettingsError(_explain(text)) from exc
+        raise exceptions.SettingsError(operator_client.explain(text)) from exc
     except OSError as exc:
         raise exceptions.ControlError(f"{base}: {exc}") from exc
     lines = [f"{found['req']}: {found['service']}, {found['kind']}"]
@@ -575,25 +323,27 @@
 
 
 _ACTIONS: dict[type, Callable[[Any], str]] = {
-    Show: show,
-    Set: change,
-    History: history,
-    Undo: undo,
-    Apply: apply_file,
-    ListEvents: list_events,
-    Declare: declare,
-    Withdraw: withdraw,
-    Status: status,
-    Order: order,
-    Replicas: replicas,
-    Explain: explain,
+    operator_commands.Show: show,
+    operator_commands.Set: change,
+    operator_commands.History: history,
+    operator_commands.Undo: undo,
+    operator_commands.Apply: apply_file,
+    operator_commands.ListEvents: list_events,
+    operator_commands.Declare: declare,
+    operator_commands.Withdraw: withdraw,
+    operator_commands.Status: status,
+    operator_commands.Order: order,
+    operator_commands.Replicas: replicas,
+    operator_commands.Explain: explain,
 }
 
 
 def main(argv: list[str] | None = None) -> None:
     """Run the program."""
-    asked: Any = program.parse(Operator, argv).what
-    if isinstance(asked, (Settings, Events)):
+    asked: Any = program.parse(operator_commands.Operator, argv).what
+    if isinstance(
+        asked, (operator_commands.Settings, operator_commands.Events)
+    ):
         asked = asked.what
     try:
         print(_ACTIONS[type(asked)](asked))
