--- a/rackpost/agent/attempts.py
+++ b/rackpost/agent/attempts.py
@@ -42,6 +42,7 @@
         self.reuse_tokens = 0
         self.taken = 0
         self.turn = asyncio.Event()
+        self.collected: Any = None
         self.credited = asyncio.Event()
 
     def take(self, run: Run) -> None:
--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from rackpost.agent import answers
 from rackpost.agent import attempts
 from rackpost.agent import engine as engine_mod
 from rackpost.agent import segments
@@ -95,6 +96,7 @@
         self._sessions: set[Session] = set()
         self._attempts: dict[slots.Key, attempts.Attempt] = {}
         self._sealed = attempts.SealMemory()
+        self._answers = answers.HeldAnswers()
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._waker: asyncio.TimerHandle | None = None
@@ -134,6 +136,9 @@
             session.peer = msg.peer
         elif isinstance(msg, messages.Seal):
             self._on_seal(session, msg)
+        elif isinstance(msg, messages.Fetch):
+            key = slots.Key(msg.req, msg.attempt)
+            session.conn.send(self._answers.get(key))
         elif isinstance(msg, messages.Release):
             self._give_up(slots.Key(msg.req, msg.attempt))
         elif isinstance(msg, messages.Credit):
@@ -162,6 +167,7 @@
             self._say(session, reply)
             return
         att = attempts.Attempt(key=key, asked=msg, session=session)
+        att.collected = answers.Collector()
         att.reuse_tokens = made.reuse_blocks * prefix.BLOCK_TOKENS
         lease = self.cfg.lease_s + max(made.ready_in_s, msg.within_s)
         att.lease = self._loop.call_later(lease, self._expire, key)
@@ -333,6 +339,7 @@
                     att.key, run.offset + count, now - last, now
                 )
                 last = now
+                att.collected.piece(piece)
                 att.session.conn.send(
                     messages.Tokens(
                         req=run.req,
@@ -371,6 +378,7 @@
                         data=part,
                     )
                 )
+                att.collected.part(part)
                 sent += len(part)
         self._finish(att, whole=True)
         self._done(att, sent, "stop")
@@ -378,14 +386,14 @@
     def _send_head(
         self, att: attempts.Attempt, head: engine_mod.CallHead
     ) -> None:
-        att.session.conn.send(
-            messages.Head(
-                req=att.key.req,
-                attempt=att.key.attempt,
-                status=head.status,
-                headers=head.headers,
-            )
+        msg = messages.Head(
+            req=att.key.req,
+            attempt=att.key.attempt,
+            status=head.status,
+            headers=head.headers,
         )
+        att.collected.head(msg)
+        att.session.conn.send(msg)
 
     async def _wait_for_credit(self, att: attempts.Attempt, sent: int) -> None:
         while sent - att.taken > WINDOW_BYTES:
@@ -410,6 +418,9 @@
     # Ends.
 
     def _done(self, att: attempts.Attempt, tokens: int, why: str) -> None:
+        if att.asked.claim is not None:
+            now = self._loop.time()
+            self._answers.hold(att.key, att.collected, now)
         self._say(
             att.session,
             messages.Done(
--- a/rackpost/entry/claiming.py
+++ b/rackpost/entry/claiming.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from typing import NamedTuple
 
 from rackpost.entry import attempt as attempt_mod
 from rackpost.entry import claims as claims_mod
@@ -27,6 +28,12 @@
 }
 
 
+class Answered(NamedTuple):
+    """The key was answered by this attempt."""
+
+    holder: claims_mod.Holder
+
+
 class Claiming:
     """Claims keys at control, and asks agents about their holders."""
 
@@ -36,6 +43,10 @@
         self._claims = claims
         self._pool = pool
         self._loop = asyncio.get_running_loop()
+        self._fetching: dict[
+            tuple[types.RequestId, types.Attempt],
+            asyncio.Future[messages.Held],
+        ] = {}
         self._sealing: dict[
             tuple[types.RequestId, types.Attempt],
             asyncio.Future[messages.Sealed],
@@ -43,7 +54,7 @@
 
     async def claim(
         self, req: request.Request, att: attempt_mod.Attempt
-    ) -> claims_mod.Holder | types.Refusal:
+    ) -> claims_mod.Holder | Answered | types.Refusal:
         """Claim a request's key for a reserved attempt, or say why not."""
         assert req.claim is not None
         peer = att.holder()
@@ -58,8 +69,34 @@
                 reply = await self._ask_holder(req, mine, reply.holder)
         except exceptions.ControlError:
             return types.Refusal.CONTROL_AWAY
+        if reply.state is claims_mod.ClaimState.ANSWERED and reply.holder:
+            return Answered(reply.holder)
         return _REFUSALS.get(reply.state, mine)
 
+    async def held(self, answered: Answered) -> list[request.Event]:
+        """What an answered attempt gave; nothing if it is not held."""
+        holder = answered.holder
+        peer = self._pool.peer(holder.agent)
+        if peer is None or peer.incarnation != holder.incarnation:
+            return []
+        key = (holder.req, holder.attempt)
+        fut: asyncio.Future[messages.Held] = self._loop.create_future()
+        self._fetching[key] = fut
+        peer.conn.send(messages.Fetch(req=key[0], attempt=key[1]))
+        try:
+            async with asyncio.timeout(attempt_mod.REPLY_S):
+                return _events_of(await fut)
+        except TimeoutError:
+            return []
+        finally:
+            self._fetching.pop(key, None)
+
+    def on_held(self, msg: messages.Held) -> None:
+        """An agent answers a fetch."""
+        fut = self._fetching.get((msg.req, msg.attempt))
+        if fut is not None and not fut.done():
+            fut.set_result(msg)
+
     async def _ask_holder(
         self,
         req: request.Request,
@@ -139,3 +176,13 @@
             if not result.ran or single:
                 state = None
         await self._claims.settle(key=req.claim, holder=holder, state=state)
+
+
+def _events_of(held: messages.Held) -> list[request.Event]:
+    if not held.found:
+        return []
+    end = request.End(outcome=types.Outcome.ANSWERED, tokens=len(held.pieces))
+    if held.status:
+        head = request.PlainHead(status=held.status, headers=held.headers)
+        return [head, request.PlainPart(data=held.body), end]
+    return [*(request.Piece(text=text) for text in held.pieces), end]
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -79,6 +79,8 @@
         self.handed_over = False
         self.first_at: float | None = None
         self.claimed: claims_mod.Holder | None = None
+        # The answer that the key was given before, for a resend.
+        self.held: list[request.Event] = []
 
 
 class Entry:
@@ -168,6 +170,9 @@
         elif isinstance(msg, messages.Sealed):
             if self._claiming is not None:
                 self._claiming.on_sealed(msg)
+        elif isinstance(msg, messages.Held):
+            if self._claiming is not None:
+                self._claiming.on_held(msg)
         elif not isinstance(msg, messages.Summary):
             self._on_answer(peer, msg)
 
@@ -266,7 +271,10 @@
                 reason = await self._claim(item, att)
             if reason is not None:
                 att.release()
-                yield self._refuse_reserved(item, reason)
+                for event in item.held:
+                    yield event
+                if not item.held:
+                    yield self._refuse_reserved(item, reason)
                 return
             item.handed_over = True
             async with contextlib.aclosing(att.run()) as events:
@@ -291,6 +299,9 @@
         found = await self._claiming.claim(item.req, att)
         if isinstance(found, types.Refusal):
             return found
+        if isinstance(found, claiming.Answered):
+            item.held = await self._claiming.held(found)
+            return types.Refusal.CLAIM_ANSWERED
         item.claimed = found
         return None
 
--- a/rackpost/link/messages.py
+++ b/rackpost/link/messages.py
@@ -114,6 +114,13 @@
     attempt: types.Attempt
 
 
+class Fetch(Message, frozen=True, tag="fetch"):
+    """Ask for the held answer of an attempt that was answered."""
+
+    req: types.RequestId
+    attempt: types.Attempt
+
+
 class RunPrefill(Message, frozen=True, tag="prefill"):
     """Start a promised prefill."""
 
@@ -247,6 +254,18 @@
     whole: bool
 
 
+class Held(Message, frozen=True, tag="held"):
+    """Answer to `Fetch`: a whole answer, if it is still held."""
+
+    req: types.RequestId
+    attempt: types.Attempt
+    found: bool
+    pieces: tuple[str, ...] = ()
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
 class Summary(Message, frozen=True, tag="summary"):
     """An idle agent's load and newly cached or dropped blocks."""
 
@@ -260,6 +279,7 @@
     Reserve,
     Release,
     Seal,
+    Fetch,
     RunPrefill,
     RunDecode,
     RunCall,
@@ -276,6 +296,7 @@
     Head,
     Body,
     Sealed,
+    Held,
     Summary,
 ]
 Answer = Union[
