Retry-After from the load; the platform's list as a hint

Cause: a refused caller was told one second whatever the load; the list of leaving VMs was not read.

--- a/rackpost/config.py
+++ b/rackpost/config.py
@@ -219,6 +219,10 @@
         str,
         _opt("operators", "IP number and port for operators", "127.0.0.1:0"),
     ] = "127.0.0.1:0"
+    platform_list: Annotated[
+        str,
+        _opt("platform_list", "URL of the platform's list of VMs", ""),
+    ] = ""
     operator_key_file: Annotated[
         str,
         _opt("operator_key_file", "file with the operators' bearer key", ""),
--- a/rackpost/control/process.py
+++ b/rackpost/control/process.py
@@ -15,6 +15,7 @@
 from rackpost.control import messages
 from rackpost.control import node as node_mod
 from rackpost.control import operators
+from rackpost.control import platform
 from rackpost.control import service
 from rackpost import exceptions
 from rackpost import http_server
@@ -145,6 +146,12 @@
                 asyncio.create_task(self._run_node()),
                 asyncio.create_task(self.service.run()),
             ]
+            if self.opts.platform_list:
+                hints = platform.Hints(
+                    node=self.node,
+                    platform=platform.HttpList(url=self.opts.platform_list),
+                )
+                tasks.append(asyncio.create_task(hints.run()))
             for peer, address in self.opts.peer_addresses().items():
                 if self.node.me < peer:
                     tasks.append(
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from rackpost.decide import come_back
 from rackpost.decide import demand
 from rackpost.decide import placement
 from rackpost.decide import retry
@@ -449,7 +450,22 @@
         self.metrics.count("refused", reason, req.kind)
         self.metrics.count("requests", outcome, req.kind)
         return request.End(
-            outcome=outcome, reason=reason, retry_in_s=_COME_BACK_S
+            outcome=outcome,
+            reason=reason,
+            retry_in_s=self._come_back(req, reason),
+        )
+
+    def _come_back(self, req: request.Request, reason: types.Refusal) -> float:
+        now = self._loop.time()
+        backlogs = [
+            view.backlog_s(now)
+            for view in self.pool.views_of(req.service)
+            if view.load.role is types.Role.PREFILL
+        ]
+        return come_back.after(
+            reason,
+            backlog_s=min(backlogs, default=0.0),
+            denser=self.offers.last_denser(req.service),
         )
 
     def _observe(self, item: _Open, event: request.Event) -> None:
--- a/rackpost/entry/offers.py
+++ b/rackpost/entry/offers.py
@@ -23,6 +23,7 @@
     def __init__(self) -> None:
         self.demand = demand.Demand()
         self.fairness = fairness.Fairness()
+        self.last = demand.NONE
 
 
 class Offers:
@@ -65,10 +66,18 @@
         self._declare(req.service, service.demand, offer.at, entries)
         prefills = self._members(req.service, types.Role.PREFILL)
         decodes = self._members(req.service, types.Role.DECODE)
-        return service.demand.above(offer).times(
+        service.last = service.demand.above(offer).times(
             entries / max(1, decodes or pool.decodes),
             entries / max(1, prefills or pool.prefills),
         )
+        return service.last
+
+    def last_denser(self, service: types.ServiceName) -> float:
+        """The share of prefill time denser than the last request."""
+        found = self._services.get(service)
+        if found is None:
+            return 0.0
+        return found.last.urgent_load + found.last.other_load
 
     def _offer(
         self,
--- /dev/null
+++ b/tests/test_come_back.py
@@ -0,0 +1,57 @@
+"""When refused callers are told to come back."""
+
+import asyncio
+
+from rackpost.control import platform
+from rackpost.decide import come_back
+from rackpost.testing import cluster
+from rackpost.testing import virtual
+from rackpost import types
+from tests import test_control
+
+FULL = types.Refusal.QUEUE_KEPT
+
+
+def test_a_longer_backlog_and_denser_work_send_callers_back_later() -> None:
+    idle = come_back.after(FULL, backlog_s=0.0, denser=0.0)
+    busy = come_back.after(FULL, backlog_s=2.0, denser=0.0)
+    rush = come_back.after(FULL, backlog_s=2.0, denser=0.9)
+    never = come_back.after(FULL, backlog_s=99.0, denser=5.0)
+    assert idle == 0.5 < busy < rush < never == 30.0
+    away = types.Refusal.CONTROL_AWAY
+    assert come_back.after(away, backlog_s=9.0, denser=0.9) == 2.0
+
+
+class _Listed(platform.PlatformList):
+    """A list that lags: it says so long after the VM began to leave."""
+
+    async def read(self) -> list[platform.Vm]:
+        now = asyncio.get_running_loop().time()
+        state = platform.VmState.LEAVING
+        if now < 8.0:
+            state = platform.VmState.LIVE
+        return [platform.Vm(name=types.VmId("vm1"), state=state)]
+
+
+def test_an_agent_on_a_leaving_vm_is_ordered_to_leave_once() -> None:
+    async def main() -> None:
+        group = cluster.Cluster(names=test_control.THREE, seed=9)
+        await group.await_leader()
+        orders = []
+        client = group.client("a1", test_control.member("a1"))
+        client._ordered = lambda change: orders.append(change.order)
+        tasks = [asyncio.create_task(client.run())]
+        for item in group.up.values():
+            hints = platform.Hints(node=item.node, platform=_Listed())
+            tasks.append(asyncio.create_task(hints.run()))
+        await asyncio.sleep(7.0)
+        assert not orders
+        await asyncio.sleep(8.0)
+        group.kill(await group.await_leader())
+        await asyncio.sleep(15.0)
+        assert orders == ["leave"]
+        for task in tasks:
+            task.cancel()
+        group.close()
+
+    virtual.run(main())
