Agent: what runs at the endpoint in a module of its own

The runner of prefills, decodes and calls is agent/running.py now, behind the five calls that it needs of the agent.

--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -6,20 +6,18 @@
 
 import asyncio
 import contextlib
+from typing import Any
 from typing import AsyncIterator
-from typing import Awaitable
 from typing import Callable
 from typing import Coroutine
 from typing import Iterator
-from typing import TypeVar
 
 import msgspec
 
 from rackpost.agent import answers
 from rackpost.agent import attempts
 from rackpost.agent import engine as engine_mod
-from rackpost.agent import segments
-from rackpost.agent import watchdog
+from rackpost.agent import running as running_mod
 from rackpost.decide import book as book_mod
 from rackpost.decide import prefix
 from rackpost.decide import slots
@@ -30,8 +28,6 @@
 from rackpost import metrics as metrics_mod
 from rackpost import types
 
-T = TypeVar("T")
-
 # A promise that is not taken up in this time is given up, in seconds.
 LEASE_S = 1.0
 # Idle agents say their load this often, in seconds.
@@ -41,10 +37,6 @@
 _SUMMARY_MOST_S = 5.0
 _SLOTS_CHANGED = 2
 _BACKLOG_CHANGED_S = 0.05
-# Bytes of a plain answer that may be on the way to a caller at once, and
-# how long the agent waits for a reader that takes none, in seconds.
-WINDOW_BYTES = 256 << 10
-SLOW_READER_S = 5.0
 _ROUND_S = 1e-4
 # Promises that can't be kept any more are looked for this often.
 _CHECK_S = 0.05
@@ -72,7 +64,7 @@
         self.told: messages.Load | None = None
 
 
-class Agent:
+class Agent(running_mod.Host):
     """Serves reservations and attempts for one endpoint.
 
     `behind` is told of each revision that an entry runs on, so that a
@@ -93,6 +85,7 @@
         self.book = book
         self.metrics = metrics or metrics_mod.Metrics()
         self._engine = engine
+        self._runner = running_mod.Runner(engine=engine, book=book, host=self)
         self._sessions: set[Session] = set()
         self._attempts: dict[slots.Key, attempts.Attempt] = {}
         self._sealed = attempts.SealMemory()
@@ -121,7 +114,7 @@
                 revision=self.book.revision,
             )
         )
-        conn.send(messages.Summary(load=self._load()))
+        conn.send(messages.Summary(load=self.load()))
 
     def _on_closed(self, session: Session) -> None:
         # The entry is gone: so is everyone who would receive the work.
@@ -162,9 +155,9 @@
                 attempt=msg.attempt,
                 part=msg.part,
                 reason=made,
-                load=self._load(),
+                load=self.load(),
             )
-            self._say(session, reply)
+            self.say(session, reply)
             return
         att = attempts.Attempt(key=key, asked=msg, session=session)
         att.collected = answers.Collector()
@@ -174,7 +167,7 @@
         self._attempts[key] = att
         session.keys.add(key)
         self._idle.clear()
-        self._say(
+        self.say(
             session,
             messages.Granted(
                 req=msg.req,
@@ -182,7 +175,7 @@
                 part=msg.part,
                 ready_in_s=made.ready_in_s,
                 reuse_blocks=made.reuse_blocks,
-                load=self._load(),
+                load=self.load(),
             ),
         )
 
@@ -205,9 +198,10 @@
             return
         att.take(msg)
         self.book.ready(att.key)
-        self._start_ready()
+        self.start_ready()
 
-    def _start_ready(self) -> None:
+    def start_ready(self) -> None:
+        """Start what may be started now."""
         now = self._loop.time()
         while True:
             key = self.book.next_start(now)
@@ -229,7 +223,7 @@
         if wait is not None:
             # A little more, as the time of a timer may be rounded.
             self._waker = self._loop.call_later(
-                wait + _ROUND_S, self._start_ready
+                wait + _ROUND_S, self.start_ready
             )
 
     # Running attempts.
@@ -237,14 +231,9 @@
     async def _run(self, att: attempts.Attempt) -> None:
         try:
             with self._aborted_if_cut(att):
-                if isinstance(att.run, messages.RunPrefill):
-                    await self._run_prefill(att, att.run)
-                elif isinstance(att.run, messages.RunDecode):
-                    await self._run_decode(att, att.run)
-                elif isinstance(att.run, messages.RunCall):
-                    await self._run_call(att, att.run)
+                await self._runner.run(att)
         except exceptions.EngineError as exc:
-            self._fail(att, _failure_of(exc), ran=exc.ran)
+            self._fail(att, running_mod.failure_of(exc), ran=exc.ran)
         except Exception as exc:
             # A fault of ours must not leave the attempt held for ever.
             logs.say(logs.Part.AGENT, "Attempt failed.", why=repr(exc))
@@ -265,170 +254,27 @@
         with contextlib.suppress(exceptions.EngineError):
             await self._engine.abort(key=key)
 
-    async def _run_prefill(
-        self, att: attempts.Attempt, run: messages.RunPrefill
-    ) -> None:
-        done = att.reuse_tokens
-        while (part := self.book.part_tokens(att.key)) is not None:
-            done += part
-            await self._run_part(att, segments.cut_body(run.body, done))
-        result = await self._timed(
-            att,
-            self._engine.prefill(
-                key=att.key, body=run.body, priority=att.asked.priority
-            ),
-        )
-        self.book.prefilled(att.key, att.spent_s)
-        self._went_well()
-        self._finish(att, whole=True)
-        self._say(
-            att.session,
-            messages.PrefillDone(
-                req=run.req,
-                attempt=run.attempt,
-                kv=result.kv,
-                cached_tokens=result.cached_tokens,
-                load=self._load(),
-            ),
-        )
-
-    async def _run_part(self, att: attempts.Attempt, body: bytes) -> None:
-        await self._timed(
-            att,
-            self._engine.warm(
-                key=att.key, body=body, priority=att.asked.priority
-            ),
-        )
-        att.turn.clear()
-        self.book.part_done(att.key)
-        self._start_ready()
-        await att.turn.wait()
-
-    async def _timed(self, att: attempts.Attempt, work: Awaitable[T]) -> T:
-        limit = watchdog.prefill_limit(
-            att.asked, self._load(), self._queue_s()
-        )
-        began = self._loop.time()
-        result = await watchdog.within(limit, work)
-        att.spent_s += self._loop.time() - began
-        return result
-
-    async def _run_decode(
-        self, att: attempts.Attempt, run: messages.RunDecode
-    ) -> None:
-        stream = self._engine.decode(
-            key=att.key,
-            body=run.body,
-            kv=run.kv,
-            offset=run.offset,
-            priority=att.asked.priority,
-        )
-        count = 0
-        last = self._loop.time()
-        limits = watchdog.stream_limits(
-            att.asked, self._load(), self._queue_s()
-        )
-        guarded = watchdog.guarded(stream, limits)
-        async with contextlib.aclosing(guarded) as pieces:
-            async for piece in pieces:
-                now = self._loop.time()
-                count += 1
-                if count == 1:
-                    self._went_well()
-                self.book.progress(
-                    att.key, run.offset + count, now - last, now
-                )
-                last = now
-                att.collected.piece(piece)
-                att.session.conn.send(
-                    messages.Tokens(
-                        req=run.req,
-                        attempt=run.attempt,
-                        offset=run.offset + count - 1,
-                        pieces=(piece,),
-                    )
-                )
-        self._finish(att, whole=True)
-        self._done(att, run.offset + count, "stop")
-
-    async def _run_call(
-        self, att: attempts.Attempt, run: messages.RunCall
-    ) -> None:
-        stream = self._engine.call(
-            key=att.key,
-            method=run.method,
-            path=run.path,
-            query=run.query,
-            headers=run.headers,
-            body=run.body,
-        )
-        sent = 0
-        guarded = watchdog.guarded(stream, watchdog.CALL_LIMITS)
-        async with contextlib.aclosing(guarded) as parts:
-            async for part in parts:
-                if isinstance(part, engine_mod.CallHead):
-                    self._send_head(att, part)
-                    continue
-                await self._wait_for_credit(att, sent)
-                att.session.conn.send(
-                    messages.Body(
-                        req=run.req,
-                        attempt=run.attempt,
-                        offset=sent,
-                        data=part,
-                    )
-                )
-                att.collected.part(part)
-                sent += len(part)
-        self._finish(att, whole=True)
-        self._done(att, sent, "stop")
-
-    def _send_head(
-        self, att: attempts.Attempt, head: engine_mod.CallHead
-    ) -> None:
-        msg = messages.Head(
-            req=att.key.req,
-            attempt=att.key.attempt,
-            status=head.status,
-            headers=head.headers,
-        )
-        att.collected.head(msg)
-        att.session.conn.send(msg)
-
-    async def _wait_for_credit(self, att: attempts.Attempt, sent: int) -> None:
-        while sent - att.taken > WINDOW_BYTES:
-            att.credited.clear()
-            try:
-                async with asyncio.timeout(SLOW_READER_S):
-                    await att.credited.wait()
-            except TimeoutError:
-                raise _SlowReader() from None
-
     def _on_credit(self, msg: messages.Credit) -> None:
         att = self._attempts.get(slots.Key(msg.req, msg.attempt))
         if att is not None:
             att.taken = max(att.taken, msg.taken)
             att.credited.set()
 
-    def _went_well(self) -> None:
-        self.book.health.succeeded(
-            took_s=0.0, predicted_s=1.0, now=self._loop.time()
-        )
-
     # Ends.
 
-    def _done(self, att: attempts.Attempt, tokens: int, why: str) -> None:
+    def done(self, att: attempts.Attempt, tokens: int) -> None:
+        """Tell the entry that the answer is whole."""
         if att.asked.claim is not None:
             now = self._loop.time()
             self._answers.hold(att.key, att.collected, now)
-        self._say(
+        self.say(
             att.session,
             messages.Done(
                 req=att.key.req,
                 attempt=att.key.attempt,
                 tokens=tokens,
-                finish_reason=why,
-                load=self._load(),
+                finish_reason="stop",
+                load=self.load(),
             ),
         )
 
@@ -437,9 +283,9 @@
     ) -> None:
         if reason in _ENDPOINTS_FAULT:
             self.book.health.failed(self._loop.time())
-        self._finish(att, whole=False)
+        self.finish(att, whole=False)
         self.metrics.count("failed", reason, att.asked.kind)
-        self._say(
+        self.say(
             att.session,
             messages.Failed(
                 req=att.key.req,
@@ -447,11 +293,12 @@
                 part=att.asked.part,
                 reason=reason,
                 ran=ran,
-                load=self._load(),
+                load=self.load(),
             ),
         )
 
-    def _finish(self, att: attempts.Attempt, *, whole: bool) -> None:
+    def finish(self, att: attempts.Attempt, *, whole: bool) -> None:
+        """Let go of all that the attempt holds here."""
         if att.state is attempts.State.ENDED:
             return
         ending = attempts.Ending.NEVER_RAN
@@ -466,7 +313,7 @@
         self._attempts.pop(att.key, None)
         att.session.keys.discard(att.key)
         self.book.end(att.key, self._loop.time(), whole=whole)
-        self._start_ready()
+        self.start_ready()
         if not self._attempts:
             self._idle.set()
 
@@ -475,7 +322,7 @@
         if att is None:
             return
         task = att.task
-        self._finish(att, whole=False)
+        self.finish(att, whole=False)
         if task is not None:
             task.cancel()
 
@@ -483,14 +330,14 @@
         key = slots.Key(msg.req, msg.attempt)
         att = self._attempts.get(key)
         if att is not None and att.state is not attempts.State.RUNNING:
-            self._finish(att, whole=False)
+            self.finish(att, whole=False)
         running = att is not None and att.state is attempts.State.RUNNING
         if not running:
             # From now on it can't begin here, whatever is on the way.
             never = attempts.Ending.NEVER_RAN
             self._sealed.add(key, never, self._loop.time())
         ending = self._sealed.ending(key)
-        self._say(
+        self.say(
             session,
             messages.Sealed(
                 req=msg.req,
@@ -503,13 +350,12 @@
 
     # The agent's own life.
 
-    def _load(self) -> messages.Load:
+    def load(self) -> messages.Load:
+        """The endpoint's present load."""
         return self.book.load(self._loop.time())
 
-    def _queue_s(self) -> float:
-        return self.book.engine_queue_s(self._loop.time())
-
-    def _say(self, session: Session, msg: msgspec.Struct) -> None:
+    def say(self, session: Any, msg: msgspec.Struct) -> None:
+        """Send a message over a session's link."""
         session.spoke_at = self._loop.time()
         session.conn.send(msg)
 
@@ -549,22 +395,22 @@
 
     def _say_summaries(self) -> None:
         now = self._loop.time()
-        load = self._load()
+        load = self.load()
         msg = messages.Summary(load=load)
         for session in self._sessions:
             silent = now - session.spoke_at
             if silent < self.cfg.summary_s:
                 continue
             if silent >= _SUMMARY_MOST_S or _differs(load, session.told):
-                self._say(session, msg)
+                self.say(session, msg)
                 session.told = load
 
     def leave(self) -> None:
         """Refuse new promises at once and tell every entry so."""
         self.book.leaving = True
-        msg = messages.Summary(load=self._load())
+        msg = messages.Summary(load=self.load())
         for session in self._sessions:
-            self._say(session, msg)
+            self.say(session, msg)
 
     async def drained(self) -> None:
         """Wait until no attempt is left."""
@@ -587,13 +433,6 @@
         return len(self._attempts)
 
 
-class _SlowReader(exceptions.EngineError):
-    """The caller takes nothing of its answer."""
-
-    def __init__(self) -> None:
-        super().__init__("slow reader")
-
-
 def _differs(load: messages.Load, told: messages.Load | None) -> bool:
     if told is None:
         return True
@@ -605,18 +444,6 @@
     )
 
 
-def _failure_of(exc: exceptions.EngineError) -> types.Failure:
-    if isinstance(exc, _SlowReader):
-        return types.Failure.SLOW_READER
-    if isinstance(exc, watchdog.Stalled):
-        return types.Failure.ENGINE_STALLED
-    if isinstance(exc, engine_mod.KvExpired):
-        return types.Failure.KV_EXPIRED
-    if isinstance(exc, engine_mod.TransferFailed):
-        return types.Failure.TRANSFER
-    return types.Failure.ENGINE
-
-
 _ENDPOINTS_FAULT = frozenset(
     {types.Failure.ENGINE, types.Failure.ENGINE_STALLED}
 )
