--- a/lab/cases.py
+++ b/lab/cases.py
@@ -13,6 +13,7 @@
 from rackpost.decide import prefix
 from rackpost.entry import core as entry_core
 from rackpost.entry import request
+from rackpost.testing import claims
 from rackpost.testing import engine
 from rackpost.testing import plain
 from rackpost.testing import site as site_mod
@@ -185,6 +186,7 @@
             seed=self.case.seed,
             engine_spec=SPEC,
             make_book=self._book,
+            claims=claims.LocalClaims(),
             lease_s=_LEASE_S if self.case.policy == PRODUCT else 30.0,
         )
         where = self.deployment.data_centres
@@ -308,6 +310,11 @@
             max_tokens=offer.max_tokens,
             blocks=prefix.block_hashes(prompt),
             kv_bytes=offer.prompt_tokens * SPEC.kv_token_bytes,
+            claim=(
+                None
+                if kind.repeat is types.RepeatClass.FREE
+                else types.ClaimKey(f"{kind.name}-{offer.number}")
+            ),
             plain=call,
         )
 
--- a/rackpost/decide/book.py
+++ b/rackpost/decide/book.py
@@ -287,7 +287,8 @@
         if self.role is types.Role.PREFILL:
             return self._queue.late(now)
         if self._link.stalled(now):
-            return [key for _, key in self._ready if key in self._asked]
+            # Also those whose prefill still runs: it can be stopped.
+            return self._slots.promised()
         return []
 
     def prefilled(self, key: slots.Key, took_s: float) -> None:
--- a/rackpost/decide/slots.py
+++ b/rackpost/decide/slots.py
@@ -186,6 +186,10 @@
                 return False
         return True
 
+    def promised(self) -> list[Key]:
+        """What is promised a slot and has not taken it."""
+        return list(self._promised)
+
     def may_start(self) -> bool:
         """Whether a promised stream can be handed to the engine now."""
         return len(self._running) < self.slots
