Reservation: a second try has the time that the first has left

Cause: the second reservation of an attempt was asked with the slack that the attempt had begun with, a round trip or a quarter of a second more than there was.

--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -227,7 +227,9 @@
             return False
         ask = self._ask
         load = peer.view.load
-        left = ask.ttft_s - 2 * peer.view.delay_s
+        # A second try has what the first one has left.
+        left = ask.ttft_s - (self._loop.time() - self._began)
+        left -= 2 * peer.view.delay_s
         if role is not types.Role.PLAIN:
             left -= load.step_s
         if role is types.Role.PREFILL:
