Clean-up: settings that nothing read, names that nothing used

Cause: read as a newcomer, the tree held a dozen names without a user, a summary's fields that nothing filled, and two settings that nothing read: max_tokens (256 was taken whatever it said) and retry_share. The health of agents that are no longer members was kept for ever.

--- a/rackpost/agent/engine.py
+++ b/rackpost/agent/engine.py
@@ -26,13 +26,6 @@
     cached_tokens: int
 
 
-class EngineLoad(msgspec.Struct, frozen=True, kw_only=True):
-    """What an endpoint reports of itself, with a lag."""
-
-    running: int
-    waiting: int
-
-
 class CacheEvents(msgspec.Struct, frozen=True, kw_only=True):
     """Blocks that were cached or dropped; events may be missing."""
 
--- a/rackpost/cmd_demo.py
+++ b/rackpost/cmd_demo.py
@@ -47,7 +47,6 @@
 
     def __init__(self) -> None:
         self.kinds: dict[str, collections.Counter[str]] = {}
-        self.waste = 0
 
     def add(self, kind: str, what: str) -> None:
         """Count one end of a request."""
--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -125,11 +125,6 @@
             return self._quorum_heard(now)
         return self.leader is not None and now - self._heard_at < ELECTION_S
 
-    def lag_of(self, peer: m.ReplicaId) -> int:
-        """How many records a replica is behind, by the leader's view."""
-        known = self._peers.get(peer)
-        return self.log.last_index - (known.match if known else 0)
-
     # Inputs.
 
     def tick(self, now: float) -> None:
--- a/rackpost/consensus/storage.py
+++ b/rackpost/consensus/storage.py
@@ -188,8 +188,6 @@
         self._folder = folder
         self._log = folder / "log"
         self._handle = -1
-        self.syncs = 0
-        self.bytes_written = 0
 
     def load(self) -> Loaded:
         """Read all, cut a torn end, and open the log for writing.
@@ -260,8 +258,6 @@
         except OSError as exc:
             # What reached the disk is not known: only a restart helps.
             raise exceptions.StorageError(f"log: {exc}") from exc
-        self.syncs += 1
-        self.bytes_written += len(data)
 
     async def compact(
         self, snapshot: m.Snapshot, hard: m.HardState, log: log_mod.Log
@@ -278,7 +274,6 @@
         os.close(self._handle)
         _write_whole(self._log, frame(codec.encode(rest)))
         self._handle = os.open(self._log, os.O_RDWR | os.O_APPEND)
-        self.syncs += 2
 
     def close(self) -> None:
         """Let go of the log."""
--- a/rackpost/control/client.py
+++ b/rackpost/control/client.py
@@ -36,12 +36,10 @@
         self.tree = tree_mod.Tree()
         self.members: dict[str, commands.MemberInfo] = {}
         self.fences: dict[str, types.Fence] = {}
-        self.refused_older = 0
 
     def take_whole(self, image: machine.Image) -> bool:
         """Take a whole state; False, and nothing done, if it is older."""
         if image.revision < self.revision:
-            self.refused_older += 1
             return False
         self.tree = tree_mod.Tree()
         for path, node in image.nodes.items():
@@ -55,7 +53,6 @@
     def take(self, change: machine.Change) -> bool:
         """Take the next change; False if it is not the next one."""
         if change.revision <= self.revision:
-            self.refused_older += 1
             return True
         if change.revision != self.revision + 1:
             return False
--- a/rackpost/control/service.py
+++ b/rackpost/control/service.py
@@ -44,11 +44,6 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._leads_since: float | None = None
 
-    @property
-    def watchers(self) -> int:
-        """Processes that are fed by this replica."""
-        return sum(1 for item in self._sessions if item.watching)
-
     def connect(self, conn: channel.Channel) -> None:
         """Serve a process over a new link."""
         session = _Session(conn=conn)
--- a/rackpost/decide/placement.py
+++ b/rackpost/decide/placement.py
@@ -41,13 +41,7 @@
 
 
 class Policy(abc.ABC):
-    """Chooses the endpoints of a request.
-
-    `reserves` tells whether agents are asked to promise room before any
-    work is started, or to take the request as it comes.
-    """
-
-    reserves = True
+    """Chooses the endpoints of a request."""
 
     @abc.abstractmethod
     def place(
--- a/rackpost/decide/retry.py
+++ b/rackpost/decide/retry.py
@@ -10,9 +10,8 @@
 
 from rackpost import types
 
-# A service's retries are at most this share of its requests, with room
-# for a short burst.
-_SHARE = 0.1
+# A service's retries are a share of its requests, with room for a short
+# burst.
 _BURST = 10.0
 _JITTER_S = 0.02
 # Whatever the budget, one request is given to endpoints this often.
@@ -43,14 +42,13 @@
 class RetryBudget:
     """A bucket that requests fill and retries empty."""
 
-    def __init__(self, *, share: float = _SHARE, burst: float = _BURST):
-        self._share = share
+    def __init__(self, *, burst: float = _BURST):
         self._burst = burst
         self._level = burst
 
-    def request(self) -> None:
-        """A request came in."""
-        self._level = min(self._burst, self._level + self._share)
+    def request(self, share: float) -> None:
+        """A request came in, of which `share` may be spent on retries."""
+        self._level = min(self._burst, self._level + share)
 
     def take(self) -> bool:
         """Take one retry out, if there is one."""
--- a/rackpost/decide/slots.py
+++ b/rackpost/decide/slots.py
@@ -73,11 +73,6 @@
         """Slots that are taken."""
         return len(self._running)
 
-    @property
-    def memory_used(self) -> int:
-        """Tokens of KV memory that are taken or promised."""
-        return self._memory
-
     def free_in(self, *, step_s: float, now: float) -> float:
         """After how many seconds an urgent request could have a slot.
 
--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -122,7 +122,6 @@
         self._used: dict[types.AgentId, pool_mod.Peer] = {}
         self._granted: dict[types.Role, messages.Granted] = {}
         self._agents: dict[types.Role, types.AgentId] = {}
-        self._plan: placement.Placement | None = None
 
     # What the entry hands in.
 
@@ -138,11 +137,6 @@
         if agent in self._used:
             self._inbox.put_nowait(_Gone(agent=agent))
 
-    @property
-    def uses(self) -> set[types.AgentId]:
-        """The agents that hold something for this attempt."""
-        return set(self._used)
-
     def holder(self) -> pool_mod.Peer | None:
         """The agent that will give the answer, once reserved."""
         agent = self._agents.get(self._answering_role)
@@ -166,7 +160,6 @@
             )
             if isinstance(plan, types.Refusal):
                 return plan
-            self._plan = plan
             self._note(
                 "placed",
                 plan.decode,
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -263,7 +263,7 @@
 
     async def _serve(self, item: _Open) -> AsyncGenerator[request.Event, None]:
         req = item.req
-        self._budget(req.service).request()
+        self._budget(req.service).request(req.terms.retry_share)
         denser = self.offers.denser(req, self.pool.views_of(req.service))
         while True:
             att = self._new_attempt(item, denser)
--- a/rackpost/entry/http.py
+++ b/rackpost/entry/http.py
@@ -138,7 +138,19 @@
         try:
             tree, caller = self._authenticate(req)
             data = await _body(req)
-            parsed = openai.parse(data, chat=chat, default_tokens=256)
+            parsed = openai.parse(
+                data,
+                chat=chat,
+                default_tokens=lambda model: int(
+                    tree.value(
+                        caller,
+                        model,
+                        req.headers.get(_KIND_HEADER, ""),
+                        "max_tokens",
+                        time.time(),
+                    )
+                ),
+            )
             who = self._who(req, tree, caller, parsed.model)
             asked = self._model_request(req, name, who, parsed)
         except exceptions.BadRequest as exc:
--- a/rackpost/entry/openai.py
+++ b/rackpost/entry/openai.py
@@ -6,6 +6,7 @@
 
 from typing import Annotated
 from typing import Any
+from typing import Callable
 from typing import Union
 
 import msgspec
@@ -92,8 +93,13 @@
             depth -= 1
 
 
-def parse(data: bytes, *, chat: bool, default_tokens: int) -> Parsed:
-    """Check a request's body; BadRequest says what is wrong with it."""
+def parse(
+    data: bytes, *, chat: bool, default_tokens: Callable[[str], int]
+) -> Parsed:
+    """Check a request's body; BadRequest says what is wrong with it.
+
+    `default_tokens` gives the limit for a model where none is asked for.
+    """
     # Only bodies that could be nested too deep need the slow look.
     if data.count(b"[") + data.count(b"{") > MAX_DEPTH:
         _check_depth(data)
@@ -108,7 +114,9 @@
     if asked.n != 1:
         raise exceptions.BadRequest("n-not-one", "only n=1 is served")
     prompt = _prompt(asked, chat)
-    limit = asked.max_completion_tokens or asked.max_tokens or default_tokens
+    limit = asked.max_completion_tokens or asked.max_tokens
+    if limit is None:
+        limit = default_tokens(asked.model)
     raw.pop("stream", None)
     raw.pop("stream_options", None)
     raw.pop("max_completion_tokens", None)
--- a/rackpost/entry/process.py
+++ b/rackpost/entry/process.py
@@ -92,6 +92,7 @@
             events=self._events,
             in_force=_InForce(client=self.client),
         )
+        self._known: set[str] = set()
         self._links: dict[str, asyncio.Task[None]] = {}
         self._linked: dict[str, commands.MemberInfo] = {}
 
@@ -130,6 +131,7 @@
         for name in list(self._links):
             if name not in wanted or self._linked[name] != members[name]:
                 self._links.pop(name).cancel()
+        self._forget_gone(members)
         for name in wanted:
             if name not in self._links:
                 self._linked[name] = members[name]
@@ -137,6 +139,11 @@
                     self._keep_link(members[name])
                 )
 
+    def _forget_gone(self, members: dict[str, commands.MemberInfo]) -> None:
+        for name in self._known - members.keys():
+            self.entry.pool.health.forget(types.AgentId(name))
+        self._known = set(members)
+
     async def _keep_link(self, member: commands.MemberInfo) -> None:
         pause = _FIRST_PAUSE_S
         while True:
--- a/rackpost/exceptions.py
+++ b/rackpost/exceptions.py
@@ -38,10 +38,6 @@
     """Bytes from a peer are not a message of the protocol."""
 
 
-class LinkClosed(LinkError):
-    """The link ended, from this side or the other."""
-
-
 class EngineError(RackpostError):
     """The endpoint did not do what it was asked.
 
--- a/rackpost/link/messages.py
+++ b/rackpost/link/messages.py
@@ -267,11 +267,9 @@
 
 
 class Summary(Message, frozen=True, tag="summary"):
-    """An idle agent's load and newly cached or dropped blocks."""
+    """An idle agent's load."""
 
     load: Load
-    cached: tuple[types.BlockHash, ...] = ()
-    dropped: tuple[types.BlockHash, ...] = ()
 
 
 FromEntry = Union[
--- a/rackpost/logs.py
+++ b/rackpost/logs.py
@@ -13,8 +13,6 @@
     ENTRY = "entry"
     AGENT = "agent"
     CONTROL = "control"
-    LINK = "link"
-    DEMO = "demo"
 
 
 def to_stream(stream: TextIO | None = None) -> None:
--- a/rackpost/state/terms.py
+++ b/rackpost/state/terms.py
@@ -14,6 +14,7 @@
         weight: how much an answer counts; 1 is ordinary.
         repeat: how often such a request may run.
         max_open: open requests of the caller at one entry.
+        retry_share: retries of the service, as a share of its requests.
         whole_s: time in which the whole answer must have ended.
     """
 
@@ -22,4 +23,5 @@
     weight: float = 1.0
     repeat: types.RepeatClass = types.RepeatClass.FREE
     max_open: int = 64
+    retry_share: float = 0.1
     whole_s: float = 60.0
--- a/rackpost/state/tree.py
+++ b/rackpost/state/tree.py
@@ -125,6 +125,7 @@
             repeat=types.RepeatClass(get("repeat")),
             max_open=int(get("max_open")),
             whole_s=float(get("whole_s")),
+            retry_share=float(get("retry_share")),
         )
 
     def services(self) -> set[str]:
--- a/rackpost/testing/engine.py
+++ b/rackpost/testing/engine.py
@@ -160,14 +160,6 @@
         for turn in [*self._turns.values(), *self._waiting.values()]:
             turn.set()
 
-    def revive(self) -> None:
-        """The engine is back, with nothing in memory."""
-        self.dead = False
-        self._prefilling = None
-        self._turns.clear()
-        self._prefills.clear()
-        self._waiting.clear()
-
     def _check(self, *, ran: bool) -> None:
         if self.dead:
             raise exceptions.EngineError("engine is dead", ran=ran)
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -63,7 +63,7 @@
     data: bytes, chat: bool
 ) -> None:
     try:
-        openai.parse(data, chat=chat, default_tokens=16)
+        openai.parse(data, chat=chat, default_tokens=lambda model: 16)
     except exceptions.BadRequest:
         pass
 
@@ -81,7 +81,7 @@
     }
     try:
         data = msgspec.json.encode(body)
-        parsed = openai.parse(data, chat=chat, default_tokens=16)
+        parsed = openai.parse(data, chat=chat, default_tokens=lambda model: 16)
     except exceptions.BadRequest:
         return
     assert parsed.max_tokens >= 1
@@ -106,7 +106,7 @@
     data: bytes, reason: str
 ) -> None:
     with pytest.raises(exceptions.BadRequest) as caught:
-        openai.parse(data, chat=True, default_tokens=16)
+        openai.parse(data, chat=True, default_tokens=lambda model: 16)
     assert caught.value.reason == reason
 
 
@@ -115,7 +115,7 @@
         b'{"model": "m", "messages": [{"role": "user", "content": "a"}],'
         b'"priority": -99, "kv_transfer_params": {"remote": 1}}'
     )
-    parsed = openai.parse(body, chat=True, default_tokens=16)
+    parsed = openai.parse(body, chat=True, default_tokens=lambda model: 16)
     assert b"priority" not in parsed.body
     assert b"kv_transfer_params" not in parsed.body
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -41,6 +41,7 @@
                 f"{MODEL}/deed.repeat": "once",
                 f"{MODEL}/deed.ttft_s": 60.0,
                 f"{MODEL}.default_kind": "note",
+                f"{MODEL}.max_tokens": 7,
                 f"{PLAIN}.type": "plain",
                 "ttft_s": 60.0,
             }
@@ -99,6 +100,12 @@
             assert "".join(texts) == want
             assert usage is not None
             assert usage.completion_tokens == whole.usage.completion_tokens
+            # Bug: the setting was not read, and 256 was taken.
+            unlimited = await client.chat.completions.create(
+                model=MODEL, messages=ASKED
+            )
+            found = unlimited.choices[0].message.content
+            assert found == expected(ASKED, 7)
             text = await client.completions.create(
                 model=MODEL, prompt="x", max_tokens=5
             )
