Agent: an address that nobody can reach is refused at start

Cause: an agent that listens on 0.0.0.0 joined under that address, and no entry could link to it. An entry told control two incarnations of itself.

Measured: the new case of the bad settings fails without the check.

--- a/rackpost/config.py
+++ b/rackpost/config.py
@@ -17,6 +17,7 @@
 from rackpost import types
 
 _MIN_KEY = 16
+_ANY_HOST = ("0.0.0.0", "::")
 
 
 def _opt(name: str, help_text: str, default: Any) -> Any:
@@ -179,9 +180,14 @@
 
     def check(self) -> None:
         """Raise ConfigError where a value can't be used."""
-        self.bind()
+        host, _ = self.bind()
         self.control_addresses()
         self.parsed_role()
+        if host in _ANY_HOST and not self.advertise:
+            raise exceptions.ConfigError(
+                f"--listen {self.listen} needs --advertise: others can't "
+                "link to it"
+            )
         if not self.service:
             raise exceptions.ConfigError("--service is missing")
         if not self.endpoint.startswith(("http://", "https://")):
--- a/rackpost/entry/process.py
+++ b/rackpost/entry/process.py
@@ -63,9 +63,10 @@
         self.opts = opts
         self._security = opts.security()
         self._rng = random.Random()
+        self._incarnation = types.Incarnation(time.time_ns())
         self.client = client_mod.ControlClient(
             name=opts.name,
-            incarnation=types.Incarnation(time.time_ns()),
+            incarnation=self._incarnation,
             addresses=opts.control_addresses(),
             connect=lambda where: websocket.connected(
                 where,
@@ -103,7 +104,7 @@
             vm=types.VmId(opts.vm),
             data_centre=types.DataCentre(opts.data_centre),
             address=opts.advertise or opts.listen,
-            incarnation=types.Incarnation(time.time_ns()),
+            incarnation=self._incarnation,
         )
 
     def _count_entries(self) -> int:
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -63,6 +63,11 @@
             {"RACKPOST_ENDPOINT": "ftp://x"},
             "--endpoint must be an http URL",
         ),
+        (
+            ("rackpost-agent", "--control", "1.2.3.4:5"),
+            {"RACKPOST_LISTEN": "0.0.0.0:7300"},
+            "needs --advertise",
+        ),
         (("rackpost-control", "run"), {}, "--data is missing"),
         (
             ("rackpost-control", "init", "--data", "x", "--replica", "c0"),
