Outcomes: what was never begun is not-run, what ran in part is not

Cause, from a last read: the entry took whatever it had sent to an agent as handed over, though the agent may have sealed it unrun; so a deed whose service was down was given up as unknown in place of being filed at another. And a long prefill whose later part the engine turned away counted as never run though its first part had. An import stood within a function.

--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -233,7 +233,10 @@
             with self._aborted_if_cut(att):
                 await self._runner.run(att)
         except exceptions.EngineError as exc:
-            self._fail(att, running_mod.failure_of(exc), ran=exc.ran)
+            # Of a long prefill, parts may have run before the one that
+            # was turned away.
+            ran = exc.ran or att.spent_s > 0.0
+            self._fail(att, running_mod.failure_of(exc), ran=ran)
         except Exception as exc:
             # A fault of ours must not leave the attempt held for ever.
             logs.say(logs.Part.AGENT, "Attempt failed.", why=repr(exc))
--- a/rackpost/control/operators.py
+++ b/rackpost/control/operators.py
@@ -17,6 +17,7 @@
 from rackpost import exceptions
 from rackpost import metrics as metrics_mod
 from rackpost.state import commands
+from rackpost.state import machine as machine_mod
 from rackpost.state import schema
 from rackpost.state import tree as tree_mod
 from rackpost import types
@@ -294,8 +295,6 @@
         return await self._commit(cmd)
 
     async def _dry_run(self, cmd: commands.Write) -> responses.Response:
-        from rackpost.state import machine as machine_mod
-
         await self._confirm()
         tree = self._node.machine.tree
         machine_mod.check_write(cmd, tree)
--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -105,7 +105,8 @@
         self.req = req
         self.number = number
         self.result: Result = Refused(types.Refusal.NO_ENDPOINT)
-        self.handed_over = False
+        # Whether an endpoint may have had any of it.
+        self.touched = False
         self.refusals = 0
         self.excluded: set[types.AgentId] = set()
         self._ask = ask
@@ -147,6 +148,13 @@
         plain = self.req.plain is not None
         return types.Role.PLAIN if plain else types.Role.DECODE
 
+    @property
+    def _first_role(self) -> types.Role:
+        if self.req.plain is not None:
+            return types.Role.PLAIN
+        # With a KV cache at hand a prefill was run before.
+        return types.Role.PREFILL
+
     # Reservation.
 
     async def reserve(self) -> types.Refusal | None:
@@ -309,7 +317,7 @@
 
     async def run(self) -> AsyncGenerator[request.Event, None]:
         """Run what was reserved; yields the answer's pieces."""
-        self.handed_over = True
+        self.touched = True
         if self.req.plain is not None:
             self._send_call()
             role = types.Role.PLAIN
@@ -467,6 +475,9 @@
                 self._used.pop(agent, None)
             kept = None if msg.ran else self._kept
             self._note("broke", agent or "", msg.reason.value)
+            if not msg.ran and msg.part is self._first_role:
+                # Sealed by its agent: nothing has begun anywhere.
+                self.touched = False
             return Broken(msg.reason, msg.ran, agent, kept)
         if isinstance(msg, _Gone):
             self._used.pop(msg.agent, None)
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -277,13 +277,13 @@
                 if not item.held:
                     yield self._refuse_reserved(item, reason)
                 return
-            item.handed_over = True
             async with contextlib.aclosing(att.run()) as events:
                 async for event in events:
                     if not isinstance(event, request.PlainHead):
                         item.delivered += 1
                     yield event
             att.release()
+            item.handed_over = item.handed_over or att.touched
             if self._claiming is not None and item.claimed is not None:
                 await self._claiming.settle(req, item.claimed, att.result)
                 item.claimed = None
@@ -394,9 +394,11 @@
         if broken.agent is not None and broken.reason in _AGENTS_FAULT:
             self.pool.health.of(broken.agent).failed(self._loop.time())
             att.excluded.add(broken.agent)
-        stage = retry.Stage.HANDED_OVER
+        stage = retry.Stage.NOTHING
         if item.delivered:
             stage = retry.Stage.STREAMING
+        elif item.handed_over:
+            stage = retry.Stage.HANDED_OVER
         verdict = retry.after_failure(
             reason=broken.reason,
             ran=broken.ran,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,6 +4,10 @@
 import collections
 import random
 
+import msgspec
+
+from rackpost.entry import request
+from rackpost.state import terms
 from rackpost.testing import claims
 from rackpost.testing import engine
 from rackpost.testing import virtual
@@ -202,3 +206,33 @@
 def test_a_storm_of_deaths_and_resends_runs_nothing_twice() -> None:
     for seed in range(12):
         _storm(seed)
+
+
+def filing(name: str) -> request.Request:
+    """A deed: a plain call that may run once."""
+    return msgspec.structs.replace(
+        driver.call(name, b"deed"),
+        terms=terms.Terms(repeat=ONCE, max_open=100),
+        claim=types.ClaimKey(f"deed-{name}"),
+    )
+
+
+def test_a_deed_that_never_reached_its_service_is_filed_at_another() -> None:
+    # Bug: whatever had been sent to an agent counted as handed over, so a
+    # deed was given up as unknown though its agent had sealed it unrun.
+    async def main() -> None:
+        site = driver.small_site(plains=3, claims=claims.LocalClaims())
+        await asyncio.sleep(0.1)
+        entry = site.entries[0]
+        for name in ("p0", "p1"):
+            site.nodes[name].engine.dead = True  # type: ignore
+        got = await driver.take(entry, filing("x"))
+        assert got.whole
+        assert sum(site.ledger.runs.values()) == 1
+        site.nodes["p2"].engine.dead = True  # type: ignore
+        got = await driver.take(entry, filing("y"))
+        assert got.end.outcome is OUT.NOT_RUN
+        assert sum(site.ledger.runs.values()) == 1
+        site.close()
+
+    virtual.run(main())
--- a/tests/test_segments.py
+++ b/tests/test_segments.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+from typing import Any
 
 from rackpost.agent import segments
 from rackpost.decide import prefix
+from rackpost import exceptions
 from rackpost.testing import engine
 from rackpost.testing import virtual
 from rackpost import types
@@ -46,3 +48,32 @@
         site.close()
 
     virtual.run(main())
+
+
+def test_a_prefill_that_breaks_after_a_part_has_run() -> None:
+    # Bug: the engine turned the second part away as not started, and the
+    # whole attempt counted as never run.
+    async def main() -> None:
+        site = driver.small_site(prefills=1, decodes=1)
+        await asyncio.sleep(0.1)
+        node = site.nodes["t0"]
+        warm = node.engine.warm
+        calls = []
+
+        async def busy(**part: Any) -> None:
+            calls.append(part)
+            if len(calls) > 1:
+                raise exceptions.EngineError("429: busy", ran=False)
+            await warm(**part)
+
+        node.engine.warm = busy  # type: ignore[method-assign]
+        req = driver.ask(
+            "long", words=7000, ttft_s=4.0, repeat=types.RepeatClass.ONCE
+        )
+        got = await driver.take(site.entries[0], req)
+        assert len(calls) == 2 and site.ledger.prefilled
+        assert got.end.outcome is types.Outcome.UNKNOWN
+        assert node.agent.open_attempts == 0
+        site.close()
+
+    virtual.run(main())
