Orders: a restarted agent carries out none of the past

Cause, from a last read: a restarted agent watches from the first revision on and is fed the history, orders included; its gate knew no fence yet, so it carried out what its forerunner had been given, a 'leave' among them. An order now counts only for the incarnation that it was given to.

--- a/rackpost/agent/orders.py
+++ b/rackpost/agent/orders.py
@@ -1,8 +1,9 @@
 """Fenced orders of control, which only the agent gives to its endpoint.
 
 An endpoint that checks nobody is safe behind it: an order counts only
-with a fence above all that this agent has seen, and a restarted agent
-has been given a new fence by its joining before any order reaches it.
+with a fence above all that this agent has seen, and only to the
+incarnation that it was given to: a restarted agent is fed the changes of
+the past, and must not carry out the orders among them.
 """
 
 import asyncio
@@ -22,6 +23,7 @@
 
     GIVEN = "given"
     OLD_FENCE = "old-fence"
+    OLD_INCARNATION = "old-incarnation"
     ENDPOINT_REFUSED = "endpoint-refused"
     ENDPOINT_FAILED = "endpoint-failed"
 
@@ -47,11 +49,13 @@
         self,
         *,
         name: str,
+        incarnation: types.Incarnation,
         agent: core.Agent,
         engine: engine_http.HttpEngine,
         metrics: metrics_mod.Metrics,
     ) -> None:
         self._name = name
+        self._incarnation = incarnation
         self._agent = agent
         self._engine = engine
         self._metrics = metrics
@@ -63,6 +67,10 @@
         """Take a change that carries an order, perhaps for another."""
         if change.member_name != self._name or change.order is None:
             return
+        member = change.member
+        if member is None or member.incarnation != self._incarnation:
+            self._metrics.count("orders", Verdict.OLD_INCARNATION)
+            return
         if not self._gate.passes(change.fence):
             self._metrics.count("orders", Verdict.OLD_FENCE)
             return
--- a/rackpost/agent/process.py
+++ b/rackpost/agent/process.py
@@ -70,6 +70,7 @@
         )
         self.orders = orders.Orders(
             name=opts.name,
+            incarnation=self.incarnation,
             agent=self.agent,
             engine=self._engine,
             metrics=self.metrics,
