--- /dev/null
+++ b/rackpost/consensus/membership.py
@@ -0,0 +1,115 @@
+"""Which replicas vote: the leader's next change of the config.  Pure.
+
+A replica's id lasts as long as its disk.  One that lost its disk comes
+back on the same host under a new id, as a learner; that shows that the
+old id is gone for good.  One change is made at a time.
+"""
+
+import msgspec
+
+from rackpost.consensus import messages as m
+
+# A voter silent for this long gives way to a learner that has caught up.
+# Longer than an election, shorter than the time that a site gives a new
+# VM to take part (4 s), in seconds.
+REPLACE_AFTER_S = 1.5
+# A learner silent for this long is dropped, in seconds.
+DROP_AFTER_S = 30.0
+
+
+class View(msgspec.Struct, frozen=True, kw_only=True):
+    """What the leader knows.
+
+    Attributes:
+        silence: seconds since each replica was last heard.
+        caught_up: replicas that have all that is committed.
+        joining: ids, not in the config, that have asked to join lately.
+        target: how many voters there should be.
+    """
+
+    me: m.ReplicaId
+    config: m.Config
+    silence: dict[m.ReplicaId, float]
+    caught_up: frozenset[m.ReplicaId]
+    joining: tuple[m.ReplicaId, ...]
+    target: int
+
+
+def host_of(replica: m.ReplicaId) -> str:
+    """The host that a replica runs on; its id begins with it."""
+    return replica.split("#", 1)[0]
+
+
+def next_config(view: View) -> m.Config | None:
+    """The next config, or None if the present one is as it should be."""
+    return _promote(view) or _remove_voter(view) or _learners(view)
+
+
+def _ready_learner(view: View) -> m.ReplicaId | None:
+    for learner in view.config.learners:
+        heard = view.silence.get(learner, 0.0) < REPLACE_AFTER_S
+        if heard and learner in view.caught_up:
+            return learner
+    return None
+
+
+def _promote(view: View) -> m.Config | None:
+    learner = _ready_learner(view)
+    if learner is None or len(view.config.voters) >= view.target:
+        return None
+    return m.Config(
+        voters=view.config.voters + (learner,),
+        learners=_without(view.config.learners, learner),
+    )
+
+
+def _remove_voter(view: View) -> m.Config | None:
+    gone = _gone_voter(view)
+    if gone is None:
+        return None
+    rest = _without(view.config.voters, gone)
+    alive = [
+        peer for peer in rest if view.silence.get(peer, 0.0) < REPLACE_AFTER_S
+    ]
+    config = m.Config(voters=rest, learners=view.config.learners)
+    if len(alive) < config.quorum:
+        return None
+    return config
+
+
+def _gone_voter(view: View) -> m.ReplicaId | None:
+    newcomers = view.config.learners + view.joining
+    spare = _ready_learner(view) is not None
+    for voter in view.config.voters:
+        if voter == view.me:
+            continue
+        if view.silence.get(voter, 0.0) < REPLACE_AFTER_S:
+            continue
+        wiped = any(host_of(item) == host_of(voter) for item in newcomers)
+        if wiped or spare:
+            return voter
+    return None
+
+
+def _learners(view: View) -> m.Config | None:
+    config = view.config
+    for peer in view.joining:
+        if peer not in config.everyone:
+            kept = tuple(
+                item
+                for item in config.learners
+                if host_of(item) != host_of(peer)
+            )
+            return m.Config(voters=config.voters, learners=kept + (peer,))
+    for peer in config.learners:
+        if view.silence.get(peer, 0.0) > DROP_AFTER_S:
+            return m.Config(
+                voters=config.voters, learners=_without(config.learners, peer)
+            )
+    return None
+
+
+def _without(
+    items: tuple[m.ReplicaId, ...], gone: m.ReplicaId
+) -> tuple[m.ReplicaId, ...]:
+    return tuple(item for item in items if item != gone)
--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -76,8 +76,16 @@
         log: log_mod.Log,
         rng: random.Random,
         now: float,
+        copies: int = 1,
     ) -> None:
+        """Start from what the disk holds.
+
+        `copies` is how many voters must have a record on their disks
+        before it is committed, where that is more than a quorum: one more
+        than may lose their disks at once.
+        """
         self.me = me
+        self._copies = copies
         self.term = hard.term
         self.log = log
         self.role = Role.FOLLOWER
@@ -115,6 +123,15 @@
         self._out = Output()
         return out
 
+    def silence(self, peer: m.ReplicaId, now: float) -> float:
+        """Seconds since this leader last heard a replica."""
+        return now - self._peer(peer, now).heard_at
+
+    def caught_up(self, peer: m.ReplicaId) -> bool:
+        """Whether a replica has all that this leader has committed."""
+        known = self._peers.get(peer)
+        return known is not None and known.match >= self.commit
+
     def hears_quorum(self, now: float) -> bool:
         """Whether this replica was in touch with a quorum lately.
 
@@ -425,7 +442,8 @@
             )
             for peer in voters
         )
-        index = marks[len(marks) - self.config.quorum]
+        needed = min(max(self.config.quorum, self._copies), len(marks))
+        index = marks[len(marks) - needed]
         # Only records of the own term are counted (Raft, section 5.4.2).
         if index > self.commit and self.log.term_at(index) == self.term:
             self._commit_to(index)
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -24,6 +24,9 @@
 _TICK_S = 0.05
 # The log is compacted when it holds this many records.
 COMPACT_AT = 4096
+# It is also compacted when its commands hold this much, in bytes: with the
+# snapshot and its copy that stays far below the smallest disk (128 MB).
+COMPACT_BYTES = 8 << 20
 # How long a command or a confirmed read may take before it is given up.
 _PATIENCE_S = 3.0
 _HEARD_EVERY_S = 1.0
@@ -56,6 +59,7 @@
         disk: storage.Disk,
         rng: random.Random,
         compact_at: int = COMPACT_AT,
+        copies: int = 1,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self.me = loaded.identity.replica
@@ -74,6 +78,7 @@
             log=loaded.log,
             rng=rng,
             now=self._loop.time(),
+            copies=copies,
         )
         # What the state machine holds; consensus itself may be ahead while
         # an output is being synced.
@@ -86,6 +91,12 @@
         self._reads: dict[int, asyncio.Future[consensus.Index | None]] = {}
         self._applied_waiters: list[tuple[int, asyncio.Future[None]]] = []
         self._watchers: set[Watcher] = set()
+        # Bytes of commands in the log since its last snapshot.
+        self._log_bytes = 0
+        # Takes the messages of other replicas that are not about the log.
+        self.other: Callable[[consensus.ReplicaId, msgspec.Struct], None] = (
+            lambda peer, msg: None
+        )
 
     # Queries.
 
@@ -113,6 +124,14 @@
         """Whether this replica was in touch with a quorum lately."""
         return self._raft.hears_quorum(self._loop.time())
 
+    def silence(self, peer: consensus.ReplicaId) -> float:
+        """Seconds since this leader last heard a replica."""
+        return self._raft.silence(peer, self._loop.time())
+
+    def caught_up(self, peer: consensus.ReplicaId) -> bool:
+        """Whether a replica has all that this leader has committed."""
+        return self._raft.caught_up(peer)
+
     # Links to other replicas.
 
     def connect(
@@ -125,6 +144,13 @@
             closed=lambda: self._on_closed(peer, conn),
         )
 
+    def accept(self, peer: consensus.ReplicaId, conn: channel.Channel) -> None:
+        """Receive from a link that another replica made to send on."""
+        conn.attach(
+            receive=lambda msg: self._on_message(peer, msg),
+            closed=lambda: None,
+        )
+
     def _on_closed(
         self, peer: consensus.ReplicaId, conn: channel.Channel
     ) -> None:
@@ -158,10 +184,20 @@
         elif isinstance(msg, messages.Heard):
             for status in msg.seen:
                 self.seen[status.name] = (status, self._loop.time())
-        elif not isinstance(msg, messages.ReplicaHello):
-            assert isinstance(msg, _CONSENSUS)
+        elif isinstance(msg, _CONSENSUS):
             self._raft.receive(msg, self._loop.time())
             self._wake.set()
+        elif not isinstance(msg, messages.ReplicaHello):
+            self.other(peer, msg)
+
+    def tell(self, peer: consensus.ReplicaId, msg: msgspec.Struct) -> None:
+        """Send a message that is not about the log; lost without a link."""
+        self._send(peer, msg)
+
+    def tell_all(self, msg: msgspec.Struct) -> None:
+        """Send such a message to all replicas that are linked."""
+        for peer in list(self._peers):
+            self._send(peer, msg)
 
     def _send(self, peer: consensus.ReplicaId, msg: msgspec.Struct) -> None:
         conn = self._peers.get(peer)
@@ -345,9 +381,15 @@
         for token, good in out.reads:
             index = self._raft.commit if good else None
             _settle(self._reads.pop(token, None), index)
-        if self._applied - self._raft.log.snapshot.index >= self._compact_at:
+        if self._is_log_long():
             await self._compact()
 
+    def _is_log_long(self) -> bool:
+        records = self._applied - self._raft.log.snapshot.index
+        return records >= self._compact_at or (
+            records > 0 and self._log_bytes >= COMPACT_BYTES
+        )
+
     async def _install(self, out: raft.Output) -> None:
         snapshot = out.install
         assert snapshot is not None
@@ -361,11 +403,13 @@
         image = codec.encode(self.machine.image())
         snapshot = self._raft.compact(self._applied, image)
         await self._disk.compact(snapshot, self._raft.hard, self._raft.log)
+        self._log_bytes = 0
 
     def _apply(self, entries: list[consensus.Entry]) -> None:
         before = self.machine.revision
         for entry in entries:
             result: commands.Result | None = None
+            self._log_bytes += len(entry.data)
             if entry.data:
                 result = self.machine.apply(_COMMANDS.decode(entry.data))
             _settle(self._at_index.pop(entry.index, None), result)
--- /dev/null
+++ b/rackpost/coordinator/api.py
@@ -0,0 +1,156 @@
+"""What operators and endpoints ask of a coordinator over HTTP."""
+
+import asyncio
+from typing import Callable
+
+from rackpost.control import node as node_mod
+from rackpost.coordinator import directory as directory_mod
+from rackpost import exceptions
+from rackpost.http1 import message
+from rackpost.http1 import server
+from rackpost import logs
+from rackpost import metrics as metrics_mod
+from rackpost.platform import documents
+from rackpost.platform import heartbeats
+from rackpost.platform import paths
+from rackpost.routing import endpoints
+from rackpost.routing import model
+from rackpost.state import commands
+from rackpost import types
+
+_JSON = [(b"content-type", b"application/json")]
+# Callers give a call up after a second; a later answer reaches nobody.
+_ANSWER_S = 0.9
+# A document of many routes may take longer; callers grant it.
+_LONG_BODY = 64 << 10
+_LONG_ANSWER_S = 3.0
+
+
+class Api:
+    """The HTTP interface of one coordinator."""
+
+    def __init__(
+        self,
+        *,
+        node: node_mod.Node,
+        directory: directory_mod.Directory,
+        metrics: metrics_mod.Metrics,
+        spread: Callable[[endpoints.Endpoint], None],
+    ) -> None:
+        self._node = node
+        self._directory = directory
+        self._metrics = metrics
+        self._spread = spread
+
+    async def handle(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        """Answer one call."""
+        if req.path == paths.DOCUMENT and req.method == b"PUT":
+            await self._put(req, responder)
+        elif req.path == paths.DOCUMENT and req.method == b"GET":
+            await self._get(responder)
+        else:
+            self._endpoint(req, responder)
+
+    def _endpoint(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        name = paths.endpoint_id(req.path)
+        if name is None:
+            _say(responder, 404, "no such path")
+        elif req.method == b"PUT":
+            self._heartbeat(name, req, responder)
+        elif req.method == b"DELETE":
+            self._take(heartbeats.gone(name))
+            _say(responder, 200)
+        else:
+            _say(responder, 405, "PUT or DELETE only")
+
+    def _heartbeat(
+        self, name: str, req: message.Request, responder: server.Responder
+    ) -> None:
+        try:
+            item = heartbeats.decode(name, req.body)
+        except exceptions.CodecError as exc:
+            logs.say(
+                logs.Part.COORDINATOR,
+                "Heartbeat refused.",
+                endpoint=name,
+                why=str(exc),
+            )
+            _say(responder, 400, str(exc))
+            return
+        self._take(item)
+        _say(responder, 200)
+
+    def _take(self, item: endpoints.Endpoint) -> None:
+        if self._directory.take(item):
+            self._spread(item)
+
+    async def _put(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        try:
+            doc = documents.decode(req.body)
+        except exceptions.RoutingError as exc:
+            self._tell(None, 400, str(exc))
+            _say(responder, 400, str(exc))
+            return
+        cmd = commands.SetRouting(version=doc.version, source=req.body)
+        patience = _ANSWER_S
+        if len(req.body) > _LONG_BODY:
+            patience = _LONG_ANSWER_S
+        result = None
+        try:
+            async with asyncio.timeout(patience):
+                result = await self._node.ask(cmd)
+        except TimeoutError:
+            # Whether it is taken is not known: it may be sent again.
+            pass
+        if result is None:
+            self._tell(doc, 503, "no quorum in time")
+            _say(responder, 503, "not confirmed by a quorum in time")
+            return
+        self._tell(doc, 200, "accepted")
+        _say(responder, 200)
+
+    def _tell(self, doc: model.Document | None, status: int, why: str) -> None:
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Routing document answered.",
+            version=doc.version if doc else "unreadable",
+            status=status,
+            why=why,
+            leader=self._node.leader or "none",
+            term=self._node.term,
+        )
+
+    async def _get(self, responder: server.Responder) -> None:
+        confirmed = False
+        try:
+            async with asyncio.timeout(_ANSWER_S):
+                confirmed = await self._node.confirm_read()
+        except TimeoutError:
+            # Nobody confirmed it: answered as not confirmed below.
+            pass
+        routing = self._node.machine.routing
+        if not confirmed or routing is None:
+            self._metrics.count("refused_read", types.Refusal.CONTROL_AWAY)
+            logs.say(
+                logs.Part.COORDINATOR,
+                "Read refused.",
+                confirmed=confirmed,
+                version=routing.version if routing else 0,
+            )
+            _say(responder, 503, "not confirmed by a quorum in time")
+            return
+        responder.whole(200, _JSON, routing.source)
+
+
+def _say(responder: server.Responder, status: int, why: str = "") -> None:
+    body = b"{}"
+    if why:
+        text = why.replace("\\", "/").replace('"', "'")
+        body = b'{"error":"%b"}' % text.encode("ascii", "replace")
+    responder.whole(status, _JSON, body)
--- /dev/null
+++ b/rackpost/coordinator/directory.py
@@ -0,0 +1,88 @@
+"""What a coordinator knows of endpoints and gateways, and tells on.
+
+This is soft state: endpoints repeat it, gateways keep it, and nothing of
+it goes through the log.
+"""
+
+import asyncio
+
+import msgspec
+
+from rackpost.coordinator import messages
+from rackpost.link import channel
+from rackpost import logs
+from rackpost.routing import endpoints
+
+# An endpoint that has been silent for this many heartbeats is forgotten
+# here; gateways judge for themselves by what it answers.
+_SILENT_BEATS = 12
+
+
+class Directory:
+    """Endpoints by their heartbeats, gateways by their links."""
+
+    def __init__(self, *, heartbeat_s: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._silent_s = heartbeat_s * _SILENT_BEATS
+        self.table = endpoints.EndpointTable()
+        self.gateways: dict[channel.Channel, messages.GatewayHello] = {}
+
+    def take(self, item: endpoints.Endpoint) -> bool:
+        """Take news of an endpoint and pass them on if they are any."""
+        changed = self.table.take(item, self._loop.time())
+        if changed:
+            logs.say(
+                logs.Part.COORDINATOR,
+                "Endpoint changed.",
+                endpoint=item.id,
+                state=item.state.value,
+                service=item.service,
+                role=item.role.value,
+                address=item.address,
+                sequence=item.sequence,
+            )
+            self.tell_gateways(news(item))
+        return changed
+
+    def tell_gateways(self, msg: msgspec.Struct) -> None:
+        """Send a message to all gateways that are linked."""
+        for conn in list(self.gateways):
+            conn.send(msg)
+
+    def whole(self) -> messages.Endpoints:
+        """All that is known, for a process that has just linked."""
+        return messages.Endpoints(
+            alive=tuple(self.table.alive.values()),
+            ended=tuple(self.table.ended()),
+        )
+
+    def forget_silent(self) -> None:
+        """Forget endpoints that have been silent for long."""
+        for item in self.table.forget_silent(
+            self._loop.time() - self._silent_s
+        ):
+            logs.say(
+                logs.Part.COORDINATOR,
+                "Endpoint is silent and forgotten.",
+                endpoint=item.id,
+                silent_s=self._silent_s,
+            )
+
+
+def news(item: endpoints.Endpoint) -> messages.Endpoints:
+    """The message that tells of one endpoint."""
+    if item.state is endpoints.EndpointState.GONE:
+        return messages.Endpoints(ended=(item.id,))
+    return messages.Endpoints(alive=(item,))
+
+
+def take_news(
+    table: endpoints.EndpointTable, msg: messages.Endpoints, now: float
+) -> list[endpoints.Endpoint]:
+    """Put told news into a table; those that changed it."""
+    told = list(msg.alive)
+    told += [
+        endpoints.Endpoint(id=key, state=endpoints.EndpointState.GONE)
+        for key in msg.ended
+    ]
+    return [item for item in told if table.take(item, now)]
--- /dev/null
+++ b/rackpost/coordinator/disk.py
@@ -0,0 +1,128 @@
+"""A coordinator's disk: made at the first start, patient when it fails."""
+
+import asyncio
+import contextlib
+import pathlib
+import secrets
+
+from rackpost.consensus import log as log_mod
+from rackpost.consensus import messages as consensus
+from rackpost.consensus import raft
+from rackpost.consensus import storage
+from rackpost import exceptions
+from rackpost import logs
+
+# A full or faulty disk is tried again this often, in seconds.
+_AGAIN_S = 0.2
+_NEW_ID_BYTES = 6
+
+
+class PatientDisk(storage.Disk):
+    """Tries again until what must be durable is.
+
+    Meanwhile the replica sends nothing, so that a leader with a faulty
+    disk is followed by another.
+    """
+
+    def __init__(self, *, disk: storage.FileDisk) -> None:
+        self._disk = disk
+        self._well = True
+
+    async def save(self, out: raft.Output) -> None:
+        """Make an output durable, however long it takes."""
+        while True:
+            try:
+                await self._disk.save(out)
+            except exceptions.StorageError as exc:
+                self._failed(exc)
+                await asyncio.sleep(_AGAIN_S)
+            else:
+                self._recovered()
+                return
+
+    async def compact(
+        self,
+        snapshot: consensus.Snapshot,
+        hard: consensus.HardState,
+        log: log_mod.Log,
+    ) -> None:
+        """Replace the log by a snapshot, however long it takes."""
+        while True:
+            try:
+                await self._disk.compact(snapshot, hard, log)
+            except (exceptions.StorageError, OSError) as exc:
+                self._failed(exc)
+                await asyncio.sleep(_AGAIN_S)
+            else:
+                self._recovered()
+                return
+
+    def _failed(self, exc: Exception) -> None:
+        if self._well:
+            logs.say(logs.Part.COORDINATOR, "Disk fails.", why=str(exc))
+        self._well = False
+
+    def _recovered(self) -> None:
+        if not self._well:
+            logs.say(logs.Part.COORDINATOR, "Disk is well again.")
+        self._well = True
+
+
+def open_disk(
+    folder: pathlib.Path, *, host: str, first_hosts: tuple[str, ...]
+) -> tuple[storage.FileDisk, storage.Loaded]:
+    """The disk of this host's replica; a new replica if it has none.
+
+    `first_hosts` are the voters of a site that starts for the first time;
+    it is empty for one that runs already.  A replica that finds its log
+    damaged begins anew, under a new id, as if its disk were lost.
+    """
+    if not (folder / "identity").exists():
+        _make(folder, host=host, first_hosts=first_hosts)
+    disk = storage.FileDisk(folder=folder)
+    try:
+        return disk, disk.load()
+    except exceptions.StorageError as exc:
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Disk is damaged; this replica begins anew.",
+            why=str(exc),
+        )
+        disk.close()
+    _set_aside(folder)
+    _make(folder, host=host, first_hosts=())
+    disk = storage.FileDisk(folder=folder)
+    return disk, disk.load()
+
+
+def _make(
+    folder: pathlib.Path, *, host: str, first_hosts: tuple[str, ...]
+) -> None:
+    if host in first_hosts:
+        replica = host
+        voters = tuple(
+            consensus.ReplicaId(item) for item in sorted(first_hosts)
+        )
+    else:
+        replica = f"{host}#{secrets.token_hex(_NEW_ID_BYTES)}"
+        voters = ()
+    _remove_leftovers(folder)
+    storage.create(
+        folder,
+        replica=consensus.ReplicaId(replica),
+        config=consensus.Config(voters=voters),
+    )
+
+
+def _remove_leftovers(folder: pathlib.Path) -> None:
+    # A log without an identity belongs to nobody.
+    for name in ("log", "snapshot"):
+        with contextlib.suppress(FileNotFoundError):
+            (folder / name).unlink()
+
+
+def _set_aside(folder: pathlib.Path) -> None:
+    for name in ("identity", "log", "snapshot"):
+        path = folder / name
+        if path.exists():
+            path.replace(folder / f"{name}.damaged")
--- /dev/null
+++ b/rackpost/coordinator/links.py
@@ -0,0 +1,111 @@
+"""Links within a site: their ports, their patience, and dialling."""
+
+import asyncio
+import contextlib
+from typing import Any
+from typing import Awaitable
+from typing import Callable
+from typing import Coroutine
+from typing import Iterable
+
+from rackpost import exceptions
+from rackpost.link import websocket
+from rackpost import logs
+
+# The platform gives processes no secret, so that the key proves no more
+# than that a peer speaks this protocol.
+SECURITY = websocket.Security(key=b"rackpost-site-link")
+# A cut says nothing: a silent peer is given up after 1.5 s, and dialled
+# again every 0.3 s, so that a healed link is back within a second.
+PATIENCE = websocket.Patience(
+    ping_s=0.7, ping_timeout_s=0.8, open_s=1.0, close_s=0.2
+)
+_REDIAL_S = 0.3
+
+# Offsets from the first of the internal ports.
+LINKS_PORT = 0
+LOADS_PORT = 1
+METRICS_PORT = 2
+
+
+def host_of(address: str) -> str:
+    """The host of `host:port`."""
+    return address.rpartition(":")[0]
+
+
+Use = Callable[[str, websocket.WebSocketChannel], Awaitable[None]]
+
+
+class Dialler:
+    """Keeps a link to each of a set of hosts; `use` runs while it is up."""
+
+    def __init__(
+        self, *, part: logs.Part, port: int, kinds: Any, use: Use
+    ) -> None:
+        self._part = part
+        self._port = port
+        self._kinds = kinds
+        self._use = use
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self.up: set[str] = set()
+
+    def set_hosts(self, hosts: Iterable[str]) -> None:
+        """Link to these hosts, and to no others."""
+        wanted = set(hosts)
+        for host in wanted - set(self._tasks):
+            self._tasks[host] = asyncio.create_task(self._keep(host))
+        for host in set(self._tasks) - wanted:
+            self._tasks.pop(host).cancel()
+
+    async def _keep(self, host: str) -> None:
+        while True:
+            try:
+                async with websocket.connected(
+                    f"{host}:{self._port}",
+                    security=SECURITY,
+                    kinds=self._kinds,
+                    patience=PATIENCE,
+                ) as conn:
+                    await self._while_up(host, conn)
+            except exceptions.LinkError:
+                # Told when it was lost; it is dialled until it is back.
+                pass
+            await asyncio.sleep(_REDIAL_S)
+
+    async def _while_up(
+        self, host: str, conn: websocket.WebSocketChannel
+    ) -> None:
+        logs.say(self._part, "Link is up.", peer=host)
+        self.up.add(host)
+        try:
+            await self._use(host, conn)
+            await conn.ended()
+        finally:
+            self.up.discard(host)
+            logs.say(self._part, "Link is lost.", peer=host)
+
+    def close(self) -> None:
+        """End all links."""
+        self.set_hosts(())
+
+
+class Tasks:
+    """Background tasks that are kept from being collected."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
+        """Run a coroutine in the background."""
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Cancel all, and wait for their ends."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        for task in tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
--- /dev/null
+++ b/rackpost/coordinator/messages.py
@@ -0,0 +1,80 @@
+"""Messages between coordinators and gateways, and among coordinators."""
+
+from typing import Union
+
+import msgspec
+
+from rackpost.consensus import messages as consensus
+from rackpost.control import messages as control
+from rackpost.decide import endpoint_load
+from rackpost.routing import endpoints
+from rackpost import types
+
+
+class _Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """The base of all messages of coordinators."""
+
+
+class GatewayHello(_Message, frozen=True, tag="gateway"):
+    """First message of a gateway; `loads` is its address for `Loads`."""
+
+    vm: types.VmId
+    loads: str
+
+
+class Fetch(_Message, frozen=True, tag="fetch"):
+    """Ask for the routing document."""
+
+
+class RoutingAt(_Message, frozen=True, tag="at"):
+    """The version of the routing document that this replica holds."""
+
+    version: int
+
+
+class Document(_Message, frozen=True, tag="document"):
+    """The routing document, as its operator sent it."""
+
+    version: int
+    source: bytes
+
+
+class Endpoints(_Message, frozen=True, tag="endpoints"):
+    """News of endpoints, and incarnations that have ended."""
+
+    alive: tuple[endpoints.Endpoint, ...] = ()
+    ended: tuple[types.EndpointId, ...] = ()
+
+
+class GatewayAddress(_Message, frozen=True):
+    """Where a gateway takes `Loads`, as host:port."""
+
+    vm: types.VmId
+    loads: str
+
+
+class Peers(_Message, frozen=True, tag="peers"):
+    """Hosts of the coordinators, and the gateways that are linked."""
+
+    coordinators: tuple[str, ...]
+    gateways: tuple[GatewayAddress, ...]
+
+
+class Join(_Message, frozen=True, tag="join-site"):
+    """A replica that no leader speaks to asks to take part."""
+
+    replica: consensus.ReplicaId
+
+
+class Loads(_Message, frozen=True, tag="loads"):
+    """What a gateway has under way; `number` grows."""
+
+    vm: types.VmId
+    number: int
+    uses: dict[types.EndpointId, endpoint_load.Use]
+
+
+FromGateway = Union[GatewayHello, Fetch]
+ToGateway = Union[RoutingAt, Document, Endpoints, Peers]
+FromReplica = Union[control.FromReplica, Join, Endpoints]
+FromAny = Union[FromGateway, FromReplica]
--- /dev/null
+++ b/rackpost/coordinator/process.py
@@ -0,0 +1,345 @@
+"""The coordinator as a process: consensus, directory, links and HTTP."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+from typing import AsyncIterator
+
+import msgspec
+
+from rackpost.consensus import membership
+from rackpost.consensus import messages as consensus
+from rackpost.control import messages as control
+from rackpost.control import node as node_mod
+from rackpost.coordinator import api
+from rackpost.coordinator import directory as directory_mod
+from rackpost.coordinator import disk as disk_mod
+from rackpost.coordinator import links
+from rackpost.coordinator import messages
+from rackpost import exceptions
+from rackpost.http1 import message
+from rackpost.http1 import pages
+from rackpost.http1 import server
+from rackpost.link import channel
+from rackpost.link import websocket
+from rackpost import logs
+from rackpost import metrics as metrics_mod
+from rackpost.platform import settings
+from rackpost.routing import endpoints
+from rackpost.routing import model
+from rackpost.state import machine
+
+# How often membership and links are looked at, in seconds.
+_ROUND_S = 0.2
+# A replica that no leader has spoken to for this long asks to join.
+_LEADERLESS_S = 0.8
+# A replica that asked to join is a candidate for this long, in seconds.
+_JOINING_S = 2.0
+_HELLO_S = 1.0
+
+
+class Coordinator:
+    """A running coordinator."""
+
+    def __init__(self, *, host: settings.HostSettings) -> None:
+        if host.data_dir is None:
+            raise exceptions.ConfigError("a coordinator needs a data folder")
+        self._loop = asyncio.get_running_loop()
+        self._host = host
+        self._seeds = {links.host_of(item) for item in host.seeds}
+        self.metrics = metrics_mod.Metrics()
+        first = tuple(sorted(self._seeds)) if host.first_start else ()
+        self._file_disk, loaded = disk_mod.open_disk(
+            pathlib.Path(host.data_dir), host=host.ip, first_hosts=first
+        )
+        self._copies = host.tolerance.vms + 1
+        self.node = node_mod.Node(
+            loaded=loaded,
+            disk=disk_mod.PatientDisk(disk=self._file_disk),
+            rng=random.Random(),
+            copies=self._copies,
+        )
+        self.node.other = self._on_other
+        self.directory = directory_mod.Directory(
+            heartbeat_s=host.heartbeat_ms / 1000.0
+        )
+        self._port = host.internal_ports[0]
+        self._dialler = links.Dialler(
+            part=logs.Part.COORDINATOR,
+            port=self._port + links.LINKS_PORT,
+            kinds=messages.FromAny,
+            use=self._use_link,
+        )
+        self._joining: dict[consensus.ReplicaId, float] = {}
+        self._callers: set[str] = set()
+        self._led_at = self._loop.time()
+        self._believed: tuple[object, ...] = ()
+
+    # Links.
+
+    async def _use_link(
+        self, host: str, conn: websocket.WebSocketChannel
+    ) -> None:
+        hello: asyncio.Future[msgspec.Struct] = self._loop.create_future()
+
+        def first(msg: msgspec.Struct) -> None:
+            if not hello.done():
+                hello.set_result(msg)
+
+        conn.attach(receive=first, closed=lambda: None)
+        conn.send(control.ReplicaHello(replica=self.node.me))
+        try:
+            async with asyncio.timeout(_HELLO_S):
+                msg = await hello
+        except TimeoutError:
+            conn.close()
+            return
+        if isinstance(msg, control.ReplicaHello):
+            self.node.connect(msg.replica, conn)
+            conn.send(self.directory.whole())
+
+    async def _accept(self, conn: websocket.WebSocketChannel) -> None:
+        conn.attach(
+            receive=lambda msg: self._introduce(conn, msg),
+            closed=lambda: None,
+        )
+        await conn.run()
+
+    def _introduce(self, conn: channel.Channel, msg: msgspec.Struct) -> None:
+        if isinstance(msg, control.ReplicaHello):
+            conn.send(control.ReplicaHello(replica=self.node.me))
+            self._callers.add(membership.host_of(msg.replica))
+            self.node.accept(msg.replica, conn)
+        elif isinstance(msg, messages.GatewayHello):
+            self._accept_gateway(conn, msg)
+
+    def _accept_gateway(
+        self, conn: channel.Channel, hello: messages.GatewayHello
+    ) -> None:
+        self.directory.gateways[conn] = hello
+        conn.attach(
+            receive=lambda msg: self._on_gateway(conn, msg),
+            closed=lambda: self._gateway_left(conn),
+        )
+        logs.say(logs.Part.COORDINATOR, "Gateway linked.", peer=hello.vm)
+        conn.send(messages.RoutingAt(version=self._version()))
+        conn.send(self.directory.whole())
+        self._tell_peers()
+
+    def _gateway_left(self, conn: channel.Channel) -> None:
+        hello = self.directory.gateways.pop(conn, None)
+        if hello is not None:
+            logs.say(logs.Part.COORDINATOR, "Gateway lost.", peer=hello.vm)
+            self._tell_peers()
+
+    def _on_gateway(self, conn: channel.Channel, msg: msgspec.Struct) -> None:
+        routing = self.node.machine.routing
+        if isinstance(msg, messages.Fetch) and routing is not None:
+            conn.send(
+                messages.Document(
+                    version=routing.version, source=routing.source
+                )
+            )
+
+    def _tell_peers(self) -> None:
+        by_vm = {item.vm: item for item in self.directory.gateways.values()}
+        self.directory.tell_gateways(
+            messages.Peers(
+                coordinators=tuple(sorted(self._hosts() | {self._host.ip})),
+                gateways=tuple(
+                    messages.GatewayAddress(vm=item.vm, loads=item.loads)
+                    for item in by_vm.values()
+                ),
+            )
+        )
+
+    def _on_other(
+        self, peer: consensus.ReplicaId, msg: msgspec.Struct
+    ) -> None:
+        if isinstance(msg, messages.Join):
+            self._on_join(msg)
+        elif isinstance(msg, messages.Endpoints):
+            changed = directory_mod.take_news(
+                self.directory.table, msg, self._loop.time()
+            )
+            for item in changed:
+                self.directory.tell_gateways(directory_mod.news(item))
+
+    def _spread(self, item: endpoints.Endpoint) -> None:
+        self.node.tell_all(directory_mod.news(item))
+
+    # Membership of the coordinators.
+
+    def _on_join(self, msg: messages.Join) -> None:
+        if self.node.is_leader:
+            self._joining[msg.replica] = self._loop.time()
+        elif self.node.leader is not None:
+            self.node.tell(self.node.leader, msg)
+
+    def _hosts(self) -> set[str]:
+        known = {
+            membership.host_of(peer) for peer in self.node.config.everyone
+        }
+        # Before it has joined, a replica knows the seeds alone.
+        return known | self._seeds | self._callers
+
+    async def _keep_members(self) -> None:
+        while True:
+            before = self._hosts()
+            self._dialler.set_hosts(before - {self._host.ip})
+            self._note_beliefs()
+            if self.node.is_leader:
+                self._led_at = self._loop.time()
+                self._change_members()
+            elif self.node.hears_quorum():
+                self._led_at = self._loop.time()
+            elif self._loop.time() - self._led_at > _LEADERLESS_S:
+                self.node.tell_all(messages.Join(replica=self.node.me))
+            await asyncio.sleep(_ROUND_S)
+
+    def _note_beliefs(self) -> None:
+        now = (self.node.leader, self.node.config)
+        if now == self._believed:
+            return
+        self._believed = now
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Leader or replicas changed.",
+            leader=self.node.leader or "none",
+            term=self.node.term,
+            voters=list(self.node.config.voters),
+            learners=list(self.node.config.learners),
+        )
+        config = self.node.config
+        if config.voters:
+            hosts = {membership.host_of(peer) for peer in config.everyone}
+            self._callers &= hosts
+        self._tell_peers()
+
+    def _change_members(self) -> None:
+        now = self._loop.time()
+        for peer, at in list(self._joining.items()):
+            if now - at > _JOINING_S:
+                del self._joining[peer]
+        config = self.node.config
+        new = membership.next_config(
+            membership.View(
+                me=self.node.me,
+                config=config,
+                silence={
+                    peer: self.node.silence(peer)
+                    for peer in config.everyone
+                    if peer != self.node.me
+                },
+                caught_up=frozenset(
+                    peer
+                    for peer in config.learners
+                    if self.node.caught_up(peer)
+                ),
+                joining=tuple(self._joining),
+                target=2 * self._copies - 1 if self._copies > 1 else 3,
+            )
+        )
+        if new is None:
+            return
+        try:
+            self.node.change_config(new)
+        except exceptions.ControlError as exc:
+            logs.say(
+                logs.Part.COORDINATOR, "Replicas not changed.", why=str(exc)
+            )
+
+    # Routing.
+
+    def _version(self) -> int:
+        routing = self.node.machine.routing
+        return 0 if routing is None else routing.version
+
+    def _on_changes(self, changes: list[machine.Change] | None) -> None:
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Routing document in force.",
+            version=self._version(),
+        )
+        self.directory.tell_gateways(
+            messages.RoutingAt(version=self._version())
+        )
+
+    # The process.
+
+    def reload(self, host: settings.HostSettings) -> None:
+        """Take new settings: other seeds."""
+        self._seeds = {links.host_of(item) for item in host.seeds}
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Settings reloaded.",
+            seeds=sorted(self._seeds),
+        )
+
+    async def _forget(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            self.directory.forget_silent()
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator[None]:
+        """Serve until the block ends."""
+        calls = api.Api(
+            node=self.node,
+            directory=self.directory,
+            metrics=self.metrics,
+            spread=self._spread,
+        )
+        http = server.Server(
+            handler=calls.handle,
+            failed=_failed,
+            limits=model.Limits(body_bytes=16 << 20, idle_s=30.0),
+        )
+        ip = self._host.ip
+        tasks = links.Tasks()
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self._file_disk.close)
+            await stack.enter_async_context(
+                websocket.serving(
+                    ip,
+                    self._port + links.LINKS_PORT,
+                    security=links.SECURITY,
+                    kinds=messages.FromAny,
+                    accept=self._accept,
+                    refused=_refused,
+                    patience=links.PATIENCE,
+                )
+            )
+            await stack.enter_async_context(
+                pages.serving(
+                    {b"/metrics": lambda: (200, self.metrics.text())},
+                    host=ip,
+                    port=self._port + links.METRICS_PORT,
+                    failed=_failed,
+                )
+            )
+            host, _, port = self._host.listen.control.rpartition(":")
+            await stack.enter_async_context(http.serving(host, int(port)))
+            stack.enter_context(self.node.watched(self._on_changes))
+            tasks.spawn(self.node.run())
+            tasks.spawn(self._keep_members())
+            tasks.spawn(self._forget())
+            try:
+                yield
+            finally:
+                self._dialler.close()
+                await tasks.close()
+
+
+def _refused() -> None:
+    logs.say(logs.Part.COORDINATOR, "Refused a peer without the key.")
+
+
+def _failed(req: message.Request, exc: Exception) -> None:
+    logs.say(
+        logs.Part.COORDINATOR,
+        "Call failed.",
+        path=req.path.decode("latin-1"),
+        why=repr(exc),
+    )
--- /dev/null
+++ b/rackpost/decide/endpoint_health.py
@@ -0,0 +1,79 @@
+"""Which endpoints to avoid, from their own answers.  Pure."""
+
+from rackpost import types
+
+# The first pause after a failure, doubled with each further one in a row.
+_PAUSE_S = 0.4
+_MAX_PAUSE_S = 3.0
+# Weight of the newest answer in the running averages.
+_ALPHA = 0.15
+# An endpoint whose requests fail always counts as this many times slower.
+_FAILING_X = 8.0
+
+
+class _Record:
+    """What one endpoint's answers were like."""
+
+    def __init__(self) -> None:
+        self.failed_in_row = 0
+        self.avoid_until = 0.0
+        self.failing = 0.0
+        self.answer_s: float | None = None
+
+
+class HealthBook:
+    """Running averages for each endpoint."""
+
+    def __init__(self) -> None:
+        self._records: dict[types.EndpointId, _Record] = {}
+
+    def _record(self, endpoint: types.EndpointId) -> _Record:
+        return self._records.setdefault(endpoint, _Record())
+
+    def answered(self, endpoint: types.EndpointId, took_s: float) -> None:
+        """A whole answer came, of whatever status but an own failure."""
+        record = self._record(endpoint)
+        record.failed_in_row = 0
+        record.avoid_until = 0.0
+        record.failing *= 1.0 - _ALPHA
+        if record.answer_s is None:
+            record.answer_s = took_s
+        record.answer_s += _ALPHA * (took_s - record.answer_s)
+
+    def erred(self, endpoint: types.EndpointId) -> None:
+        """The endpoint answered with a failure of its own."""
+        record = self._record(endpoint)
+        record.failing += _ALPHA * (1.0 - record.failing)
+
+    def broke(self, endpoint: types.EndpointId, now: float) -> bool:
+        """No connection, or no sound answer; whether this is news."""
+        record = self._record(endpoint)
+        record.failing += _ALPHA * (1.0 - record.failing)
+        record.failed_in_row += 1
+        pause = _PAUSE_S * 2 ** (record.failed_in_row - 1)
+        record.avoid_until = now + min(pause, _MAX_PAUSE_S)
+        return record.failed_in_row == 1
+
+    def avoided(self, endpoint: types.EndpointId, now: float) -> bool:
+        """Whether it has just failed and is left alone for a while."""
+        record = self._records.get(endpoint)
+        return record is not None and now < record.avoid_until
+
+    def slowness(self, endpoint: types.EndpointId, usual_s: float) -> float:
+        """How many times slower than usual it answers, failures included."""
+        record = self._records.get(endpoint)
+        if record is None:
+            return 1.0
+        times = 1.0
+        if record.answer_s is not None and usual_s > 0:
+            times = max(0.25, record.answer_s / usual_s)
+        return times * (1.0 + _FAILING_X * record.failing)
+
+    def answer_s(self, endpoint: types.EndpointId) -> float | None:
+        """The running average of its answers' time, in seconds."""
+        record = self._records.get(endpoint)
+        return None if record is None else record.answer_s
+
+    def forget(self, endpoint: types.EndpointId) -> None:
+        """An endpoint has ended."""
+        self._records.pop(endpoint, None)
--- /dev/null
+++ b/rackpost/decide/pace.py
@@ -0,0 +1,37 @@
+"""How fast prompts are read, as observed, and how long to wait.  Pure."""
+
+# Weight of the newest prefill in the running average.
+_ALPHA = 0.1
+# A prefill that takes this many times longer than expected is given up;
+# the prompt is then read elsewhere.
+_PATIENCE_X = 4.0
+# Patience never falls below this, and is this before any was seen, in
+# seconds.
+_MIN_S = 0.4
+_UNKNOWN_S = 1.0
+
+
+class Pace:
+    """The running average of prefill time a token."""
+
+    def __init__(self) -> None:
+        self._token_s: float | None = None
+
+    def took(self, tokens: int, seconds: float) -> None:
+        """A prefill, with what was ahead of it, took so long."""
+        if tokens <= 0:
+            return
+        pace = seconds / tokens
+        if self._token_s is None:
+            self._token_s = pace
+        self._token_s += _ALPHA * (pace - self._token_s)
+
+    def expected_s(self, tokens: int) -> float:
+        """How long it should take to read so many tokens."""
+        return (self._token_s or 0.0) * tokens
+
+    def patience_s(self, tokens: int) -> float:
+        """How long to wait for it before it is read elsewhere."""
+        if self._token_s is None:
+            return _UNKNOWN_S
+        return max(_MIN_S, _PATIENCE_X * self.expected_s(tokens))
--- a/rackpost/exceptions.py
+++ b/rackpost/exceptions.py
@@ -17,6 +17,10 @@
     """A change of the settings tree was not accepted."""
 
 
+class RoutingError(UserError):
+    """A routing document was not accepted; the text says why."""
+
+
 class BadRequest(UserError):
     """A caller's request is not well formed.
 
@@ -56,3 +60,14 @@
 
 class StorageError(RackpostError):
     """What lies on the disk cannot be trusted."""
+
+
+class ExchangeError(RackpostError):
+    """A request to an endpoint got no whole, sound answer.
+
+    `sent` is false only where not a byte of the request went out.
+    """
+
+    def __init__(self, detail: str, *, sent: bool = True):
+        super().__init__(detail)
+        self.sent = sent
--- /dev/null
+++ b/rackpost/gateway/attempt.py
@@ -0,0 +1,226 @@
+"""One attempt: a request to one endpoint, and what comes of it."""
+
+import contextlib
+from typing import AsyncIterator
+from typing import NamedTuple
+
+from rackpost.decide import forwarding
+from rackpost import exceptions
+from rackpost.gateway import call as call_mod
+from rackpost.http1 import client
+from rackpost.http1 import events
+from rackpost.http1 import message
+from rackpost.platform import headers
+from rackpost.routing import endpoints
+from rackpost.routing import model
+
+# Answers that are not streams are held until they are whole, so that one
+# that is cut can be told from one that is whole.
+_MAX_ANSWER = 16 << 20
+# Statuses that promise that a request has not run; only an endpoint that
+# says so explicitly is believed.
+_PROMISES = (408, 421, 429, 503)
+
+
+class Reply(NamedTuple):
+    """An endpoint's answer has begun."""
+
+    conn: client.ClientConnection
+    head: message.Head
+
+
+def run_headers(
+    call: call_mod.Call, endpoint: endpoints.Endpoint, now: float
+) -> list[message.Header]:
+    """The headers of a request as this endpoint is sent it."""
+    left_ms = max(1, int((call.until - now) * 1000))
+    found = list(call.passed)
+    if call.last_event is not None:
+        found = [item for item in found if item[0] != headers.RESUME_AFTER]
+        found.append((headers.RESUME_AFTER, b"%d" % call.last_event))
+    found.append((headers.DEADLINE_MS, b"%d" % left_ms))
+    found.append((headers.ENDPOINT_ID, endpoint.id.encode()))
+    found.append((headers.PRIORITY, b"%d" % min(9, call.route.priority)))
+    if call.req.has_body:
+        found.append((b"content-length", b"%d" % len(call.req.body)))
+    return found
+
+
+@contextlib.asynccontextmanager
+async def sent(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    extra: list[message.Header],
+) -> AsyncIterator[Reply]:
+    """Send the request; yields once the answer's head is there.
+
+    Raises ExchangeError where there is no such answer.
+    """
+    site = call.site
+    most = site.connections_to(call.service)
+    async with site.pool.connection(endpoint.address, most=most) as conn:
+        lines = run_headers(call, endpoint, site.loop_time()) + extra
+        head = await conn.request(
+            head=message.request_head(call.req.method, call.req.target, lines),
+            body=call.req.body,
+            request_id=call.request_id,
+            is_head=call.is_head,
+        )
+        yield Reply(conn, head)
+
+
+def is_not_run(head: message.Head) -> bool:
+    """Whether the endpoint says that it did not run the request."""
+    if message.find(head.headers, headers.NOT_RUN) is not None:
+        return True
+    return head.status == 421
+
+
+def _why_unsound(call: call_mod.Call, head: message.Head) -> str:
+    """Why an answer is none that may be passed on; "" if it is sound."""
+    found = head.headers
+    if head.status < 300:
+        if message.find(found, headers.SIGNATURE) is None:
+            return "not signed"
+        if message.find(found, b"content-encoding") is not None:
+            return "encoded"
+        echoed = message.find(found, headers.REQUEST_ID)
+        if call.request_id is not None and echoed is None:
+            return "without an id"
+    elif head.status in _PROMISES:
+        return f"a {head.status} that promises nothing"
+    return ""
+
+
+async def run(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    extra: list[message.Header],
+) -> forwarding.Ended | None:
+    """Have an endpoint run a request and pass its answer on.
+
+    None once the client has the whole answer.  An own failure of the
+    endpoint is kept in `call.failure`.
+    """
+    site = call.site
+    began = site.loop_time()
+    ran_before = call.may_have_run
+    call.tried.append(endpoint.id)
+    call.may_have_run = True
+    try:
+        async with sent(call, endpoint, extra) as reply:
+            call.attempts += 1
+            ended = await _take(call, endpoint, reply, began)
+    except exceptions.ExchangeError as exc:
+        ended = _broke(call, endpoint, exc)
+    if ended in (forwarding.Ended.NOT_SENT, forwarding.Ended.NOT_RUN):
+        call.may_have_run = ran_before
+    return ended
+
+
+def _broke(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    exc: exceptions.ExchangeError,
+) -> forwarding.Ended:
+    call.site.health.broke(endpoint.id, call.site.loop_time())
+    call.log("Attempt broke.", endpoint=endpoint.id, why=str(exc))
+    if not exc.sent:
+        return forwarding.Ended.NOT_SENT
+    call.attempts += 1
+    return forwarding.Ended.BROKEN
+
+
+async def _take(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    reply: Reply,
+    began: float,
+) -> forwarding.Ended | None:
+    head = reply.head
+    if is_not_run(head):
+        await reply.conn.read_whole(_MAX_ANSWER)
+        call.log(
+            "Endpoint did not run it.",
+            endpoint=endpoint.id,
+            status=head.status,
+        )
+        if head.status == 421:
+            call.site.health.broke(endpoint.id, call.site.loop_time())
+        return forwarding.Ended.NOT_RUN
+    why = _why_unsound(call, head)
+    if why:
+        raise exceptions.ExchangeError(why)
+    if _is_stream(head):
+        call.site.health.answered(endpoint.id, call.site.loop_time() - began)
+        await _relay(call, reply)
+        call.delivered(endpoint, head.status)
+        return None
+    return await _take_whole(call, endpoint, reply, began)
+
+
+async def _take_whole(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    reply: Reply,
+    began: float,
+) -> forwarding.Ended | None:
+    body = await reply.conn.read_whole(_MAX_ANSWER)
+    head = reply.head
+    if call.responder.started:
+        # A stream can't go on with an answer that is none.
+        raise exceptions.ExchangeError("not a stream to go on with")
+    if head.status >= 500:
+        call.site.health.erred(endpoint.id)
+        call.failure = (head, body)
+        call.log("Endpoint failed.", endpoint=endpoint.id, status=head.status)
+        return forwarding.Ended.FAILED
+    took = call.site.loop_time() - began
+    if call.route.kind is not model.RouteKind.STREAM:
+        call.site.health.answered(endpoint.id, took)
+    pass_whole(call, head, body)
+    call.delivered(endpoint, head.status)
+    return None
+
+
+def pass_whole(call: call_mod.Call, head: message.Head, body: bytes) -> None:
+    """Pass an endpoint's whole answer on, unchanged."""
+    lines = message.end_to_end(head.headers)
+    if call.is_head:
+        length = message.find(head.headers, b"content-length")
+        if length is not None:
+            lines.append((b"content-length", length))
+        call.responder.bare(head.status, lines)
+    else:
+        call.responder.whole(head.status, lines, body)
+
+
+def _is_stream(head: message.Head) -> bool:
+    kind = message.find(head.headers, b"content-type") or b""
+    return head.status == 200 and kind.startswith(b"text/event-stream")
+
+
+async def _relay(call: call_mod.Call, reply: Reply) -> None:
+    """Pass a stream's events on as they come, each once and whole."""
+    responder = call.responder
+    if not responder.started:
+        responder.start(200, message.end_to_end(reply.head.headers))
+    splitter = events.Splitter()
+    while chunk := await reply.conn.read():
+        fresh = [
+            event for event in splitter.feed(chunk) if _is_next(call, event)
+        ]
+        await responder.part(b"".join(event.data for event in fresh))
+    if splitter.rest:
+        raise exceptions.ExchangeError("ended within an event")
+    responder.finish()
+
+
+def _is_next(call: call_mod.Call, event: events.Event) -> bool:
+    """Whether the client lacks an event; it is then counted as sent."""
+    if event.id is None:
+        return True
+    if call.last_event is not None and event.id <= call.last_event:
+        return False
+    call.last_event = event.id
+    return True
--- /dev/null
+++ b/rackpost/gateway/call.py
@@ -0,0 +1,144 @@
+"""One client's request on its way through a gateway."""
+
+import enum
+
+from rackpost.decide import forwarding
+from rackpost.gateway import site as site_mod
+from rackpost.http1 import message
+from rackpost.http1 import server
+from rackpost import logs
+from rackpost.platform import headers
+from rackpost.routing import endpoints
+from rackpost.routing import model
+from rackpost import types
+
+# Of answers in time, one in this many is logged; all others are.
+_SAMPLE = 16
+
+
+class Reason(enum.Enum):
+    """Why a gateway gave an answer of its own."""
+
+    NO_ROUTE = "no-route"
+    NO_DOCUMENT = "no-document"
+    NO_ENDPOINT = "no-endpoint"
+    NO_ROOM = "no-room"
+    REJECTED = "rejected"
+    TIME_UP = "time-up"
+    BROKEN = "broken"
+    BAD_REQUEST = "bad-request"
+
+
+class Call:
+    """A request, what was tried for it, and what its client is told.
+
+    `until` is a reading of the loop's clock: the end of the client's or
+    the route's time, whichever comes first.
+    """
+
+    def __init__(
+        self,
+        *,
+        site: site_mod.Site,
+        req: message.Request,
+        responder: server.Responder,
+        route: model.Route,
+        service: model.Service,
+        began: float,
+        until: float,
+    ) -> None:
+        self.site = site
+        self.req = req
+        self.responder = responder
+        self.route = route
+        self.service = service
+        self.began = began
+        self.until = until
+        self.request_id = message.find(req.headers, headers.REQUEST_ID)
+        self.budget = site.budget(service.name)
+        self.tried: list[types.EndpointId] = []
+        self.attempts = 0
+        self.may_have_run = False
+        self.failure: tuple[message.Head, bytes] | None = None
+        # The last event that the client was sent, to go on from.
+        self.last_event: int | None = None
+        self.passed = [
+            item
+            for item in message.end_to_end(req.headers)
+            if item[0] not in headers.OURS
+        ]
+
+    @property
+    def is_head(self) -> bool:
+        """Whether the client asks for headers alone."""
+        return self.req.method == b"HEAD"
+
+    def situation(self, now: float) -> forwarding.Situation:
+        """What decides on a further attempt."""
+        return forwarding.Situation(
+            repeatable=self.route.repeatable,
+            may_have_run=self.may_have_run,
+            attempts_left=self.route.max_attempts - self.attempts,
+            budget=self.budget.allows(now, self.site.gateway_count),
+            time_left_s=self.until - now,
+        )
+
+    def log(self, sentence: str, **fields: object) -> None:
+        """Log a decision on this request."""
+        ident = self.request_id or b""
+        logs.say(
+            logs.Part.GATEWAY,
+            sentence,
+            request=ident.decode("latin-1"),
+            route=self.route.name,
+            version=self.site.version,
+            attempts=self.attempts,
+            **fields,
+        )
+
+    @property
+    def sampled(self) -> bool:
+        """Whether the ordinary steps of this request are logged.
+
+        Chosen by its id, so that all processes choose the same requests.
+        """
+        return sum(self.request_id or b"") % _SAMPLE == 0
+
+    def refuse(self, reason: Reason, come_back_s: float) -> None:
+        """Tell the client that its request has not run and won't."""
+        self._count(reason, 503)
+        self.log(
+            "Refused, not run.", reason=reason.value, come_back_s=come_back_s
+        )
+        refuse(self.responder, come_back_s)
+
+    def fail(self, reason: Reason, status: int) -> None:
+        """Tell the client that it is not known whether its request ran."""
+        self._count(reason, status)
+        self.log("Failed, may have run.", reason=reason.value, status=status)
+        if self.responder.started:
+            self.responder.abort()
+        else:
+            self.responder.whole(status, [], b"")
+
+    def _count(self, reason: Reason, status: int) -> None:
+        self.site.metrics.count("own_answers", reason, self.route.name)
+
+    def delivered(self, endpoint: endpoints.Endpoint, status: int) -> None:
+        """The client has the whole answer."""
+        took = self.site.loop_time() - self.began
+        self.site.metrics.time("answer", self.route.name, took)
+        late = self.route.target_s and took > self.route.target_s
+        if self.sampled or late or status >= 400:
+            self.log(
+                "Answered.",
+                endpoint=endpoint.id,
+                status=status,
+                took_s=round(took, 4),
+            )
+
+
+def refuse(responder: server.Responder, come_back_s: float) -> None:
+    """Answer that a request has not run, and when to come back."""
+    after = b"%.2f" % come_back_s
+    responder.whole(503, [(b"retry-after", after)], b"")
--- /dev/null
+++ b/rackpost/gateway/control_links.py
@@ -0,0 +1,148 @@
+"""A gateway's links to the coordinators: routes and endpoints come in."""
+
+import asyncio
+
+import msgspec
+
+from rackpost.coordinator import directory
+from rackpost.coordinator import links
+from rackpost.coordinator import messages
+from rackpost import exceptions
+from rackpost.gateway import site as site_mod
+from rackpost.link import websocket
+from rackpost import logs
+from rackpost.platform import documents
+from rackpost.platform import settings
+from rackpost.routing import endpoints
+
+# A document that was asked for and has not come after this long is asked
+# for again, from whoever has it, in seconds.
+_FETCH_AGAIN_S = 0.25
+
+
+class ControlLinks:
+    """Links to every coordinator that is known.
+
+    The highest version of the document holds, whoever told it; so does an
+    endpoint's last word.
+    """
+
+    def __init__(self, *, site: site_mod.Site) -> None:
+        self._site = site
+        self._host = site.host
+        self._loop = asyncio.get_running_loop()
+        port = self._host.internal_ports[0]
+        self._loads = f"{self._host.ip}:{port + links.LOADS_PORT}"
+        self._dialler = links.Dialler(
+            part=logs.Part.GATEWAY,
+            port=port + links.LINKS_PORT,
+            kinds=messages.ToGateway,
+            use=self._use,
+        )
+        self._seeds: set[str] = set()
+        self._told: dict[str, messages.Peers] = {}
+        self._fetch_until = 0.0
+        self._holders: dict[websocket.WebSocketChannel, int] = {}
+        self.reload(self._host)
+
+    def reload(self, host: settings.HostSettings) -> None:
+        """Take new settings: other seeds."""
+        self._seeds = {links.host_of(item) for item in host.seeds}
+        self._set_hosts()
+
+    def _set_hosts(self) -> None:
+        hosts = set(self._seeds)
+        for told in self._told.values():
+            hosts.update(told.coordinators)
+        self._dialler.set_hosts(hosts)
+
+    async def _use(self, host: str, conn: websocket.WebSocketChannel) -> None:
+        conn.attach(
+            receive=lambda msg: self._on_message(host, conn, msg),
+            closed=lambda: self._closed(host, conn),
+        )
+        conn.send(messages.GatewayHello(vm=self._host.vm, loads=self._loads))
+
+    def _closed(self, host: str, conn: websocket.WebSocketChannel) -> None:
+        self._holders.pop(conn, None)
+        # What it told of the others is kept: they may outlive it.
+
+    def _on_message(
+        self,
+        host: str,
+        conn: websocket.WebSocketChannel,
+        msg: msgspec.Struct,
+    ) -> None:
+        if isinstance(msg, messages.RoutingAt):
+            self._holders[conn] = msg.version
+            self._fetch()
+        elif isinstance(msg, messages.Document):
+            self._on_document(msg)
+        elif isinstance(msg, messages.Endpoints):
+            self._on_endpoints(host, msg)
+        elif isinstance(msg, messages.Peers):
+            self._told[host] = msg
+            self._set_hosts()
+            self._set_gateways()
+
+    def _fetch(self) -> None:
+        """Ask for a newer document, of one coordinator at a time."""
+        now = self._loop.time()
+        newest = max(self._holders.values(), default=0)
+        if newest <= self._site.version or now < self._fetch_until:
+            return
+        holders = [conn for conn, at in self._holders.items() if at == newest]
+        self._fetch_until = now + _FETCH_AGAIN_S
+        self._site.rng.choice(holders).send(messages.Fetch())
+        self._loop.call_later(_FETCH_AGAIN_S, self._fetch)
+
+    def _on_document(self, msg: messages.Document) -> None:
+        self._fetch_until = 0.0
+        try:
+            doc = documents.decode(msg.source)
+        except exceptions.RoutingError as exc:
+            logs.say(
+                logs.Part.GATEWAY,
+                "Document can't be read.",
+                version=msg.version,
+                why=str(exc),
+            )
+            return
+        before = self._site.version
+        if self._site.put_routes(doc):
+            logs.say(
+                logs.Part.GATEWAY,
+                "Routing document in force.",
+                version=doc.version,
+                before=before,
+                routes=len(doc.routes),
+            )
+        self._fetch()
+
+    def _on_endpoints(self, host: str, msg: messages.Endpoints) -> None:
+        changed = directory.take_news(self._site.table, msg, self._loop.time())
+        for item in changed:
+            if item.state is endpoints.EndpointState.GONE:
+                self._site.health.forget(item.id)
+            logs.say(
+                logs.Part.GATEWAY,
+                "Endpoint changed.",
+                endpoint=item.id,
+                state=item.state.value,
+                role=item.role.value,
+                sequence=item.sequence,
+                told_by=host,
+            )
+        if changed:
+            self._site.room_changed.set()
+
+    def _set_gateways(self) -> None:
+        found = {}
+        for host, told in self._told.items():
+            if host in self._dialler.up:
+                found.update({item.vm: item for item in told.gateways})
+        self._site.gateways = found
+
+    def close(self) -> None:
+        """End all links."""
+        self._dialler.close()
--- /dev/null
+++ b/rackpost/gateway/handler.py
@@ -0,0 +1,103 @@
+"""From a client's request to its route, within its time."""
+
+import asyncio
+
+from rackpost.gateway import call as call_mod
+from rackpost.gateway import forward
+from rackpost.gateway import generate
+from rackpost.gateway import site as site_mod
+from rackpost.http1 import message
+from rackpost.http1 import server
+from rackpost import logs
+from rackpost.platform import headers
+from rackpost.routing import match
+from rackpost.routing import model
+
+# A gateway that has no document yet gets one within about this time, in
+# seconds: it dials its coordinators again every 0.3 s.
+_NO_DOCUMENT_S = 0.5
+
+
+class Handler:
+    """Answers the clients of a gateway."""
+
+    def __init__(self, *, site: site_mod.Site) -> None:
+        self._site = site
+
+    async def handle(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        """Answer one request."""
+        routes = self._site.routes
+        if routes is None:
+            self._own(call_mod.Reason.NO_DOCUMENT, req)
+            call_mod.refuse(responder, _NO_DOCUMENT_S)
+            return
+        host = message.find(req.headers, b"host") or b""
+        route = routes.find(host.decode("latin-1"), req.path.decode("latin-1"))
+        if route is None:
+            self._own(call_mod.Reason.NO_ROUTE, req)
+            responder.whole(404, [], b"")
+            return
+        name = match.choose_service(route, self._site.rng)
+        await self._route(req, responder, route, routes.services[name])
+
+    def _own(self, reason: call_mod.Reason, req: message.Request) -> None:
+        self._site.metrics.count("own_answers", reason)
+        ident = message.find(req.headers, headers.REQUEST_ID) or b""
+        logs.say(
+            logs.Part.GATEWAY,
+            "Not routed.",
+            request=ident.decode("latin-1"),
+            reason=reason.value,
+            version=self._site.version,
+        )
+
+    async def _route(
+        self,
+        req: message.Request,
+        responder: server.Responder,
+        route: model.Route,
+        service: model.Service,
+    ) -> None:
+        now = self._site.loop_time()
+        told = headers.whole(message.find(req.headers, headers.DEADLINE_MS))
+        time_s = route.timeout_s
+        if told is not None:
+            time_s = min(time_s, told / 1000.0)
+        call = call_mod.Call(
+            site=self._site,
+            req=req,
+            responder=responder,
+            route=route,
+            service=service,
+            began=now,
+            until=now + time_s,
+        )
+        call.budget.request(now)
+        try:
+            async with asyncio.timeout_at(call.until):
+                await self._answer(call)
+        except TimeoutError:
+            self._time_up(call)
+        except asyncio.CancelledError:
+            self._site.metrics.count("left", call_mod.Reason.TIME_UP)
+            if call.sampled:
+                call.log(
+                    "Client left.",
+                    after_s=round(self._site.loop_time() - now, 3),
+                )
+            raise
+
+    async def _answer(self, call: call_mod.Call) -> None:
+        engine = call.service.engine
+        if engine is None:
+            await forward.forward(call)
+        else:
+            await generate.generate(call, engine)
+
+    def _time_up(self, call: call_mod.Call) -> None:
+        if call.may_have_run:
+            call.fail(call_mod.Reason.TIME_UP, 504)
+        else:
+            call.refuse(call_mod.Reason.TIME_UP, forward.come_back_s(call))
--- /dev/null
+++ b/rackpost/gateway/load_share.py
@@ -0,0 +1,87 @@
+"""Gateways tell each other what they have under way, by datagrams.
+
+A lost one costs little: figures are whole, and told again with each
+change and at least once a second.
+"""
+
+import asyncio
+import contextlib
+from typing import AsyncIterator
+
+from rackpost.coordinator import links
+from rackpost.coordinator import messages
+from rackpost import exceptions
+from rackpost.gateway import site as site_mod
+from rackpost.link import codec
+from rackpost import logs
+
+# Changes that come together are told together, in seconds.
+_GATHER_S = 0.01
+# Figures are told again after this long without a change, in seconds.
+_AGAIN_S = 1.0
+
+_DECODER = codec.Decoder(kinds=messages.Loads)
+
+
+class LoadShare(asyncio.DatagramProtocol):
+    """Tells own figures and takes those of others."""
+
+    def __init__(self, *, site: site_mod.Site) -> None:
+        self._site = site
+        self._transport: asyncio.DatagramTransport | None = None
+        # Grows over restarts too: others drop figures with lower numbers.
+        self._number = 0
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Another gateway tells its figures."""
+        try:
+            msg = _DECODER.decode(data)
+        except exceptions.CodecError as exc:
+            logs.say(
+                logs.Part.GATEWAY, "Load figures unreadable.", why=str(exc)
+            )
+            return
+        self._site.loads.take(
+            msg.vm, msg.number, msg.uses, self._site.loop_time()
+        )
+        self._site.room_changed.set()
+
+    async def _tell(self) -> None:
+        changed = self._site.loads_changed
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_AGAIN_S):
+                    await changed.wait()
+                await asyncio.sleep(_GATHER_S)
+            changed.clear()
+            self._send()
+
+    def _send(self) -> None:
+        self._number += 1
+        me = self._site.host.vm
+        data = codec.encode(
+            messages.Loads(
+                vm=me, number=self._number, uses=self._site.loads.own
+            )
+        )
+        for item in self._site.gateways.values():
+            if item.vm != me and self._transport is not None:
+                host, _, port = item.loads.rpartition(":")
+                self._transport.sendto(data, (host, int(port)))
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Tell and take figures until the block ends."""
+        host = self._site.host
+        port = host.internal_ports[0] + links.LOADS_PORT
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host.ip, port)
+        )
+        self._transport = transport
+        task = asyncio.create_task(self._tell())
+        try:
+            yield
+        finally:
+            task.cancel()
+            transport.close()
--- /dev/null
+++ b/rackpost/gateway/process.py
@@ -0,0 +1,135 @@
+"""The gateway as a process: its listeners, its links, its planned stop."""
+
+import asyncio
+import contextlib
+from typing import AsyncIterator
+
+from rackpost.coordinator import links
+from rackpost.gateway import control_links
+from rackpost.gateway import handler as handler_mod
+from rackpost.gateway import load_share
+from rackpost.gateway import site as site_mod
+from rackpost.http1 import message
+from rackpost.http1 import pages
+from rackpost.http1 import server
+from rackpost import logs
+from rackpost.platform import headers
+from rackpost.platform import paths
+from rackpost.platform import settings
+
+# The balancer asks each second and takes a gateway out after two misses;
+# until then it still brings new connections.
+_NOTICED_S = 3.0
+# What is left of the grace time for ending, in seconds.
+_END_S = 0.4
+_STEP_S = 0.05
+_SWEEP_S = 1.0
+
+
+class Gateway:
+    """A running gateway."""
+
+    def __init__(self, *, host: settings.HostSettings) -> None:
+        self._host = host
+        self.site = site_mod.Site(host=host)
+        self._links = control_links.ControlLinks(site=self.site)
+        self._server = server.Server(
+            handler=handler_mod.Handler(site=self.site).handle, failed=_failed
+        )
+        self.stopping = False
+        self._ready = False
+
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome here."""
+        ready = self.site.routes is not None and not self.stopping
+        if ready != self._ready:
+            self._ready = ready
+            logs.say(
+                logs.Part.GATEWAY,
+                "Ready." if ready else "Not ready.",
+                version=self.site.version,
+                stopping=self.stopping,
+            )
+        return ready
+
+    def reload(self, host: settings.HostSettings) -> None:
+        """Take new settings: other seeds."""
+        self._links.reload(host)
+        logs.say(
+            logs.Part.GATEWAY, "Settings reloaded.", seeds=list(host.seeds)
+        )
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            self.site.pool.sweep()
+            if self.site.routes is not None:
+                self._server.limits = self.site.routes.doc.limits
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator[None]:
+        """Serve until the block ends."""
+        ip = self._host.ip
+        port = self._host.internal_ports[0] + links.METRICS_PORT
+        share = load_share.LoadShare(site=self.site)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self._links.close)
+            stack.callback(self.site.pool.close)
+            stack.push_async_callback(self.site.tasks.close)
+            await stack.enter_async_context(share.running())
+            for address, served in (
+                (self._host.listen.ready, {paths.READY: self._ready_page}),
+                (f"{ip}:{port}", {b"/metrics": self._metrics_page}),
+            ):
+                at, _, number = address.rpartition(":")
+                await stack.enter_async_context(
+                    pages.serving(
+                        served, host=at, port=int(number), failed=_failed
+                    )
+                )
+            at, _, number = self._host.listen.clients.rpartition(":")
+            await stack.enter_async_context(
+                self._server.serving(at, int(number))
+            )
+            self.site.spawn(self._sweep())
+            yield
+
+    def _ready_page(self) -> tuple[int, str]:
+        return (200, "ready\n") if self.is_ready() else (503, "not ready\n")
+
+    def _metrics_page(self) -> tuple[int, str]:
+        self.site.metrics.gauge("document_version", self.site.version)
+        self.site.metrics.gauge("connections_opened", self.site.pool.opened)
+        return 200, self.site.metrics.text()
+
+    async def stop(self) -> None:
+        """End what runs, take nothing new once the balancer knows."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self.stopping = True
+        self._server.stopping = True
+        self.is_ready()
+        last = began + self._host.bounds.grace_s - _END_S
+        while loop.time() < last:
+            noticed = loop.time() - began >= _NOTICED_S
+            if noticed:
+                self._server.close_idle()
+            if noticed and not self._server.busy:
+                break
+            await asyncio.sleep(_STEP_S)
+        logs.say(
+            logs.Part.GATEWAY,
+            "Stopped.",
+            cut_off=self._server.busy,
+            took_s=round(loop.time() - began, 2),
+        )
+
+
+def _failed(req: message.Request, exc: Exception) -> None:
+    ident = message.find(req.headers, headers.REQUEST_ID) or b""
+    logs.say(
+        logs.Part.GATEWAY,
+        "Request met a fault in the gateway.",
+        request=ident.decode("latin-1"),
+        why=repr(exc),
+    )
--- /dev/null
+++ b/rackpost/gateway/site.py
@@ -0,0 +1,92 @@
+"""What a gateway knows, and the decisions' state that its tasks share."""
+
+import asyncio
+import random
+from typing import Any
+from typing import Coroutine
+
+from rackpost.coordinator import links
+from rackpost.coordinator import messages
+from rackpost.decide import endpoint_choice
+from rackpost.decide import endpoint_health
+from rackpost.decide import endpoint_load
+from rackpost.decide import pace as pace_mod
+from rackpost.decide import retry_budget
+from rackpost.http1 import pool as pool_mod
+from rackpost import metrics as metrics_mod
+from rackpost.platform import headers
+from rackpost.platform import settings
+from rackpost.routing import endpoints
+from rackpost.routing import match
+from rackpost.routing import model
+from rackpost import types
+
+
+class Site:
+    """Routes, endpoints and their use, as one gateway knows them."""
+
+    def __init__(self, *, host: settings.HostSettings) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.tasks = links.Tasks()
+        self.host = host
+        self.rng = random.Random()
+        self.metrics = metrics_mod.Metrics()
+        self.routes: match.RouteTable | None = None
+        self.table = endpoints.EndpointTable()
+        self.loads_changed = asyncio.Event()
+        self.loads = endpoint_load.LoadBook(changed=self.loads_changed.set)
+        self.room_changed = asyncio.Event()
+        self.health = endpoint_health.HealthBook()
+        self.pool = pool_mod.Pool(id_header=headers.REQUEST_ID)
+        self.chooser = endpoint_choice.Chooser(
+            table=self.table,
+            loads=self.loads,
+            health=self.health,
+            data_centre=host.data_centre,
+            rng=self.rng,
+        )
+        self.pace = pace_mod.Pace()
+        self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
+        self._budgets: dict[types.ServiceName, retry_budget.RetryBudget] = {}
+
+    def loop_time(self) -> float:
+        """The loop's clock, which never goes back, in seconds."""
+        return self._loop.time()
+
+    def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine in the background."""
+        self.tasks.spawn(coro)
+
+    @property
+    def version(self) -> int:
+        """Version of the routing document in force here, 0 if none is."""
+        return 0 if self.routes is None else self.routes.doc.version
+
+    @property
+    def gateway_count(self) -> int:
+        """How many gateways share the site's budgets, this one included."""
+        return max(1, len(self.gateways))
+
+    def put_routes(self, doc: model.Document) -> bool:
+        """Put a document in force unless a newer one is."""
+        if self.routes is not None and doc.version <= self.version:
+            return False
+        self.routes = match.RouteTable(doc=doc)
+        return True
+
+    def budget(self, service: types.ServiceName) -> retry_budget.RetryBudget:
+        """The budget of repeats to a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            bounds = self.host.bounds
+            found = retry_budget.RetryBudget(
+                ratio=bounds.retry_ratio,
+                slack=bounds.retry_slack,
+                window_s=bounds.retry_window_s,
+            )
+            self._budgets[service] = found
+        return found
+
+    def connections_to(self, service: model.Service) -> int:
+        """Connections that this gateway may have to one endpoint."""
+        return max(2, service.max_connections * 9 // 10 // self.gateway_count)
--- /dev/null
+++ b/rackpost/http1/pages.py
@@ -0,0 +1,37 @@
+"""Small pages of a process: its metrics, whether it is ready."""
+
+import contextlib
+from typing import AsyncIterator
+from typing import Callable
+
+from rackpost.http1 import message
+from rackpost.http1 import server
+
+_TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
+
+Page = Callable[[], tuple[int, str]]
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    pages: dict[bytes, Page],
+    *,
+    host: str,
+    port: int,
+    failed: Callable[[message.Request, Exception], None],
+) -> AsyncIterator[server.Server]:
+    """Serve pages by their paths; each gives a status and a text."""
+
+    async def handle(
+        req: message.Request, responder: server.Responder
+    ) -> None:
+        page = pages.get(req.path)
+        if page is None:
+            responder.whole(404, _TEXT, b"")
+            return
+        status, text = page()
+        responder.whole(status, _TEXT, text.encode())
+
+    listening = server.Server(handler=handle, failed=failed)
+    async with listening.serving(host, port):
+        yield listening
--- /dev/null
+++ b/rackpost/http1/pool.py
@@ -0,0 +1,103 @@
+"""Connections to endpoints, kept for reuse."""
+
+import asyncio
+import contextlib
+import socket
+from typing import AsyncIterator
+
+from rackpost import exceptions
+from rackpost.http1 import client
+
+# An endpoint that takes no connection for this long is left alone; the
+# first retransmission of an opening packet comes after a second.
+_CONNECT_S = 0.6
+
+
+class Pool:
+    """Connections by address; at most `most` open to one address."""
+
+    def __init__(self, *, id_header: bytes) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._id_header = id_header
+        self._idle: dict[str, list[client.ClientConnection]] = {}
+        self._open: dict[str, int] = {}
+        self.opened = 0
+
+    @contextlib.asynccontextmanager
+    async def connection(
+        self, address: str, *, most: int, fresh: bool = False
+    ) -> AsyncIterator[client.ClientConnection]:
+        """A connection for one exchange, which is kept if that went well.
+
+        With `fresh`, none that was used before.  Raises ExchangeError,
+        with `sent` false, where none can be had.
+        """
+        if self._open.get(address, 0) >= most:
+            raise exceptions.ExchangeError("too many open", sent=False)
+        self._open[address] = self._open.get(address, 0) + 1
+        try:
+            conn = None if fresh else self._take_idle(address)
+            if conn is None:
+                conn = await self._connect(address)
+            try:
+                yield conn
+            finally:
+                if conn.release():
+                    self._idle.setdefault(address, []).append(conn)
+        finally:
+            self._open[address] -= 1
+
+    def _take_idle(self, address: str) -> client.ClientConnection | None:
+        idle = self._idle.get(address, [])
+        now = self._loop.time()
+        while idle:
+            conn = idle.pop()
+            if conn.is_open and conn.idle_until > now:
+                return conn
+            conn.abort()
+        return None
+
+    async def _connect(self, address: str) -> client.ClientConnection:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(_CONNECT_S):
+                transport, conn = await self._loop.create_connection(
+                    lambda: client.ClientConnection(id_header=self._id_header),
+                    host,
+                    int(port),
+                )
+        except TimeoutError as exc:
+            raise exceptions.ExchangeError(
+                "no connection in time", sent=False
+            ) from exc
+        except (OSError, ValueError) as exc:
+            raise exceptions.ExchangeError(
+                f"no connection: {exc}", sent=False
+            ) from exc
+        self.opened += 1
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return conn
+
+    def sweep(self) -> None:
+        """Close idle connections that are past their time."""
+        now = self._loop.time()
+        for address, idle in list(self._idle.items()):
+            kept = []
+            for conn in idle:
+                if conn.is_open and conn.idle_until > now:
+                    kept.append(conn)
+                else:
+                    conn.abort()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            for conn in idle:
+                conn.abort()
+        self._idle.clear()
--- /dev/null
+++ b/rackpost/http1/server.py
@@ -0,0 +1,372 @@
+"""Serving HTTP/1.1: whole requests in, answers out, one at a time.
+
+A request is read whole before it is handled, so that it can be sent to an
+endpoint with a length, and again if need be.  A client that leaves ends
+the task that works for it.
+"""
+
+import asyncio
+import collections
+import contextlib
+import socket
+from typing import AsyncIterator
+from typing import Awaitable
+from typing import Callable
+from typing import cast
+
+import httptools
+
+from rackpost.http1 import message
+from rackpost.routing import model
+
+_BACKLOG = 1024
+# How often connections are checked for being idle or slow, in seconds.
+_SWEEP_S = 0.25
+# Requests that a client may send ahead on one connection.
+_MAX_AHEAD = 8
+# After an answer that ends a connection early, what the client still
+# sends is read and dropped for this long, so that it sees the answer.
+_LINGER_S = 1.0
+# Writing pauses while a client has this much unread.
+_HIGH_WATER = 64 << 10
+
+
+class Responder:
+    """The answer to one request."""
+
+    def __init__(self, *, conn: "ServerConnection", old: bool) -> None:
+        self._conn = conn
+        self._old = old
+        self._chunked = False
+        self.started = False
+        self.ended = False
+
+    def whole(
+        self, status: int, headers: list[message.Header], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        self.started = True
+        self.ended = True
+        rest = list(headers)
+        if not message.has_no_body(status):
+            rest.append((b"content-length", b"%d" % len(body)))
+        self._conn.write(self._head(status, rest) + body)
+
+    def bare(self, status: int, headers: list[message.Header]) -> None:
+        """Send a head alone, as for HEAD; its headers are left as given."""
+        self.started = True
+        self.ended = True
+        self._conn.write(self._head(status, headers))
+
+    def start(self, status: int, headers: list[message.Header]) -> None:
+        """Begin an answer that is sent in parts."""
+        self.started = True
+        self._chunked = not self._old
+        rest = list(headers)
+        if self._chunked:
+            rest.append((b"transfer-encoding", b"chunked"))
+        else:
+            self._conn.closing = True
+        self._conn.write(self._head(status, rest))
+
+    async def part(self, data: bytes) -> None:
+        """Send a part; returns when the client has read enough of it."""
+        if not data:
+            return
+        if self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._conn.write(data)
+        await self._conn.drain()
+
+    def finish(self) -> None:
+        """The answer is whole."""
+        self.ended = True
+        if self._chunked:
+            self._conn.write(b"0\r\n\r\n")
+
+    def abort(self) -> None:
+        """Break the connection: the answer is not whole, and shows it."""
+        self.ended = True
+        self._conn.abort()
+
+    def _head(self, status: int, headers: list[message.Header]) -> bytes:
+        if self._conn.closing:
+            headers = [*headers, (b"connection", b"close")]
+        return message.response_head(status, headers)
+
+
+Handler = Callable[[message.Request, Responder], Awaitable[None]]
+
+
+class ServerConnection(asyncio.Protocol):
+    """A client's connection."""
+
+    def __init__(self, *, server: "Server") -> None:
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._ahead: collections.deque[tuple[message.Request, bool]] = (
+            collections.deque()
+        )
+        self._task: asyncio.Task[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._discarding = False
+        self.closing = False
+        self.rested_since = self._loop.time()
+        self.head_since: float | None = None
+        self._new_request()
+
+    def _new_request(self) -> None:
+        self._target = b""
+        self._headers: list[message.Header] = []
+        self._head_size = 0
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._reading = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return self._task is not None or self._reading
+
+    # What the responder calls.
+
+    def write(self, data: bytes) -> None:
+        """Send bytes; those for a client that has left are dropped."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait while the client has too much unread."""
+        if self._writable is not None:
+            await self._writable
+
+    def abort(self) -> None:
+        """Break the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # What the transport calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A client has come."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=_HIGH_WATER)
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The client has left: nobody waits for the answer any more."""
+        self._server.connections.discard(self)
+        self.resume_writing()
+        self._ahead.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """The client reads slowly."""
+        if self._writable is None:
+            self._writable = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        """The client has caught up."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes have arrived."""
+        if self._discarding:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(400)
+
+    # What the parser calls.
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self._new_request()
+        self._reading = True
+        self.head_since = self._loop.time()
+
+    def on_url(self, data: bytes) -> None:
+        """A part of the target."""
+        self._target += data
+        self._count_head(len(data))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header."""
+        self._headers.append((name.lower(), value))
+        self._count_head(len(name) + len(value))
+
+    def on_headers_complete(self) -> None:
+        """All headers are there."""
+        self.head_since = None
+        wants = message.find(self._headers, b"expect")
+        if wants is not None and wants.lower() == b"100-continue":
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """A part of the body."""
+        if self._discarding:
+            return
+        self._body_size += len(data)
+        if self._body_size > self._server.limits.body_bytes:
+            self._refuse(413)
+            return
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """The request is whole."""
+        if self._discarding:
+            return
+        self._reading = False
+        headers = self._headers
+        req = message.Request(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=headers,
+            body=b"".join(self._body),
+            has_body=_has_body(headers),
+        )
+        old = self._parser.get_http_version() == "1.0"
+        if not self._parser.should_keep_alive():
+            self.closing = True
+        self._ahead.append((req, old))
+        if len(self._ahead) > _MAX_AHEAD:
+            self.abort()
+        elif self._task is None:
+            self._task = self._loop.create_task(self._serve())
+
+    def _count_head(self, size: int) -> None:
+        self._head_size += size
+        if self._head_size > self._server.limits.header_bytes:
+            self._refuse(431)
+
+    # Answering.
+
+    async def _serve(self) -> None:
+        try:
+            while self._ahead and not self._is_gone():
+                req, old = self._ahead.popleft()
+                await self._serve_one(req, old)
+        finally:
+            self._task = None
+            self.rested_since = self._loop.time()
+
+    async def _serve_one(self, req: message.Request, old: bool) -> None:
+        responder = Responder(conn=self, old=old)
+        if self._server.stopping:
+            self.closing = True
+        try:
+            await self._server.handler(req, responder)
+        except Exception as exc:
+            # A fault in here must not leave the client without an answer.
+            self._server.failed(req, exc)
+        if not responder.started:
+            responder.whole(502, [], b"")
+        elif not responder.ended:
+            responder.abort()
+        if self.closing and self._transport is not None:
+            self._ahead.clear()
+            self._transport.close()
+
+    def _is_gone(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
+    def _refuse(self, status: int) -> None:
+        if self._discarding:
+            return
+        self._discarding = True
+        self.closing = True
+        self._reading = False
+        if self._task is not None:
+            # The answer to an earlier request is still due.
+            return
+        Responder(conn=self, old=False).whole(status, [], b"")
+        if self._transport is not None and self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._loop.call_later(_LINGER_S, self.abort)
+
+    def sweep(self, now: float) -> None:
+        """Close a connection that is idle or sends its head too slowly."""
+        if self._discarding or self._task is not None:
+            return
+        limits = self._server.limits
+        if self.head_since is not None and self._reading:
+            if now - self.head_since > limits.header_s:
+                self._refuse(408)
+        elif not self._reading and now - self.rested_since > limits.idle_s:
+            self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close if no request is being read or answered."""
+        if not self.busy and self._transport is not None:
+            self._transport.close()
+
+
+def _has_body(headers: list[message.Header]) -> bool:
+    for key, _ in headers:
+        if key in (b"content-length", b"transfer-encoding"):
+            return True
+    return False
+
+
+class Server:
+    """One listening address and its connections."""
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        failed: Callable[[message.Request, Exception], None],
+        limits: model.Limits | None = None,
+    ) -> None:
+        self.handler = handler
+        self.failed = failed
+        self.limits = limits or model.Limits()
+        self.connections: set[ServerConnection] = set()
+        self.stopping = False
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request under way."""
+        return sum(1 for conn in self.connections if conn.busy)
+
+    @contextlib.asynccontextmanager
+    async def serving(self, host: str, port: int) -> AsyncIterator[int]:
+        """Listen; yields the port.  OSError where it can't be had."""
+        loop = asyncio.get_running_loop()
+        sock = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+        )
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        listener = await loop.create_server(
+            lambda: ServerConnection(server=self), sock=sock, backlog=_BACKLOG
+        )
+        sweeper = asyncio.create_task(self._sweep())
+        try:
+            yield sock.getsockname()[1]
+        finally:
+            sweeper.cancel()
+            listener.close()
+            for conn in list(self.connections):
+                conn.abort()
+
+    async def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            now = loop.time()
+            for conn in list(self.connections):
+                conn.sweep(now)
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request under way."""
+        for conn in list(self.connections):
+            conn.close_idle()
--- a/rackpost/link/websocket.py
+++ b/rackpost/link/websocket.py
@@ -27,10 +27,6 @@
 # A peer that takes nothing is cut off when this much waits for it.
 MAX_WAITING = 16 << 20
 _HANDSHAKE_S = 3.0
-# A silent peer is given up after both of these, in seconds.  Reservations
-# notice it sooner; a shorter time costs more than all else on idle links.
-_PING_S = 5.0
-_PING_TIMEOUT_S = 3.0
 
 _Conn = websockets.asyncio.connection.Connection
 
@@ -43,6 +39,23 @@
     server_tls: ssl.SSLContext | None = None
 
 
+class Patience(msgspec.Struct, frozen=True, kw_only=True):
+    """How long a link waits for a silent peer, in seconds.
+
+    It is given up `ping_s` + `ping_timeout_s` after it fell silent.  The
+    defaults suit links whose messages notice it sooner: on idle links a
+    shorter time costs more than all else.
+    """
+
+    ping_s: float = 5.0
+    ping_timeout_s: float = 3.0
+    open_s: float = _HANDSHAKE_S
+    close_s: float = 10.0
+
+
+_USUAL = Patience()
+
+
 class WebSocketChannel(channel.Channel):
     """One end of a link over a WebSocket that is up and proved."""
 
@@ -139,7 +152,11 @@
 
 @contextlib.asynccontextmanager
 async def connected(
-    address: str, *, security: Security, kinds: Any
+    address: str,
+    *,
+    security: Security,
+    kinds: Any,
+    patience: Patience = _USUAL,
 ) -> AsyncIterator[WebSocketChannel]:
     """A link to `host:port`; its messages are of the types `kinds`.
 
@@ -154,12 +171,17 @@
             ssl=security.client_tls,
             max_size=codec.MAX_FRAME,
             compression=None,
-            ping_interval=_PING_S,
-            ping_timeout=_PING_TIMEOUT_S,
-            open_timeout=_HANDSHAKE_S,
+            ping_interval=patience.ping_s,
+            ping_timeout=patience.ping_timeout_s,
+            open_timeout=patience.open_s,
+            close_timeout=patience.close_s,
             proxy=None,
         )
-    except (OSError, websockets.exceptions.WebSocketException) as exc:
+    except (
+        OSError,
+        TimeoutError,
+        websockets.exceptions.WebSocketException,
+    ) as exc:
         raise exceptions.LinkError(f"{address}: {exc}") from exc
     pump: asyncio.Task[None] | None = None
     try:
@@ -187,6 +209,7 @@
     accept: Callable[[WebSocketChannel], Awaitable[None]],
     refused: Callable[[], None],
     pages: dict[str, Page] | None = None,
+    patience: Patience = _USUAL,
 ) -> AsyncIterator[int]:
     """Serve links; yields the port.
 
@@ -222,8 +245,9 @@
         ssl=security.server_tls,
         max_size=codec.MAX_FRAME,
         compression=None,
-        ping_interval=_PING_S,
-        ping_timeout=_PING_TIMEOUT_S,
+        ping_interval=patience.ping_s,
+        ping_timeout=patience.ping_timeout_s,
+        close_timeout=patience.close_s,
         process_request=page,
     ) as server:
         yield next(iter(server.sockets)).getsockname()[1]
--- /dev/null
+++ b/rackpost/platform/documents.py
@@ -0,0 +1,132 @@
+"""The operators' routing document: its wire form to `routing.model`."""
+
+import msgspec
+
+from rackpost import exceptions
+from rackpost.routing import check
+from rackpost.routing import model
+from rackpost import types
+
+_MS = 1000.0
+# The platform's kinds; any kind unknown here is treated as unsafe.
+_KINDS = {
+    "safe": model.RouteKind.SAFE,
+    "streaming": model.RouteKind.STREAM,
+}
+
+
+class _Target(msgspec.Struct, kw_only=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, kw_only=True, rename="camel"):
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    target_gap_ms: float = 0.0
+    priority: int = 5
+    max_attempts: int = 1
+    resumable: bool = False
+    service: str | None = None
+    traffic_split: list[_Target] | None = None
+
+
+class _Engine(msgspec.Struct, kw_only=True, rename="camel"):
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    # In seconds.
+    handle_ttl_s: float = msgspec.field(default=0.0, name="handleTtlS")
+
+
+class _Service(msgspec.Struct, kw_only=True, rename="camel"):
+    name: str
+    max_connections: int = 64
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, kw_only=True, rename="camel"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 << 20
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Document(msgspec.Struct, kw_only=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_DECODER = msgspec.json.Decoder(_Document)
+
+
+def decode(text: bytes) -> model.Document:
+    """A checked document; RoutingError says what is wrong with it."""
+    try:
+        wire = _DECODER.decode(text)
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        raise exceptions.RoutingError(f"not a document: {exc}") from exc
+    doc = model.Document(
+        version=wire.version,
+        routes=tuple(_route(item) for item in wire.routes),
+        services=tuple(_service(item) for item in wire.services),
+        limits=model.Limits(
+            header_bytes=wire.limits.max_header_bytes,
+            body_bytes=wire.limits.max_body_bytes,
+            header_s=wire.limits.header_timeout_ms / _MS,
+            idle_s=wire.limits.idle_timeout_ms / _MS,
+        ),
+        source=text,
+    )
+    check.check(doc)
+    return doc
+
+
+def _route(wire: _Route) -> model.Route:
+    return model.Route(
+        name=wire.name,
+        host=wire.hostname,
+        prefix=wire.path_prefix,
+        kind=_KINDS.get(wire.kind, model.RouteKind.UNSAFE),
+        timeout_s=wire.timeout_ms / _MS,
+        target_s=wire.target_latency_ms / _MS,
+        gap_s=wire.target_gap_ms / _MS,
+        priority=wire.priority,
+        max_attempts=max(1, wire.max_attempts),
+        resumable=wire.resumable,
+        targets=_targets(wire),
+    )
+
+
+def _targets(wire: _Route) -> tuple[model.Target, ...]:
+    if wire.traffic_split is not None:
+        return tuple(
+            model.Target(
+                service=types.ServiceName(item.service), weight=item.weight
+            )
+            for item in wire.traffic_split
+        )
+    if wire.service is None:
+        raise exceptions.RoutingError(f"route {wire.name} names no service")
+    only = model.Target(service=types.ServiceName(wire.service), weight=1)
+    return (only,)
+
+
+def _service(wire: _Service) -> model.Service:
+    engine = None
+    if wire.engine is not None:
+        engine = model.Engine(
+            slots=wire.engine.slots,
+            memory_tokens=wire.engine.kv_capacity_tokens,
+            handle_ttl_s=wire.engine.handle_ttl_s,
+        )
+    return model.Service(
+        name=types.ServiceName(wire.name),
+        max_connections=wire.max_connections,
+        engine=engine,
+    )
--- /dev/null
+++ b/rackpost/platform/headers.py
@@ -0,0 +1,73 @@
+"""Header names of the platform (lower case), and what they say.
+
+Headers that only we may set are dropped from what clients send.
+"""
+
+from typing import NamedTuple
+from typing import Sequence
+
+Header = tuple[bytes, bytes]
+
+REQUEST_ID = b"x-request-id"
+DEADLINE_MS = b"x-deadline-ms"
+ENDPOINT_ID = b"x-expect-instance"
+STAGE = b"x-serving-stage"
+KV_SOURCE = b"x-kv-source"
+PRIORITY = b"x-request-priority"
+RESUME_AFTER = b"last-event-id"
+SIGNATURE = b"x-response-seal"
+NOT_RUN = b"x-not-executed"
+_TOKENS = b"x-token-usage"
+_LENGTH_GUESS = b"x-length-hint"
+
+PREFILL = b"prefill"
+
+# Set by us alone, whatever a client sent.
+OURS = frozenset(
+    (
+        DEADLINE_MS,
+        ENDPOINT_ID,
+        STAGE,
+        KV_SOURCE,
+        PRIORITY,
+        b"x-expect-version",
+        b"x-kv-hold",
+        b"x-kv-backup",
+        b"kv-fetch",
+    )
+)
+
+
+class Tokens(NamedTuple):
+    """Sizes of a request: its prompt, and its answer as far as told."""
+
+    prompt: int
+    most_out: int
+    guess_out: int
+
+
+def find(headers: Sequence[Header], name: bytes) -> bytes | None:
+    """The first value of a header; names are lower case."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def whole(value: bytes | None) -> int | None:
+    """A header's whole number; None where there is none."""
+    if value is None or not value.strip().isdigit():
+        return None
+    return int(value)
+
+
+def tokens(headers: Sequence[Header]) -> Tokens | None:
+    """Sizes of a model request; None where it names none."""
+    usage = find(headers, _TOKENS)
+    if usage is None:
+        return None
+    parts = usage.split(b",")
+    prompt = whole(parts[0]) or 0
+    most = (whole(parts[1]) or 0) if len(parts) > 1 else 0
+    guess = whole(find(headers, _LENGTH_GUESS))
+    return Tokens(prompt=prompt, most_out=most, guess_out=guess or most)
--- /dev/null
+++ b/rackpost/routing/model.py
@@ -0,0 +1,100 @@
+"""Routes, services and limits: one versioned document.
+
+Operators replace the document whole; of two, the higher version holds.
+Times are seconds.
+"""
+
+import enum
+
+import msgspec
+
+from rackpost import types
+
+
+class RouteKind(enum.Enum):
+    """How a route's requests may be repeated, and how they are answered."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+class Target(msgspec.Struct, frozen=True, kw_only=True):
+    """A service that takes part of a route's requests."""
+
+    service: types.ServiceName
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """Requests of one host under one path prefix.
+
+    Attributes:
+        timeout_s: the longest that a request may be held.
+        target_s: an answer within this time is in time; for a stream, its
+            first event.
+        gap_s: the longest pause between two events that is in time.
+        priority: 0 goes first.
+        max_attempts: endpoints that one request may be sent to.
+        resumable: a broken stream may go on at another endpoint.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_s: float
+    targets: tuple[Target, ...]
+    target_s: float = 0.0
+    gap_s: float = 0.0
+    priority: int = 5
+    max_attempts: int = 1
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is RouteKind.SAFE
+
+
+class Engine(msgspec.Struct, frozen=True, kw_only=True):
+    """What the endpoints of a model service can hold.
+
+    Attributes:
+        slots: requests that run at once.
+        memory_tokens: tokens of KV cache that fit.
+        handle_ttl_s: how long a prefill's result is kept for the decode.
+    """
+
+    slots: int
+    memory_tokens: int
+    handle_ttl_s: float
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True):
+    """A group of like endpoints; `engine` is None for a plain service."""
+
+    name: types.ServiceName
+    max_connections: int
+    engine: Engine | None = None
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """What a client may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+class Document(msgspec.Struct, frozen=True, kw_only=True):
+    """One version of all routes; `source` is the text as it was sent."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: Limits
+    source: bytes
--- a/rackpost/state/commands.py
+++ b/rackpost/state/commands.py
@@ -136,6 +136,16 @@
     settled: tuple[SettleOne, ...] = ()
 
 
+class SetRouting(Command, frozen=True, tag="routing"):
+    """Put a routing document in force, if its version is the highest.
+
+    It has been checked; `source` is its text as the operator sent it.
+    """
+
+    version: int
+    source: bytes
+
+
 class Nothing(Command, frozen=True, tag="nothing"):
     """A new leader's first record."""
 
@@ -148,6 +158,7 @@
     Remove,
     Order,
     ClaimBatch,
+    SetRouting,
     Nothing,
 ]
 
--- a/rackpost/state/machine.py
+++ b/rackpost/state/machine.py
@@ -36,6 +36,14 @@
     member: commands.MemberInfo | None = None
     order: str | None = None
     fence: types.Fence = types.Fence(0)
+    routing_version: int | None = None
+
+
+class Routing(msgspec.Struct, frozen=True, kw_only=True):
+    """The routing document in force, as the operator sent it."""
+
+    version: int
+    source: bytes
 
 
 class Image(msgspec.Struct, frozen=True, kw_only=True):
@@ -51,6 +59,7 @@
     results: list[tuple[str, commands.Result]]
     history: list[Change]
     claims: list[tuple[types.ClaimKey, claims.Claim]]
+    routing: Routing | None = None
 
 
 class Machine:
@@ -64,6 +73,7 @@
         self.members: dict[str, commands.MemberInfo] = {}
         self.fences: dict[str, types.Fence] = {}
         self.claims = claims.ClaimTable()
+        self.routing: Routing | None = None
         self.history: list[Change] = []
         self._results: OrderedDict[str, commands.Result] = OrderedDict()
 
@@ -99,6 +109,8 @@
             return self._remove(cmd)
         if isinstance(cmd, commands.Order):
             return self._order(cmd)
+        if isinstance(cmd, commands.SetRouting):
+            return self._set_routing(cmd)
         return commands.Accepted(revision=self.revision)
 
     def _next(self) -> types.Revision:
@@ -236,6 +248,15 @@
             )
         )
 
+    def _set_routing(self, cmd: commands.SetRouting) -> commands.Result:
+        # An older document may come late or twice; it changes nothing.
+        if self.routing is not None and cmd.version <= self.routing.version:
+            return commands.Accepted(revision=self.revision)
+        self.routing = Routing(version=cmd.version, source=cmd.source)
+        return self._made(
+            Change(revision=self._next(), routing_version=cmd.version)
+        )
+
     def _claim(self, cmd: commands.ClaimBatch) -> commands.Result:
         self.claims.trim(cmd.at)
         for item in cmd.settled:
@@ -276,6 +297,7 @@
                 (key, msgspec.structs.replace(claim))
                 for key, claim in self.claims.claims.items()
             ],
+            routing=self.routing,
         )
 
     def restore(self, image: Image) -> None:
@@ -292,6 +314,7 @@
         self._results.update(image.results)
         self.history.extend(image.history)
         self.claims.claims.update(image.claims)
+        self.routing = image.routing
 
 
 def check_write(cmd: commands.Write, tree: tree_mod.Tree) -> None:
