--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -109,10 +109,11 @@
     call.may_have_run = True
     try:
         async with sent(call, endpoint, extra) as reply:
-            call.attempts += 1
             ended = await _take(call, endpoint, reply, began)
     except exceptions.ExchangeError as exc:
         ended = _broke(call, endpoint, exc)
+    if ended is not forwarding.Ended.NOT_SENT:
+        call.attempts += 1
     if ended in (forwarding.Ended.NOT_SENT, forwarding.Ended.NOT_RUN):
         call.may_have_run = ran_before
     return ended
@@ -127,7 +128,6 @@
     call.log("Attempt broke.", endpoint=endpoint.id, why=str(exc))
     if not exc.sent:
         return forwarding.Ended.NOT_SENT
-    call.attempts += 1
     return forwarding.Ended.BROKEN
 
 
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,337 @@
+"""A small stand-in of the users' platform, over real loopback sockets.
+
+Coordinators and gateways run in one event loop, each on a loopback
+address of its own; endpoints speak the platform's wire and can be told
+to misbehave.
+"""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import socket
+from typing import AsyncIterator
+from typing import Awaitable
+from typing import Callable
+
+import aiohttp
+
+from rackpost.coordinator import process as coordinator_process
+from rackpost.gateway import process as gateway_process
+from rackpost.http1 import message
+from rackpost.http1 import server
+from rackpost.platform import settings
+
+DATA_CENTRE = "hall-nord"
+
+
+def free_base() -> int:
+    """A first internal port that is probably free on all loopbacks."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+    return 20000 + port % 20000
+
+
+class Plan:
+    """The addresses of one site."""
+
+    def __init__(self, *, root: pathlib.Path) -> None:
+        self.root = root
+        self.base = free_base()
+
+    def ip(self, number: int) -> str:
+        return f"127.0.0.{number}"
+
+    def host(
+        self,
+        number: int,
+        *,
+        kind: str,
+        seeds: tuple[int, ...] = (11, 12, 13),
+        first: bool = True,
+        lost: int = 2,
+    ) -> settings.HostSettings:
+        ip = self.ip(number)
+        folder = self.root / f"{kind}-{number}"
+        raw = {
+            "node": f"{kind}-{number}",
+            "ip": ip,
+            "zone": DATA_CENTRE,
+            "listen": {
+                "front": f"{ip}:{self.base + 10}",
+                "ready": f"{ip}:{self.base + 11}",
+                "control": f"{ip}:{self.base + 12}",
+            },
+            "internalPorts": [self.base, self.base + 9],
+            "seeds": [f"{self.ip(n)}:{self.base + 12}" for n in seeds],
+            "bootstrap": first,
+            "dataDir": str(folder) if kind == "core" else None,
+            "heartbeatMs": 1200,
+            "faultTolerance": {"machines": lost, "zones": 0, "regions": 0},
+            "bounds": {
+                "retryBudgetRatio": 0.2,
+                "budgetWindowS": 10,
+                "budgetSlack": 56,
+                "graceS": 8,
+                "drainMs": 2000,
+                "configApplyMs": 2000,
+            },
+        }
+        return settings.decode(json.dumps(raw).encode())
+
+    def control_url(self, number: int) -> str:
+        return f"http://{self.ip(number)}:{self.base + 12}"
+
+    def front(self, number: int) -> tuple[str, int]:
+        return self.ip(number), self.base + 10
+
+    def front_url(self, number: int) -> str:
+        return f"http://{self.ip(number)}:{self.base + 10}"
+
+    def ready_url(self, number: int) -> str:
+        return f"http://{self.ip(number)}:{self.base + 11}/v1/readiness"
+
+
+@contextlib.asynccontextmanager
+async def coordinator(
+    host: settings.HostSettings,
+) -> AsyncIterator[coordinator_process.Coordinator]:
+    running = coordinator_process.Coordinator(host=host)
+    async with running.serving():
+        yield running
+
+
+@contextlib.asynccontextmanager
+async def gateway(
+    host: settings.HostSettings,
+) -> AsyncIterator[gateway_process.Gateway]:
+    running = gateway_process.Gateway(host=host)
+    async with running.serving():
+        yield running
+
+
+class Endpoint:
+    """An endpoint that answers as its `answer` says."""
+
+    def __init__(self, *, ident: str, service: str, stage: str = "") -> None:
+        self.ident = ident
+        self.service = service
+        self.stage = stage
+        self.sequence = 0
+        self.seen: list[message.Request] = []
+        self.address = ""
+        self.answer: Callable[
+            [message.Request, server.Responder], Awaitable[None]
+        ] = self.usual
+
+    def echoed(self, req: message.Request) -> list[message.Header]:
+        ident = message.find(req.headers, b"x-request-id") or b""
+        return [(b"x-request-id", ident), (b"x-response-seal", b"seal")]
+
+    async def usual(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        if message.find(req.headers, b"x-serving-stage") == b"prefill":
+            body = b'{"kvHandle":"h1","tokens":10,"version":1}'
+            responder.whole(200, self.echoed(req), body)
+        elif self.stage == "decode":
+            await self.stream(req, responder, 1, 4)
+        else:
+            responder.whole(200, self.echoed(req), b"from " + req.body)
+
+    async def stream(
+        self,
+        req: message.Request,
+        responder: server.Responder,
+        first: int,
+        after: int,
+    ) -> None:
+        kind = [(b"content-type", b"text/event-stream")]
+        responder.start(200, self.echoed(req) + kind)
+        for number in range(first, after):
+            await responder.part(b"id: %d\ndata: x%d\n\n" % (number, number))
+        responder.finish()
+
+    async def _handle(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        self.seen.append(req)
+        expected = message.find(req.headers, b"x-expect-instance")
+        if expected not in (None, self.ident.encode()):
+            responder.whole(421, [], b"")
+            return
+        await self.answer(req, responder)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["Endpoint"]:
+        listening = server.Server(
+            handler=self._handle, failed=lambda req, exc: None
+        )
+        async with listening.serving("127.0.0.1", 0) as port:
+            self.address = f"127.0.0.1:{port}"
+            yield self
+
+    def heartbeat(self, state: str = "ready", **more: object) -> dict:
+        self.sequence += 1
+        found = {
+            "service": self.service,
+            "address": self.address,
+            "zone": DATA_CENTRE,
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": self.sequence,
+        }
+        if self.stage:
+            found["stage"] = self.stage
+        found.update(more)
+        return found
+
+
+def document(version: int = 1, **more: object) -> dict:
+    """A document with a route of each kind."""
+
+    def route(name: str, service: str, **own: object) -> dict:
+        found = {
+            "name": name,
+            "hostname": "site.example",
+            "pathPrefix": f"/{name}/",
+            "kind": "safe",
+            "timeoutMs": 3000,
+            "targetLatencyMs": 400,
+            "priority": 2,
+            "service": service,
+            "maxAttempts": 2,
+        }
+        found.update(own)
+        return found
+
+    found = {
+        "version": version,
+        "routes": [
+            route("safe", "plain"),
+            route("unsafe", "plain", kind="unsafe"),
+            route("gen", "model", kind="streaming", maxAttempts=1),
+            route("res", "model", kind="streaming", resumable=True),
+        ],
+        "services": [
+            {"name": "plain", "maxConnections": 100},
+            {
+                "name": "model",
+                "maxConnections": 100,
+                "engine": {
+                    "slots": 64,
+                    "kvCapacityTokens": 1000,
+                    "handleTtlS": 0.5,
+                },
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+    found.update(more)
+    return found
+
+
+class Operator:
+    """Calls coordinators as operators and endpoints do: until answered."""
+
+    def __init__(self, *, plan: Plan, http: aiohttp.ClientSession) -> None:
+        self.plan = plan
+        self.http = http
+
+    async def put(self, number: int, doc: object) -> int:
+        url = self.plan.control_url(number) + "/v1/config"
+        async with self.http.put(url, data=json.dumps(doc)) as resp:
+            return resp.status
+
+    async def put_until_taken(self, number: int, doc: object) -> None:
+        while await self.put(number, doc) != 200:
+            await asyncio.sleep(0.05)
+
+    async def get(self, number: int) -> tuple[int, dict]:
+        url = self.plan.control_url(number) + "/v1/config"
+        async with self.http.get(url) as resp:
+            return resp.status, json.loads(await resp.read())
+
+    async def beat(
+        self, number: int, endpoint: Endpoint, state: str = "ready"
+    ) -> int:
+        url = self.plan.control_url(number)
+        url = f"{url}/v1/instances/{endpoint.ident}"
+        body = json.dumps(endpoint.heartbeat(state))
+        async with self.http.put(url, data=body) as resp:
+            return resp.status
+
+    async def leave(self, number: int, endpoint: Endpoint) -> int:
+        url = self.plan.control_url(number)
+        url = f"{url}/v1/instances/{endpoint.ident}"
+        async with self.http.delete(url) as resp:
+            return resp.status
+
+
+async def until(what: Callable[[], bool], most_s: float = 15.0) -> None:
+    """Wait until something holds; fails the test if it never does."""
+    async with asyncio.timeout(most_s):
+        while not what():
+            await asyncio.sleep(0.01)
+
+
+class Site:
+    """One coordinator, one gateway and the endpoints of both services."""
+
+    def __init__(self, *, plan: Plan) -> None:
+        self.plan = plan
+        self.plain = [
+            Endpoint(ident=f"p{n}", service="plain") for n in range(2)
+        ]
+        self.prefill = Endpoint(ident="pre", service="model", stage="prefill")
+        self.decode = [
+            Endpoint(ident=f"dec{n}", service="model", stage="decode")
+            for n in range(2)
+        ]
+        self.operator: Operator
+        self.coordinator: coordinator_process.Coordinator
+        self.gateway: gateway_process.Gateway
+
+    @property
+    def endpoints(self) -> list[Endpoint]:
+        return [*self.plain, self.prefill, *self.decode]
+
+    async def raw(self, data: bytes) -> bytes:
+        """Send bytes to the gateway, and read until it closes."""
+        reader, writer = await asyncio.open_connection(*self.plan.front(31))
+        writer.write(data)
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+
+@contextlib.asynccontextmanager
+async def small_site(root: pathlib.Path) -> AsyncIterator[Site]:
+    """A site that serves."""
+    plan = Plan(root=root)
+    site = Site(plan=plan)
+    core = plan.host(11, kind="core", seeds=(11,), lost=0)
+    edge = plan.host(31, kind="edge", seeds=(11,))
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        http = await enter(aiohttp.ClientSession())
+        site.operator = Operator(plan=plan, http=http)
+        for endpoint in site.endpoints:
+            await enter(endpoint.running())
+        site.coordinator = await enter(coordinator(core))
+        site.gateway = await enter(gateway(edge))
+        await site.operator.put_until_taken(11, document())
+        for endpoint in site.endpoints:
+            assert await site.operator.beat(11, endpoint) == 200
+        await until(lambda: site.gateway.site.version == 1)
+        await until(lambda: len(site.gateway.site.table.alive) == 5)
+        yield site
