Generations wait for room; a forecast of KV memory; dead endpoints dropped

Cause: a restarted endpoint's old incarnation stayed in every table, was chosen as empty and answered 421 after the prompt had been read; and each refusal for memory counted as one with places free. Change: an address has one endpoint at a time; a 421 from another endpoint drops the old one; the decode connection is up before the prefill; those that wait for room go in order of what can still be in time; memory is forecast from what runs hold and have left; gateways share failures and heartbeats' age.

--- a/rackpost/coordinator/directory.py
+++ b/rackpost/coordinator/directory.py
@@ -12,6 +12,7 @@
 from rackpost.link import channel
 from rackpost import logs
 from rackpost.routing import endpoints
+from rackpost import types
 
 # An endpoint that has been silent for this many heartbeats is forgotten
 # here; gateways judge for themselves by what it answers.
@@ -25,11 +26,13 @@
         self._loop = asyncio.get_running_loop()
         self._silent_s = heartbeat_s * _SILENT_BEATS
         self.table = endpoints.EndpointTable()
+        self._fresh: set[types.EndpointId] = set()
         self.gateways: dict[channel.Channel, messages.GatewayHello] = {}
 
     def take(self, item: endpoints.Endpoint) -> bool:
         """Take news of an endpoint and pass them on if they are any."""
         changed = self.table.take(item, self._loop.time())
+        self._fresh.add(item.id)
         if changed:
             logs.say(
                 logs.Part.COORDINATOR,
@@ -49,6 +52,12 @@
         for conn in list(self.gateways):
             conn.send(msg)
 
+    def tell_heard(self) -> None:
+        """Tell gateways whose heartbeats have come since the last time."""
+        if self._fresh:
+            self.tell_gateways(messages.Heard(ids=tuple(self._fresh)))
+            self._fresh.clear()
+
     def whole(self) -> messages.Endpoints:
         """All that is known, for a process that has just linked."""
         return messages.Endpoints(
--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -46,6 +46,12 @@
     ended: tuple[types.EndpointId, ...] = ()
 
 
+class Heard(_Message, frozen=True, tag="heard-endpoints"):
+    """Endpoints whose heartbeats have come here since the last `Heard`."""
+
+    ids: tuple[types.EndpointId, ...]
+
+
 class GatewayAddress(_Message, frozen=True):
     """Where a gateway takes `Loads`, as host:port."""
 
@@ -67,14 +73,18 @@
 
 
 class Loads(_Message, frozen=True, tag="loads"):
-    """What a gateway has under way; `number` grows."""
+    """What a gateway has under way; `number` grows.
+
+    `broken` are endpoints that it has just seen fail.
+    """
 
     vm: types.VmId
     number: int
     uses: dict[types.EndpointId, endpoint_load.Use]
+    broken: tuple[types.EndpointId, ...] = ()
 
 
 FromGateway = Union[GatewayHello, Fetch]
-ToGateway = Union[RoutingAt, Document, Endpoints, Peers]
+ToGateway = Union[RoutingAt, Document, Endpoints, Heard, Peers]
 FromReplica = Union[control.FromReplica, Join, Endpoints]
 FromAny = Union[FromGateway, FromReplica]
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -37,6 +37,8 @@
 # A replica that asked to join is a candidate for this long, in seconds.
 _JOINING_S = 2.0
 _HELLO_S = 1.0
+# How often gateways are told whose heartbeats have come, in seconds.
+_HEARD_S = 0.5
 
 
 class Coordinator:
@@ -279,7 +281,8 @@
 
     async def _forget(self) -> None:
         while True:
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(_HEARD_S)
+            self.directory.tell_heard()
             self.directory.forget_silent()
 
     @contextlib.asynccontextmanager
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -5,6 +5,7 @@
 
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
+from rackpost.decide import kv_forecast
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -25,12 +26,15 @@
         loads: endpoint_load.LoadBook,
         health: endpoint_health.HealthBook,
         data_centre: types.DataCentre,
+        silent_s: float,
         rng: random.Random,
     ) -> None:
+        """`silent_s`: after so long without a heartbeat others go first."""
         self._table = table
         self._loads = loads
         self._health = health
         self._data_centre = data_centre
+        self._silent_s = silent_s
         self._rng = rng
 
     def candidates(
@@ -41,7 +45,10 @@
         but: Sequence[types.EndpointId] = (),
         now: float,
     ) -> list[endpoints.Endpoint]:
-        """Ready endpoints of a role; ones that just failed only if alone."""
+        """Ready endpoints of a role.
+
+        Those that are silent or have just failed only if there is no other.
+        """
         found = [
             item
             for item in self._table.alive.values()
@@ -53,7 +60,11 @@
         well = [
             item for item in found if not self._health.avoided(item.id, now)
         ]
-        return well or found
+        before = now - self._silent_s
+        heard = [
+            item for item in well if not self._table.is_silent(item.id, before)
+        ]
+        return heard or well or found
 
     def plain(
         self,
@@ -90,7 +101,7 @@
     def decode(
         self,
         service: types.ServiceName,
-        tokens: int,
+        run: kv_forecast.Run,
         capacity: int,
         *,
         but: Sequence[types.EndpointId] = (),
@@ -98,19 +109,19 @@
     ) -> endpoints.Endpoint | None:
         """The decode endpoint with the most room; None if none has it.
 
-        `tokens` is what the request needs of the `capacity` of each.
+        `capacity` is the KV memory of each endpoint, in tokens.
         """
         found = self.candidates(service, types.Role.DECODE, but=but, now=now)
         best: endpoints.Endpoint | None = None
-        most = 0.0
+        least = float("inf")
         for item in found:
             use = self._loads.total(item.id, now)
-            room = capacity - use.tokens - tokens
-            if room < 0 or use.requests >= item.slots:
+            peak = kv_forecast.peak([*use.runs, run])
+            if peak > capacity or use.requests >= item.slots:
                 continue
-            share = (room + tokens) / self._far(item)
-            if share > most:
-                best, most = item, share
+            full = peak * self._far(item)
+            if full < least:
+                best, least = item, full
         return best
 
     def _usual_s(self, found: Sequence[endpoints.Endpoint]) -> float:
--- a/rackpost/decide/endpoint_health.py
+++ b/rackpost/decide/endpoint_health.py
@@ -54,6 +54,19 @@
         record.avoid_until = now + min(pause, _MAX_PAUSE_S)
         return record.failed_in_row == 1
 
+    def told(self, endpoint: types.EndpointId, now: float) -> None:
+        """Another gateway has seen it fail just now."""
+        record = self._record(endpoint)
+        record.avoid_until = max(record.avoid_until, now + _PAUSE_S)
+
+    def broken(self, now: float) -> tuple[types.EndpointId, ...]:
+        """Endpoints whose failure this gateway has just seen itself."""
+        return tuple(
+            key
+            for key, record in self._records.items()
+            if record.failed_in_row and now < record.avoid_until
+        )
+
     def avoided(self, endpoint: types.EndpointId, now: float) -> bool:
         """Whether it has just failed and is left alone for a while."""
         record = self._records.get(endpoint)
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from rackpost.decide import kv_forecast
 from rackpost import types
 
 # Gateways tell their figures at least each second; three may be lost.
@@ -21,13 +22,13 @@
 
     Attributes:
         requests: requests that run or wait there.
-        tokens: KV cache that they need, in tokens.
         prompt: tokens of prompts that are still to be prefilled.
+        runs: what decodes hold of its KV memory.
     """
 
     requests: int = 0
-    tokens: int = 0
     prompt: int = 0
+    runs: list[kv_forecast.Run] = []
 
 
 class _Heard:
@@ -50,24 +51,45 @@
 
     @contextlib.contextmanager
     def held(
-        self, endpoint: types.EndpointId, *, tokens: int = 0, prompt: int = 0
-    ) -> Iterator[Use]:
+        self,
+        endpoint: types.EndpointId,
+        *,
+        prompt: int = 0,
+        run: kv_forecast.Run | None = None,
+    ) -> Iterator[None]:
         """Count one request at an endpoint while the block runs."""
+        release = self.hold(endpoint, prompt=prompt, run=run)
+        try:
+            yield
+        finally:
+            release()
+
+    def hold(
+        self,
+        endpoint: types.EndpointId,
+        *,
+        prompt: int = 0,
+        run: kv_forecast.Run | None = None,
+    ) -> Callable[[], None]:
+        """Count one request at an endpoint until the result is called."""
         use = self.own.setdefault(endpoint, Use())
         use.requests += 1
-        use.tokens += tokens
         use.prompt += prompt
+        if run is not None:
+            use.runs.append(run)
         self._changed()
-        try:
-            yield use
-        finally:
+
+        def release() -> None:
             use.requests -= 1
-            use.tokens -= tokens
             use.prompt -= prompt
+            if run is not None:
+                _remove(use.runs, run)
             if use.requests == 0:
                 self.own.pop(endpoint, None)
             self._changed()
 
+        return release
+
     def take(
         self,
         sender: types.VmId,
@@ -88,12 +110,20 @@
         """All use of an endpoint that is known."""
         mine = self.own.get(endpoint, Use())
         found = Use(
-            requests=mine.requests, tokens=mine.tokens, prompt=mine.prompt
+            requests=mine.requests, prompt=mine.prompt, runs=list(mine.runs)
         )
         for heard in self._others.values():
             use = heard.uses.get(endpoint)
             if use is not None and now - heard.at <= KEEP_S:
                 found.requests += use.requests
-                found.tokens += use.tokens
                 found.prompt += use.prompt
+                found.runs += use.runs
         return found
+
+
+def _remove(runs: list[kv_forecast.Run], run: kv_forecast.Run) -> None:
+    # Runs of equal figures are not the same run.
+    for at, item in enumerate(runs):
+        if item is run:
+            del runs[at]
+            return
--- a/rackpost/decide/pace.py
+++ b/rackpost/decide/pace.py
@@ -1,4 +1,4 @@
-"""How fast prompts are read, as observed, and how long to wait.  Pure."""
+"""How fast tokens are read and made, as observed.  Pure."""
 
 # Weight of the newest prefill in the running average.
 _ALPHA = 0.1
@@ -12,10 +12,24 @@
 
 
 class Pace:
-    """The running average of prefill time a token."""
+    """Running averages of the time that a token takes."""
 
     def __init__(self) -> None:
         self._token_s: float | None = None
+        self._made_s: float | None = None
+
+    def made(self, tokens: int, seconds: float) -> None:
+        """A decode made so many tokens in so long."""
+        if tokens <= 0:
+            return
+        pace = seconds / tokens
+        if self._made_s is None:
+            self._made_s = pace
+        self._made_s += _ALPHA * (pace - self._made_s)
+
+    def making_s(self, tokens: int) -> float:
+        """How long it should take to make so many tokens."""
+        return (self._made_s or 0.0) * tokens
 
     def took(self, tokens: int, seconds: float) -> None:
         """A prefill, with what was ahead of it, took so long."""
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -47,26 +47,34 @@
 
 
 @contextlib.asynccontextmanager
-async def sent(
+async def connected(
+    call: call_mod.Call, endpoint: endpoints.Endpoint
+) -> AsyncIterator[client.ClientConnection]:
+    """A connection to an endpoint; ExchangeError if there is none."""
+    most = call.site.connections_to(call.service)
+    pool = call.site.pool
+    async with pool.connection(endpoint.address, most=most) as conn:
+        yield conn
+
+
+async def send(
     call: call_mod.Call,
     endpoint: endpoints.Endpoint,
+    conn: client.ClientConnection,
     extra: list[message.Header],
-) -> AsyncIterator[Reply]:
-    """Send the request; yields once the answer's head is there.
+) -> Reply:
+    """Send the request; returns once the answer's head is there.
 
     Raises ExchangeError where there is no such answer.
     """
-    site = call.site
-    most = site.connections_to(call.service)
-    async with site.pool.connection(endpoint.address, most=most) as conn:
-        lines = run_headers(call, endpoint, site.loop_time()) + extra
-        head = await conn.request(
-            head=message.request_head(call.req.method, call.req.target, lines),
-            body=call.req.body,
-            request_id=call.request_id,
-            is_head=call.is_head,
-        )
-        yield Reply(conn, head)
+    lines = run_headers(call, endpoint, call.site.loop_time()) + extra
+    head = await conn.request(
+        head=message.request_head(call.req.method, call.req.target, lines),
+        body=call.req.body,
+        request_id=call.request_id,
+        is_head=call.is_head,
+    )
+    return Reply(conn, head)
 
 
 def is_not_run(head: message.Head) -> bool:
@@ -76,6 +84,23 @@
     return head.status == 421
 
 
+def note_replaced(
+    call: call_mod.Call, endpoint: endpoints.Endpoint, head: message.Head
+) -> None:
+    """Drop an endpoint at whose address another one has answered."""
+    if head.status != 421:
+        return
+    other = message.find(head.headers, headers.ANSWERED_BY)
+    if other is None or other == endpoint.id.encode():
+        call.site.health.broke(endpoint.id, call.site.loop_time())
+    elif call.site.table.drop(endpoint.id):
+        call.log(
+            "Endpoint is replaced.",
+            endpoint=endpoint.id,
+            by=other.decode("latin-1"),
+        )
+
+
 def _why_unsound(call: call_mod.Call, head: message.Head) -> str:
     """Why an answer is none that may be passed on; "" if it is sound."""
     found = head.headers
@@ -93,23 +118,44 @@
 
 
 async def run(
-    call: call_mod.Call,
-    endpoint: endpoints.Endpoint,
-    extra: list[message.Header],
+    call: call_mod.Call, endpoint: endpoints.Endpoint
 ) -> forwarding.Ended | None:
     """Have an endpoint run a request and pass its answer on.
 
     None once the client has the whole answer.  An own failure of the
     endpoint is kept in `call.failure`.
     """
-    site = call.site
-    began = site.loop_time()
+    try:
+        async with connected(call, endpoint) as conn:
+            return await run_on(call, endpoint, conn, [])
+    except exceptions.ExchangeError as exc:
+        return not_connected(call, endpoint, exc)
+
+
+def not_connected(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    exc: exceptions.ExchangeError,
+) -> forwarding.Ended:
+    """An endpoint takes no connection; the request was not sent."""
+    call.tried.append(endpoint.id)
+    return _broke(call, endpoint, exc)
+
+
+async def run_on(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    conn: client.ClientConnection,
+    extra: list[message.Header],
+) -> forwarding.Ended | None:
+    """As `run`, on a connection that is up, with further headers."""
+    began = call.site.loop_time()
     ran_before = call.may_have_run
     call.tried.append(endpoint.id)
     call.may_have_run = True
     try:
-        async with sent(call, endpoint, extra) as reply:
-            ended = await _take(call, endpoint, reply, began)
+        reply = await send(call, endpoint, conn, extra)
+        ended = await _take(call, endpoint, reply, began)
     except exceptions.ExchangeError as exc:
         ended = _broke(call, endpoint, exc)
     if ended is not forwarding.Ended.NOT_SENT:
@@ -145,8 +191,7 @@
             endpoint=endpoint.id,
             status=head.status,
         )
-        if head.status == 421:
-            call.site.health.broke(endpoint.id, call.site.loop_time())
+        note_replaced(call, endpoint, head)
         return forwarding.Ended.NOT_RUN
     why = _why_unsound(call, head)
     if why:
@@ -220,6 +265,7 @@
     """Whether the client lacks an event; it is then counted as sent."""
     if event.id is None:
         return True
+    call.on_event()
     if call.last_event is not None and event.id <= call.last_event:
         return False
     call.last_event = event.id
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -1,6 +1,7 @@
 """One client's request on its way through a gateway."""
 
 import enum
+from typing import Callable
 
 from rackpost.decide import forwarding
 from rackpost.gateway import site as site_mod
@@ -60,6 +61,8 @@
         self.attempts = 0
         self.may_have_run = False
         self.failure: tuple[message.Head, bytes] | None = None
+        # Called for each event that comes from an endpoint.
+        self.on_event: Callable[[], None] = _nothing
         # The last event that the client was sent, to go on from.
         self.last_event: int | None = None
         self.passed = [
@@ -138,6 +141,10 @@
             )
 
 
+def _nothing() -> None:
+    """Nobody follows the events."""
+
+
 def refuse(responder: server.Responder, come_back_s: float) -> None:
     """Answer that a request has not run, and when to come back."""
     after = b"%.2f" % come_back_s
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -80,6 +80,8 @@
             self._on_document(msg)
         elif isinstance(msg, messages.Endpoints):
             self._on_endpoints(host, msg)
+        elif isinstance(msg, messages.Heard):
+            self._site.table.hear(msg.ids, self._loop.time())
         elif isinstance(msg, messages.Peers):
             self._told[host] = msg
             self._set_hosts()
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -24,7 +24,7 @@
             give_up(call, call_mod.Reason.NO_ENDPOINT)
             return
         with call.site.loads.held(endpoint.id):
-            ended = await attempt.run(call, endpoint, [])
+            ended = await attempt.run(call, endpoint)
         if ended is None or not goes_on(call, ended):
             return
 
--- a/rackpost/gateway/load_share.py
+++ b/rackpost/gateway/load_share.py
@@ -41,9 +41,10 @@
                 logs.Part.GATEWAY, "Load figures unreadable.", why=str(exc)
             )
             return
-        self._site.loads.take(
-            msg.vm, msg.number, msg.uses, self._site.loop_time()
-        )
+        now = self._site.loop_time()
+        self._site.loads.take(msg.vm, msg.number, msg.uses, now)
+        for endpoint in msg.broken:
+            self._site.health.told(endpoint, now)
         self._site.room_changed.set()
 
     async def _tell(self) -> None:
@@ -61,7 +62,10 @@
         me = self._site.host.vm
         data = codec.encode(
             messages.Loads(
-                vm=me, number=self._number, uses=self._site.loads.own
+                vm=me,
+                number=self._number,
+                uses=self._site.loads.own,
+                broken=self._site.health.broken(self._site.loop_time()),
             )
         )
         for item in self._site.gateways.values():
--- /dev/null
+++ b/rackpost/gateway/prefill.py
@@ -0,0 +1,161 @@
+"""Having a prompt read by a prefill endpoint, for a decode elsewhere."""
+
+import asyncio
+
+from rackpost import exceptions
+from rackpost.gateway import attempt
+from rackpost.gateway import call as call_mod
+from rackpost.http1 import message
+from rackpost.platform import headers
+from rackpost.platform import prefill as wire
+from rackpost.routing import endpoints
+from rackpost.routing import model
+from rackpost import types
+
+_MAX_RESULT = 64 << 10
+# Prefill endpoints that are tried before the decode endpoint reads itself.
+_TRIES = 2
+# Part of a result's life in which it is still worth fetching.
+_FRESH_SHARE = 0.7
+
+
+class Prefilled:
+    """Where a request's prompt has been read, if it has."""
+
+    def __init__(self, *, call: call_mod.Call) -> None:
+        self._call = call
+        self._address = ""
+        self._read_at = 0.0
+        self._result: wire.PrefillResult | None = None
+
+    def put(self, address: str, result: wire.PrefillResult) -> None:
+        """A prefill endpoint has read the prompt."""
+        self._address = address
+        self._read_at = self._call.site.loop_time()
+        self._result = result
+
+    def is_fresh(self, engine: model.Engine) -> bool:
+        """Whether the KV cache is there, and will be for a while."""
+        age = self._call.site.loop_time() - self._read_at
+        fresh = age < _FRESH_SHARE * engine.handle_ttl_s
+        return self._result is not None and fresh
+
+    def headers(self) -> list[message.Header]:
+        """What tells a decode endpoint where the KV cache is."""
+        if self._result is None:
+            return []
+        place = wire.source(self._address, self._result)
+        return [(headers.KV_SOURCE, place)]
+
+    def taken(self) -> None:
+        """A decode endpoint has fetched the KV cache."""
+        self._result = None
+
+    def release(self) -> None:
+        """Free the KV cache, which no decode endpoint has taken."""
+        if self._result is not None:
+            self._call.site.spawn(
+                _delete(self._call, self._address, self._result)
+            )
+            self._result = None
+
+
+async def _delete(
+    call: call_mod.Call, address: str, result: wire.PrefillResult
+) -> None:
+    most = call.site.connections_to(call.service)
+    line = message.request_head(
+        b"DELETE",
+        wire.release_path(result),
+        [(b"host", address.encode())],
+    )
+    try:
+        async with call.site.pool.connection(address, most=most) as conn:
+            await conn.request(head=line, body=b"", request_id=None)
+            await conn.read_whole(_MAX_RESULT)
+    except exceptions.ExchangeError as exc:
+        # It lapses by itself soon.
+        call.log("KV cache not released.", why=str(exc))
+
+
+async def prefill(call: call_mod.Call, prompt: int, read: Prefilled) -> None:
+    """Have the prompt read; where that fails, decode reads it itself."""
+    site = call.site
+    tried: list[types.EndpointId] = []
+    while len(tried) < _TRIES:
+        now = site.loop_time()
+        if tried or call.tried:
+            if not call.budget.allows(now, site.gateway_count):
+                return
+            call.budget.repeat(now)
+        endpoint = site.chooser.prefill(
+            call.service.name, prompt, but=tried, now=now
+        )
+        if endpoint is None:
+            return
+        tried.append(endpoint.id)
+        if await _prefill_at(call, endpoint, prompt, read):
+            return
+
+
+async def _prefill_at(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    prompt: int,
+    read: Prefilled,
+) -> bool:
+    site = call.site
+    began = site.loop_time()
+    ahead = site.loads.total(endpoint.id, began).prompt
+    patience = site.pace.patience_s(ahead + prompt)
+    try:
+        with site.loads.held(endpoint.id, prompt=prompt):
+            async with asyncio.timeout(patience):
+                result = await _ask_prefill(call, endpoint)
+    except (
+        exceptions.ExchangeError,
+        exceptions.CodecError,
+        TimeoutError,
+    ) as exc:
+        site.health.broke(endpoint.id, site.loop_time())
+        call.log(
+            "Prefill failed.",
+            endpoint=endpoint.id,
+            why=str(exc) or "slow",
+            patience_s=round(patience, 3),
+        )
+        return False
+    if result is None:
+        return False
+    took = site.loop_time() - began
+    site.pace.took(ahead + prompt, took)
+    site.health.answered(endpoint.id, took)
+    read.put(endpoint.address, result)
+    if call.sampled:
+        call.log(
+            "Prefilled.",
+            endpoint=endpoint.id,
+            prompt=prompt,
+            ahead=ahead,
+            took_s=round(took, 4),
+        )
+    return True
+
+
+async def _ask_prefill(
+    call: call_mod.Call, endpoint: endpoints.Endpoint
+) -> wire.PrefillResult | None:
+    extra = [(headers.STAGE, headers.PREFILL)]
+    async with attempt.connected(call, endpoint) as conn:
+        reply = await attempt.send(call, endpoint, conn, extra)
+        body = await conn.read_whole(_MAX_RESULT)
+    if attempt.is_not_run(reply.head) or reply.head.status != 200:
+        attempt.note_replaced(call, endpoint, reply.head)
+        call.site.health.erred(endpoint.id)
+        call.log(
+            "Prefill refused.",
+            endpoint=endpoint.id,
+            status=reply.head.status,
+        )
+        return None
+    return wire.decode(body)
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -92,6 +92,7 @@
                 self._server.serving(at, int(number))
             )
             self.site.spawn(self._sweep())
+            self.site.spawn(self.site.room.run())
             yield
 
     def _ready_page(self) -> tuple[int, str]:
--- /dev/null
+++ b/rackpost/gateway/room.py
@@ -0,0 +1,148 @@
+"""Where generations wait for room at a decode endpoint."""
+
+import asyncio
+import contextlib
+from typing import Callable
+from typing import Sequence
+
+import msgspec
+
+from rackpost.decide import endpoint_choice
+from rackpost.decide import endpoint_load
+from rackpost.decide import kv_forecast
+from rackpost.decide import waiting
+from rackpost.routing import endpoints
+from rackpost import types
+
+# Room may come without a word, as when a figure of another gateway grows
+# old: looked at this often, in seconds.
+_LOOK_S = 0.05
+# Part of an endpoint's memory that is given away; the rest is for what
+# two gateways give away in the same moment.
+FILL = 0.97
+# Requests that may wait at one gateway.
+MOST = 512
+
+
+class Wanted(msgspec.Struct, frozen=True, kw_only=True):
+    """What a generation needs; `but` are endpoints that it has tried."""
+
+    service: types.ServiceName
+    capacity: int
+    run: kv_forecast.Run
+    but: Sequence[types.EndpointId]
+    claim: waiting.Claim
+
+
+class Place(msgspec.Struct, frozen=True, kw_only=True):
+    """Room at an endpoint, until released."""
+
+    endpoint: endpoints.Endpoint
+    release: Callable[[], None]
+
+
+class _Waiter:
+    """A generation that waits."""
+
+    def __init__(self, *, wanted: Wanted) -> None:
+        self.wanted = wanted
+        self.found: asyncio.Future[Place | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class Room:
+    """Gives places away: who can still be in time goes first."""
+
+    def __init__(
+        self,
+        *,
+        chooser: endpoint_choice.Chooser,
+        loads: endpoint_load.LoadBook,
+        changed: asyncio.Event,
+    ) -> None:
+        """`changed` is set when there may be more room."""
+        self._loop = asyncio.get_running_loop()
+        self._chooser = chooser
+        self._loads = loads
+        self._changed = changed
+        self._waiters: list[_Waiter] = []
+
+    @property
+    def waiting(self) -> int:
+        """How many generations wait."""
+        return len(self._waiters)
+
+    async def wait(self, wanted: Wanted) -> Place | None:
+        """A place, None once it would come too late.
+
+        The caller must release it.
+        """
+        if len(self._waiters) >= MOST:
+            return None
+        waiter = _Waiter(wanted=wanted)
+        self._waiters.append(waiter)
+        self._give()
+        # The task looks for room from now on.
+        self._changed.set()
+        try:
+            return await waiter.found
+        except asyncio.CancelledError:
+            self._give_back(waiter)
+            raise
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def _give_back(self, waiter: _Waiter) -> None:
+        if waiter.found.done() and not waiter.found.cancelled():
+            place = waiter.found.result()
+            if place is not None:
+                place.release()
+
+    def _give(self) -> None:
+        now = self._loop.time()
+        self._waiters.sort(
+            key=lambda item: waiting.order(item.wanted.claim, now)
+        )
+        for waiter in list(self._waiters):
+            wanted = waiter.wanted
+            if waiter.found.done():
+                continue
+            if waiting.is_hopeless(wanted.claim, now):
+                self._settle(waiter, None)
+                continue
+            place = self._place(wanted, now)
+            if place is not None:
+                self._settle(waiter, place)
+
+    def _place(self, wanted: Wanted, now: float) -> Place | None:
+        endpoint = self._chooser.decode(
+            wanted.service,
+            wanted.run,
+            int(wanted.capacity * FILL),
+            but=wanted.but,
+            now=now,
+        )
+        if endpoint is None:
+            return None
+        held = self._loads.hold(endpoint.id, run=wanted.run)
+
+        def release() -> None:
+            held()
+            self._changed.set()
+
+        return Place(endpoint=endpoint, release=release)
+
+    def _settle(self, waiter: _Waiter, place: Place | None) -> None:
+        self._waiters.remove(waiter)
+        waiter.found.set_result(place)
+
+    async def run(self) -> None:
+        """Give places away as room comes, until cancelled."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_LOOK_S if self._waiters else None):
+                    await self._changed.wait()
+            self._changed.clear()
+            self._give()
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -12,6 +12,7 @@
 from rackpost.decide import endpoint_load
 from rackpost.decide import pace as pace_mod
 from rackpost.decide import retry_budget
+from rackpost.gateway import room as room_mod
 from rackpost.http1 import pool as pool_mod
 from rackpost import metrics as metrics_mod
 from rackpost.platform import headers
@@ -21,6 +22,10 @@
 from rackpost.routing import model
 from rackpost import types
 
+# An endpoint that has missed this many heartbeats is used last: one may
+# come seconds late, and two are lost when a coordinator dies.
+_SILENT_BEATS = 3.5
+
 
 class Site:
     """Routes, endpoints and their use, as one gateway knows them."""
@@ -43,9 +48,13 @@
             loads=self.loads,
             health=self.health,
             data_centre=host.data_centre,
+            silent_s=_SILENT_BEATS * host.heartbeat_ms / 1000.0,
             rng=self.rng,
         )
         self.pace = pace_mod.Pace()
+        self.room = room_mod.Room(
+            chooser=self.chooser, loads=self.loads, changed=self.room_changed
+        )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
         self._budgets: dict[types.ServiceName, retry_budget.RetryBudget] = {}
 
--- a/rackpost/platform/documents.py
+++ b/rackpost/platform/documents.py
@@ -38,6 +38,8 @@
 class _Engine(msgspec.Struct, kw_only=True, rename="camel"):
     slots: int = 1
     kv_capacity_tokens: int = 0
+    # Tokens that one event of a stream holds.
+    stride: int = 1
     # In seconds.
     handle_ttl_s: float = msgspec.field(default=0.0, name="handleTtlS")
 
@@ -123,6 +125,7 @@
         engine = model.Engine(
             slots=wire.engine.slots,
             memory_tokens=wire.engine.kv_capacity_tokens,
+            event_tokens=wire.engine.stride,
             handle_ttl_s=wire.engine.handle_ttl_s,
         )
     return model.Service(
--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -11,6 +11,8 @@
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-ms"
 ENDPOINT_ID = b"x-expect-instance"
+# Which endpoint an answer is from; `ENDPOINT_ID` asks for one.
+ANSWERED_BY = b"x-instance-id"
 STAGE = b"x-serving-stage"
 KV_SOURCE = b"x-kv-source"
 PRIORITY = b"x-request-priority"
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -1,6 +1,7 @@
 """What endpoints say of themselves, in the order they said it.  Pure."""
 
 import enum
+from typing import Iterable
 
 import msgspec
 
@@ -52,6 +53,9 @@
         self.alive: dict[types.EndpointId, Endpoint] = {}
         self.heard_at: dict[types.EndpointId, float] = {}
         self._ended: dict[types.EndpointId, None] = {}
+        # Last heartbeat of those that something else has shown to be gone;
+        # a later heartbeat brings them back.
+        self._dropped: dict[types.EndpointId, int] = {}
 
     def take(self, new: Endpoint, now: float) -> bool:
         """Take news of an endpoint; whether anything but its age changed.
@@ -66,9 +70,7 @@
             return True
         old = self.alive.get(new.id)
         if old is None:
-            self.alive[new.id] = new
-            self.heard_at[new.id] = now
-            return True
+            return self._add(new, now)
         if new.sequence <= old.sequence:
             return False
         if _ORDER[new.state] < _ORDER[old.state]:
@@ -77,6 +79,40 @@
         self.heard_at[new.id] = now
         return _differs(old, new)
 
+    def _add(self, new: Endpoint, now: float) -> bool:
+        if new.sequence <= self._dropped.get(new.id, -1):
+            return False
+        self._dropped.pop(new.id, None)
+        # An address has one endpoint at a time: whoever was there before
+        # has ended without a word.
+        for other in list(self.alive.values()):
+            if other.address == new.address:
+                self.drop(other.id)
+        self.alive[new.id] = new
+        self.heard_at[new.id] = now
+        return True
+
+    def drop(self, key: types.EndpointId) -> bool:
+        """Take an endpoint as gone until it is heard of again."""
+        old = self.alive.pop(key, None)
+        self.heard_at.pop(key, None)
+        if old is None:
+            return False
+        self._dropped[key] = old.sequence
+        while len(self._dropped) > _MAX_ENDED:
+            del self._dropped[next(iter(self._dropped))]
+        return True
+
+    def hear(self, keys: Iterable[types.EndpointId], now: float) -> None:
+        """Some endpoints have sent a heartbeat."""
+        for key in keys:
+            if key in self.heard_at:
+                self.heard_at[key] = now
+
+    def is_silent(self, key: types.EndpointId, before: float) -> bool:
+        """Whether an endpoint was last heard of before a clock reading."""
+        return self.heard_at.get(key, before) < before
+
     def forget_silent(self, before: float) -> list[Endpoint]:
         """Drop, and return, endpoints last heard of before a reading."""
         silent = [
@@ -94,6 +130,7 @@
     def _end(self, key: types.EndpointId) -> None:
         self.alive.pop(key, None)
         self.heard_at.pop(key, None)
+        self._dropped.pop(key, None)
         self._ended[key] = None
         while len(self._ended) > _MAX_ENDED:
             del self._ended[next(iter(self._ended))]
--- a/rackpost/routing/model.py
+++ b/rackpost/routing/model.py
@@ -65,11 +65,13 @@
     Attributes:
         slots: requests that run at once.
         memory_tokens: tokens of KV cache that fit.
+        event_tokens: tokens that one event of a stream holds.
         handle_ttl_s: how long a prefill's result is kept for the decode.
     """
 
     slots: int
     memory_tokens: int
+    event_tokens: int
     handle_ttl_s: float
 
 
