Budgets, load figures and lengths corrected; tests of decisions and control

Cause (found in reading): a rejected or second prefill was not counted as a repeat; a restarted gateway's load figures were taken for old ones and its former ones stayed 3.5 s; lengths were taken at their median; a voter could be removed where the rest could not commit; answers at the deadline came when the client had gone. Change: one count for each, gateways that are gone are forgotten at once, a running average of length over guess, 30 ms for the way back.

--- a/rackpost/consensus/membership.py
+++ b/rackpost/consensus/membership.py
@@ -25,6 +25,7 @@
         caught_up: replicas that have all that is committed.
         joining: ids, not in the config, that have asked to join lately.
         target: how many voters there should be.
+        copies: how many voters must have a record before it is committed.
     """
 
     me: m.ReplicaId
@@ -33,6 +34,7 @@
     caught_up: frozenset[m.ReplicaId]
     joining: tuple[m.ReplicaId, ...]
     target: int
+    copies: int
 
 
 def host_of(replica: m.ReplicaId) -> str:
@@ -72,7 +74,7 @@
         peer for peer in rest if view.silence.get(peer, 0.0) < REPLACE_AFTER_S
     ]
     config = m.Config(voters=rest, learners=view.config.learners)
-    if len(alive) < config.quorum:
+    if len(alive) < max(config.quorum, min(view.copies, len(rest))):
         return None
     return config
 
--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -73,12 +73,13 @@
 
 
 class Loads(_Message, frozen=True, tag="loads"):
-    """What a gateway has under way; `number` grows.
+    """What a gateway has under way; `number` grows within one `life`.
 
     `broken` are endpoints that it has just seen fail.
     """
 
     vm: types.VmId
+    life: int
     number: int
     uses: dict[types.EndpointId, endpoint_load.Use]
     broken: tuple[types.EndpointId, ...] = ()
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -240,6 +240,7 @@
                     if self.node.caught_up(peer)
                 ),
                 joining=tuple(self._joining),
+                copies=self._copies,
                 target=2 * self._copies - 1 if self._copies > 1 else 3,
             )
         )
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -6,6 +6,7 @@
 
 import contextlib
 from typing import Callable
+from typing import Collection
 from typing import Iterator
 
 import msgspec
@@ -35,6 +36,7 @@
     """The latest figures of another gateway."""
 
     def __init__(self) -> None:
+        self.life = 0
         self.number = -1
         self.at = 0.0
         self.uses: dict[types.EndpointId, Use] = {}
@@ -93,19 +95,28 @@
     def take(
         self,
         sender: types.VmId,
+        life: int,
         number: int,
         uses: dict[types.EndpointId, Use],
         now: float,
     ) -> None:
-        """Take another gateway's figures; older ones are dropped."""
+        """Take another gateway's figures; older ones are dropped.
+
+        `life` differs after a restart, when numbers begin anew.
+        """
         heard = self._others.setdefault(sender, _Heard())
-        stale = now - heard.at > KEEP_S
-        if number <= heard.number and not stale:
+        if life == heard.life and number <= heard.number:
             return
+        heard.life = life
         heard.number = number
         heard.at = now
         heard.uses = uses
 
+    def keep_only(self, senders: Collection[types.VmId]) -> None:
+        """Drop the figures of gateways that are gone."""
+        for sender in set(self._others) - set(senders):
+            del self._others[sender]
+
     def total(self, endpoint: types.EndpointId, now: float) -> Use:
         """All use of an endpoint that is known."""
         mine = self.own.get(endpoint, Use())
--- a/rackpost/decide/kv_forecast.py
+++ b/rackpost/decide/kv_forecast.py
@@ -55,13 +55,13 @@
         self._guess = guess
         self._most = most
         self._event_tokens = event_tokens
-        self._made = 0
+        self.made = 0
         self.run = Run(size=prompt, left=guess)
 
     def event(self) -> None:
         """An event has come from the endpoint."""
-        self._made += self._event_tokens
-        rest = max(0, self._most - self._made)
-        left = max(self._guess - self._made, int(self._PAST_GUESS * rest))
-        self.run.size = self._prompt + self._made
+        self.made += self._event_tokens
+        rest = max(0, self._most - self.made)
+        left = max(self._guess - self.made, int(self._PAST_GUESS * rest))
+        self.run.size = self._prompt + self.made
         self.run.left = left
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -50,9 +50,18 @@
         self._seeds = {links.host_of(item) for item in host.seeds}
         self._set_hosts()
 
+    def _latest(self) -> list[messages.Peers]:
+        """What those say that are linked; else all that was ever said."""
+        linked = [
+            told
+            for host, told in self._told.items()
+            if host in self._dialler.up
+        ]
+        return linked or list(self._told.values())
+
     def _set_hosts(self) -> None:
         hosts = set(self._seeds)
-        for told in self._told.values():
+        for told in self._latest():
             hosts.update(told.coordinators)
         self._dialler.set_hosts(hosts)
 
@@ -139,11 +148,15 @@
             self._site.room_changed.set()
 
     def _set_gateways(self) -> None:
-        found = {}
-        for host, told in self._told.items():
-            if host in self._dialler.up:
-                found.update({item.vm: item for item in told.gateways})
+        found = {
+            item.vm: item for told in self._latest() for item in told.gateways
+        }
+        came = set(found) - set(self._site.gateways)
         self._site.gateways = found
+        self._site.loads.keep_only(found)
+        if came:
+            # Newcomers know nothing of what is under way.
+            self._site.loads_changed.set()
 
     def close(self) -> None:
         """End all links."""
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -39,7 +39,7 @@
     def _new_progress(self) -> kv_forecast.Progress:
         return kv_forecast.Progress(
             prompt=self._prompt,
-            guess=self._guess,
+            guess=self._call.site.lengths.expected(self._guess, self._most),
             most=self._most,
             event_tokens=self._engine.event_tokens,
         )
@@ -76,7 +76,7 @@
                 target=call.began + call.route.target_s,
                 until=call.until,
                 start_s=start_s,
-                run_s=start_s + pace.making_s(self._guess),
+                run_s=start_s + pace.making_s(self._progress.run.left),
             ),
         )
 
@@ -97,8 +97,9 @@
             return attempt.not_connected(call, decode, exc)
         if ended is None:
             self._read.taken()
-            made = self._progress.run.size - self._prompt
+            made = self._progress.made
             call.site.pace.made(made, call.site.loop_time() - began)
+            call.site.lengths.ended(guess=self._guess, made=made)
         elif ended is not forwarding.Ended.NOT_SENT:
             self._read.release()
         return ended
@@ -108,7 +109,7 @@
         if self._prompt == 0:
             return
         now = call.site.loop_time()
-        first = call.last_event is None and not call.attempts
+        first = not self._read.arrivals and not call.attempts
         left = call.budget.left(now, call.site.gateway_count)
         # A second reading elsewhere is one more arrival than one in place.
         if first or left >= 2.0:
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -17,6 +17,10 @@
 # seconds: it dials its coordinators again every 0.3 s.
 _NO_DOCUMENT_S = 0.5
 
+# What an answer needs to reach its client, in seconds: several times the
+# delay to clients on the sheets (3 ms).
+_WAY_BACK_S = 0.03
+
 
 class Handler:
     """Answers the clients of a gateway."""
@@ -64,7 +68,8 @@
         told = headers.whole(message.find(req.headers, headers.DEADLINE_MS))
         time_s = route.timeout_s
         if told is not None:
-            time_s = min(time_s, told / 1000.0)
+            # The answer should be there before the client gives up.
+            time_s = min(time_s, max(0.0, told / 1000.0 - _WAY_BACK_S))
         call = call_mod.Call(
             site=self._site,
             req=req,
--- a/rackpost/gateway/load_share.py
+++ b/rackpost/gateway/load_share.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import random
 from typing import AsyncIterator
 
 from rackpost.coordinator import links
@@ -19,6 +20,7 @@
 _GATHER_S = 0.01
 # Figures are told again after this long without a change, in seconds.
 _AGAIN_S = 1.0
+_LIFE_BITS = 48
 
 _DECODER = codec.Decoder(kinds=messages.Loads)
 
@@ -29,7 +31,7 @@
     def __init__(self, *, site: site_mod.Site) -> None:
         self._site = site
         self._transport: asyncio.DatagramTransport | None = None
-        # Grows over restarts too: others drop figures with lower numbers.
+        self._life = random.getrandbits(_LIFE_BITS)
         self._number = 0
 
     def datagram_received(self, data: bytes, addr: object) -> None:
@@ -42,7 +44,7 @@
             )
             return
         now = self._site.loop_time()
-        self._site.loads.take(msg.vm, msg.number, msg.uses, now)
+        self._site.loads.take(msg.vm, msg.life, msg.number, msg.uses, now)
         for endpoint in msg.broken:
             self._site.health.told(endpoint, now)
         self._site.room_changed.set()
@@ -63,6 +65,7 @@
         data = codec.encode(
             messages.Loads(
                 vm=me,
+                life=self._life,
                 number=self._number,
                 uses=self._site.loads.own,
                 broken=self._site.health.broken(self._site.loop_time()),
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -24,6 +24,8 @@
 
     def __init__(self, *, call: call_mod.Call) -> None:
         self._call = call
+        # Calls to read the prompt that have arrived somewhere.
+        self.arrivals = 0
         self._address = ""
         self._read_at = 0.0
         self._result: wire.PrefillResult | None = None
@@ -84,7 +86,8 @@
     tried: list[types.EndpointId] = []
     while len(tried) < _TRIES:
         now = site.loop_time()
-        if tried or call.tried:
+        # The first reading is free; a further one is a repeat.
+        if read.arrivals or call.attempts:
             if not call.budget.allows(now, site.gateway_count):
                 return
             call.budget.repeat(now)
@@ -118,6 +121,8 @@
         TimeoutError,
     ) as exc:
         site.health.broke(endpoint.id, site.loop_time())
+        if getattr(exc, "sent", True):
+            read.arrivals += 1
         call.log(
             "Prefill failed.",
             endpoint=endpoint.id,
@@ -125,7 +130,10 @@
             patience_s=round(patience, 3),
         )
         return False
+    read.arrivals += 1
     if result is None:
+        # One that is rejected counts, be it the first.
+        call.budget.repeat(site.loop_time())
         return False
     took = site.loop_time() - began
     site.pace.took(ahead + prompt, took)
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -7,6 +7,7 @@
 
 from rackpost.coordinator import links
 from rackpost.coordinator import messages
+from rackpost.decide import answer_lengths
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
@@ -52,6 +53,7 @@
             rng=self.rng,
         )
         self.pace = pace_mod.Pace()
+        self.lengths = answer_lengths.AnswerLengths()
         self.room = room_mod.Room(
             chooser=self.chooser, loads=self.loads, changed=self.room_changed
         )
--- /dev/null
+++ b/tests/test_coordinators.py
@@ -0,0 +1,176 @@
+"""Coordinators over real sockets: from the seeds to a lost disk."""
+
+import asyncio
+import contextlib
+import pathlib
+import shutil
+from typing import AsyncIterator
+
+import aiohttp
+
+from rackpost.coordinator import process
+from tests import platform_site
+
+CORE = (11, 12, 13, 14, 15)
+
+
+class Group:
+    """Coordinators that can be stopped, wiped and started one by one."""
+
+    def __init__(self, *, plan: platform_site.Plan) -> None:
+        self.plan = plan
+        self.up: dict[int, process.Coordinator] = {}
+        self._stacks: dict[int, contextlib.AsyncExitStack] = {}
+
+    async def start(self, number: int, *, first: bool = False) -> None:
+        host = self.plan.host(number, kind="core", first=first)
+        stack = contextlib.AsyncExitStack()
+        self.up[number] = await stack.enter_async_context(
+            platform_site.coordinator(host)
+        )
+        self._stacks[number] = stack
+
+    async def stop(self, number: int) -> None:
+        del self.up[number]
+        await self._stacks.pop(number).aclose()
+
+    def wipe(self, number: int) -> None:
+        shutil.rmtree(self.plan.root / f"core-{number}")
+
+    def voters(self) -> set[str]:
+        for one in self.up.values():
+            if one.node.is_leader and one.node.hears_quorum():
+                return set(one.node.config.voters)
+        return set()
+
+    async def close(self) -> None:
+        for number in list(self.up):
+            await self.stop(number)
+
+
+@contextlib.asynccontextmanager
+async def group(
+    root: pathlib.Path,
+) -> AsyncIterator[tuple[Group, platform_site.Operator]]:
+    plan = platform_site.Plan(root=root)
+    found = Group(plan=plan)
+    async with aiohttp.ClientSession() as http:
+        operator = platform_site.Operator(plan=plan, http=http)
+        try:
+            for number in CORE:
+                await found.start(number, first=True)
+            await platform_site.until(lambda: len(found.voters()) == 5)
+            yield found, operator
+        finally:
+            await found.close()
+
+
+async def read(operator: platform_site.Operator, number: int) -> dict:
+    while True:
+        status, doc = await operator.get(number)
+        if status == 200:
+            return doc
+        await asyncio.sleep(0.05)
+
+
+def test_a_document_is_read_back_as_it_was_sent_at_every_node(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with group(tmp_path) as (found, operator):
+            doc = platform_site.document(7)
+            await operator.put_until_taken(14, doc)
+            for number in CORE:
+                assert await read(operator, number) == doc
+            other = platform_site.document(7, limits={"maxBodyBytes": 1})
+            assert await operator.put(12, other) == 200
+            assert await operator.put(12, platform_site.document(3)) == 200
+            assert await read(operator, 11) == doc
+            bad = platform_site.document(9, services=[])
+            assert await operator.put(11, bad) == 400
+            assert await read(operator, 13) == doc
+            newer = platform_site.document(8)
+            await operator.put_until_taken(11, newer)
+            assert await read(operator, 15) == newer
+
+    asyncio.run(main())
+
+
+def test_two_lost_disks_lose_nothing_and_come_back_by_themselves(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with group(tmp_path) as (found, operator):
+            doc = platform_site.document(7)
+            await operator.put_until_taken(11, doc)
+            # Two seeds, the leader perhaps among them.
+            for number in (11, 12):
+                await found.stop(number)
+                found.wipe(number)
+            for number in (11, 12):
+                await found.start(number)
+            assert await read(operator, 11) == doc
+            await platform_site.until(
+                lambda: len(found.voters()) == 5
+                and not found.voters() & {"127.0.0.11", "127.0.0.12"}
+            )
+            # The new voters count: two others may be lost now.
+            for number in (13, 14):
+                await found.stop(number)
+                found.wipe(number)
+            newer = platform_site.document(8)
+            await operator.put_until_taken(11, newer)
+            assert await read(operator, 12) == newer
+
+    asyncio.run(main())
+
+
+def test_a_replaced_machine_takes_the_place_of_the_one_that_is_gone(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with group(tmp_path) as (found, operator):
+            doc = platform_site.document(7)
+            await operator.put_until_taken(11, doc)
+            await found.stop(15)
+            await found.start(16)
+            await platform_site.until(
+                lambda: len(found.voters()) == 5
+                and "127.0.0.15" not in found.voters()
+            )
+            assert await read(operator, 16) == doc
+
+    asyncio.run(main())
+
+
+def test_all_restarted_at_once_go_on_with_what_they_had(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with group(tmp_path) as (found, operator):
+            doc = platform_site.document(7)
+            await operator.put_until_taken(11, doc)
+            for number in CORE:
+                await found.stop(number)
+            for number in CORE:
+                await found.start(number)
+            assert await read(operator, 13) == doc
+            assert len(found.voters()) == 5
+
+    asyncio.run(main())
+
+
+def test_without_a_quorum_nothing_is_read_or_acknowledged(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with group(tmp_path) as (found, operator):
+            doc = platform_site.document(7)
+            await operator.put_until_taken(11, doc)
+            for number in (11, 12, 13):
+                await found.stop(number)
+            status, _ = await operator.get(14)
+            assert status == 503
+            assert await operator.put(15, platform_site.document(8)) == 503
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/test_gateway_decisions.py
@@ -0,0 +1,267 @@
+"""What gateways decide, without sockets: load, room, repeats, health."""
+
+import itertools
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from rackpost.decide import answer_lengths
+from rackpost.decide import endpoint_choice
+from rackpost.decide import endpoint_health
+from rackpost.decide import endpoint_load
+from rackpost.decide import forwarding
+from rackpost.decide import kv_forecast
+from rackpost.decide import pace
+from rackpost.decide import retry_budget
+from rackpost.decide import waiting
+from rackpost.http1 import events
+from rackpost.routing import endpoints
+from rackpost import types
+
+HERE = types.DataCentre("here")
+SERVICE = types.ServiceName("s")
+A = types.EndpointId("a")
+B = types.EndpointId("b")
+
+
+def nothing() -> None:
+    """Nobody needs to know."""
+
+
+class Known:
+    """What a chooser rests on."""
+
+    def __init__(self, role: types.Role = types.Role.PLAIN) -> None:
+        self.table = endpoints.EndpointTable()
+        self.loads = endpoint_load.LoadBook(changed=nothing)
+        self.health = endpoint_health.HealthBook()
+        for key in (A, B):
+            self.table.take(
+                endpoints.Endpoint(
+                    id=key,
+                    service=SERVICE,
+                    address=f"{key}:1",
+                    data_centre=HERE,
+                    role=role,
+                    slots=6,
+                    sequence=1,
+                ),
+                0.0,
+            )
+        self.chooser = endpoint_choice.Chooser(
+            table=self.table,
+            loads=self.loads,
+            health=self.health,
+            data_centre=HERE,
+            silent_s=4.0,
+            rng=random.Random(1),
+        )
+
+
+def run(size: int, left: int) -> kv_forecast.Run:
+    return kv_forecast.Run(size=size, left=left)
+
+
+def test_the_least_loaded_endpoint_over_all_gateways_is_chosen() -> None:
+    known = Known()
+    use = endpoint_load.Use(requests=4)
+    known.loads.take(types.VmId("g2"), 7, 1, {A: use}, 0.0)
+    chosen = known.chooser.plain(SERVICE, now=0.1)
+    assert chosen is not None and chosen.id == B
+
+
+def test_a_restarted_gateways_figures_count_at_once() -> None:
+    """Numbers begin anew after a restart; they were taken for old ones."""
+    loads = endpoint_load.LoadBook(changed=nothing)
+    vm = types.VmId("g2")
+    loads.take(vm, 1, 50, {A: endpoint_load.Use(requests=9)}, 0.0)
+    loads.take(vm, 1, 49, {A: endpoint_load.Use(requests=3)}, 0.1)
+    assert loads.total(A, 0.1).requests == 9
+    loads.take(vm, 2, 1, {A: endpoint_load.Use(requests=1)}, 0.2)
+    assert loads.total(A, 0.2).requests == 1
+    loads.keep_only([])
+    assert loads.total(A, 0.2).requests == 0
+
+
+def test_runs_of_equal_figures_are_released_one_by_one() -> None:
+    loads = endpoint_load.LoadBook(changed=nothing)
+    one, two = run(5, 5), run(5, 5)
+    with loads.held(A, run=one):
+        with loads.held(A, run=two):
+            assert len(loads.total(A, 0.0).runs) == 2
+        kept = loads.total(A, 0.0).runs
+        assert len(kept) == 1 and kept[0] is one
+    assert A not in loads.own
+
+
+def test_silent_and_broken_endpoints_come_last() -> None:
+    known = Known()
+    known.health.broke(A, 0.0)
+    for _ in range(20):
+        chosen = known.chooser.plain(SERVICE, now=0.1)
+        assert chosen is not None and chosen.id == B
+    known.table.hear([A], 9.0)
+    chosen = known.chooser.plain(SERVICE, now=9.5)
+    assert chosen is not None and chosen.id == A
+    # With nobody else left, a silent one is better than none.
+    chosen = known.chooser.plain(SERVICE, but=[A], now=9.5)
+    assert chosen is not None and chosen.id == B
+
+
+def test_pauses_grow_with_failures_and_end_with_an_answer() -> None:
+    health = endpoint_health.HealthBook()
+    assert health.broke(A, 0.0)
+    assert health.avoided(A, 0.39) and not health.avoided(A, 0.41)
+    assert not health.broke(A, 1.0)
+    assert health.avoided(A, 1.7)
+    assert health.broken(1.1) == (A,)
+    health.answered(A, 0.1)
+    assert not health.avoided(A, 1.7)
+    assert health.broken(1.1) == ()
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.integers(0, 500), st.integers(0, 500)), max_size=6)
+)
+def test_the_forecast_is_what_a_simulation_gives(
+    figures: list[tuple[int, int]],
+) -> None:
+    runs = [run(size, left) for size, left in figures]
+    block = kv_forecast.peak([run(0, 0)])
+    most = 0
+    for made in range(0, 501):
+        going = [item for item in runs if item.left >= made]
+        held = sum(item.size + made + block for item in going)
+        most = max(most, held)
+    assert kv_forecast.peak(runs) == most
+
+
+def test_a_decode_endpoint_must_have_room_for_the_whole_answer() -> None:
+    known = Known(types.Role.DECODE)
+    known.loads.hold(A, run=run(400, 300))
+    known.loads.hold(B, run=run(300, 300))
+    chosen = known.chooser.decode(SERVICE, run(100, 200), 1000, now=0.0)
+    assert chosen is not None and chosen.id == B
+    chosen = known.chooser.decode(SERVICE, run(300, 300), 1000, now=0.0)
+    assert chosen is None
+
+
+def test_progress_past_its_guess_still_expects_some_more() -> None:
+    progress = kv_forecast.Progress(
+        prompt=10, guess=100, most=400, event_tokens=50
+    )
+    progress.event()
+    assert (progress.run.size, progress.run.left) == (60, 70)
+    progress.event()
+    progress.event()
+    assert progress.run.size == 160
+    assert 0 < progress.run.left <= 250
+    assert progress.made == 150
+
+
+def test_answers_longer_than_guessed_raise_what_is_expected() -> None:
+    lengths = answer_lengths.AnswerLengths()
+    assert lengths.expected(100, 1000) == 100
+    for _ in range(200):
+        lengths.ended(guess=100, made=200)
+    assert 190 < lengths.expected(100, 1000) <= 200
+    assert lengths.expected(100, 150) == 150
+
+
+def test_who_can_be_in_time_goes_before_who_is_late() -> None:
+    def claim(target: float, priority: int = 1) -> waiting.Claim:
+        return waiting.Claim(
+            priority=priority,
+            target=target,
+            until=14.0,
+            start_s=0.2,
+            run_s=4.0,
+        )
+
+    late, soon, later = claim(0.5), claim(1.3), claim(1.8)
+    urgent = claim(1.9, priority=0)
+    ordered = sorted(
+        [late, later, soon, urgent],
+        key=lambda item: waiting.order(item, 1.0),
+    )
+    assert ordered == [urgent, soon, later, late]
+    assert not waiting.is_hopeless(late, 9.9)
+    assert waiting.is_hopeless(late, 10.1)
+
+
+def test_repeats_of_all_gateways_stay_within_the_sites_budget() -> None:
+    gateways = 5
+    budgets = [
+        retry_budget.RetryBudget(ratio=0.2, slack=56, window_s=10)
+        for _ in range(gateways)
+    ]
+    repeats = 0
+    requests = 0
+    for at in range(1000):
+        now = at * 0.01
+        for budget in budgets:
+            budget.request(now)
+            requests += 1
+            while budget.allows(now, gateways):
+                budget.repeat(now)
+                repeats += 1
+    assert 0 < repeats <= 0.2 * requests + 56
+
+
+def test_the_budget_slides() -> None:
+    budget = retry_budget.RetryBudget(ratio=0.0, slack=10, window_s=10)
+    while budget.allows(0.0, 1):
+        budget.repeat(0.0)
+    assert not budget.allows(9.9, 1)
+    assert budget.allows(10.1, 1)
+
+
+def test_what_may_not_repeat_is_never_sent_twice_after_it_may_have_run() -> (
+    None
+):
+    ends = list(forwarding.Ended)
+    for ended, ran, left, budget, time_s in itertools.product(
+        ends, (False, True), (0, 1), (False, True), (0.0, 1.0)
+    ):
+        step = forwarding.after(
+            ended,
+            forwarding.Situation(
+                repeatable=False,
+                may_have_run=ran,
+                attempts_left=left,
+                budget=budget,
+                time_left_s=time_s,
+            ),
+        )
+        sent = ended in (forwarding.Ended.BROKEN, forwarding.Ended.FAILED)
+        if sent:
+            assert step in (forwarding.Next.FAIL, forwarding.Next.PASS)
+        if step is forwarding.Next.REFUSE:
+            assert not ran and not sent
+        if ended is forwarding.Ended.NOT_RUN and step is (
+            forwarding.Next.AGAIN
+        ):
+            assert left and budget and time_s
+
+
+def test_patience_with_a_prefill_follows_the_pace_seen() -> None:
+    seen = pace.Pace()
+    assert seen.patience_s(5000) == 1.0
+    for _ in range(50):
+        seen.took(5000, 0.1)
+    assert 0.38 < seen.patience_s(5000) < 0.42
+    assert 1.5 < seen.patience_s(20000) < 1.7
+    seen.made(100, 0.1)
+    assert abs(seen.making_s(1000) - 1.0) < 1e-9
+
+
+def test_events_are_cut_at_their_ends_however_they_come() -> None:
+    text = b"id: 1\ndata: a\n\nid: 2\nx: 1\ndata: b\n\nid: 3\nda"
+    for size in (1, 2, 7, 100):
+        splitter = events.Splitter()
+        found = []
+        for at in range(0, len(text), size):
+            found += splitter.feed(text[at : at + size])
+        assert [event.id for event in found] == [1, 2]
+        assert b"".join(event.data for event in found) + splitter.rest == text
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,131 @@
+"""Which coordinators vote, and on how many disks a record must be."""
+
+import random
+
+from rackpost.consensus import log as log_mod
+from rackpost.consensus import membership
+from rackpost.consensus import messages as m
+from rackpost.consensus import raft
+
+
+def ids(*names: str) -> tuple[m.ReplicaId, ...]:
+    return tuple(m.ReplicaId(name) for name in names)
+
+
+def view(
+    voters: str,
+    *,
+    learners: str = "",
+    silent: str = "",
+    behind: str = "",
+    joining: str = "",
+) -> membership.View:
+    config = m.Config(
+        voters=ids(*voters.split()), learners=ids(*learners.split())
+    )
+    quiet = ids(*silent.split())
+    return membership.View(
+        me=config.voters[0],
+        config=config,
+        silence={
+            peer: 9.0 if peer in quiet else 0.1 for peer in config.everyone
+        },
+        caught_up=frozenset(config.learners) - frozenset(ids(*behind.split())),
+        joining=ids(*joining.split()),
+        target=5,
+        copies=3,
+    )
+
+
+def test_a_new_site_grows_to_its_target() -> None:
+    new = membership.next_config(view("a b c", joining="d"))
+    assert new == m.Config(voters=ids("a", "b", "c"), learners=ids("d"))
+    new = membership.next_config(view("a b c", learners="d", behind="d"))
+    assert new is None
+    new = membership.next_config(view("a b c", learners="d"))
+    assert new == m.Config(voters=ids("a", "b", "c", "d"))
+    assert membership.next_config(view("a b c d e")) is None
+
+
+def test_a_wiped_replica_takes_its_own_place_step_by_step() -> None:
+    wiped = view("a b c d e", silent="e", joining="e#1")
+    new = membership.next_config(wiped)
+    assert new == m.Config(voters=ids("a", "b", "c", "d"))
+    new = membership.next_config(view("a b c d", joining="e#1"))
+    assert new is not None and new.learners == ids("e#1")
+    new = membership.next_config(view("a b c d", learners="e#1"))
+    assert new is not None and new.voters == ids("a", "b", "c", "d", "e#1")
+
+
+def test_a_silent_voter_stays_without_a_replacement() -> None:
+    assert membership.next_config(view("a b c d e", silent="d e")) is None
+
+
+def test_a_silent_voter_gives_way_to_a_learner_that_has_caught_up() -> None:
+    behind = view("a b c d e", learners="f", behind="f", silent="e")
+    assert membership.next_config(behind) is None
+    new = membership.next_config(view("a b c d e", learners="f", silent="e"))
+    assert new is not None and new.voters == ids("a", "b", "c", "d")
+
+
+def test_no_voter_is_removed_if_the_rest_would_have_no_quorum() -> None:
+    two = view("a b c d", silent="c d", joining="d#1")
+    assert membership.next_config(two) is None
+
+
+def test_a_second_wipe_replaces_the_first_learner() -> None:
+    twice = view("a b c d", learners="e#1", behind="e#1", joining="e#2")
+    new = membership.next_config(twice)
+    assert new is not None and new.learners == ids("e#2")
+
+
+def _leader(copies: int, names: tuple[str, ...]) -> raft.Replica:
+    config = m.Config(voters=ids(*names))
+    snapshot = m.Snapshot(index=m.Index(0), term=m.Term(0), config=config)
+    leader = raft.Replica(
+        me=ids("a")[0],
+        hard=m.HardState(term=m.Term(0)),
+        log=log_mod.Log(snapshot),
+        rng=random.Random(1),
+        now=0.0,
+        copies=copies,
+    )
+    leader.tick(10.0)
+    for pre in (True, False):
+        for name in names[1:]:
+            reply = m.VoteReply(
+                sender=m.ReplicaId(name), term=m.Term(1), pre=pre, granted=True
+            )
+            leader.receive(reply, 10.0)
+    assert leader.role is raft.Role.LEADER
+    return leader
+
+
+def _acknowledge(leader: raft.Replica, name: str) -> None:
+    reply = m.AppendReply(
+        sender=m.ReplicaId(name),
+        term=leader.term,
+        ok=True,
+        match=leader.log.last_index,
+        number=1,
+    )
+    leader.receive(reply, 10.0)
+
+
+def test_a_record_is_committed_on_more_disks_than_may_be_lost() -> None:
+    """With three voters a quorum of two may lose its disks at once."""
+    leader = _leader(3, ("a", "b", "c"))
+    index = leader.propose(b"x", 10.0)
+    _acknowledge(leader, "b")
+    assert leader.commit < (index or 0)
+    _acknowledge(leader, "c")
+    assert leader.commit == index
+
+
+def test_five_voters_commit_on_three() -> None:
+    leader = _leader(3, ("a", "b", "c", "d", "e"))
+    index = leader.propose(b"x", 10.0)
+    _acknowledge(leader, "b")
+    assert leader.commit < (index or 0)
+    _acknowledge(leader, "c")
+    assert leader.commit == index
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,144 @@
+"""Routes and endpoints: what is accepted, what is found, what is late."""
+
+import json
+import random
+
+import pytest
+
+from rackpost import exceptions
+from rackpost.platform import documents
+from rackpost.platform import heartbeats
+from rackpost.routing import endpoints
+from rackpost.routing import match
+from rackpost.routing import model
+from rackpost import types
+from tests import platform_site
+
+
+def decode(doc: dict) -> model.Document:
+    return documents.decode(json.dumps(doc).encode())
+
+
+def test_the_longest_prefix_of_the_host_is_found() -> None:
+    doc = platform_site.document()
+    deep = dict(doc["routes"][0], name="deep", pathPrefix="/safe/deep/")
+    doc["routes"].append(deep)
+    table = match.RouteTable(doc=decode(doc))
+    found = table.find("site.example", "/safe/deep/x")
+    assert found is not None and found.name == "deep"
+    found = table.find("SITE.example:80", "/safe/x")
+    assert found is not None and found.name == "safe"
+    assert table.find("site.example", "/safe") is None
+    assert table.find("other.example", "/safe/x") is None
+
+
+def test_services_are_chosen_by_weight() -> None:
+    doc = platform_site.document()
+    route = doc["routes"][0]
+    del route["service"]
+    route["trafficSplit"] = [
+        {"service": "plain", "weight": 90},
+        {"service": "model", "weight": 10},
+    ]
+    found = decode(doc).routes[0]
+    rng = random.Random(1)
+    chosen = [match.choose_service(found, rng) for _ in range(1000)]
+    assert 50 < chosen.count(types.ServiceName("model")) < 150
+
+
+def _bad(name: str) -> bytes:
+    doc = platform_site.document()
+    route = doc["routes"][0]
+    if name == "cut short":
+        return json.dumps(doc).encode()[:-20]
+    if name == "unknown service":
+        route["service"] = "nobody"
+    elif name == "same place":
+        doc["routes"].append(dict(route, name="again"))
+    elif name == "no weight":
+        del route["service"]
+        route["trafficSplit"] = [{"service": "plain", "weight": 0}]
+    elif name == "no timeout":
+        route["timeoutMs"] = 0
+    elif name == "no service":
+        del route["service"]
+    elif name == "open prefix":
+        route["pathPrefix"] = "/safe"
+    elif name == "no version":
+        del doc["version"]
+    return json.dumps(doc).encode()
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "cut short",
+        "unknown service",
+        "same place",
+        "no weight",
+        "no timeout",
+        "no service",
+        "open prefix",
+        "no version",
+    ],
+)
+def test_a_bad_document_is_refused_with_a_reason(name: str) -> None:
+    with pytest.raises(exceptions.RoutingError) as caught:
+        documents.decode(_bad(name))
+    assert str(caught.value)
+
+
+def _endpoint(**more: object) -> endpoints.Endpoint:
+    found = {
+        "service": "plain",
+        "address": "10.0.0.1:80",
+        "slots": 6,
+        "state": "ready",
+        "sequence": 1,
+    }
+    ident = str(more.pop("ident", "i-1"))
+    found.update(more)
+    return heartbeats.decode(ident, json.dumps(found).encode())
+
+
+def test_late_heartbeats_change_nothing() -> None:
+    table = endpoints.EndpointTable()
+    assert table.take(_endpoint(sequence=5), 1.0)
+    assert not table.take(_endpoint(sequence=6), 2.0)
+    assert table.take(_endpoint(sequence=7, state="draining"), 3.0)
+    assert not table.take(_endpoint(sequence=6), 4.0)
+    assert not table.take(_endpoint(sequence=9), 4.0)
+    state = table.alive[types.EndpointId("i-1")].state
+    assert state is endpoints.EndpointState.DRAINING
+
+
+def test_an_ended_endpoint_stays_ended() -> None:
+    table = endpoints.EndpointTable()
+    table.take(_endpoint(), 1.0)
+    assert table.take(heartbeats.gone("i-1"), 2.0)
+    assert not table.take(_endpoint(sequence=9), 3.0)
+    assert not table.alive
+
+
+def test_a_restarted_endpoint_replaces_its_forerunner() -> None:
+    """A crash says nothing: the old id kept its place and got requests."""
+    table = endpoints.EndpointTable()
+    table.take(_endpoint(ident="old", sequence=8), 1.0)
+    assert table.take(_endpoint(ident="new"), 2.0)
+    assert list(table.alive) == ["new"]
+    assert not table.take(_endpoint(ident="old", sequence=8), 3.0)
+    assert list(table.alive) == ["new"]
+
+
+def test_an_endpoint_that_was_wrongly_dropped_comes_back() -> None:
+    table = endpoints.EndpointTable()
+    table.take(_endpoint(ident="new", sequence=3), 1.0)
+    table.take(_endpoint(ident="ghost", sequence=1), 2.0)
+    assert table.take(_endpoint(ident="new", sequence=4), 3.0)
+    assert list(table.alive) == ["new"]
+
+
+def test_a_heartbeat_that_is_none_is_refused() -> None:
+    for text in (b"", b"{}", b"[1]", b'{"service": 3}'):
+        with pytest.raises(exceptions.CodecError):
+            heartbeats.decode("i-1", text)
