Who would be late is refused at once and comes back; clients' patience known

Change: the longest silence is decoded with the route; the wait is estimated (Little's law over all gateways' figures); who would be late is refused within a millisecond and known again when it comes back.

--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -75,7 +75,8 @@
 class Loads(_Message, frozen=True, tag="loads"):
     """What a gateway has under way; `number` grows within one `life`.
 
-    `broken` are endpoints that it has just seen fail.
+    `broken` are endpoints that it has just seen fail, `waiting` counts the
+    generations that wait for room, `refused` are keys of `RefusedBook`.
     """
 
     vm: types.VmId
@@ -83,6 +84,8 @@
     number: int
     uses: dict[types.EndpointId, endpoint_load.Use]
     broken: tuple[types.EndpointId, ...] = ()
+    waiting: int = 0
+    refused: tuple[int, ...] = ()
 
 
 FromGateway = Union[GatewayHello, Fetch]
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -124,6 +124,11 @@
                 best, least = item, full
         return best
 
+    def running(self, service: types.ServiceName, now: float) -> int:
+        """How many generations hold a place at a service."""
+        found = self.candidates(service, types.Role.DECODE, now=now)
+        return sum(len(self._loads.total(item.id, now).runs) for item in found)
+
     def _usual_s(self, found: Sequence[endpoints.Endpoint]) -> float:
         known = sorted(
             took
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -40,6 +40,7 @@
         self.number = -1
         self.at = 0.0
         self.uses: dict[types.EndpointId, Use] = {}
+        self.waiting = 0
 
 
 class LoadBook:
@@ -99,10 +100,12 @@
         number: int,
         uses: dict[types.EndpointId, Use],
         now: float,
+        waiting: int = 0,
     ) -> None:
         """Take another gateway's figures; older ones are dropped.
 
-        `life` differs after a restart, when numbers begin anew.
+        `life` differs after a restart, when numbers begin anew; `waiting`
+        requests have no place yet.
         """
         heard = self._others.setdefault(sender, _Heard())
         if life == heard.life and number <= heard.number:
@@ -111,12 +114,21 @@
         heard.number = number
         heard.at = now
         heard.uses = uses
+        heard.waiting = waiting
 
     def keep_only(self, senders: Collection[types.VmId]) -> None:
         """Drop the figures of gateways that are gone."""
         for sender in set(self._others) - set(senders):
             del self._others[sender]
 
+    def waiting(self, now: float) -> int:
+        """Requests that wait for room at other gateways."""
+        return sum(
+            heard.waiting
+            for heard in self._others.values()
+            if now - heard.at <= KEEP_S
+        )
+
     def total(self, endpoint: types.EndpointId, now: float) -> Use:
         """All use of an endpoint that is known."""
         mine = self.own.get(endpoint, Use())
--- a/rackpost/decide/pace.py
+++ b/rackpost/decide/pace.py
@@ -17,11 +17,15 @@
     def __init__(self) -> None:
         self._token_s: float | None = None
         self._made_s: float | None = None
+        # How long a generation holds its place, in seconds; 0 if unseen.
+        self.run_s = 0.0
 
     def made(self, tokens: int, seconds: float) -> None:
         """A decode made so many tokens in so long."""
         if tokens <= 0:
             return
+        self.run_s = self.run_s or seconds
+        self.run_s += _ALPHA * (seconds - self.run_s)
         pace = seconds / tokens
         if self._made_s is None:
             self._made_s = pace
--- a/rackpost/decide/waiting.py
+++ b/rackpost/decide/waiting.py
@@ -1,29 +1,41 @@
-"""Who of those that wait for room goes first, and who can't go.  Pure."""
+"""Who waits for room, who goes first, who should come back.  Pure."""
 
 import msgspec
 
+# Who is told to come back does so later than room is expected by up to
+# this part of the wait, so that a crowd does not come back at once.
+_SPREAD = 0.5
+# Nobody is told to come back sooner than this, in seconds.
+_SOONEST_S = 0.4
+
 
 class Claim(msgspec.Struct, frozen=True, kw_only=True):
-    """A request that waits for room.
+    """A request that needs room.
 
     Attributes:
         priority: 0 goes first.
         target: clock reading by which its first token is in time.
+        start_by: clock reading at which its client leaves without one.
         until: clock reading at which its client's time is up.
         start_s: from a place to the first token, as expected.
         run_s: from a place to its end, as expected.
+        came_back: it was refused before and has come back.
     """
 
     priority: int
     target: float
+    start_by: float
     until: float
     start_s: float
     run_s: float
+    came_back: bool = False
 
 
 def is_hopeless(claim: Claim, now: float) -> bool:
-    """Whether it can't end within its time any more."""
-    return now + claim.run_s > claim.until
+    """Whether it can't begin or can't end within its time any more."""
+    return (
+        now + claim.start_s > claim.start_by or now + claim.run_s > claim.until
+    )
 
 
 def order(claim: Claim, now: float) -> tuple[bool, int, float]:
@@ -33,4 +45,38 @@
     nothing more by waiting; among equals the earliest deadline first.
     """
     late = now + claim.start_s > claim.target
-    return (late, claim.priority, claim.until if late else claim.target)
+    return (late, claim.priority, claim.start_by if late else claim.target)
+
+
+def expected_wait_s(*, ahead: int, running: int, run_s: float) -> float:
+    """How long until room comes (Little's law), in seconds.
+
+    `ahead` requests wait already and `running` hold a place, for `run_s`
+    seconds each.
+    """
+    if run_s <= 0.0:
+        return 0.0
+    if running <= 0:
+        return run_s
+    return (ahead + 1) * run_s / running
+
+
+def should_come_back(claim: Claim, wait_s: float, now: float) -> bool:
+    """Whether it does better to be refused now than to wait.
+
+    One that would be late is refused at once, since what comes back and
+    is then answered in time counts for more; one that came back waits.
+    """
+    late = now + wait_s + claim.start_s > claim.target
+    return late and not claim.came_back
+
+
+def come_back_s(
+    claim: Claim, wait_s: float, now: float, chance: float
+) -> float:
+    """When to come back, in seconds; `chance` is from 0 to 1.
+
+    Clients heed up to a third of the time that they have left.
+    """
+    later = wait_s * (1.0 + _SPREAD * chance) + 0.3 * chance
+    return min(max(_SOONEST_S, later), (claim.until - now) / 3.0)
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -17,10 +17,9 @@
 from rackpost.routing import endpoints
 from rackpost.routing import model
 
-# A client that is refused for want of room comes back when some of what
-# runs has ended, in seconds.
-_COME_BACK_S = 1.0
-_COME_BACK_SPREAD_S = 2.0
+# A refusal reaches its client so long before the client would leave, in
+# seconds.
+_WAY_BACK_S = 0.1
 
 
 class Generation:
@@ -33,6 +32,10 @@
         self._prompt = sizes.prompt if sizes else 0
         self._most = sizes.most_out if sizes else 0
         self._guess = min(sizes.guess_out, sizes.most_out) if sizes else 0
+        part = headers.own_part(call.req.headers)
+        book = call.site.refused
+        self._key = book.key(call.route.name, part, call.req.body)
+        self._came_back = book.came_back(self._key, call.began)
         self._read = prefill.Prefilled(call=call)
         self._progress = self._new_progress()
 
@@ -50,9 +53,9 @@
         while True:
             self._progress = self._new_progress()
             call.on_event = self._progress.event
-            place = await call.site.room.wait(self._claim())
-            if place is None:
-                self._refuse_full()
+            place = await call.site.room.wait(self._wanted())
+            if isinstance(place, room.Full):
+                self._refuse_full(place)
                 return
             try:
                 ended = await self._run_at(place.endpoint)
@@ -62,7 +65,7 @@
                 self._read.release()
                 return
 
-    def _claim(self) -> room.Wanted:
+    def _wanted(self) -> room.Wanted:
         call = self._call
         pace = call.site.pace
         start_s = pace.expected_s(self._prompt)
@@ -74,12 +77,21 @@
             claim=waiting.Claim(
                 priority=call.route.priority,
                 target=call.began + call.route.target_s,
+                start_by=self._start_by(),
                 until=call.until,
+                came_back=self._came_back,
                 start_s=start_s,
                 run_s=start_s + pace.making_s(self._progress.run.left),
             ),
         )
 
+    def _start_by(self) -> float:
+        call = self._call
+        if call.responder.started or not call.route.silence_s:
+            return call.until
+        leaves = call.began + call.route.silence_s
+        return min(call.until, leaves - _WAY_BACK_S)
+
     async def _run_at(
         self, decode: endpoints.Endpoint
     ) -> forwarding.Ended | None:
@@ -115,13 +127,21 @@
         if first or left >= 2.0:
             await prefill.prefill(call, self._prompt, self._read)
 
-    def _refuse_full(self) -> None:
+    def _refuse_full(self, full: room.Full) -> None:
         call = self._call
+        call.log(
+            "No room.",
+            expected_wait_s=round(full.expected_wait_s, 3),
+            prompt=self._prompt,
+            expected_out=self._progress.run.left,
+            came_back=self._came_back,
+            waited_s=round(call.site.loop_time() - call.began, 3),
+        )
         if call.may_have_run:
             call.fail(call_mod.Reason.NO_ROOM, 502)
             return
-        spread = _COME_BACK_SPREAD_S * call.site.rng.random()
-        call.refuse(call_mod.Reason.NO_ROOM, _COME_BACK_S + spread)
+        call.site.refused.add(self._key, call.site.loop_time())
+        call.refuse(call_mod.Reason.NO_ROOM, full.come_back_s)
 
 
 async def generate(call: call_mod.Call, engine: model.Engine) -> None:
--- a/rackpost/gateway/load_share.py
+++ b/rackpost/gateway/load_share.py
@@ -62,13 +62,16 @@
     def _send(self) -> None:
         self._number += 1
         me = self._site.host.vm
+        now = self._site.loop_time()
         data = codec.encode(
             messages.Loads(
                 vm=me,
                 life=self._life,
                 number=self._number,
                 uses=self._site.loads.own,
-                broken=self._site.health.broken(self._site.loop_time()),
+                broken=self._site.health.broken(now),
+                waiting=self._site.room.waiting,
+                refused=self._site.refused.recent(now),
             )
         )
         for item in self._site.gateways.values():
--- a/rackpost/gateway/room.py
+++ b/rackpost/gateway/room.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from typing import Callable
 from typing import Sequence
 
@@ -10,6 +11,7 @@
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_load
 from rackpost.decide import kv_forecast
+from rackpost.decide import pace as pace_mod
 from rackpost.decide import waiting
 from rackpost.routing import endpoints
 from rackpost import types
@@ -41,12 +43,19 @@
     release: Callable[[], None]
 
 
+class Full(msgspec.Struct, frozen=True, kw_only=True):
+    """No room soon enough; when to come back, in seconds."""
+
+    come_back_s: float
+    expected_wait_s: float
+
+
 class _Waiter:
     """A generation that waits."""
 
     def __init__(self, *, wanted: Wanted) -> None:
         self.wanted = wanted
-        self.found: asyncio.Future[Place | None] = (
+        self.found: asyncio.Future[Place | Full] = (
             asyncio.get_running_loop().create_future()
         )
 
@@ -59,12 +68,16 @@
         *,
         chooser: endpoint_choice.Chooser,
         loads: endpoint_load.LoadBook,
+        pace: pace_mod.Pace,
+        rng: random.Random,
         changed: asyncio.Event,
     ) -> None:
         """`changed` is set when there may be more room."""
         self._loop = asyncio.get_running_loop()
         self._chooser = chooser
         self._loads = loads
+        self._pace = pace
+        self._rng = rng
         self._changed = changed
         self._waiters: list[_Waiter] = []
 
@@ -73,16 +86,14 @@
         """How many generations wait."""
         return len(self._waiters)
 
-    async def wait(self, wanted: Wanted) -> Place | None:
-        """A place, None once it would come too late.
-
-        The caller must release it.
-        """
-        if len(self._waiters) >= MOST:
-            return None
+    async def wait(self, wanted: Wanted) -> Place | Full:
+        """A place, which the caller must release, or word to come back."""
+        now = self._loop.time()
         waiter = _Waiter(wanted=wanted)
         self._waiters.append(waiter)
         self._give()
+        if not waiter.found.done():
+            self._refuse_who_would_be_late(waiter, now)
         # The task looks for room from now on.
         self._changed.set()
         try:
@@ -94,10 +105,32 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
+    def _refuse_who_would_be_late(self, waiter: _Waiter, now: float) -> None:
+        claim = waiter.wanted.claim
+        wait_s = self._expected_wait_s(waiter.wanted, now)
+        if waiting.should_come_back(claim, wait_s, now) or (
+            len(self._waiters) > MOST
+        ):
+            self._settle(waiter, self._full(waiter.wanted, now))
+
+    def _expected_wait_s(self, wanted: Wanted, now: float) -> float:
+        ahead = len(self._waiters) - 1 + self._loads.waiting(now)
+        return waiting.expected_wait_s(
+            ahead=max(0, ahead),
+            running=self._chooser.running(wanted.service, now),
+            run_s=self._pace.run_s,
+        )
+
+    def _full(self, wanted: Wanted, now: float) -> Full:
+        wait_s = self._expected_wait_s(wanted, now)
+        chance = self._rng.random()
+        after = waiting.come_back_s(wanted.claim, wait_s, now, chance)
+        return Full(come_back_s=after, expected_wait_s=wait_s)
+
     def _give_back(self, waiter: _Waiter) -> None:
         if waiter.found.done() and not waiter.found.cancelled():
             place = waiter.found.result()
-            if place is not None:
+            if isinstance(place, Place):
                 place.release()
 
     def _give(self) -> None:
@@ -110,7 +143,7 @@
             if waiter.found.done():
                 continue
             if waiting.is_hopeless(wanted.claim, now):
-                self._settle(waiter, None)
+                self._settle(waiter, self._full(wanted, now))
                 continue
             place = self._place(wanted, now)
             if place is not None:
@@ -134,7 +167,7 @@
 
         return Place(endpoint=endpoint, release=release)
 
-    def _settle(self, waiter: _Waiter, place: Place | None) -> None:
+    def _settle(self, waiter: _Waiter, place: Place | Full) -> None:
         self._waiters.remove(waiter)
         waiter.found.set_result(place)
 
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -12,6 +12,7 @@
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
 from rackpost.decide import pace as pace_mod
+from rackpost.decide import refused as refused_mod
 from rackpost.decide import retry_budget
 from rackpost.gateway import room as room_mod
 from rackpost.http1 import pool as pool_mod
@@ -54,8 +55,13 @@
         )
         self.pace = pace_mod.Pace()
         self.lengths = answer_lengths.AnswerLengths()
+        self.refused = refused_mod.RefusedBook()
         self.room = room_mod.Room(
-            chooser=self.chooser, loads=self.loads, changed=self.room_changed
+            chooser=self.chooser,
+            loads=self.loads,
+            pace=self.pace,
+            changed=self.room_changed,
+            rng=self.rng,
         )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
         self._budgets: dict[types.ServiceName, retry_budget.RetryBudget] = {}
--- a/rackpost/platform/documents.py
+++ b/rackpost/platform/documents.py
@@ -15,6 +15,13 @@
 }
 
 
+# Clients leave a stream that has been silent for the longest of these: a
+# time in seconds, and multiples of the route's target and pause.
+_SILENCE_S = 2.0
+_SILENCE_TARGETS = 4.0
+_SILENCE_GAPS = 8.0
+
+
 class _Target(msgspec.Struct, kw_only=True):
     service: str
     weight: float
@@ -98,6 +105,7 @@
         timeout_s=wire.timeout_ms / _MS,
         target_s=wire.target_latency_ms / _MS,
         gap_s=wire.target_gap_ms / _MS,
+        silence_s=_silence_s(wire),
         priority=wire.priority,
         max_attempts=max(1, wire.max_attempts),
         resumable=wire.resumable,
@@ -105,6 +113,16 @@
     )
 
 
+def _silence_s(wire: _Route) -> float:
+    if _KINDS.get(wire.kind) is not model.RouteKind.STREAM:
+        return 0.0
+    return max(
+        _SILENCE_S,
+        _SILENCE_TARGETS * wire.target_latency_ms / _MS,
+        _SILENCE_GAPS * wire.target_gap_ms / _MS,
+    )
+
+
 def _targets(wire: _Route) -> tuple[model.Target, ...]:
     if wire.traffic_split is not None:
         return tuple(
--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -20,6 +20,8 @@
 SIGNATURE = b"x-response-seal"
 NOT_RUN = b"x-not-executed"
 _TOKENS = b"x-token-usage"
+# ID:TOKENS of each part of the prompt, by commas.
+_PROMPT_PARTS = b"x-prompt-prefix"
 _LENGTH_GUESS = b"x-length-hint"
 
 PREFILL = b"prefill"
@@ -73,3 +75,9 @@
     most = (whole(parts[1]) or 0) if len(parts) > 1 else 0
     guess = whole(find(headers, _LENGTH_GUESS))
     return Tokens(prompt=prompt, most_out=most, guess_out=guess or most)
+
+
+def own_part(headers: Sequence[Header]) -> bytes:
+    """Id of the prompt's last part, which is the request's own; or b""."""
+    parts = find(headers, _PROMPT_PARTS) or b""
+    return parts.rpartition(b",")[2].partition(b":")[0].strip()
--- a/rackpost/routing/model.py
+++ b/rackpost/routing/model.py
@@ -34,6 +34,8 @@
         target_s: an answer within this time is in time; for a stream, its
             first event.
         gap_s: the longest pause between two events that is in time.
+        silence_s: a client leaves a stream that is silent for so long, be
+            it before its first event; 0 where it waits to its deadline.
         priority: 0 goes first.
         max_attempts: endpoints that one request may be sent to.
         resumable: a broken stream may go on at another endpoint.
@@ -47,6 +49,7 @@
     targets: tuple[Target, ...]
     target_s: float = 0.0
     gap_s: float = 0.0
+    silence_s: float = 0.0
     priority: int = 5
     max_attempts: int = 1
     resumable: bool = False
