Roles of endpoints follow the demand, by fenced orders of the leader

Change: gateways tell what their clients ask of each role; the leader takes a fence in the log, waits out its forerunner's lease, has a quorum confirm the fence and orders one change at a time; gateways leave a changing endpoint alone; coordinators tell each other whose heartbeats came.

--- a/rackpost/coordinator/directory.py
+++ b/rackpost/coordinator/directory.py
@@ -52,11 +52,13 @@
         for conn in list(self.gateways):
             conn.send(msg)
 
-    def tell_heard(self) -> None:
-        """Tell gateways whose heartbeats have come since the last time."""
-        if self._fresh:
-            self.tell_gateways(messages.Heard(ids=tuple(self._fresh)))
-            self._fresh.clear()
+    def take_fresh(self) -> messages.Heard | None:
+        """Whose heartbeats have come here since the last call, if any."""
+        if not self._fresh:
+            return None
+        msg = messages.Heard(ids=tuple(self._fresh))
+        self._fresh.clear()
+        return msg
 
     def whole(self) -> messages.Endpoints:
         """All that is known, for a process that has just linked."""
--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -7,6 +7,7 @@
 from rackpost.consensus import messages as consensus
 from rackpost.control import messages as control
 from rackpost.decide import endpoint_load
+from rackpost.decide import role_balance
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -52,6 +53,18 @@
     ids: tuple[types.EndpointId, ...]
 
 
+class Changing(_Message, frozen=True, tag="changing"):
+    """Endpoints that change their role and take nothing meanwhile."""
+
+    ids: tuple[types.EndpointId, ...]
+
+
+class Demands(_Message, frozen=True, tag="demands"):
+    """What a gateway's clients ask of the model services."""
+
+    items: tuple[role_balance.Demand, ...]
+
+
 class GatewayAddress(_Message, frozen=True):
     """Where a gateway takes `Loads`, as host:port."""
 
@@ -88,7 +101,7 @@
     refused: tuple[int, ...] = ()
 
 
-FromGateway = Union[GatewayHello, Fetch]
-ToGateway = Union[RoutingAt, Document, Endpoints, Heard, Peers]
-FromReplica = Union[control.FromReplica, Join, Endpoints]
+FromGateway = Union[GatewayHello, Fetch, Demands]
+ToGateway = Union[RoutingAt, Document, Endpoints, Heard, Changing, Peers]
+FromReplica = Union[control.FromReplica, Join, Endpoints, Heard]
 FromAny = Union[FromGateway, FromReplica]
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -17,6 +17,7 @@
 from rackpost.coordinator import disk as disk_mod
 from rackpost.coordinator import links
 from rackpost.coordinator import messages
+from rackpost.coordinator import roles
 from rackpost import exceptions
 from rackpost.http1 import message
 from rackpost.http1 import pages
@@ -37,6 +38,8 @@
 # A replica that asked to join is a candidate for this long, in seconds.
 _JOINING_S = 2.0
 _HELLO_S = 1.0
+# An endpoint that has missed this many heartbeats has probably crashed.
+_SILENT_BEATS = 3.5
 # How often gateways are told whose heartbeats have come, in seconds.
 _HEARD_S = 0.5
 
@@ -73,6 +76,14 @@
             kinds=messages.FromAny,
             use=self._use_link,
         )
+        self._roles = roles.RoleKeeper(
+            node=self.node,
+            directory=self.directory,
+            vm=host.vm,
+            lease_s=host.bounds.lease_ms / 1000.0,
+            silent_s=_SILENT_BEATS * host.heartbeat_ms / 1000.0,
+            changing=self._tell_changing,
+        )
         self._joining: dict[consensus.ReplicaId, float] = {}
         self._callers: set[str] = set()
         self._led_at = self._loop.time()
@@ -127,6 +138,7 @@
         logs.say(logs.Part.COORDINATOR, "Gateway linked.", peer=hello.vm)
         conn.send(messages.RoutingAt(version=self._version()))
         conn.send(self.directory.whole())
+        conn.send(messages.Changing(ids=self._roles.changing))
         self._tell_peers()
 
     def _gateway_left(self, conn: channel.Channel) -> None:
@@ -136,6 +148,9 @@
             self._tell_peers()
 
     def _on_gateway(self, conn: channel.Channel, msg: msgspec.Struct) -> None:
+        if isinstance(msg, messages.Demands):
+            hello = self.directory.gateways[conn]
+            self._roles.take_demand(hello.vm, msg.items)
         routing = self.node.machine.routing
         if isinstance(msg, messages.Fetch) and routing is not None:
             conn.send(
@@ -144,6 +159,11 @@
                 )
             )
 
+    def _tell_changing(self) -> None:
+        self.directory.tell_gateways(
+            messages.Changing(ids=self._roles.changing)
+        )
+
     def _tell_peers(self) -> None:
         by_vm = {item.vm: item for item in self.directory.gateways.values()}
         self.directory.tell_gateways(
@@ -161,6 +181,8 @@
     ) -> None:
         if isinstance(msg, messages.Join):
             self._on_join(msg)
+        elif isinstance(msg, messages.Heard):
+            self.directory.table.hear(msg.ids, self._loop.time())
         elif isinstance(msg, messages.Endpoints):
             changed = directory_mod.take_news(
                 self.directory.table, msg, self._loop.time()
@@ -283,7 +305,10 @@
     async def _forget(self) -> None:
         while True:
             await asyncio.sleep(_HEARD_S)
-            self.directory.tell_heard()
+            heard = self.directory.take_fresh()
+            if heard is not None:
+                self.directory.tell_gateways(heard)
+                self.node.tell_all(heard)
             self.directory.forget_silent()
 
     @contextlib.asynccontextmanager
@@ -329,6 +354,7 @@
             tasks.spawn(self.node.run())
             tasks.spawn(self._keep_members())
             tasks.spawn(self._forget())
+            tasks.spawn(self._roles.run())
             try:
                 yield
             finally:
--- /dev/null
+++ b/rackpost/coordinator/roles.py
@@ -0,0 +1,355 @@
+"""Changing endpoints' roles: one holder, rising fences, one at a time.
+
+Only the leader gives orders.  It takes a fence in the log when it comes
+to lead, waits until its forerunner's lease has run out, and before each
+order has a quorum confirm that the fence is still its own.
+"""
+
+import asyncio
+import enum
+from typing import Callable
+
+from rackpost.control import node as node_mod
+from rackpost.coordinator import directory as directory_mod
+from rackpost.decide import role_balance
+from rackpost import exceptions
+from rackpost.http1 import message
+from rackpost.http1 import pool as pool_mod
+from rackpost import logs
+from rackpost.platform import headers
+from rackpost.platform import orders
+from rackpost.routing import endpoints
+from rackpost.state import commands
+from rackpost import types
+
+_ROUND_S = 0.5
+# An imbalance must last this long before an endpoint is changed.
+_LASTS_S = 1.0
+# An order that was not answered may still be carried out this much later
+# (12 s on the sheets, and some more); no other is given meanwhile.
+_UNANSWERED_S = 13.0
+# A change that the endpoint has not told of after this long has failed.
+_CHANGE_S = 20.0
+# After a change, the next waits until its effect can be seen.
+_PAUSE_S = 6.0
+_CALL_S = 1.5
+_MAX_BODY = 64 << 10
+_CONNECTIONS = 2
+# The lease's end is awaited with this margin for slow clocks.
+_LEASE_MARGIN = 1.2
+
+
+class Given(enum.Enum):
+    """What became of an order."""
+
+    TAKEN = "taken"
+    HOLDS = "holds already"
+    REFUSED = "refused"
+    FENCED = "fenced"
+    UNKNOWN = "not answered"
+
+
+class _Change:
+    """A change of role that is under way at one service."""
+
+    def __init__(
+        self, *, endpoint: types.EndpointId, role: types.Role, until: float
+    ) -> None:
+        self.endpoint = endpoint
+        self.role = role
+        self.until = until
+
+
+class RoleKeeper:
+    """Keeps the pools of each model service in proportion."""
+
+    def __init__(
+        self,
+        *,
+        node: node_mod.Node,
+        directory: directory_mod.Directory,
+        vm: types.VmId,
+        lease_s: float,
+        silent_s: float,
+        changing: Callable[[], None],
+    ) -> None:
+        """`changing` is called when the set of changing endpoints changes.
+
+        An endpoint is left out after `silent_s` without a heartbeat.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._node = node
+        self._directory = directory
+        self._vm = vm
+        self._lease_s = lease_s
+        self._silent_s = silent_s
+        self._changing = changing
+        self._pool = pool_mod.Pool(id_header=headers.REQUEST_ID)
+        self._demands: dict[
+            types.VmId, tuple[float, tuple[role_balance.Demand, ...]]
+        ] = {}
+        self._fence = types.Fence(0)
+        self._fence_term = -1
+        self._may_order_at = 0.0
+        self._since: dict[types.ServiceName, float] = {}
+        self._changes: dict[types.ServiceName, _Change] = {}
+        self._not_before: dict[types.ServiceName, float] = {}
+
+    @property
+    def changing(self) -> tuple[types.EndpointId, ...]:
+        """Endpoints that are changing their role."""
+        return tuple(change.endpoint for change in self._changes.values())
+
+    def take_demand(
+        self, vm: types.VmId, items: tuple[role_balance.Demand, ...]
+    ) -> None:
+        """A gateway tells what its clients ask for."""
+        self._demands[vm] = (self._loop.time(), items)
+
+    async def run(self) -> None:
+        """Keep the roles until cancelled."""
+        while True:
+            await asyncio.sleep(_ROUND_S)
+            if not self._node.is_leader:
+                self._fence_term = -1
+                self._follow_changes()
+                continue
+            if self._fence_term != self._node.term:
+                await self._take_fence()
+                continue
+            for service in self._services():
+                await self._look(service)
+
+    def _follow_changes(self) -> None:
+        """Changes that were ordered go on after this node's lead."""
+        for service in list(self._changes):
+            self._end_change(service, self._loop.time())
+
+    async def _take_fence(self) -> None:
+        term = self._node.term
+        result = await self._node.ask(commands.TakeFence(holder=self._vm))
+        if not isinstance(result, commands.Accepted):
+            return
+        self._fence = result.fence
+        self._fence_term = term
+        wait_s = self._lease_s * _LEASE_MARGIN
+        self._may_order_at = self._loop.time() + wait_s
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Took a fence for orders.",
+            fence=self._fence,
+            term=term,
+            orders_after_s=wait_s,
+        )
+
+    def _services(self) -> set[types.ServiceName]:
+        return {
+            item.service
+            for item in self._directory.table.alive.values()
+            if item.role is not types.Role.PLAIN
+        }
+
+    def _members(self, service: types.ServiceName) -> list[endpoints.Endpoint]:
+        table = self._directory.table
+        before = self._loop.time() - self._silent_s
+        return [
+            item
+            for item in table.alive.values()
+            if item.service == service
+            and item.state is endpoints.EndpointState.READY
+            and not table.is_silent(item.id, before)
+        ]
+
+    def _demand(self, service: types.ServiceName) -> role_balance.Demand:
+        now = self._loop.time()
+        prefill = decode = 0.0
+        for at, items in self._demands.values():
+            for item in items:
+                if item.service == service and now - at < 3.0:
+                    prefill += item.prefill
+                    decode += item.decode
+        return role_balance.Demand(
+            service=service, prefill=prefill, decode=decode
+        )
+
+    async def _look(self, service: types.ServiceName) -> None:
+        now = self._loop.time()
+        members = self._members(service)
+        self._end_change(service, now)
+        if service in self._changes or now < self._may_order_at:
+            return
+        if now < self._not_before.get(service, 0.0):
+            return
+        pools = role_balance.Pools(
+            prefill=_count(members, types.Role.PREFILL),
+            decode=_count(members, types.Role.DECODE),
+        )
+        demand = self._demand(service)
+        role = role_balance.role_to_add(pools, demand)
+        if role is None:
+            self._since.pop(service, None)
+            return
+        since = self._since.setdefault(service, now)
+        if now - since < _LASTS_S:
+            return
+        await self._change(service, role, members, pools, demand)
+
+    def _end_change(self, service: types.ServiceName, now: float) -> None:
+        change = self._changes.get(service)
+        if change is None:
+            return
+        known = self._directory.table.alive.get(change.endpoint)
+        if known is None:
+            done = "endpoint is gone"
+        elif known.role is change.role:
+            done = "done"
+        elif now >= change.until:
+            done = "not done in time"
+        else:
+            return
+        del self._changes[service]
+        self._not_before[service] = now + _PAUSE_S
+        self._changing()
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Change of role has ended.",
+            endpoint=change.endpoint,
+            outcome=done,
+        )
+
+    async def _change(
+        self,
+        service: types.ServiceName,
+        role: types.Role,
+        members: list[endpoints.Endpoint],
+        pools: role_balance.Pools,
+        demand: role_balance.Demand,
+    ) -> None:
+        self._since.pop(service, None)
+        others = sorted(
+            (item for item in members if item.role is not role),
+            key=lambda item: item.id,
+        )
+        if not others or not await self._is_still_holder():
+            return
+        endpoint = others[0]
+        given = await self._give(endpoint, role)
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Ordered a change of role.",
+            endpoint=endpoint.id,
+            role=role.value,
+            outcome=given.value,
+            fence=self._fence,
+            prefill_endpoints=pools.prefill,
+            decode_endpoints=pools.decode,
+            prefill_demand=round(demand.prefill, 2),
+            decode_demand=round(demand.decode, 2),
+        )
+        self._note(service, endpoint.id, role, given)
+
+    def _note(
+        self,
+        service: types.ServiceName,
+        endpoint: types.EndpointId,
+        role: types.Role,
+        given: Given,
+    ) -> None:
+        now = self._loop.time()
+        if given is Given.FENCED:
+            # Somebody else leads; this one learns it soon.
+            self._may_order_at = now + _UNANSWERED_S
+        elif given is Given.REFUSED:
+            self._not_before[service] = now + _PAUSE_S
+        else:
+            wait_s = _CHANGE_S
+            if given is Given.UNKNOWN:
+                wait_s = _UNANSWERED_S
+            self._changes[service] = _Change(
+                endpoint=endpoint, role=role, until=now + wait_s
+            )
+            self._changing()
+
+    async def _is_still_holder(self) -> bool:
+        if not await self._node.confirm_read():
+            return False
+        held = self._node.machine.order_fence
+        return self._node.is_leader and held == self._fence
+
+    async def _give(
+        self, endpoint: endpoints.Endpoint, role: types.Role
+    ) -> Given:
+        try:
+            status, body = await self._call(
+                endpoint, b"GET", orders.REPORT_PATH, b""
+            )
+            if status != 200:
+                return Given.REFUSED
+            report = orders.decode_report(body)
+        except (exceptions.ExchangeError, exceptions.CodecError) as exc:
+            logs.say(
+                logs.Part.COORDINATOR,
+                "Endpoint gives no report.",
+                endpoint=endpoint.id,
+                why=str(exc),
+            )
+            return Given.REFUSED
+        if report.changing:
+            return Given.REFUSED
+        return await self._send_order(endpoint, role, report)
+
+    async def _send_order(
+        self,
+        endpoint: endpoints.Endpoint,
+        role: types.Role,
+        report: orders.Report,
+    ) -> Given:
+        order = orders.change_role(
+            role,
+            holder=self._vm,
+            fence=self._fence,
+            orders_taken=report.orders_taken,
+        )
+        try:
+            status, _ = await self._call(
+                endpoint, b"POST", orders.ORDER_PATH, order
+            )
+        except exceptions.ExchangeError as exc:
+            return Given.UNKNOWN if exc.sent else Given.REFUSED
+        if status == 412:
+            return Given.FENCED
+        if status == 202:
+            return Given.TAKEN
+        return Given.HOLDS if status == 200 else Given.REFUSED
+
+    async def _call(
+        self,
+        endpoint: endpoints.Endpoint,
+        method: bytes,
+        path: bytes,
+        body: bytes,
+    ) -> tuple[int, bytes]:
+        lines = [
+            (b"host", endpoint.address.encode()),
+            (headers.ENDPOINT_ID, endpoint.id.encode()),
+        ]
+        if body:
+            lines.append((b"content-type", b"application/json"))
+            lines.append((b"content-length", b"%d" % len(body)))
+        try:
+            async with asyncio.timeout(_CALL_S):
+                async with self._pool.connection(
+                    endpoint.address, most=_CONNECTIONS, fresh=True
+                ) as conn:
+                    head = await conn.request(
+                        head=message.request_head(method, path, lines),
+                        body=body,
+                        request_id=None,
+                    )
+                    return head.status, await conn.read_whole(_MAX_BODY)
+        except TimeoutError as exc:
+            raise exceptions.ExchangeError("no answer in time") from exc
+
+
+def _count(members: list[endpoints.Endpoint], role: types.Role) -> int:
+    return sum(1 for item in members if item.role is role)
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -1,6 +1,7 @@
 """Which endpoint a gateway sends a request to.  Pure."""
 
 import random
+from typing import Iterable
 from typing import Sequence
 
 from rackpost.decide import endpoint_health
@@ -36,6 +37,11 @@
         self._data_centre = data_centre
         self._silent_s = silent_s
         self._rng = rng
+        self._changing: frozenset[types.EndpointId] = frozenset()
+
+    def set_changing(self, keys: Iterable[types.EndpointId]) -> None:
+        """These endpoints change their role and take nothing now."""
+        self._changing = frozenset(keys)
 
     def candidates(
         self,
@@ -56,6 +62,7 @@
             and item.role is role
             and item.state is endpoints.EndpointState.READY
             and item.id not in but
+            and item.id not in self._changing
         ]
         well = [
             item for item in found if not self._health.avoided(item.id, now)
--- /dev/null
+++ b/rackpost/decide/role_balance.py
@@ -0,0 +1,85 @@
+"""How many endpoints of a model prefill, and how many decode.  Pure."""
+
+import collections
+
+import msgspec
+
+from rackpost import types
+
+# Demand is averaged over this long, in seconds: longer than one burst's
+# rise, shorter than a change of role pays for itself.
+_WINDOW_S = 6.0
+# A role is changed only where the fuller pool is this full, and would be
+# less full by this factor: a change costs an endpoint for seconds.
+_FULL = 0.6
+_GAIN = 1.25
+
+
+class Demand(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Work for a model service, in endpoints that it would keep busy."""
+
+    service: types.ServiceName
+    prefill: float
+    decode: float
+
+
+class Pools(msgspec.Struct, frozen=True, kw_only=True):
+    """How many endpoints have each role."""
+
+    prefill: int
+    decode: int
+
+
+class DemandMeter:
+    """The work that one gateway's clients have asked for lately."""
+
+    def __init__(self) -> None:
+        self._items: collections.deque[tuple[float, float, float]] = (
+            collections.deque()
+        )
+
+    def add(self, now: float, *, prefill_s: float, decode_s: float) -> None:
+        """A request needs one endpoint of each role for so long."""
+        self._items.append((now, prefill_s, decode_s))
+
+    def rate(self, service: types.ServiceName, now: float) -> Demand:
+        """The demand over the last seconds."""
+        while self._items and self._items[0][0] < now - _WINDOW_S:
+            self._items.popleft()
+        return Demand(
+            service=service,
+            prefill=sum(item[1] for item in self._items) / _WINDOW_S,
+            decode=sum(item[2] for item in self._items) / _WINDOW_S,
+        )
+
+
+def _fullness(work: float, endpoints: int) -> float:
+    if work <= 0.0:
+        return 0.0
+    return work / endpoints if endpoints > 0 else float("inf")
+
+
+def fullest(pools: Pools, demand: Demand) -> float:
+    """How full the fuller of the two pools is; 1 is all of it."""
+    return max(
+        _fullness(demand.prefill, pools.prefill),
+        _fullness(demand.decode, pools.decode),
+    )
+
+
+def role_to_add(pools: Pools, demand: Demand) -> types.Role | None:
+    """The role that one endpoint of the other should take, if any."""
+    now = fullest(pools, demand)
+    if now < _FULL:
+        return None
+    more_decode = Pools(prefill=pools.prefill - 1, decode=pools.decode + 1)
+    more_prefill = Pools(prefill=pools.prefill + 1, decode=pools.decode - 1)
+    for role, after in (
+        (types.Role.DECODE, more_decode),
+        (types.Role.PREFILL, more_prefill),
+    ):
+        if min(after.prefill, after.decode) < 1:
+            continue
+        if fullest(after, demand) * _GAIN < now:
+            return role
+    return None
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -14,6 +14,7 @@
 from rackpost.platform import documents
 from rackpost.platform import settings
 from rackpost.routing import endpoints
+from rackpost import types
 
 # A document that was asked for and has not come after this long is asked
 # for again, from whoever has it, in seconds.
@@ -41,6 +42,7 @@
         )
         self._seeds: set[str] = set()
         self._told: dict[str, messages.Peers] = {}
+        self._changing: dict[str, tuple[types.EndpointId, ...]] = {}
         self._fetch_until = 0.0
         self._holders: dict[websocket.WebSocketChannel, int] = {}
         self.reload(self._host)
@@ -50,6 +52,21 @@
         self._seeds = {links.host_of(item) for item in host.seeds}
         self._set_hosts()
 
+    def _on_changing(self, host: str, msg: messages.Changing) -> None:
+        # Only the leader has any; what a former one said is dropped with
+        # its next word or its link.
+        self._changing[host] = msg.ids
+        self._site.chooser.set_changing(
+            key for ids in self._changing.values() for key in ids
+        )
+        self._site.room_changed.set()
+
+    def tell_demands(self) -> None:
+        """Tell all coordinators what this gateway's clients ask for."""
+        msg = messages.Demands(items=self._site.demands())
+        for conn in self._holders:
+            conn.send(msg)
+
     def _latest(self) -> list[messages.Peers]:
         """What those say that are linked; else all that was ever said."""
         linked = [
@@ -74,6 +91,8 @@
 
     def _closed(self, host: str, conn: websocket.WebSocketChannel) -> None:
         self._holders.pop(conn, None)
+        if self._changing.pop(host, None):
+            self._on_changing(host, messages.Changing(ids=()))
         # What it told of the others is kept: they may outlive it.
 
     def _on_message(
@@ -91,6 +110,8 @@
             self._on_endpoints(host, msg)
         elif isinstance(msg, messages.Heard):
             self._site.table.hear(msg.ids, self._loop.time())
+        elif isinstance(msg, messages.Changing):
+            self._on_changing(host, msg)
         elif isinstance(msg, messages.Peers):
             self._told[host] = msg
             self._set_hosts()
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -20,6 +20,11 @@
 # A refusal reaches its client so long before the client would leave, in
 # seconds.
 _WAY_BACK_S = 0.1
+# Of an answer's tokens, the part that a run takes room for on the average:
+# half of them would be there if nothing were kept for the rest.
+_KEPT_SHARE = 0.75
+# A prompt takes some time to read, also before any was seen, in seconds.
+_LEAST_S = 0.001
 
 
 class Generation:
@@ -50,6 +55,7 @@
     async def run(self) -> None:
         """Answer the request."""
         call = self._call
+        self._note_demand()
         while True:
             self._progress = self._new_progress()
             call.on_event = self._progress.event
@@ -65,6 +71,19 @@
                 self._read.release()
                 return
 
+    def _note_demand(self) -> None:
+        """Count what this request asks of each role of endpoint."""
+        site = self._call.site
+        out = self._progress.run.left
+        # Room is kept for more than the mean of what a run holds.
+        held = self._prompt + _KEPT_SHARE * out
+        share = held / max(1, self._engine.memory_tokens)
+        site.meter(self._call.service.name).add(
+            self._call.began,
+            prefill_s=max(_LEAST_S, site.pace.expected_s(self._prompt)),
+            decode_s=share * site.pace.making_s(out),
+        )
+
     def _wanted(self) -> room.Wanted:
         call = self._call
         pace = call.site.pace
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -63,6 +63,7 @@
         while True:
             await asyncio.sleep(_SWEEP_S)
             self.site.pool.sweep()
+            self._links.tell_demands()
             if self.site.routes is not None:
                 self._server.limits = self.site.routes.doc.limits
 
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -14,6 +14,7 @@
 from rackpost.decide import pace as pace_mod
 from rackpost.decide import refused as refused_mod
 from rackpost.decide import retry_budget
+from rackpost.decide import role_balance
 from rackpost.gateway import room as room_mod
 from rackpost.http1 import pool as pool_mod
 from rackpost import metrics as metrics_mod
@@ -64,6 +65,7 @@
             rng=self.rng,
         )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
+        self._meters: dict[types.ServiceName, role_balance.DemandMeter] = {}
         self._budgets: dict[types.ServiceName, retry_budget.RetryBudget] = {}
 
     def loop_time(self) -> float:
@@ -104,6 +106,17 @@
             self._budgets[service] = found
         return found
 
+    def meter(self, service: types.ServiceName) -> role_balance.DemandMeter:
+        """What this gateway's clients ask of a model service."""
+        return self._meters.setdefault(service, role_balance.DemandMeter())
+
+    def demands(self) -> tuple[role_balance.Demand, ...]:
+        """What they have asked lately, for each model service."""
+        now = self.loop_time()
+        return tuple(
+            meter.rate(service, now) for service, meter in self._meters.items()
+        )
+
     def connections_to(self, service: model.Service) -> int:
         """Connections that this gateway may have to one endpoint."""
         return max(2, service.max_connections * 9 // 10 // self.gateway_count)
--- /dev/null
+++ b/rackpost/platform/orders.py
@@ -0,0 +1,75 @@
+"""Orders to endpoints and their reports, on the wire."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from rackpost import exceptions
+from rackpost import types
+
+REPORT_PATH = b"/v1/report"
+ORDER_PATH = b"/v1/order"
+_ROLES = {"prefill": types.Role.PREFILL, "decode": types.Role.DECODE}
+_STAGES = {role: name for name, role in _ROLES.items()}
+
+
+class Report(NamedTuple):
+    """What an endpoint says of itself.
+
+    `orders_taken` counts the orders of this incarnation; `changing` tells
+    that one is under way.
+    """
+
+    role: types.Role
+    changing: bool
+    orders_taken: int
+    running: int
+
+
+class _Report(msgspec.Struct, kw_only=True):
+    stage: str = ""
+    busy: bool = False
+    # Not the number of a heartbeat, which has the same name.
+    sequence: int = 0
+    running: int = 0
+
+
+class _Order(msgspec.Struct, kw_only=True, rename="camel"):
+    operation: str
+    stage: str
+    holder: str
+    fence: int
+    # The count of orders at which this one still holds.
+    expected_revision: int
+
+
+_DECODER = msgspec.json.Decoder(_Report)
+
+
+def decode_report(body: bytes) -> Report:
+    """A report; CodecError if it is none."""
+    try:
+        wire = _DECODER.decode(body)
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        raise exceptions.CodecError(f"report: {exc}") from exc
+    return Report(
+        role=_ROLES.get(wire.stage, types.Role.PLAIN),
+        changing=wire.busy,
+        orders_taken=wire.sequence,
+        running=wire.running,
+    )
+
+
+def change_role(
+    role: types.Role, *, holder: str, fence: int, orders_taken: int
+) -> bytes:
+    """The body of an order that changes an endpoint's role."""
+    return msgspec.json.encode(
+        _Order(
+            operation="stage",
+            stage=_STAGES[role],
+            holder=holder,
+            fence=fence,
+            expected_revision=orders_taken,
+        )
+    )
--- a/rackpost/platform/settings.py
+++ b/rackpost/platform/settings.py
@@ -27,6 +27,7 @@
         "retry_window_s": "budgetWindowS",
         "retry_slack": "budgetSlack",
         "grace_s": "graceS",
+        "lease_ms": "leaseMs",
         "drain_ms": "drainMs",
         "in_force_ms": "configApplyMs",
     },
@@ -37,6 +38,7 @@
         retry_ratio, retry_slack: repeats that a service may get within
             any `retry_window_s`: ratio x its requests + slack.
         grace_s: from SIGTERM to SIGKILL.
+        lease_ms: orders of two holders are at least so far apart.
         drain_ms: an endpoint that said it leaves gets nothing new after.
         in_force_ms: from a change's acknowledgement to its effect.
     """
@@ -45,6 +47,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 10.0
     grace_s: float = 8.0
+    lease_ms: float = 3000.0
     drain_ms: float = 2000.0
     in_force_ms: float = 2000.0
 
--- a/rackpost/state/commands.py
+++ b/rackpost/state/commands.py
@@ -146,6 +146,12 @@
     source: bytes
 
 
+class TakeFence(Command, frozen=True, tag="take-fence"):
+    """A leader takes the right to give endpoints orders."""
+
+    holder: types.VmId
+
+
 class Nothing(Command, frozen=True, tag="nothing"):
     """A new leader's first record."""
 
@@ -159,6 +165,7 @@
     Order,
     ClaimBatch,
     SetRouting,
+    TakeFence,
     Nothing,
 ]
 
--- a/rackpost/state/machine.py
+++ b/rackpost/state/machine.py
@@ -60,6 +60,7 @@
     history: list[Change]
     claims: list[tuple[types.ClaimKey, claims.Claim]]
     routing: Routing | None = None
+    order_fence: types.Fence = types.Fence(0)
 
 
 class Machine:
@@ -74,6 +75,8 @@
         self.fences: dict[str, types.Fence] = {}
         self.claims = claims.ClaimTable()
         self.routing: Routing | None = None
+        # Who may give endpoints orders: the fence that was taken last.
+        self.order_fence = types.Fence(0)
         self.history: list[Change] = []
         self._results: OrderedDict[str, commands.Result] = OrderedDict()
 
@@ -111,6 +114,8 @@
             return self._order(cmd)
         if isinstance(cmd, commands.SetRouting):
             return self._set_routing(cmd)
+        if isinstance(cmd, commands.TakeFence):
+            return self._take_fence()
         return commands.Accepted(revision=self.revision)
 
     def _next(self) -> types.Revision:
@@ -257,6 +262,11 @@
             Change(revision=self._next(), routing_version=cmd.version)
         )
 
+    def _take_fence(self) -> commands.Result:
+        self.fence = types.Fence(self.fence + 1)
+        self.order_fence = self.fence
+        return commands.Accepted(revision=self.revision, fence=self.fence)
+
     def _claim(self, cmd: commands.ClaimBatch) -> commands.Result:
         self.claims.trim(cmd.at)
         for item in cmd.settled:
@@ -298,6 +308,7 @@
                 for key, claim in self.claims.claims.items()
             ],
             routing=self.routing,
+            order_fence=self.order_fence,
         )
 
     def restore(self, image: Image) -> None:
@@ -315,6 +326,7 @@
         self.history.extend(image.history)
         self.claims.claims.update(image.claims)
         self.routing = image.routing
+        self.order_fence = image.order_fence
 
 
 def check_write(cmd: commands.Write, tree: tree_mod.Tree) -> None:
--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,144 @@
+"""Roles of endpoints follow the demand; orders come from one holder."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+
+from rackpost.decide import role_balance
+from rackpost.http1 import message
+from rackpost.http1 import server
+from rackpost.state import commands
+from rackpost.state import machine
+from rackpost import types
+from tests import platform_site
+
+SERVICE = types.ServiceName("model")
+
+
+def role(
+    prefill: int, decode: int, work: tuple[float, float]
+) -> types.Role | None:
+    return role_balance.role_to_add(
+        role_balance.Pools(prefill=prefill, decode=decode),
+        role_balance.Demand(service=SERVICE, prefill=work[0], decode=work[1]),
+    )
+
+
+def test_a_role_is_changed_only_where_it_helps_much() -> None:
+    assert role(2, 1, (0.5, 1.7)) is types.Role.DECODE
+    assert role(2, 3, (0.5, 1.7)) is None
+    assert role(1, 1, (0.5, 5.0)) is None
+    assert role(1, 4, (1.5, 1.0)) is types.Role.PREFILL
+    # Nobody asks for anything: nothing is too full.
+    assert role(0, 3, (0.0, 0.0)) is None
+    assert role(0, 3, (0.1, 0.5)) is types.Role.PREFILL
+    assert role(2, 0, (0.1, 0.5)) is types.Role.DECODE
+
+
+def test_a_balanced_site_is_left_alone_at_every_demand() -> None:
+    """What was just changed is not changed back."""
+    for prefill in range(1, 20):
+        for decode in range(1, 20):
+            work = (prefill / 4, decode / 4)
+            for total in range(2, 9):
+                for first in range(1, total):
+                    new = role(first, total - first, work)
+                    if new is types.Role.DECODE:
+                        back = role(first - 1, total - first + 1, work)
+                        assert back is not types.Role.PREFILL
+
+
+def test_the_meter_forgets() -> None:
+    meter = role_balance.DemandMeter()
+    meter.add(0.0, prefill_s=0.6, decode_s=6.0)
+    found = meter.rate(SERVICE, 1.0)
+    assert abs(found.prefill - 0.1) < 1e-9 and abs(found.decode - 1.0) < 1e-9
+    assert meter.rate(SERVICE, 7.0).decode == 0.0
+
+
+def test_fences_rise_and_survive_a_snapshot() -> None:
+    one = machine.Machine()
+    first = one.apply(commands.TakeFence(holder=types.VmId("a")))
+    second = one.apply(commands.TakeFence(holder=types.VmId("b")))
+    assert isinstance(first, commands.Accepted)
+    assert isinstance(second, commands.Accepted)
+    assert first.fence < second.fence
+    two = machine.Machine()
+    two.restore(one.image())
+    assert two.order_fence == second.fence
+    third = two.apply(commands.TakeFence(holder=types.VmId("c")))
+    assert isinstance(third, commands.Accepted)
+    assert third.fence > second.fence
+
+
+class Ordered(platform_site.Endpoint):
+    """An endpoint that takes orders."""
+
+    def __init__(self, *, ident: str, stage: str) -> None:
+        super().__init__(ident=ident, service="model", stage=stage)
+        self.orders: list[dict] = []
+        self.answer = self.take
+
+    async def take(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        if req.method == b"GET":
+            report = {
+                "stage": self.stage,
+                "busy": False,
+                "sequence": len(self.orders),
+                "running": 0,
+            }
+            responder.whole(200, [], json.dumps(report).encode())
+            return
+        self.orders.append(json.loads(req.body))
+        responder.whole(202, [], b"{}")
+
+
+def test_the_leader_orders_a_change_once_and_tells_gateways(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        plan = platform_site.Plan(root=tmp_path)
+        core = plan.host(11, kind="core", seeds=(11,), lost=0)
+        group = [
+            Ordered(ident="p0", stage="prefill"),
+            Ordered(ident="p1", stage="prefill"),
+            Ordered(ident="d0", stage="decode"),
+        ]
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            http = await enter(platform_site.aiohttp.ClientSession())
+            operator = platform_site.Operator(plan=plan, http=http)
+            running = await enter(platform_site.coordinator(core))
+            for one in group:
+                await enter(one.running())
+                assert await operator.beat(11, one) == 200
+            demand = role_balance.Demand(
+                service=SERVICE, prefill=0.4, decode=2.0
+            )
+            orders = [one.orders for one in group]
+            async with asyncio.timeout(20):
+                while not any(orders):
+                    running._roles.take_demand(types.VmId("e"), (demand,))
+                    for one in group:
+                        await operator.beat(11, one)
+                    await asyncio.sleep(0.1)
+            given = [one for one in group if one.orders]
+            assert [one.stage for one in given] == ["prefill"]
+            assert running._roles.changing == (given[0].ident,)
+            order = given[0].orders[0]
+            assert order["stage"] == "decode"
+            assert order["fence"] == 1
+            assert order["expectedRevision"] == 0
+            assert order["holder"] == "core-11"
+            seen = given[0].seen[-1]
+            expected = message.find(seen.headers, b"x-expect-instance")
+            assert expected == given[0].ident.encode()
+            given[0].stage = "decode"
+            await operator.beat(11, given[0])
+            await platform_site.until(lambda: not running._roles.changing)
+            assert sum(len(one.orders) for one in group) == 1
+
+    asyncio.run(main())
