--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,130 @@
+"""A planned stop, and what a gateway keeps through it."""
+
+import asyncio
+import json
+import os
+import pathlib
+
+from rackpost.gateway import site as site_mod
+from rackpost.http1 import message
+from rackpost.http1 import server
+from rackpost import logs
+from rackpost.platform import documents
+from rackpost import site_program
+from tests import platform_site
+from tests import test_gateway
+
+
+def test_a_planned_stop_ends_what_runs_and_is_not_ready_at_once(
+    tmp_path: pathlib.Path,
+) -> None:
+    go_on = asyncio.Event()
+
+    async def slow(req: message.Request, responder: server.Responder) -> None:
+        await go_on.wait()
+        ident = message.find(req.headers, b"x-request-id") or b""
+        found = [(b"x-request-id", ident), (b"x-response-seal", b"s")]
+        responder.whole(200, found, b"done")
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            await test_gateway.all_answer(site, slow)
+            url = site.plan.ready_url(31)
+            async with site.operator.http.get(url) as resp:
+                assert resp.status == 200
+            running = asyncio.create_task(
+                site.raw(test_gateway.request("/unsafe/x"))
+            )
+            await platform_site.until(
+                lambda: any(one.seen for one in site.plain)
+            )
+            stop = asyncio.create_task(site.gateway.stop())
+            await asyncio.sleep(0)
+            async with site.operator.http.get(url) as resp:
+                assert resp.status == 503
+            # New connections still come until the balancer has noticed.
+            late = asyncio.create_task(
+                site.raw(
+                    test_gateway.request("/unsafe/x").replace(
+                        b"Connection: close\r\n", b""
+                    )
+                )
+            )
+            await platform_site.until(
+                lambda: sum(len(one.seen) for one in site.plain) == 2
+            )
+            assert not stop.done()
+            go_on.set()
+            for answer in (await running, await late):
+                assert answer.endswith(b"done")
+                assert b"connection: close" in answer
+            await stop
+
+    asyncio.run(main())
+
+
+def test_a_gateway_never_goes_back_to_an_older_document(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        plan = platform_site.Plan(root=tmp_path)
+        site = site_mod.Site(host=plan.host(31, kind="edge"))
+
+        def put(version: int) -> bool:
+            text = json.dumps(platform_site.document(version)).encode()
+            return site.put_routes(documents.decode(text))
+
+        assert put(5)
+        assert not put(4)
+        assert not put(5)
+        assert site.version == 5
+        assert put(9)
+
+    asyncio.run(main())
+
+
+def test_a_log_that_nobody_reads_drops_lines_and_never_waits() -> None:
+    read_end, write_end = os.pipe()
+    output = logs.BoundedOutput(fd=write_end, most=10)
+
+    async def main() -> None:
+        for number in range(5000):
+            output({"number": number, "text": "x" * 100})
+        output.flush()
+
+    asyncio.run(main())
+    assert output.dropped == 4990
+    lines = os.read(read_end, 1 << 16).splitlines()
+    assert [json.loads(line)["number"] for line in lines] == list(range(10))
+    os.close(read_end)
+    os.close(write_end)
+
+
+def test_settings_are_read_again_when_their_file_changes(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "node.json"
+    raw = {"node": "a", "ip": "127.0.0.1", "zone": "z", "seeds": ["h:1"]}
+    path.write_text(json.dumps(raw))
+    os.environ["RACKPOST_BOOT"] = str(path)
+    seen: list[tuple[str, ...]] = []
+
+    async def main() -> None:
+        signals = site_program.Signals(part=logs.Part.GATEWAY)
+        task = asyncio.create_task(
+            signals.watch(lambda host: seen.append(host.seeds))
+        )
+        await asyncio.sleep(0)
+        path.write_text("{")
+        signals._reload.set()
+        await platform_site.until(lambda: not signals._reload.is_set())
+        raw["seeds"] = ["other:1", "third:1"]
+        path.write_text(json.dumps(raw))
+        await platform_site.until(lambda: bool(seen))
+        task.cancel()
+
+    try:
+        asyncio.run(main())
+    finally:
+        del os.environ["RACKPOST_BOOT"]
+    assert seen == [("other:1", "third:1")]
