Gateways cut off from control are still counted; full endpoints; plain admission

Change: datagrams keep a gateway known; a 503 from a decode endpoint closes it for a while, at all gateways; plain requests that would be late come back.

--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -60,9 +60,14 @@
 
 
 class Demands(_Message, frozen=True, tag="demands"):
-    """What a gateway's clients ask of the model services."""
+    """What a gateway's clients ask of the model services.
+
+    `heard` are endpoints that some coordinator has heard of lately: a
+    gateway may reach coordinators that do not reach each other.
+    """
 
     items: tuple[role_balance.Demand, ...]
+    heard: tuple[types.EndpointId, ...]
 
 
 class GatewayAddress(_Message, frozen=True):
@@ -88,15 +93,19 @@
 class Loads(_Message, frozen=True, tag="loads"):
     """What a gateway has under way; `number` grows within one `life`.
 
-    `broken` are endpoints that it has just seen fail, `waiting` counts the
-    generations that wait for room, `refused` are keys of `RefusedBook`.
+    `loads` is where the gateway takes such messages, as host:port.
+    `broken` and `full` are endpoints that it has just seen fail or turn a
+    request away, `waiting` counts the generations that wait for room,
+    `refused` are keys of `RefusedBook`.
     """
 
     vm: types.VmId
+    loads: str
     life: int
     number: int
     uses: dict[types.EndpointId, endpoint_load.Use]
     broken: tuple[types.EndpointId, ...] = ()
+    full: tuple[types.EndpointId, ...] = ()
     waiting: int = 0
     refused: tuple[int, ...] = ()
 
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -151,6 +151,7 @@
         if isinstance(msg, messages.Demands):
             hello = self.directory.gateways[conn]
             self._roles.take_demand(hello.vm, msg.items)
+            self.directory.table.hear(msg.heard, self._loop.time())
         routing = self.node.machine.routing
         if isinstance(msg, messages.Fetch) and routing is not None:
             conn.send(
--- /dev/null
+++ b/rackpost/decide/admission.py
@@ -0,0 +1,58 @@
+"""Whether a plain request can be in time at its endpoint.  Pure."""
+
+import msgspec
+
+# Part of the target that the expected answer time may take; the rest is
+# for the spread of the work and the way.
+_TARGET_SHARE = 0.85
+# Nobody is told to come back sooner than this, in seconds.
+_SOONEST_S = 0.3
+_SPREAD_S = 0.6
+# Clients heed a time to come back up to this part of what they have left.
+_HEEDED = 1.0 / 3.0
+
+
+class Arrival(msgspec.Struct, frozen=True, kw_only=True):
+    """A request at the endpoint where the wait is least.
+
+    Attributes:
+        ahead: requests under way there.
+        slots: how many of them it works on at once.
+        work_s: the work of one of them, as observed; 0 if none was.
+        target_s: what is left until it would be late; 0 without a target.
+        left_s: what is left of its time.
+        came_back: it was refused before.
+    """
+
+    ahead: int
+    slots: int
+    work_s: float
+    target_s: float
+    left_s: float
+    came_back: bool
+
+
+def expected_s(arrival: Arrival) -> float:
+    """How long its answer will take."""
+    rounds = (arrival.ahead + 1) / max(1, arrival.slots)
+    return arrival.work_s * max(1.0, rounds)
+
+
+def should_come_back(arrival: Arrival) -> bool:
+    """Whether it does better to be refused now than to be late.
+
+    Only while the endpoint has more to do than it can work on at once;
+    one that came back is served, late or not.
+    """
+    if arrival.came_back or arrival.target_s <= 0.0:
+        return False
+    if arrival.ahead < arrival.slots:
+        return False
+    return expected_s(arrival) > _TARGET_SHARE * arrival.target_s
+
+
+def come_back_s(arrival: Arrival, chance: float) -> float:
+    """When it should come back, in seconds; `chance` is from 0 to 1."""
+    too_long = expected_s(arrival) - arrival.target_s
+    after = max(_SOONEST_S, too_long) + _SPREAD_S * chance
+    return min(after, _HEEDED * arrival.left_s)
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -126,6 +126,8 @@
             peak = kv_forecast.peak([*use.runs, run])
             if peak > capacity or use.requests >= item.slots:
                 continue
+            if self._health.is_full(item.id, now):
+                continue
             full = peak * self._far(item)
             if full < least:
                 best, least = item, full
--- a/rackpost/decide/endpoint_health.py
+++ b/rackpost/decide/endpoint_health.py
@@ -5,6 +5,10 @@
 # The first pause after a failure, doubled with each further one in a row.
 _PAUSE_S = 0.4
 _MAX_PAUSE_S = 3.0
+# An endpoint without room is asked again after this, doubled each time:
+# some hundred ms pass between the ends of two runs there.
+_FULL_S = 0.25
+_MAX_FULL_S = 2.0
 # Weight of the newest answer in the running averages.
 _ALPHA = 0.15
 # An endpoint whose requests fail always counts as this many times slower.
@@ -19,6 +23,9 @@
         self.avoid_until = 0.0
         self.failing = 0.0
         self.answer_s: float | None = None
+        self.work_s = 0.0
+        self.full_in_row = 0
+        self.full_until = 0.0
 
 
 class HealthBook:
@@ -35,11 +42,26 @@
         record = self._record(endpoint)
         record.failed_in_row = 0
         record.avoid_until = 0.0
+        record.full_in_row = 0
         record.failing *= 1.0 - _ALPHA
         if record.answer_s is None:
             record.answer_s = took_s
         record.answer_s += _ALPHA * (took_s - record.answer_s)
 
+    def worked(
+        self, endpoint: types.EndpointId, took_s: float, rounds: float
+    ) -> None:
+        """An answer took so long with `rounds` full rounds before its end."""
+        record = self._record(endpoint)
+        work = took_s / max(1.0, rounds)
+        record.work_s = record.work_s or work
+        record.work_s += _ALPHA * (work - record.work_s)
+
+    def work_s(self, endpoint: types.EndpointId) -> float:
+        """The work of one request there, in seconds; 0 if none was seen."""
+        record = self._records.get(endpoint)
+        return 0.0 if record is None else record.work_s
+
     def erred(self, endpoint: types.EndpointId) -> None:
         """The endpoint answered with a failure of its own."""
         record = self._record(endpoint)
@@ -54,6 +76,31 @@
         record.avoid_until = now + min(pause, _MAX_PAUSE_S)
         return record.failed_in_row == 1
 
+    def turned_away(self, endpoint: types.EndpointId, now: float) -> None:
+        """It had no room for a request, whatever the figures say."""
+        record = self._record(endpoint)
+        record.full_in_row += 1
+        pause = _FULL_S * 2 ** (record.full_in_row - 1)
+        record.full_until = now + min(pause, _MAX_FULL_S)
+
+    def told_full(self, endpoint: types.EndpointId, now: float) -> None:
+        """Another gateway was turned away there just now."""
+        record = self._record(endpoint)
+        record.full_until = max(record.full_until, now + _FULL_S)
+
+    def is_full(self, endpoint: types.EndpointId, now: float) -> bool:
+        """Whether it has just turned a request away."""
+        record = self._records.get(endpoint)
+        return record is not None and now < record.full_until
+
+    def full(self, now: float) -> tuple[types.EndpointId, ...]:
+        """Endpoints that have just turned this gateway away."""
+        return tuple(
+            key
+            for key, record in self._records.items()
+            if record.full_in_row and now < record.full_until
+        )
+
     def told(self, endpoint: types.EndpointId, now: float) -> None:
         """Another gateway has seen it fail just now."""
         record = self._record(endpoint)
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -6,7 +6,6 @@
 
 import contextlib
 from typing import Callable
-from typing import Collection
 from typing import Iterator
 
 import msgspec
@@ -116,10 +115,14 @@
         heard.uses = uses
         heard.waiting = waiting
 
-    def keep_only(self, senders: Collection[types.VmId]) -> None:
-        """Drop the figures of gateways that are gone."""
-        for sender in set(self._others) - set(senders):
-            del self._others[sender]
+    def heard_from(self, sender: types.VmId, since: float) -> bool:
+        """Whether a gateway has told its figures after a clock reading."""
+        heard = self._others.get(sender)
+        return heard is not None and heard.at > since
+
+    def forget(self, sender: types.VmId) -> None:
+        """A gateway is gone, and with it what it had under way."""
+        self._others.pop(sender, None)
 
     def waiting(self, now: float) -> int:
         """Requests that wait for room at other gateways."""
--- a/rackpost/decide/refused.py
+++ b/rackpost/decide/refused.py
@@ -22,8 +22,9 @@
 
     @staticmethod
     def key(route: str, part: bytes, body: bytes) -> int:
-        """What a request is known by."""
-        return zlib.crc32(part or body, zlib.crc32(route.encode()))
+        """What a request is known by: its route, a name of its own, its body."""
+        start = zlib.crc32(route.encode())
+        return zlib.crc32(body, zlib.crc32(part, start))
 
     def add(self, key: int, now: float) -> None:
         """A request was refused here."""
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -192,6 +192,8 @@
             status=head.status,
         )
         note_replaced(call, endpoint, head)
+        if head.status == 503:
+            call.site.health.turned_away(endpoint.id, call.site.loop_time())
         return forwarding.Ended.NOT_RUN
     why = _why_unsound(call, head)
     if why:
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -24,6 +24,7 @@
     NO_DOCUMENT = "no-document"
     NO_ENDPOINT = "no-endpoint"
     NO_ROOM = "no-room"
+    WOULD_BE_LATE = "would-be-late"
     REJECTED = "rejected"
     TIME_UP = "time-up"
     BROKEN = "broken"
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -19,6 +19,9 @@
 # A document that was asked for and has not come after this long is asked
 # for again, from whoever has it, in seconds.
 _FETCH_AGAIN_S = 0.25
+# Endpoints heard of within this time are told on, in seconds: a little
+# more than the time between two tellings.
+_FRESH_S = 1.2
 
 
 class ControlLinks:
@@ -63,7 +66,10 @@
 
     def tell_demands(self) -> None:
         """Tell all coordinators what this gateway's clients ask for."""
-        msg = messages.Demands(items=self._site.demands())
+        msg = messages.Demands(
+            items=self._site.demands(),
+            heard=self._site.table.heard_since(self._loop.time() - _FRESH_S),
+        )
         for conn in self._holders:
             conn.send(msg)
 
@@ -169,15 +175,9 @@
             self._site.room_changed.set()
 
     def _set_gateways(self) -> None:
-        found = {
-            item.vm: item for told in self._latest() for item in told.gateways
-        }
-        came = set(found) - set(self._site.gateways)
-        self._site.gateways = found
-        self._site.loads.keep_only(found)
-        if came:
-            # Newcomers know nothing of what is under way.
-            self._site.loads_changed.set()
+        self._site.set_gateways(
+            [item for told in self._latest() for item in told.gateways]
+        )
 
     def close(self) -> None:
         """End all links."""
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -1,5 +1,6 @@
 """Requests to plain services: choose, send, repeat where that is right."""
 
+from rackpost.decide import admission
 from rackpost.decide import forwarding
 from rackpost.gateway import attempt
 from rackpost.gateway import call as call_mod
@@ -23,10 +24,51 @@
         if endpoint is None:
             give_up(call, call_mod.Reason.NO_ENDPOINT)
             return
-        with call.site.loads.held(endpoint.id):
-            ended = await attempt.run(call, endpoint)
-        if ended is None or not goes_on(call, ended):
+        if not call.tried and _comes_back(call, endpoint):
             return
+        if await _send(call, endpoint):
+            return
+
+
+async def _send(call: call_mod.Call, endpoint: endpoints.Endpoint) -> bool:
+    """Send it there; whether the client has been answered."""
+    site = call.site
+    began = site.loop_time()
+    with site.loads.held(endpoint.id):
+        ahead = site.loads.total(endpoint.id, began).requests
+        ended = await attempt.run(call, endpoint)
+    if ended is not None:
+        return not goes_on(call, ended)
+    took = site.loop_time() - began
+    site.health.worked(endpoint.id, took, ahead / max(1, endpoint.slots))
+    return True
+
+
+def _comes_back(call: call_mod.Call, endpoint: endpoints.Endpoint) -> bool:
+    """Refuse a request that would be late, unless it was before."""
+    site = call.site
+    now = site.loop_time()
+    key = site.refused.key(call.route.name, call.req.target, call.req.body)
+    arrival = admission.Arrival(
+        ahead=site.loads.total(endpoint.id, now).requests,
+        slots=endpoint.slots,
+        work_s=site.health.work_s(endpoint.id),
+        target_s=call.route.target_s,
+        left_s=call.until - now,
+        came_back=site.refused.came_back(key, now),
+    )
+    if not admission.should_come_back(arrival):
+        return False
+    call.log(
+        "Would be late.",
+        endpoint=endpoint.id,
+        ahead=arrival.ahead,
+        expected_s=round(admission.expected_s(arrival), 3),
+    )
+    site.refused.add(key, now)
+    after = admission.come_back_s(arrival, site.rng.random())
+    call.refuse(call_mod.Reason.WOULD_BE_LATE, after)
+    return True
 
 
 def _choose(call: call_mod.Call) -> endpoints.Endpoint | None:
--- a/rackpost/gateway/load_share.py
+++ b/rackpost/gateway/load_share.py
@@ -33,6 +33,9 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._life = random.getrandbits(_LIFE_BITS)
         self._number = 0
+        host = site.host
+        port = host.internal_ports[0] + links.LOADS_PORT
+        self._address = f"{host.ip}:{port}"
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Another gateway tells its figures."""
@@ -45,6 +48,11 @@
             return
         now = self._site.loop_time()
         self._site.loads.take(msg.vm, msg.life, msg.number, msg.uses, now)
+        self._site.add_gateway(
+            messages.GatewayAddress(vm=msg.vm, loads=msg.loads)
+        )
+        for endpoint in msg.full:
+            self._site.health.told_full(endpoint, now)
         for endpoint in msg.broken:
             self._site.health.told(endpoint, now)
         self._site.room_changed.set()
@@ -66,10 +74,12 @@
         data = codec.encode(
             messages.Loads(
                 vm=me,
+                loads=self._address,
                 life=self._life,
                 number=self._number,
                 uses=self._site.loads.own,
                 broken=self._site.health.broken(now),
+                full=self._site.health.full(now),
                 waiting=self._site.room.waiting,
                 refused=self._site.refused.recent(now),
             )
@@ -82,11 +92,10 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Tell and take figures until the block ends."""
-        host = self._site.host
-        port = host.internal_ports[0] + links.LOADS_PORT
+        host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host.ip, port)
+            lambda: self, local_addr=(host, int(port))
         )
         self._transport = transport
         task = asyncio.create_task(self._tell())
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -64,6 +64,7 @@
             await asyncio.sleep(_SWEEP_S)
             self.site.pool.sweep()
             self._links.tell_demands()
+            self.site.drop_gateways()
             if self.site.routes is not None:
                 self._server.limits = self.site.routes.doc.limits
 
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -4,6 +4,7 @@
 import random
 from typing import Any
 from typing import Coroutine
+from typing import Sequence
 
 from rackpost.coordinator import links
 from rackpost.coordinator import messages
@@ -28,6 +29,8 @@
 # An endpoint that has missed this many heartbeats is used last: one may
 # come seconds late, and two are lost when a coordinator dies.
 _SILENT_BEATS = 3.5
+# Gateways tell their figures at least each second.
+_GATEWAY_SILENT_S = 1.3
 
 
 class Site:
@@ -65,6 +68,7 @@
             rng=self.rng,
         )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
+        self._told: set[types.VmId] = set()
         self._meters: dict[types.ServiceName, role_balance.DemandMeter] = {}
         self._budgets: dict[types.ServiceName, retry_budget.RetryBudget] = {}
 
@@ -86,6 +90,31 @@
         """How many gateways share the site's budgets, this one included."""
         return max(1, len(self.gateways))
 
+    def set_gateways(self, told: Sequence[messages.GatewayAddress]) -> None:
+        """Coordinators tell which gateways they are linked to."""
+        self._told = {item.vm for item in told}
+        for item in told:
+            self.add_gateway(item)
+        self.drop_gateways()
+
+    def add_gateway(self, item: messages.GatewayAddress) -> None:
+        """A gateway shares the site's budgets and endpoints."""
+        if self.gateways.get(item.vm) != item:
+            self.gateways[item.vm] = item
+            # A newcomer knows nothing of what is under way.
+            self.loads_changed.set()
+
+    def drop_gateways(self) -> None:
+        """Forget gateways that no coordinator and no datagram tells of.
+
+        One that is cut off from the coordinators goes on serving.
+        """
+        since = self.loop_time() - _GATEWAY_SILENT_S
+        for vm in set(self.gateways) - self._told - {self.host.vm}:
+            if not self.loads.heard_from(vm, since):
+                del self.gateways[vm]
+                self.loads.forget(vm)
+
     def put_routes(self, doc: model.Document) -> bool:
         """Put a document in force unless a newer one is."""
         if self.routes is not None and doc.version <= self.version:
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -109,6 +109,10 @@
             if key in self.heard_at:
                 self.heard_at[key] = now
 
+    def heard_since(self, since: float) -> tuple[types.EndpointId, ...]:
+        """Endpoints heard of after a clock reading."""
+        return tuple(key for key, at in self.heard_at.items() if at > since)
+
     def is_silent(self, key: types.EndpointId, before: float) -> bool:
         """Whether an endpoint was last heard of before a clock reading."""
         return self.heard_at.get(key, before) < before
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -5,12 +5,15 @@
 import os
 import pathlib
 
+from rackpost.coordinator import messages
+from rackpost.decide import endpoint_load
 from rackpost.gateway import site as site_mod
 from rackpost.http1 import message
 from rackpost.http1 import server
 from rackpost import logs
 from rackpost.platform import documents
 from rackpost import site_program
+from rackpost import types
 from tests import platform_site
 from tests import test_gateway
 
@@ -83,6 +86,30 @@
     asyncio.run(main())
 
 
+def test_a_gateway_without_coordinators_is_still_counted(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Cut off from control it serves on; the others forgot its load."""
+
+    async def main() -> None:
+        plan = platform_site.Plan(root=tmp_path)
+        site = site_mod.Site(host=plan.host(31, kind="edge"))
+        other = messages.GatewayAddress(vm=types.VmId("g2"), loads="h:1")
+        use = {types.EndpointId("a"): endpoint_load.Use(requests=3)}
+        site.set_gateways([other])
+        site.loads.take(other.vm, 1, 1, use, site.loop_time())
+        site.set_gateways([])
+        now = site.loop_time()
+        assert site.loads.total(types.EndpointId("a"), now).requests == 3
+        assert other.vm in site.gateways
+        site.loads.take(other.vm, 1, 2, use, now - 2.0)
+        site.drop_gateways()
+        assert other.vm not in site.gateways
+        assert not site.loads.total(types.EndpointId("a"), now).requests
+
+    asyncio.run(main())
+
+
 def test_a_log_that_nobody_reads_drops_lines_and_never_waits() -> None:
     read_end, write_end = os.pipe()
     output = logs.BoundedOutput(fd=write_end, most=10)
