--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -110,7 +110,7 @@
     refused: tuple[int, ...] = ()
 
 
-FromGateway = Union[GatewayHello, Fetch, Demands]
+FromGateway = Union[GatewayHello, Fetch, Demands, Endpoints]
 ToGateway = Union[RoutingAt, Document, Endpoints, Heard, Changing, Peers]
 FromReplica = Union[control.FromReplica, Join, Endpoints, Heard]
 FromAny = Union[FromGateway, FromReplica]
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -148,7 +148,9 @@
             self._tell_peers()
 
     def _on_gateway(self, conn: channel.Channel, msg: msgspec.Struct) -> None:
-        if isinstance(msg, messages.Demands):
+        if isinstance(msg, messages.Endpoints):
+            self._on_news(msg)
+        elif isinstance(msg, messages.Demands):
             hello = self.directory.gateways[conn]
             self._roles.take_demand(hello.vm, msg.items)
             self.directory.table.hear(msg.heard, self._loop.time())
@@ -185,11 +187,14 @@
         elif isinstance(msg, messages.Heard):
             self.directory.table.hear(msg.ids, self._loop.time())
         elif isinstance(msg, messages.Endpoints):
-            changed = directory_mod.take_news(
-                self.directory.table, msg, self._loop.time()
-            )
-            for item in changed:
-                self.directory.tell_gateways(directory_mod.news(item))
+            self._on_news(msg)
+
+    def _on_news(self, msg: messages.Endpoints) -> None:
+        changed = directory_mod.take_news(
+            self.directory.table, msg, self._loop.time()
+        )
+        for item in changed:
+            self.directory.tell_gateways(directory_mod.news(item))
 
     def _spread(self, item: endpoints.Endpoint) -> None:
         self.node.tell_all(directory_mod.news(item))
--- a/rackpost/decide/refused.py
+++ b/rackpost/decide/refused.py
@@ -22,7 +22,7 @@
 
     @staticmethod
     def key(route: str, part: bytes, body: bytes) -> int:
-        """What a request is known by: its route, a name of its own, its body."""
+        """What a request is known by: route, a name of its own, body."""
         start = zlib.crc32(route.encode())
         return zlib.crc32(body, zlib.crc32(part, start))
 
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -113,7 +113,7 @@
         elif isinstance(msg, messages.Document):
             self._on_document(msg)
         elif isinstance(msg, messages.Endpoints):
-            self._on_endpoints(host, msg)
+            self._on_endpoints(host, conn, msg)
         elif isinstance(msg, messages.Heard):
             self._site.table.hear(msg.ids, self._loop.time())
         elif isinstance(msg, messages.Changing):
@@ -157,7 +157,12 @@
             )
         self._fetch()
 
-    def _on_endpoints(self, host: str, msg: messages.Endpoints) -> None:
+    def _on_endpoints(
+        self,
+        host: str,
+        conn: websocket.WebSocketChannel,
+        msg: messages.Endpoints,
+    ) -> None:
         changed = directory.take_news(self._site.table, msg, self._loop.time())
         for item in changed:
             if item.state is endpoints.EndpointState.GONE:
@@ -172,8 +177,21 @@
                 told_by=host,
             )
         if changed:
+            self._pass_on(conn, changed)
             self._site.room_changed.set()
 
+    def _pass_on(
+        self,
+        source: websocket.WebSocketChannel,
+        changed: list[endpoints.Endpoint],
+    ) -> None:
+        """Tell news on to coordinators that may not reach each other."""
+        for item in changed:
+            msg = directory.news(item)
+            for conn in self._holders:
+                if conn is not source:
+                    conn.send(msg)
+
     def _set_gateways(self) -> None:
         self._site.set_gateways(
             [item for told in self._latest() for item in told.gateways]
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -174,3 +174,38 @@
             assert await operator.put(15, platform_site.document(8)) == 503
 
     asyncio.run(main())
+
+
+def test_a_gateway_passes_news_on_to_coordinators_that_are_apart(
+    tmp_path: pathlib.Path,
+) -> None:
+    """In a cut core the leader did not know which endpoints had left."""
+
+    async def main() -> None:
+        plan = platform_site.Plan(root=tmp_path)
+        # Two sites that know nothing of each other, one gateway for both.
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            http = await enter(aiohttp.ClientSession())
+            operator = platform_site.Operator(plan=plan, http=http)
+            apart = []
+            for number in (11, 12):
+                host = plan.host(number, kind="core", seeds=(number,), lost=0)
+                apart.append(await enter(platform_site.coordinator(host)))
+            edge = plan.host(31, kind="edge", seeds=(11, 12))
+            gateway = await enter(platform_site.gateway(edge))
+            await platform_site.until(
+                lambda: all(one.directory.gateways for one in apart)
+            )
+            endpoint = platform_site.Endpoint(ident="i", service="plain")
+            endpoint.address = "127.0.0.1:1"
+            assert await operator.beat(11, endpoint) == 200
+            tables = [one.directory.table.alive for one in apart]
+            await platform_site.until(lambda: all("i" in t for t in tables))
+            assert await operator.beat(12, endpoint, "draining") == 200
+            await platform_site.until(
+                lambda: tables[0]["i"].state.value == "draining"
+            )
+            assert gateway.site.table.alive["i"].state.value == "draining"
+
+    asyncio.run(main())
