--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -111,12 +111,15 @@
         run: kv_forecast.Run,
         capacity: int,
         *,
+        in_place: bool = False,
         but: Sequence[types.EndpointId] = (),
         now: float,
     ) -> endpoints.Endpoint | None:
         """The decode endpoint with the most room; None if none has it.
 
-        `capacity` is the KV memory of each endpoint, in tokens.
+        `capacity` is the KV memory of each endpoint, in tokens.  A prompt
+        that is read `in_place` holds up the tokens of all that run there:
+        only one is read at a time.
         """
         found = self.candidates(service, types.Role.DECODE, but=but, now=now)
         best: endpoints.Endpoint | None = None
@@ -128,11 +131,17 @@
                 continue
             if self._health.is_full(item.id, now):
                 continue
+            if in_place and use.prompt > 0:
+                continue
             full = peak * self._far(item)
             if full < least:
                 best, least = item, full
         return best
 
+    def reads_in_place(self, service: types.ServiceName, now: float) -> bool:
+        """Whether no endpoint prefills, so that decodes read themselves."""
+        return not self.candidates(service, types.Role.PREFILL, now=now)
+
     def running(self, service: types.ServiceName, now: float) -> int:
         """How many generations hold a place at a service."""
         found = self.candidates(service, types.Role.DECODE, now=now)
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -150,6 +150,8 @@
 ) -> forwarding.Ended | None:
     """As `run`, on a connection that is up, with further headers."""
     began = call.site.loop_time()
+    if call.sampled or call.tried:
+        _log_choice(call, endpoint, began)
     ran_before = call.may_have_run
     call.tried.append(endpoint.id)
     call.may_have_run = True
@@ -165,6 +167,24 @@
     return ended
 
 
+def _log_choice(
+    call: call_mod.Call, endpoint: endpoints.Endpoint, now: float
+) -> None:
+    """Log where a request goes, and how old what that rests on is."""
+    site = call.site
+    use = site.loads.total(endpoint.id, now)
+    heard_at = site.table.heard_at.get(endpoint.id, now)
+    call.log(
+        "Sent.",
+        endpoint=endpoint.id,
+        sequence=endpoint.sequence,
+        heard_s=round(now - heard_at, 2),
+        under_way=use.requests,
+        slots=endpoint.slots,
+        time_left_s=round(call.until - now, 3),
+    )
+
+
 def _broke(
     call: call_mod.Call,
     endpoint: endpoints.Endpoint,
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -4,6 +4,8 @@
 only when a decode endpoint has room for it and a connection to it is up.
 """
 
+from typing import Callable
+
 from rackpost.decide import forwarding
 from rackpost.decide import kv_forecast
 from rackpost.decide import waiting
@@ -58,11 +60,11 @@
         self._note_demand()
         while True:
             self._progress = self._new_progress()
-            call.on_event = self._progress.event
             place = await call.site.room.wait(self._wanted())
             if isinstance(place, room.Full):
                 self._refuse_full(place)
                 return
+            call.on_event = self._on_event(place)
             try:
                 ended = await self._run_at(place.endpoint)
             finally:
@@ -71,6 +73,15 @@
                 self._read.release()
                 return
 
+    def _on_event(self, place: room.Place) -> Callable[[], None]:
+        progress = self._progress
+
+        def on_event() -> None:
+            place.was_read()
+            progress.event()
+
+        return on_event
+
     def _note_demand(self) -> None:
         """Count what this request asks of each role of endpoint."""
         site = self._call.site
@@ -106,9 +117,13 @@
 
     def _start_by(self) -> float:
         call = self._call
-        if call.responder.started or not call.route.silence_s:
+        if not call.route.silence_s:
             return call.until
-        leaves = call.began + call.route.silence_s
+        # Within a stream, silence begins with the event that was last.
+        began = call.began
+        if call.responder.started:
+            began = call.site.loop_time()
+        leaves = began + call.route.silence_s
         return min(call.until, leaves - _WAY_BACK_S)
 
     async def _run_at(
--- a/rackpost/gateway/room.py
+++ b/rackpost/gateway/room.py
@@ -37,10 +37,14 @@
 
 
 class Place(msgspec.Struct, frozen=True, kw_only=True):
-    """Room at an endpoint, until released."""
+    """Room at an endpoint, until released.
+
+    `was_read` is called when the prompt has been read, if not before.
+    """
 
     endpoint: endpoints.Endpoint
     release: Callable[[], None]
+    was_read: Callable[[], None]
 
 
 class Full(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,6 +54,10 @@
     expected_wait_s: float
 
 
+def _nothing() -> None:
+    """A prefill endpoint reads the prompt."""
+
+
 class _Waiter:
     """A generation that waits."""
 
@@ -150,22 +158,45 @@
                 self._settle(waiter, place)
 
     def _place(self, wanted: Wanted, now: float) -> Place | None:
+        in_place = self._chooser.reads_in_place(wanted.service, now)
         endpoint = self._chooser.decode(
             wanted.service,
             wanted.run,
             int(wanted.capacity * FILL),
+            in_place=in_place,
             but=wanted.but,
             now=now,
         )
         if endpoint is None:
             return None
         held = self._loads.hold(endpoint.id, run=wanted.run)
+        reading = _nothing
+        if in_place:
+            prompt = wanted.run.size
+            reading = self._loads.hold(endpoint.id, prompt=prompt)
+        return self._held(endpoint, held, reading)
+
+    def _held(
+        self,
+        endpoint: endpoints.Endpoint,
+        held: Callable[[], None],
+        reading: Callable[[], None],
+    ) -> Place:
+        done = False
+
+        def was_read() -> None:
+            nonlocal done
+            if not done:
+                done = True
+                reading()
+                self._changed.set()
 
         def release() -> None:
+            was_read()
             held()
             self._changed.set()
 
-        return Place(endpoint=endpoint, release=release)
+        return Place(endpoint=endpoint, release=release, was_read=was_read)
 
     def _settle(self, waiter: _Waiter, place: Place | Full) -> None:
         self._waiters.remove(waiter)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -166,6 +166,23 @@
     assert not known.health.is_full(A, 1.3)
 
 
+def test_one_prompt_at_a_time_is_read_where_tokens_are_made() -> None:
+    known = Known(types.Role.DECODE)
+    assert known.chooser.reads_in_place(SERVICE, 0.0)
+    wanted = run(100, 100)
+    one = known.chooser.decode(SERVICE, wanted, 9000, in_place=True, now=0.0)
+    assert one is not None
+    release = known.loads.hold(one.id, prompt=100)
+    two = known.chooser.decode(SERVICE, wanted, 9000, in_place=True, now=0.0)
+    assert two is not None and two.id != one.id
+    known.loads.hold(two.id, prompt=100)
+    none = known.chooser.decode(SERVICE, wanted, 9000, in_place=True, now=0.0)
+    assert none is None
+    release()
+    again = known.chooser.decode(SERVICE, wanted, 9000, in_place=True, now=0.0)
+    assert again is not None and again.id == one.id
+
+
 def test_progress_past_its_guess_still_expects_some_more() -> None:
     progress = kv_forecast.Progress(
         prompt=10, guess=100, most=400, event_tokens=50
