Disk: a failed write is cut off before the next; compaction can be retried; rackpost story, check-config

Cause (found in reading): the patient disk wrote a frame again behind the half of it that a full disk had taken, which is damage at the next start; a failed compaction left a closed handle behind. Change: the log is cut to its good size first; handles change hands last; half-written parts are removed. Also: one request's story from log files, a check of routing documents, gateways ready only once they know endpoints.

--- a/rackpost/cmd_operator.py
+++ b/rackpost/cmd_operator.py
@@ -12,9 +12,13 @@
 import urllib.parse
 import urllib.request
 
+import msgspec
+
 from rackpost import exceptions
+from rackpost import log_story
 from rackpost import operator_client
 from rackpost import operator_commands
+from rackpost.platform import documents
 from rackpost import program
 
 _TIMEOUT_S = 5.0
@@ -322,6 +326,37 @@
     return "\n".join(lines)
 
 
+def story(asked: operator_commands.Story) -> str:
+    """A request's log lines, from all files, in order."""
+    found: list[log_story.Step] = []
+    for name in asked.files or ["-"]:
+        try:
+            file = sys.stdin if name == "-" else open(name, encoding="utf-8")
+        except OSError as exc:
+            raise exceptions.ConfigError(f"{name}: {exc.strerror}") from exc
+        with file:
+            found += log_story.steps(file, asked.request_id)
+    merged = log_story.merge(found)
+    if asked.json:
+        return "\n".join(
+            json.dumps(msgspec.to_builtins(step)) for step in merged
+        )
+    return log_story.text(merged)
+
+
+def check_config(asked: operator_commands.CheckConfig) -> str:
+    """What is wrong with a routing document, or what it holds."""
+    try:
+        text = pathlib.Path(asked.file).read_bytes()
+    except OSError as exc:
+        raise exceptions.ConfigError(f"{asked.file}: {exc.strerror}") from exc
+    doc = documents.decode(text)
+    return (
+        f"version {doc.version}: {len(doc.routes)} routes, "
+        f"{len(doc.services)} services, valid"
+    )
+
+
 _ACTIONS: dict[type, Callable[[Any], str]] = {
     operator_commands.Show: show,
     operator_commands.Set: change,
@@ -335,6 +370,8 @@
     operator_commands.Order: order,
     operator_commands.Replicas: replicas,
     operator_commands.Explain: explain,
+    operator_commands.Story: story,
+    operator_commands.CheckConfig: check_config,
 }
 
 
--- a/rackpost/consensus/storage.py
+++ b/rackpost/consensus/storage.py
@@ -150,10 +150,15 @@
 
 def _write_whole(path: pathlib.Path, data: bytes) -> None:
     part = path.with_suffix(".part")
-    with open(part, "wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
+    try:
+        with open(part, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+    except OSError:
+        # On a full disk the half would keep its place.
+        part.unlink(missing_ok=True)
+        raise
     os.replace(part, path)
     _sync_dir(path.parent)
 
@@ -188,6 +193,9 @@
         self._folder = folder
         self._log = folder / "log"
         self._handle = -1
+        # Bytes of the log that are good, and whether others may follow.
+        self._size = 0
+        self._dirty = False
 
     def load(self) -> Loaded:
         """Read all, cut a torn end, and open the log for writing.
@@ -240,6 +248,7 @@
         self._handle = os.open(self._log, flags, 0o600)
         os.ftruncate(self._handle, good)
         os.fsync(self._handle)
+        self._size = good
         _sync_dir(self._folder)
 
     async def save(self, out: raft.Output) -> None:
@@ -251,13 +260,20 @@
     def _append(self, payload: bytes) -> None:
         data = frame(payload)
         try:
+            if self._dirty:
+                # A part of a frame, with good ones behind, is damage.
+                os.ftruncate(self._handle, self._size)
+            self._dirty = True
             view = memoryview(data)
             while view:
                 view = view[os.write(self._handle, view) :]
             os.fdatasync(self._handle)
         except OSError as exc:
-            # What reached the disk is not known: only a restart helps.
+            # What reached the disk is not known; it is cut off before the
+            # next frame is written, or at a restart.
             raise exceptions.StorageError(f"log: {exc}") from exc
+        self._dirty = False
+        self._size += len(data)
 
     async def compact(
         self, snapshot: m.Snapshot, hard: m.HardState, log: log_mod.Log
@@ -271,9 +287,15 @@
         # as they lie below the snapshot.
         whole = frame(codec.encode(snapshot))
         _write_whole(self._folder / "snapshot", whole)
-        os.close(self._handle)
-        _write_whole(self._log, frame(codec.encode(rest)))
+        data = frame(codec.encode(rest))
+        _write_whole(self._log, data)
+        # The old log stays open until the new one is, so that this can be
+        # done again where the disk fails.
+        old = self._handle
         self._handle = os.open(self._log, os.O_RDWR | os.O_APPEND)
+        os.close(old)
+        self._size = len(data)
+        self._dirty = False
 
     def close(self) -> None:
         """Let go of the log."""
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -23,6 +23,9 @@
 # What is left of the grace time for ending, in seconds.
 _END_S = 0.4
 _STEP_S = 0.05
+# A gateway that has started waits so long for news of endpoints, which
+# send heartbeats every second or so, before it is ready without any.
+_ENDPOINTS_S = 5.0
 _SWEEP_S = 1.0
 
 
@@ -38,10 +41,11 @@
         )
         self.stopping = False
         self._ready = False
+        self._began = self.site.loop_time()
 
     def is_ready(self) -> bool:
         """Whether new connections are welcome here."""
-        ready = self.site.routes is not None and not self.stopping
+        ready = self._knows_enough() and not self.stopping
         if ready != self._ready:
             self._ready = ready
             logs.say(
@@ -52,6 +56,13 @@
             )
         return ready
 
+    def _knows_enough(self) -> bool:
+        """Whether routes are there, and endpoints if there are any."""
+        if self.site.routes is None:
+            return False
+        waited = self.site.loop_time() - self._began
+        return bool(self.site.table.alive) or waited > _ENDPOINTS_S
+
     def reload(self, host: settings.HostSettings) -> None:
         """Take new settings: other seeds."""
         self._links.reload(host)
--- a/rackpost/operator_commands.py
+++ b/rackpost/operator_commands.py
@@ -191,11 +191,41 @@
     ]
 
 
+@cappa.command(name="story", help="Show a request's log lines in order.")
+@dataclasses.dataclass(kw_only=True)
+class Story:
+    """Show what the logs of gateways and coordinators say of a request."""
+
+    request_id: Annotated[str, cappa.Arg(help="id that the client sent")]
+    files: Annotated[
+        list[str], cappa.Arg(help="log files; standard input if none")
+    ] = dataclasses.field(default_factory=list)
+    json: Annotated[
+        bool, cappa.Arg(long="--json", help="one object a line")
+    ] = False
+
+
+@cappa.command(name="check-config", help="Check a routing document.")
+@dataclasses.dataclass(kw_only=True)
+class CheckConfig:
+    """Check a routing document as coordinators do, before it is sent."""
+
+    file: Annotated[str, cappa.Arg(help="the document, JSON")]
+
+
 @cappa.command(name="rackpost")
 @dataclasses.dataclass(kw_only=True)
 class Operator:
     """Look at a site and change it."""
 
     what: cappa.Subcommands[
-        Settings | Apply | Events | Status | Order | Replicas | Explain
+        Settings
+        | Apply
+        | Events
+        | Status
+        | Order
+        | Replicas
+        | Explain
+        | Story
+        | CheckConfig
     ]
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,6 +1,8 @@
 """What lies on the disk: torn ends are cut, damage is refused."""
 
 import asyncio
+import errno
+import os
 import pathlib
 
 import pytest
@@ -9,6 +11,7 @@
 from rackpost.consensus import messages as m
 from rackpost.consensus import raft
 from rackpost.consensus import storage
+from rackpost.coordinator import disk as coordinator_disk
 from rackpost import exceptions
 
 CONFIG = m.Config(voters=(m.ReplicaId("c0"),))
@@ -131,3 +134,118 @@
     batch = storage.Batch(entries=tuple(output(2).append))
     with pytest.raises(exceptions.StorageError):
         storage.replay(log, batch)
+
+
+def test_a_write_that_failed_in_part_is_cut_off_before_the_next(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """On a full disk half a frame stood before good ones: damage."""
+    storage.create(tmp_path, replica=m.ReplicaId("c0"), config=CONFIG)
+    disk = storage.FileDisk(folder=tmp_path)
+    disk.load()
+    write = os.write
+
+    def full(handle: int, data: memoryview) -> int:
+        if len(data) > 10:
+            return write(handle, data[:10])
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    async def main() -> None:
+        await disk.save(output(1))
+        monkeypatch.setattr(os, "write", full)
+        for _ in range(2):
+            with pytest.raises(exceptions.StorageError):
+                await disk.save(output(2))
+        monkeypatch.setattr(os, "write", write)
+        await disk.save(output(2))
+        await disk.save(output(3))
+
+    asyncio.run(main())
+    disk.close()
+    found = load(tmp_path)
+    assert found.log.last_index == 3
+    assert found.torn_bytes == 0
+
+
+def test_a_compaction_that_failed_can_be_done_again(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    storage.create(tmp_path, replica=m.ReplicaId("c0"), config=CONFIG)
+    disk = storage.FileDisk(folder=tmp_path)
+    log = disk.load().log
+    for index in (1, 2, 3):
+        log.append(output(index).append)
+    snapshot = m.Snapshot(index=m.Index(2), term=m.Term(1), config=CONFIG)
+    hard = m.HardState(term=m.Term(1))
+    sync = os.fsync
+    left = [1]
+
+    def failing(handle: int) -> None:
+        # The snapshot is written, the log behind it is not.
+        left[0] -= 1
+        if left[0] < 0:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        sync(handle)
+
+    async def main() -> None:
+        for index in (1, 2, 3):
+            await disk.save(output(index))
+        monkeypatch.setattr(os, "fsync", failing)
+        for allowed in (0, 1, 2, 3):
+            left[0] = allowed
+            with pytest.raises(OSError):
+                await disk.compact(snapshot, hard, log)
+            assert not list(tmp_path.glob("*.part"))
+        monkeypatch.setattr(os, "fsync", sync)
+        await disk.compact(snapshot, hard, log)
+        await disk.save(output(4))
+
+    asyncio.run(main())
+    disk.close()
+    found = load(tmp_path)
+    assert found.log.snapshot.index == 2
+    assert found.log.last_index == 4
+
+
+def test_a_coordinators_disk_is_tried_until_it_takes_what_it_must(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    disk, _ = coordinator_disk.open_disk(
+        tmp_path, host="h", first_hosts=("h",)
+    )
+    patient = coordinator_disk.PatientDisk(disk=disk)
+    sync = os.fdatasync
+    failures = [3]
+
+    def failing(handle: int) -> None:
+        if failures[0]:
+            failures[0] -= 1
+            raise OSError(errno.EIO, "input/output error")
+        sync(handle)
+
+    async def main() -> None:
+        monkeypatch.setattr(os, "fdatasync", failing)
+        await patient.save(output(1))
+
+    asyncio.run(main())
+    disk.close()
+    assert failures == [0]
+    assert load(tmp_path).log.last_index == 1
+
+
+def test_a_damaged_log_is_set_aside_and_the_replica_is_new(
+    tmp_path: pathlib.Path,
+) -> None:
+    fill(tmp_path, 3)
+    path = tmp_path / "log"
+    data = bytearray(path.read_bytes())
+    data[20] ^= 0xFF
+    path.write_bytes(bytes(data))
+    disk, loaded = coordinator_disk.open_disk(
+        tmp_path, host="h", first_hosts=("h",)
+    )
+    disk.close()
+    assert loaded.identity.replica.startswith("h#")
+    assert loaded.identity.config.voters == ()
+    assert loaded.log.last_index == 0
+    assert (tmp_path / "log.damaged").exists()
