--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -89,3 +89,11 @@
     assert paths.endpoint_id(b"/v1/instances/i-1") == "i-1"
     assert paths.endpoint_id(b"/v1/instances/") is None
     assert paths.endpoint_id(b"/v1/other/i-1") is None
+
+
+def test_the_deployment_pins_what_the_tests_ran_with() -> None:
+    def pins(path: pathlib.Path) -> set[str]:
+        return {line for line in path.read_text().splitlines() if line}
+
+    wanted = pins(ROOT / "deploy" / "requirements.txt")
+    assert wanted and wanted <= pins(ROOT / "requirements.txt")
