Model of lost disks: commit, promotion and removal as the product does them

Cause: nothing checked that copies, new ids and step-wise changes together keep what was committed. Change: spec/durable.py runs the product's own membership plan over every order of copies, commits, losses and changes.

--- a/spec/check.py
+++ b/spec/check.py
@@ -12,10 +12,11 @@
 
 from spec import claims
 from spec import consensus
+from spec import durable
 from spec import membership
 from spec import settings
 
-MODELS = (consensus, membership, claims, settings)
+MODELS = (consensus, membership, durable, claims, settings)
 # More states than this are not explored; the run then fails.
 _MAX_STATES = 3_000_000
 
