Ties between those that wait are decided by name; role changes need more gain

Change: within 60 ms names decide; few gateways compare all endpoints; the gain a change must bring is larger for few endpoints.

--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -38,8 +38,9 @@
 # A replica that asked to join is a candidate for this long, in seconds.
 _JOINING_S = 2.0
 _HELLO_S = 1.0
-# An endpoint that has missed this many heartbeats has probably crashed.
-_SILENT_BEATS = 3.5
+# An endpoint that has missed this many heartbeats counts in no pool; one
+# that crashed is mostly back sooner, and a change of role takes longer.
+_SILENT_BEATS = 8.0
 # How often gateways are told whose heartbeats have come, in seconds.
 _HEARD_S = 0.5
 
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -16,6 +16,8 @@
 # A usual time of an answer until one was measured, in seconds.
 _USUAL_S = 0.1
 
+# With more gateways than this they spread their choices.
+_MANY = 8
 # Places at one endpoint that are counted; more make no difference to who
 # goes first.
 _MOST_PLACES = 3
@@ -42,6 +44,11 @@
         self._silent_s = silent_s
         self._rng = rng
         self._changing: frozenset[types.EndpointId] = frozenset()
+        self._gateways = 1
+
+    def set_gateways(self, count: int) -> None:
+        """So many gateways choose among the same endpoints."""
+        self._gateways = count
 
     def set_changing(self, keys: Iterable[types.EndpointId]) -> None:
         """These endpoints change their role and take nothing now."""
@@ -131,11 +138,13 @@
             peak = self._peak_with(item, [run], capacity, in_place, now)
             if peak is not None:
                 fitting.append((peak * self._far(item), item))
-        # Of two at random the emptier one: gateways whose figures are some
-        # milliseconds old would all take the same emptiest one.
-        self._rng.shuffle(fitting)
-        two = fitting[:2]
-        return min(two, key=lambda pair: pair[0])[1] if two else None
+        if self._gateways > _MANY:
+            # Of two at random the emptier one: many gateways, whose figures
+            # are some milliseconds old, would all take the emptiest.
+            self._rng.shuffle(fitting)
+            del fitting[2:]
+        best = min(fitting, key=lambda pair: pair[0], default=None)
+        return best[1] if best else None
 
     def _peak_with(
         self,
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -148,6 +148,11 @@
             if now - heard.at > KEEP_S:
                 self.forget(sender)
 
+    @property
+    def tellers(self) -> int:
+        """How many other gateways tell their figures."""
+        return len(self._others)
+
     def waiting(self) -> int:
         """Requests that wait for room at other gateways."""
         return sum(heard.waiting for heard in self._others.values())
@@ -159,12 +164,13 @@
 
     def ahead(self, left: waiting_mod.Left, me: types.VmId, now: float) -> int:
         """How many that wait at other gateways go before one here."""
-        mine = (left.rank(0.0), me)
+        mine = left.rank(0.0)
         count = 0
         for sender, heard in self._others.items():
             age = now - heard.at
             for other in heard.first:
-                if (other.rank(age), sender) < mine:
+                rank = other.rank(age)
+                if waiting_mod.goes_before(rank, sender, mine, me):
                     count += 1
         return count
 
--- a/rackpost/decide/role_balance.py
+++ b/rackpost/decide/role_balance.py
@@ -10,9 +10,12 @@
 # rise, shorter than a change of role pays for itself.
 _WINDOW_S = 6.0
 # A role is changed only where the fuller pool is this full, and would be
-# less full by this factor: a change costs an endpoint for seconds.
+# less full by a factor.  A change takes one endpoint away for seconds, and a
+# small pool waits long before it is full, so that the factor is larger for
+# few endpoints (five, two of which prefill, did worse with one; of three,
+# one was better).
 _FULL = 0.6
-_GAIN = 1.25
+_GAIN_OF_ONE = 2.5
 
 
 class Demand(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -85,7 +88,8 @@
         default=pools.prefill,
     )
     after = fullest(Pools(prefill=best, decode=total - best), demand)
-    if after * _GAIN >= now or best == pools.prefill:
+    gain = 1.0 + _GAIN_OF_ONE / total
+    if after * gain >= now or best == pools.prefill:
         return None
     if best < pools.prefill:
         return types.Role.DECODE
--- a/rackpost/decide/waiting.py
+++ b/rackpost/decide/waiting.py
@@ -101,6 +101,23 @@
         return (late, self.priority, at - age_s)
 
 
+# What others have left is some milliseconds old when it comes, so that each
+# would hold itself to be first; nearer than this, names decide, in seconds.
+_TIE_S = 0.06
+
+
+def goes_before(
+    other: tuple[bool, int, float],
+    other_name: str,
+    mine: tuple[bool, int, float],
+    my_name: str,
+) -> bool:
+    """Whether another gateway's request goes before one here, by rank."""
+    if other[:2] == mine[:2] and abs(other[2] - mine[2]) < _TIE_S:
+        return other_name < my_name
+    return other < mine
+
+
 def left(claim: Claim, now: float) -> Left:
     """What a request has left."""
     return Left(
--- a/rackpost/gateway/room.py
+++ b/rackpost/gateway/room.py
@@ -28,9 +28,9 @@
 _LOOK_PAST = 4
 # Those that wait that other gateways are told of.
 _MOST_TOLD = 6
-# Changes that come together are looked at together, in seconds: with many
-# gateways there are some hundred a second.
-_GATHER_S = 0.015
+# Changes that come together are looked at together, in seconds: a part for
+# each gateway, of which many tell some hundred changes a second.
+_GATHER_EACH_S = 0.0005
 # Requests that may wait at one gateway.
 MOST = 512
 
@@ -273,6 +273,6 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_LOOK_S if self._waiters else None):
                     await self._changed.wait()
-                await asyncio.sleep(_GATHER_S)
+                await asyncio.sleep(_GATHER_EACH_S * self._loads.tellers)
             self._changed.clear()
             self._give()
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -104,6 +104,7 @@
         """A gateway shares the site's budgets and endpoints."""
         if self.gateways.get(item.vm) != item:
             self.gateways[item.vm] = item
+            self.chooser.set_gateways(self.gateway_count)
             # A newcomer knows nothing of what is under way.
             self.loads_changed.set()
 
@@ -116,6 +117,7 @@
         for vm in set(self.gateways) - self._told - {self.host.vm}:
             if not self.loads.heard_from(vm, since):
                 del self.gateways[vm]
+                self.chooser.set_gateways(self.gateway_count)
                 self.loads.forget(vm)
 
     def put_routes(self, doc: model.Document) -> bool:
