--- a/rackpost/site_program.py
+++ b/rackpost/site_program.py
@@ -88,6 +88,11 @@
             first_start=host.first_start,
         )
         await main(host, Signals(part=part))
+        logs.say(part, "Ended.", lines_dropped=output.dropped)
+        output.flush()
+        # All that must last is synced; a thread that hangs on a stalled
+        # disk would hold up the end beyond the grace time.
+        os._exit(0)
 
     try:
         uvloop.run(start())
@@ -95,5 +100,3 @@
         logs.say(part, "Ended by an error.", why=str(exc))
         output.flush()
         sys.exit(1)
-    logs.say(part, "Ended.", lines_dropped=output.dropped)
-    output.flush()
