A prefill that may be rejected counts before it is sent

Change: a prefill is counted until an endpoint has taken it up as the first; without budget the prompt is read in place; endpoints without a free slot and those that have just rejected one are left out, and a generation waits for both places; many gateways spread their choice.

--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -106,15 +106,37 @@
         but: Sequence[types.EndpointId] = (),
         now: float,
     ) -> endpoints.Endpoint | None:
-        """The prefill endpoint with the least to read before `prompt`."""
-        found = self.candidates(service, types.Role.PREFILL, but=but, now=now)
+        """The prefill endpoint with the least to read before `prompt`.
 
-        def wait(item: endpoints.Endpoint) -> float:
+        None where there is none with a free slot.
+        """
+        found = self.candidates(service, types.Role.PREFILL, but=but, now=now)
+        usual = self._usual_s(found)
+        free = []
+        for item in found:
             use = self._loads.total(item.id)
-            slow = self._health.slowness(item.id, self._usual_s(found))
-            return (use.prompt + prompt) * slow * self._far(item)
+            if use.requests >= item.slots:
+                continue
+            if self._health.is_full(item.id, now):
+                continue
+            slow = self._health.slowness(item.id, usual)
+            wait = (use.prompt + prompt) * slow * self._far(item)
+            free.append((wait, item))
+        return self._least(free)
+
+    def _least(
+        self, found: list[tuple[float, endpoints.Endpoint]]
+    ) -> endpoints.Endpoint | None:
+        """The endpoint with the least figure, spread over gateways.
 
-        return min(found, key=wait, default=None)
+        Many gateways, whose figures are some milliseconds old, would all
+        take the least: of two at random each takes the lesser.
+        """
+        if self._gateways > _MANY:
+            self._rng.shuffle(found)
+            del found[2:]
+        best = min(found, key=lambda pair: pair[0], default=None)
+        return best[1] if best else None
 
     def decode(
         self,
@@ -138,13 +160,7 @@
             peak = self._peak_with(item, [run], capacity, in_place, now)
             if peak is not None:
                 fitting.append((peak * self._far(item), item))
-        if self._gateways > _MANY:
-            # Of two at random the emptier one: many gateways, whose figures
-            # are some milliseconds old, would all take the emptiest.
-            self._rng.shuffle(fitting)
-            del fitting[2:]
-        best = min(fitting, key=lambda pair: pair[0], default=None)
-        return best[1] if best else None
+        return self._least(fitting)
 
     def _peak_with(
         self,
@@ -190,6 +206,10 @@
         """Whether no endpoint prefills, so that decodes read themselves."""
         return not self.candidates(service, types.Role.PREFILL, now=now)
 
+    def can_prefill(self, service: types.ServiceName, now: float) -> bool:
+        """Whether a prefill endpoint has a free slot."""
+        return self.prefill(service, 0, now=now) is not None
+
     def running(self, service: types.ServiceName, now: float) -> int:
         """How many generations hold a place at a service."""
         found = self.candidates(service, types.Role.DECODE, now=now)
--- a/rackpost/decide/retry_budget.py
+++ b/rackpost/decide/retry_budget.py
@@ -41,6 +41,14 @@
         """A repeat is sent."""
         self._repeats.append(now)
 
+    def refund(self, at: float) -> None:
+        """What was counted as a repeat at a clock reading was none."""
+        try:
+            self._repeats.remove(at)
+        except ValueError:
+            # It has left the window since.
+            return
+
     def _trim(self, now: float) -> None:
         before = now - self._window_s
         for times in (self._requests, self._repeats):
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -1,6 +1,7 @@
 """Having a prompt read by a prefill endpoint, for a decode elsewhere."""
 
 import asyncio
+import enum
 
 from rackpost import exceptions
 from rackpost.gateway import attempt
@@ -24,7 +25,7 @@
 
     def __init__(self, *, call: call_mod.Call) -> None:
         self._call = call
-        # Calls to read the prompt that have arrived somewhere.
+        # Calls to read the prompt that an endpoint has, or may have, taken.
         self.arrivals = 0
         self._address = ""
         self._read_at = 0.0
@@ -80,25 +81,48 @@
         call.log("KV cache not released.", why=str(exc))
 
 
+class _Ended(enum.Enum):
+    """How a call to read a prompt ended."""
+
+    READ = "read"
+    REJECTED = "rejected"
+    BROKEN = "broken"
+    NOT_SENT = "not-sent"
+
+
 async def prefill(call: call_mod.Call, prompt: int, read: Prefilled) -> None:
     """Have the prompt read; where that fails, decode reads it itself."""
     site = call.site
     tried: list[types.EndpointId] = []
     while len(tried) < _TRIES:
         now = site.loop_time()
-        # The first reading is free; a further one is a repeat.
-        if read.arrivals or call.attempts:
-            if not call.budget.allows(now, site.gateway_count):
-                return
-            call.budget.repeat(now)
+        if not call.budget.allows(now, site.gateway_count):
+            call.log("Read in place.", reason="retry budget")
+            return
         endpoint = site.chooser.prefill(
             call.service.name, prompt, but=tried, now=now
         )
         if endpoint is None:
             return
         tried.append(endpoint.id)
-        if await _prefill_at(call, endpoint, prompt, read):
+        # Counted as a repeat until it is known to be none: of many that
+        # are sent at once all may be rejected, and those count.
+        call.budget.repeat(now)
+        ended = await _prefill_at(call, endpoint, prompt, read)
+        if _is_free(ended, read):
+            call.budget.refund(now)
+        if ended is _Ended.READ:
+            read.arrivals += 1
             return
+        if ended is _Ended.BROKEN:
+            read.arrivals += 1
+
+
+def _is_free(ended: _Ended, read: Prefilled) -> bool:
+    """Whether a call was no repeat: the first that an endpoint took up."""
+    if ended is _Ended.READ:
+        return read.arrivals == 0
+    return ended is _Ended.NOT_SENT
 
 
 async def _prefill_at(
@@ -106,7 +130,7 @@
     endpoint: endpoints.Endpoint,
     prompt: int,
     read: Prefilled,
-) -> bool:
+) -> _Ended:
     site = call.site
     began = site.loop_time()
     ahead = site.loads.total(endpoint.id).prompt
@@ -120,21 +144,9 @@
         exceptions.CodecError,
         TimeoutError,
     ) as exc:
-        site.health.broke(endpoint.id, site.loop_time())
-        if getattr(exc, "sent", True):
-            read.arrivals += 1
-        call.log(
-            "Prefill failed.",
-            endpoint=endpoint.id,
-            why=str(exc) or "slow",
-            patience_s=round(patience, 3),
-        )
-        return False
-    read.arrivals += 1
+        return _broke(call, endpoint, exc, patience)
     if result is None:
-        # One that is rejected counts, be it the first.
-        call.budget.repeat(site.loop_time())
-        return False
+        return _Ended.REJECTED
     took = site.loop_time() - began
     site.pace.took(ahead + prompt, took)
     site.health.answered(endpoint.id, took)
@@ -147,7 +159,25 @@
             ahead=ahead,
             took_s=round(took, 4),
         )
-    return True
+    return _Ended.READ
+
+
+def _broke(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    exc: Exception,
+    patience: float,
+) -> _Ended:
+    call.site.health.broke(endpoint.id, call.site.loop_time())
+    call.log(
+        "Prefill failed.",
+        endpoint=endpoint.id,
+        why=str(exc) or "slow",
+        patience_s=round(patience, 3),
+    )
+    if isinstance(exc, exceptions.ExchangeError) and not exc.sent:
+        return _Ended.NOT_SENT
+    return _Ended.BROKEN
 
 
 async def _ask_prefill(
@@ -159,7 +189,10 @@
         body = await conn.read_whole(_MAX_RESULT)
     if attempt.is_not_run(reply.head) or reply.head.status != 200:
         attempt.note_replaced(call, endpoint, reply.head)
-        call.site.health.erred(endpoint.id)
+        if reply.head.status == 503:
+            call.site.health.turned_away(endpoint.id, call.site.loop_time())
+        else:
+            call.site.health.erred(endpoint.id)
         call.log(
             "Prefill refused.",
             endpoint=endpoint.id,
--- a/rackpost/gateway/room.py
+++ b/rackpost/gateway/room.py
@@ -218,6 +218,8 @@
 
     def _place(self, wanted: Wanted, now: float) -> Place | None:
         in_place = self._chooser.reads_in_place(wanted.service, now)
+        if not in_place and not self._chooser.can_prefill(wanted.service, now):
+            return None
         endpoint = self._chooser.decode(
             wanted.service,
             wanted.run,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -353,3 +353,29 @@
             assert message.find(run[0].headers, b"x-kv-source") is None
 
     asyncio.run(main())
+
+
+def test_rejected_prefills_stay_within_the_retry_budget(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def full(req: message.Request, responder: server.Responder) -> None:
+        responder.whole(503, [(b"x-not-executed", b"1")], b"")
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            site.prefill.answer = full
+            # Nothing is remembered of the rejections but the budget.
+            site.gateway.site.health.turned_away = (  # type: ignore
+                lambda endpoint, now: None
+            )
+            for number in range(80):
+                got = await site.raw(
+                    generation().replace(b": r1", b": r%d" % number)
+                )
+                assert status(got) == 200
+            allowed = 0.2 * 80 + 56
+            assert 20 < len(site.prefill.seen) <= allowed
+            in_place = sum(len(one.seen) for one in site.decode)
+            assert in_place == 80
+
+    asyncio.run(main())
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -376,6 +376,31 @@
     assert 0 < repeats <= 0.2 * requests + 56
 
 
+def test_a_first_reading_is_refunded_and_a_rejected_one_counts() -> None:
+    """Many prefills sent at once were all rejected: 205 of 187 allowed."""
+    budget = retry_budget.RetryBudget(ratio=0.0, slack=10, window_s=10)
+    sent = 0
+    while budget.allows(0.0, 1):
+        budget.repeat(0.0)
+        sent += 1
+    assert sent == 8
+    budget.refund(0.0)
+    assert budget.allows(0.0, 1)
+    budget.refund(99.0)
+
+
+def test_no_prompt_goes_to_a_prefill_endpoint_without_a_free_slot() -> None:
+    known = Known(types.Role.PREFILL)
+    for _ in range(6):
+        known.loads.hold(A, prompt=10)
+    chosen = known.chooser.prefill(SERVICE, 5000, now=0.0)
+    assert chosen is not None and chosen.id == B
+    known.health.turned_away(B, 0.0)
+    assert known.chooser.prefill(SERVICE, 5000, now=0.1) is None
+    assert not known.chooser.can_prefill(SERVICE, 0.1)
+    assert known.chooser.can_prefill(SERVICE, 0.3)
+
+
 def test_the_budget_slides() -> None:
     budget = retry_budget.RetryBudget(ratio=0.0, slack=10, window_s=10)
     while budget.allows(0.0, 1):
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -70,6 +70,7 @@
                 service=SERVICE,
                 address="p:1",
                 role=types.Role.PREFILL,
+                slots=SLOTS,
                 sequence=1,
             ),
             0.0,
