Membership of the coordinators is kept in a module of its own

Change: MemberKeeper holds who joins, who called, seeds and beliefs; the number of voters is decided in consensus/membership.py; the belief is a typed tuple. No behaviour is changed.

--- a/rackpost/consensus/membership.py
+++ b/rackpost/consensus/membership.py
@@ -15,6 +15,8 @@
 REPLACE_AFTER_S = 1.5
 # A learner silent for this long is dropped, in seconds.
 DROP_AFTER_S = 30.0
+# Voters of a site that need not survive a lost disk: one may still be down.
+_FEWEST_VOTERS = 3
 
 
 class View(msgspec.Struct, frozen=True, kw_only=True):
@@ -42,6 +44,15 @@
     return replica.split("#", 1)[0]
 
 
+def target_voters(copies: int) -> int:
+    """How many voters there should be.
+
+    Of 2 x `copies` - 1 voters, `copies` are a quorum, so that it still
+    stands when one fewer are down.
+    """
+    return 2 * copies - 1 if copies > 1 else _FEWEST_VOTERS
+
+
 def next_config(view: View) -> m.Config | None:
     """The next config, or None if the present one is as it should be."""
     return _promote(view) or _remove_voter(view) or _learners(view)
--- /dev/null
+++ b/rackpost/coordinator/members.py
@@ -0,0 +1,159 @@
+"""Which replicas take part in consensus, and which hosts are linked to.
+
+What the leader changes is decided in `rackpost.consensus.membership`; this
+module collects what that rests on, and carries it out.
+"""
+
+import asyncio
+from typing import Callable
+from typing import Iterable
+from typing import NamedTuple
+
+from rackpost.consensus import membership
+from rackpost.consensus import messages as consensus
+from rackpost.control import node as node_mod
+from rackpost.coordinator import links
+from rackpost.coordinator import messages
+from rackpost import exceptions
+from rackpost import logs
+
+# How often membership and links are looked at, in seconds.
+_ROUND_S = 0.2
+# A replica that no leader has spoken to for this long asks to join, in
+# seconds.
+_LEADERLESS_S = 0.8
+# A replica that asked to join is a candidate for this long, in seconds.
+_JOINING_S = 2.0
+
+
+class _Belief(NamedTuple):
+    """Who leads and who votes, as this replica was last told."""
+
+    leader: consensus.ReplicaId | None
+    config: consensus.Config
+
+
+class MemberKeeper:
+    """Keeps one replica among the others, and those in order if it leads."""
+
+    def __init__(
+        self,
+        *,
+        node: node_mod.Node,
+        dialler: links.Dialler,
+        ip: str,
+        seeds: Iterable[str],
+        copies: int,
+        changed: Callable[[], None],
+    ) -> None:
+        """`changed` is called when the leader or the config is another.
+
+        `seeds` are `host:port` of some coordinators; `copies` is how many
+        voters must have a record before it is committed.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._node = node
+        self._dialler = dialler
+        self._ip = ip
+        self._copies = copies
+        self._changed = changed
+        self._seeds: set[str] = set()
+        self.set_seeds(seeds)
+        self._joining: dict[consensus.ReplicaId, float] = {}
+        self._callers: set[str] = set()
+        self._led_at = self._loop.time()
+        self._belief: _Belief | None = None
+
+    @property
+    def hosts(self) -> set[str]:
+        """Hosts of all coordinators that are known, perhaps this one's."""
+        known = {
+            membership.host_of(peer) for peer in self._node.config.everyone
+        }
+        # Before it has joined, a replica knows the seeds alone.
+        return known | self._seeds | self._callers
+
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Start from these coordinators, given as `host:port`."""
+        self._seeds = {links.host_of(item) for item in seeds}
+
+    def note_caller(self, replica: consensus.ReplicaId) -> None:
+        """A replica has made a link to this one."""
+        self._callers.add(membership.host_of(replica))
+
+    def take_join(self, msg: messages.Join) -> None:
+        """A replica asks to take part: tell the leader, or note it."""
+        if self._node.is_leader:
+            self._joining[msg.replica] = self._loop.time()
+        elif self._node.leader is not None:
+            self._node.tell(self._node.leader, msg)
+
+    async def run(self) -> None:
+        """Keep links and members until cancelled."""
+        while True:
+            self._dialler.set_hosts(self.hosts - {self._ip})
+            self._note_belief()
+            if self._node.is_leader:
+                self._led_at = self._loop.time()
+                self._change_config()
+            elif self._node.hears_quorum():
+                self._led_at = self._loop.time()
+            elif self._loop.time() - self._led_at > _LEADERLESS_S:
+                self._node.tell_all(messages.Join(replica=self._node.me))
+            await asyncio.sleep(_ROUND_S)
+
+    def _note_belief(self) -> None:
+        config = self._node.config
+        belief = _Belief(leader=self._node.leader, config=config)
+        if belief == self._belief:
+            return
+        self._belief = belief
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Leader or replicas changed.",
+            leader=belief.leader or "none",
+            term=self._node.term,
+            voters=list(config.voters),
+            learners=list(config.learners),
+        )
+        if config.voters:
+            self._callers &= {
+                membership.host_of(peer) for peer in config.everyone
+            }
+        self._changed()
+
+    def _change_config(self) -> None:
+        self._forget_joining()
+        new = membership.next_config(self._view())
+        if new is None:
+            return
+        try:
+            self._node.change_config(new)
+        except exceptions.ControlError as exc:
+            logs.say(
+                logs.Part.COORDINATOR, "Replicas not changed.", why=str(exc)
+            )
+
+    def _forget_joining(self) -> None:
+        now = self._loop.time()
+        for peer, at in list(self._joining.items()):
+            if now - at > _JOINING_S:
+                del self._joining[peer]
+
+    def _view(self) -> membership.View:
+        config = self._node.config
+        return membership.View(
+            me=self._node.me,
+            config=config,
+            silence={
+                peer: self._node.silence(peer)
+                for peer in config.everyone
+                if peer != self._node.me
+            },
+            caught_up=frozenset(
+                peer for peer in config.learners if self._node.caught_up(peer)
+            ),
+            joining=tuple(self._joining),
+            copies=self._copies,
+            target=membership.target_voters(self._copies),
+        )
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from rackpost.consensus import membership
 from rackpost.consensus import messages as consensus
 from rackpost.control import messages as control
 from rackpost.control import node as node_mod
@@ -16,6 +15,7 @@
 from rackpost.coordinator import directory as directory_mod
 from rackpost.coordinator import disk as disk_mod
 from rackpost.coordinator import links
+from rackpost.coordinator import members
 from rackpost.coordinator import messages
 from rackpost.coordinator import roles
 from rackpost import exceptions
@@ -31,12 +31,7 @@
 from rackpost.routing import model
 from rackpost.state import machine
 
-# How often membership and links are looked at, in seconds.
-_ROUND_S = 0.2
-# A replica that no leader has spoken to for this long asks to join.
-_LEADERLESS_S = 0.8
-# A replica that asked to join is a candidate for this long, in seconds.
-_JOINING_S = 2.0
+# A coordinator that was dialled says who it is within this, in seconds.
 _HELLO_S = 1.0
 # An endpoint that has missed this many heartbeats counts in no pool; one
 # that crashed is mostly back sooner, and a change of role takes longer.
@@ -53,18 +48,20 @@
             raise exceptions.ConfigError("a coordinator needs a data folder")
         self._loop = asyncio.get_running_loop()
         self._host = host
-        self._seeds = {links.host_of(item) for item in host.seeds}
         self.metrics = metrics_mod.Metrics()
-        first = tuple(sorted(self._seeds)) if host.first_start else ()
+        first = {links.host_of(item) for item in host.seeds}
         self._file_disk, loaded = disk_mod.open_disk(
-            pathlib.Path(host.data_dir), host=host.ip, first_hosts=first
+            pathlib.Path(host.data_dir),
+            host=host.ip,
+            first_hosts=tuple(sorted(first)) if host.first_start else (),
         )
-        self._copies = host.tolerance.vms + 1
+        # A record survives as many lost disks as may be lost at once.
+        copies = host.tolerance.vms + 1
         self.node = node_mod.Node(
             loaded=loaded,
             disk=disk_mod.PatientDisk(disk=self._file_disk),
             rng=random.Random(),
-            copies=self._copies,
+            copies=copies,
         )
         self.node.other = self._on_other
         self.directory = directory_mod.Directory(
@@ -85,10 +82,14 @@
             silent_s=_SILENT_BEATS * host.heartbeat_ms / 1000.0,
             changing=self._tell_changing,
         )
-        self._joining: dict[consensus.ReplicaId, float] = {}
-        self._callers: set[str] = set()
-        self._led_at = self._loop.time()
-        self._believed: tuple[object, ...] = ()
+        self._members = members.MemberKeeper(
+            node=self.node,
+            dialler=self._dialler,
+            ip=host.ip,
+            seeds=host.seeds,
+            copies=copies,
+            changed=self._tell_peers,
+        )
 
     # Links.
 
@@ -123,7 +124,7 @@
     def _introduce(self, conn: channel.Channel, msg: msgspec.Struct) -> None:
         if isinstance(msg, control.ReplicaHello):
             conn.send(control.ReplicaHello(replica=self.node.me))
-            self._callers.add(membership.host_of(msg.replica))
+            self._members.note_caller(msg.replica)
             self.node.accept(msg.replica, conn)
         elif isinstance(msg, messages.GatewayHello):
             self._accept_gateway(conn, msg)
@@ -172,7 +173,9 @@
         by_vm = {item.vm: item for item in self.directory.gateways.values()}
         self.directory.tell_gateways(
             messages.Peers(
-                coordinators=tuple(sorted(self._hosts() | {self._host.ip})),
+                coordinators=tuple(
+                    sorted(self._members.hosts | {self._host.ip})
+                ),
                 gateways=tuple(
                     messages.GatewayAddress(vm=item.vm, loads=item.loads)
                     for item in by_vm.values()
@@ -184,7 +187,7 @@
         self, peer: consensus.ReplicaId, msg: msgspec.Struct
     ) -> None:
         if isinstance(msg, messages.Join):
-            self._on_join(msg)
+            self._members.take_join(msg)
         elif isinstance(msg, messages.Heard):
             self.directory.table.hear(msg.ids, self._loop.time())
         elif isinstance(msg, messages.Endpoints):
@@ -200,88 +203,6 @@
     def _spread(self, item: endpoints.Endpoint) -> None:
         self.node.tell_all(directory_mod.news(item))
 
-    # Membership of the coordinators.
-
-    def _on_join(self, msg: messages.Join) -> None:
-        if self.node.is_leader:
-            self._joining[msg.replica] = self._loop.time()
-        elif self.node.leader is not None:
-            self.node.tell(self.node.leader, msg)
-
-    def _hosts(self) -> set[str]:
-        known = {
-            membership.host_of(peer) for peer in self.node.config.everyone
-        }
-        # Before it has joined, a replica knows the seeds alone.
-        return known | self._seeds | self._callers
-
-    async def _keep_members(self) -> None:
-        while True:
-            before = self._hosts()
-            self._dialler.set_hosts(before - {self._host.ip})
-            self._note_beliefs()
-            if self.node.is_leader:
-                self._led_at = self._loop.time()
-                self._change_members()
-            elif self.node.hears_quorum():
-                self._led_at = self._loop.time()
-            elif self._loop.time() - self._led_at > _LEADERLESS_S:
-                self.node.tell_all(messages.Join(replica=self.node.me))
-            await asyncio.sleep(_ROUND_S)
-
-    def _note_beliefs(self) -> None:
-        now = (self.node.leader, self.node.config)
-        if now == self._believed:
-            return
-        self._believed = now
-        logs.say(
-            logs.Part.COORDINATOR,
-            "Leader or replicas changed.",
-            leader=self.node.leader or "none",
-            term=self.node.term,
-            voters=list(self.node.config.voters),
-            learners=list(self.node.config.learners),
-        )
-        config = self.node.config
-        if config.voters:
-            hosts = {membership.host_of(peer) for peer in config.everyone}
-            self._callers &= hosts
-        self._tell_peers()
-
-    def _change_members(self) -> None:
-        now = self._loop.time()
-        for peer, at in list(self._joining.items()):
-            if now - at > _JOINING_S:
-                del self._joining[peer]
-        config = self.node.config
-        new = membership.next_config(
-            membership.View(
-                me=self.node.me,
-                config=config,
-                silence={
-                    peer: self.node.silence(peer)
-                    for peer in config.everyone
-                    if peer != self.node.me
-                },
-                caught_up=frozenset(
-                    peer
-                    for peer in config.learners
-                    if self.node.caught_up(peer)
-                ),
-                joining=tuple(self._joining),
-                copies=self._copies,
-                target=2 * self._copies - 1 if self._copies > 1 else 3,
-            )
-        )
-        if new is None:
-            return
-        try:
-            self.node.change_config(new)
-        except exceptions.ControlError as exc:
-            logs.say(
-                logs.Part.COORDINATOR, "Replicas not changed.", why=str(exc)
-            )
-
     # Routing.
 
     def _version(self) -> int:
@@ -302,11 +223,11 @@
 
     def reload(self, host: settings.HostSettings) -> None:
         """Take new settings: other seeds."""
-        self._seeds = {links.host_of(item) for item in host.seeds}
+        self._members.set_seeds(host.seeds)
         logs.say(
             logs.Part.COORDINATOR,
             "Settings reloaded.",
-            seeds=sorted(self._seeds),
+            seeds=sorted({links.host_of(item) for item in host.seeds}),
         )
 
     async def _forget(self) -> None:
@@ -359,7 +280,7 @@
             await stack.enter_async_context(http.serving(host, int(port)))
             stack.enter_context(self.node.watched(self._on_changes))
             tasks.spawn(self.node.run())
-            tasks.spawn(self._keep_members())
+            tasks.spawn(self._members.run())
             tasks.spawn(self._forget())
             tasks.spawn(self._roles.run())
             try:
