Orders to endpoints are given by a module of their own

Cause: coordinator/roles.py decided when to change a role and also spoke HTTP to endpoints, with bare tuples for answers and demands. Change: role_orders.py asks for the report and sends the order; demands and changes are typed; the age that a demand may have is a named constant. No behaviour is changed.

--- /dev/null
+++ b/rackpost/coordinator/role_orders.py
@@ -0,0 +1,126 @@
+"""Giving one endpoint the order to change its role, over HTTP."""
+
+import asyncio
+import enum
+from typing import NamedTuple
+
+from rackpost import exceptions
+from rackpost.http1 import message
+from rackpost.http1 import pool as pool_mod
+from rackpost import logs
+from rackpost.platform import headers
+from rackpost.platform import orders
+from rackpost.routing import endpoints
+from rackpost import types
+
+# An endpoint answers a report or an order within this, in seconds.
+_CALL_S = 1.5
+# Longest report or answer to an order, in bytes.
+_MAX_BODY = 64 << 10
+# Connections to one endpoint at a time.
+_CONNECTIONS = 2
+
+
+class Given(enum.Enum):
+    """What became of an order."""
+
+    TAKEN = "taken"
+    HOLDS = "holds already"
+    REFUSED = "refused"
+    FENCED = "fenced"
+    UNKNOWN = "not answered"
+
+
+class _Answer(NamedTuple):
+    """An endpoint's whole answer."""
+
+    status: int
+    body: bytes
+
+
+class OrderGiver:
+    """Gives endpoints orders in the name of one holder."""
+
+    def __init__(self, *, holder: types.VmId) -> None:
+        self._holder = holder
+        self._pool = pool_mod.Pool(id_header=headers.REQUEST_ID)
+
+    async def give(
+        self,
+        endpoint: endpoints.Endpoint,
+        role: types.Role,
+        fence: types.Fence,
+    ) -> Given:
+        """Order an endpoint to take a role, unless it is changing already.
+
+        It takes no order whose fence is below that of an earlier one.
+        """
+        try:
+            report = await self._report(endpoint)
+        except (exceptions.ExchangeError, exceptions.CodecError) as exc:
+            logs.say(
+                logs.Part.COORDINATOR,
+                "Endpoint gives no report.",
+                endpoint=endpoint.id,
+                why=str(exc),
+            )
+            return Given.REFUSED
+        if report is None or report.changing:
+            return Given.REFUSED
+        order = orders.change_role(
+            role,
+            holder=self._holder,
+            fence=fence,
+            orders_taken=report.orders_taken,
+        )
+        return await self._send(endpoint, order)
+
+    async def _report(
+        self, endpoint: endpoints.Endpoint
+    ) -> orders.Report | None:
+        answer = await self._call(endpoint, b"GET", orders.REPORT_PATH, b"")
+        if answer.status != 200:
+            return None
+        return orders.decode_report(answer.body)
+
+    async def _send(self, endpoint: endpoints.Endpoint, order: bytes) -> Given:
+        try:
+            answer = await self._call(
+                endpoint, b"POST", orders.ORDER_PATH, order
+            )
+        except exceptions.ExchangeError as exc:
+            return Given.UNKNOWN if exc.sent else Given.REFUSED
+        if answer.status == 412:
+            return Given.FENCED
+        if answer.status == 202:
+            return Given.TAKEN
+        return Given.HOLDS if answer.status == 200 else Given.REFUSED
+
+    async def _call(
+        self,
+        endpoint: endpoints.Endpoint,
+        method: bytes,
+        path: bytes,
+        body: bytes,
+    ) -> _Answer:
+        lines = [
+            (b"host", endpoint.address.encode()),
+            (headers.ENDPOINT_ID, endpoint.id.encode()),
+        ]
+        if body:
+            lines.append((b"content-type", b"application/json"))
+            lines.append((b"content-length", b"%d" % len(body)))
+        try:
+            async with asyncio.timeout(_CALL_S):
+                async with self._pool.connection(
+                    endpoint.address, most=_CONNECTIONS, fresh=True
+                ) as conn:
+                    head = await conn.request(
+                        head=message.request_head(method, path, lines),
+                        body=body,
+                        request_id=None,
+                    )
+                    whole = await conn.read_whole(_MAX_BODY)
+                    return _Answer(status=head.status, body=whole)
+        except TimeoutError as exc:
+            raise exceptions.ExchangeError("no answer in time") from exc
--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -6,66 +6,55 @@
 """
 
 import asyncio
-import enum
 from typing import Callable
+from typing import NamedTuple
 
 from rackpost.control import node as node_mod
 from rackpost.coordinator import directory as directory_mod
+from rackpost.coordinator import role_orders
 from rackpost.decide import role_balance
-from rackpost import exceptions
-from rackpost.http1 import message
-from rackpost.http1 import pool as pool_mod
 from rackpost import logs
-from rackpost.platform import headers
-from rackpost.platform import orders
 from rackpost.routing import endpoints
 from rackpost.state import commands
 from rackpost import types
 
+# How often the pools are looked at, in seconds.
 _ROUND_S = 0.5
-# An imbalance must last this long before an endpoint is changed.
+# An imbalance must last this long before an endpoint is changed, in
+# seconds.
 _LASTS_S = 1.0
 # An order that was not answered may still be carried out this much later
-# (12 s on the sheets, and some more); no other is given meanwhile.
+# (12 s at most, and some for the way), in seconds; no other is given
+# meanwhile.
 _UNANSWERED_S = 13.0
-# A change that the endpoint has not told of after this long has failed.
+# A change that the endpoint has not told of after this long has failed,
+# in seconds.
 _CHANGE_S = 20.0
-# After a change, the next waits until its effect can be seen.
+# After a change, the next waits until its effect can be seen, in seconds.
 _PAUSE_S = 6.0
-_CALL_S = 1.5
-_MAX_BODY = 64 << 10
-_CONNECTIONS = 2
+# What a gateway told of its demand counts for this long, in seconds:
+# gateways tell it each second.
+_DEMAND_S = 3.0
 # Of a service's endpoints one in so many may change its role at a time.
 _ONE_IN = 8
 # The lease's end is awaited with this margin for slow clocks.
 _LEASE_MARGIN = 1.2
 
 
-class Given(enum.Enum):
-    """What became of an order."""
+class _Change(NamedTuple):
+    """A change of role that is under way; it has failed after `until`."""
 
-    TAKEN = "taken"
-    HOLDS = "holds already"
-    REFUSED = "refused"
-    FENCED = "fenced"
-    UNKNOWN = "not answered"
+    service: types.ServiceName
+    endpoint: types.EndpointId
+    role: types.Role
+    until: float
 
 
-class _Change:
-    """A change of role that is under way at one service."""
+class _Told(NamedTuple):
+    """What a gateway's clients ask for, and when it said so."""
 
-    def __init__(
-        self,
-        *,
-        service: types.ServiceName,
-        endpoint: types.EndpointId,
-        role: types.Role,
-        until: float,
-    ) -> None:
-        self.service = service
-        self.endpoint = endpoint
-        self.role = role
-        self.until = until
+    at: float
+    items: tuple[role_balance.Demand, ...]
 
 
 class RoleKeeper:
@@ -89,13 +78,11 @@
         self._node = node
         self._directory = directory
         self._vm = vm
+        self._orders = role_orders.OrderGiver(holder=vm)
         self._lease_s = lease_s
         self._silent_s = silent_s
         self._changing = changing
-        self._pool = pool_mod.Pool(id_header=headers.REQUEST_ID)
-        self._demands: dict[
-            types.VmId, tuple[float, tuple[role_balance.Demand, ...]]
-        ] = {}
+        self._demands: dict[types.VmId, _Told] = {}
         self._fence = types.Fence(0)
         self._fence_term = -1
         self._may_order_at = 0.0
@@ -112,7 +99,7 @@
         self, vm: types.VmId, items: tuple[role_balance.Demand, ...]
     ) -> None:
         """A gateway tells what its clients ask for."""
-        self._demands[vm] = (self._loop.time(), items)
+        self._demands[vm] = _Told(at=self._loop.time(), items=items)
 
     async def run(self) -> None:
         """Keep the roles until cancelled."""
@@ -171,9 +158,9 @@
     def _demand(self, service: types.ServiceName) -> role_balance.Demand:
         now = self._loop.time()
         prefill = decode = 0.0
-        for at, items in self._demands.values():
-            for item in items:
-                if item.service == service and now - at < 3.0:
+        for told in self._demands.values():
+            for item in told.items:
+                if item.service == service and now - told.at < _DEMAND_S:
                     prefill += item.prefill
                     decode += item.decode
         return role_balance.Demand(
@@ -268,7 +255,7 @@
         if not others or not await self._is_still_holder():
             return
         endpoint = others[0]
-        given = await self._give(endpoint, role)
+        given = await self._orders.give(endpoint, role, self._fence)
         logs.say(
             logs.Part.COORDINATOR,
             "Ordered a change of role.",
@@ -288,17 +275,17 @@
         service: types.ServiceName,
         endpoint: types.EndpointId,
         role: types.Role,
-        given: Given,
+        given: role_orders.Given,
     ) -> None:
         now = self._loop.time()
-        if given is Given.FENCED:
+        if given is role_orders.Given.FENCED:
             # Somebody else leads; this one learns it soon.
             self._may_order_at = now + _UNANSWERED_S
-        elif given is Given.REFUSED:
+        elif given is role_orders.Given.REFUSED:
             self._not_before[service] = now + _PAUSE_S
         else:
             wait_s = _CHANGE_S
-            if given is Given.UNKNOWN:
+            if given is role_orders.Given.UNKNOWN:
                 wait_s = _UNANSWERED_S
             self._changes[endpoint] = _Change(
                 service=service,
@@ -313,77 +300,3 @@
             return False
         held = self._node.machine.order_fence
         return self._node.is_leader and held == self._fence
-
-    async def _give(
-        self, endpoint: endpoints.Endpoint, role: types.Role
-    ) -> Given:
-        try:
-            status, body = await self._call(
-                endpoint, b"GET", orders.REPORT_PATH, b""
-            )
-            if status != 200:
-                return Given.REFUSED
-            report = orders.decode_report(body)
-        except (exceptions.ExchangeError, exceptions.CodecError) as exc:
-            logs.say(
-                logs.Part.COORDINATOR,
-                "Endpoint gives no report.",
-                endpoint=endpoint.id,
-                why=str(exc),
-            )
-            return Given.REFUSED
-        if report.changing:
-            return Given.REFUSED
-        return await self._send_order(endpoint, role, report)
-
-    async def _send_order(
-        self,
-        endpoint: endpoints.Endpoint,
-        role: types.Role,
-        report: orders.Report,
-    ) -> Given:
-        order = orders.change_role(
-            role,
-            holder=self._vm,
-            fence=self._fence,
-            orders_taken=report.orders_taken,
-        )
-        try:
-            status, _ = await self._call(
-                endpoint, b"POST", orders.ORDER_PATH, order
-            )
-        except exceptions.ExchangeError as exc:
-            return Given.UNKNOWN if exc.sent else Given.REFUSED
-        if status == 412:
-            return Given.FENCED
-        if status == 202:
-            return Given.TAKEN
-        return Given.HOLDS if status == 200 else Given.REFUSED
-
-    async def _call(
-        self,
-        endpoint: endpoints.Endpoint,
-        method: bytes,
-        path: bytes,
-        body: bytes,
-    ) -> tuple[int, bytes]:
-        lines = [
-            (b"host", endpoint.address.encode()),
-            (headers.ENDPOINT_ID, endpoint.id.encode()),
-        ]
-        if body:
-            lines.append((b"content-type", b"application/json"))
-            lines.append((b"content-length", b"%d" % len(body)))
-        try:
-            async with asyncio.timeout(_CALL_S):
-                async with self._pool.connection(
-                    endpoint.address, most=_CONNECTIONS, fresh=True
-                ) as conn:
-                    head = await conn.request(
-                        head=message.request_head(method, path, lines),
-                        body=body,
-                        request_id=None,
-                    )
-                    return head.status, await conn.read_whole(_MAX_BODY)
-        except TimeoutError as exc:
-            raise exceptions.ExchangeError("no answer in time") from exc
