One table of stages, one way to find a header

Cause: heartbeats and orders each kept the platform's names of roles, and platform/headers.py had its own copy of message.find. Change: stages.py holds the names; the copy is gone. No behaviour is changed.

--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 from typing import Sequence
 
-Header = tuple[bytes, bytes]
+from rackpost.http1 import message
 
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -50,14 +50,6 @@
     guess_out: int
 
 
-def find(headers: Sequence[Header], name: bytes) -> bytes | None:
-    """The first value of a header; names are lower case."""
-    for key, value in headers:
-        if key == name:
-            return value
-    return None
-
-
 def whole(value: bytes | None) -> int | None:
     """A header's whole number; None where there is none."""
     if value is None or not value.strip().isdigit():
@@ -65,19 +57,19 @@
     return int(value)
 
 
-def tokens(headers: Sequence[Header]) -> Tokens | None:
+def tokens(headers: Sequence[message.Header]) -> Tokens | None:
     """Sizes of a model request; None where it names none."""
-    usage = find(headers, _TOKENS)
+    usage = message.find(headers, _TOKENS)
     if usage is None:
         return None
     parts = usage.split(b",")
     prompt = whole(parts[0]) or 0
     most = (whole(parts[1]) or 0) if len(parts) > 1 else 0
-    guess = whole(find(headers, _LENGTH_GUESS))
+    guess = whole(message.find(headers, _LENGTH_GUESS))
     return Tokens(prompt=prompt, most_out=most, guess_out=guess or most)
 
 
-def own_part(headers: Sequence[Header]) -> bytes:
+def own_part(headers: Sequence[message.Header]) -> bytes:
     """Id of the prompt's last part, which is the request's own; or b""."""
-    parts = find(headers, _PROMPT_PARTS) or b""
+    parts = message.find(headers, _PROMPT_PARTS) or b""
     return parts.rpartition(b",")[2].partition(b":")[0].strip()
--- a/rackpost/platform/heartbeats.py
+++ b/rackpost/platform/heartbeats.py
@@ -3,11 +3,11 @@
 import msgspec
 
 from rackpost import exceptions
+from rackpost.platform import stages
 from rackpost.routing import endpoints
 from rackpost import types
 
 _MS = 1000.0
-_ROLES = {"prefill": types.Role.PREFILL, "decode": types.Role.DECODE}
 _STATES = {
     "ready": endpoints.EndpointState.READY,
     "draining": endpoints.EndpointState.DRAINING,
@@ -39,7 +39,7 @@
         service=types.ServiceName(wire.service),
         address=wire.address,
         data_centre=types.DataCentre(wire.zone),
-        role=_ROLES.get(wire.stage, types.Role.PLAIN),
+        role=stages.role_of(wire.stage),
         slots=wire.slots,
         # An endpoint in a state unknown here gets nothing new.
         state=_STATES.get(wire.state, endpoints.EndpointState.DRAINING),
--- a/rackpost/platform/orders.py
+++ b/rackpost/platform/orders.py
@@ -5,12 +5,11 @@
 import msgspec
 
 from rackpost import exceptions
+from rackpost.platform import stages
 from rackpost import types
 
 REPORT_PATH = b"/v1/report"
 ORDER_PATH = b"/v1/order"
-_ROLES = {"prefill": types.Role.PREFILL, "decode": types.Role.DECODE}
-_STAGES = {role: name for name, role in _ROLES.items()}
 
 
 class Report(NamedTuple):
@@ -53,7 +52,7 @@
     except (msgspec.DecodeError, msgspec.ValidationError) as exc:
         raise exceptions.CodecError(f"report: {exc}") from exc
     return Report(
-        role=_ROLES.get(wire.stage, types.Role.PLAIN),
+        role=stages.role_of(wire.stage),
         changing=wire.busy,
         orders_taken=wire.sequence,
         running=wire.running,
@@ -67,7 +66,7 @@
     return msgspec.json.encode(
         _Order(
             operation="stage",
-            stage=_STAGES[role],
+            stage=stages.name_of(role),
             holder=holder,
             fence=fence,
             expected_revision=orders_taken,
