Typed ranks, demands and failures in place of bare tuples

Cause: ranks, a request's demand and an endpoint's failure were tuples read by number; two parameters (now, status) were not used; constants stood between classes. Change: named tuples, constants at the head, a name and a reason for the jitter, the parameters are gone. No behaviour is changed.

--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -15,7 +15,9 @@
 _REMOTE_X = 1.15
 # A usual time of an answer until one was measured, in seconds.
 _USUAL_S = 0.1
-
+# Choices that differ by less than this part are as good as equal; ties are
+# broken at random, so that gateways do not act alike.
+_JITTER = 0.02
 # With more gateways than this they spread their choices.
 _MANY = 8
 # Places at one endpoint that are counted; more make no difference to who
@@ -95,7 +97,7 @@
         found = self.candidates(service, types.Role.PLAIN, but=but, now=now)
         usual = self._usual_s(found)
         return min(
-            found, key=lambda item: self._wait(item, usual, now), default=None
+            found, key=lambda item: self._wait(item, usual), default=None
         )
 
     def prefill(
@@ -203,14 +205,11 @@
         )
         return known[len(known) // 2] if known else _USUAL_S
 
-    def _wait(
-        self, item: endpoints.Endpoint, usual: float, now: float
-    ) -> float:
+    def _wait(self, item: endpoints.Endpoint, usual: float) -> float:
         use = self._loads.total(item.id)
         rounds = (use.requests + 1) / max(1, item.slots)
         slow = self._health.slowness(item.id, usual)
-        # Ties are broken at random, so that gateways do not act alike.
-        jitter = 1.0 + 0.02 * self._rng.random()
+        jitter = 1.0 + _JITTER * self._rng.random()
         return (0.5 + rounds) * slow * self._far(item) * jitter
 
     def _far(self, item: endpoints.Endpoint) -> float:
--- a/rackpost/decide/role_balance.py
+++ b/rackpost/decide/role_balance.py
@@ -1,6 +1,7 @@
 """How many endpoints of a model prefill, and how many decode.  Pure."""
 
 import collections
+from typing import NamedTuple
 
 import msgspec
 
@@ -33,26 +34,34 @@
     decode: int
 
 
+class _Asked(NamedTuple):
+    """What one request asked of each role, in seconds of an endpoint."""
+
+    at: float
+    prefill_s: float
+    decode_s: float
+
+
 class DemandMeter:
     """The work that one gateway's clients have asked for lately."""
 
     def __init__(self) -> None:
-        self._items: collections.deque[tuple[float, float, float]] = (
-            collections.deque()
-        )
+        self._items: collections.deque[_Asked] = collections.deque()
 
     def add(self, now: float, *, prefill_s: float, decode_s: float) -> None:
         """A request needs one endpoint of each role for so long."""
-        self._items.append((now, prefill_s, decode_s))
+        self._items.append(
+            _Asked(at=now, prefill_s=prefill_s, decode_s=decode_s)
+        )
 
     def rate(self, service: types.ServiceName, now: float) -> Demand:
         """The demand over the last seconds."""
-        while self._items and self._items[0][0] < now - _WINDOW_S:
+        while self._items and self._items[0].at < now - _WINDOW_S:
             self._items.popleft()
         return Demand(
             service=service,
-            prefill=sum(item[1] for item in self._items) / _WINDOW_S,
-            decode=sum(item[2] for item in self._items) / _WINDOW_S,
+            prefill=sum(item.prefill_s for item in self._items) / _WINDOW_S,
+            decode=sum(item.decode_s for item in self._items) / _WINDOW_S,
         )
 
 
--- a/rackpost/decide/waiting.py
+++ b/rackpost/decide/waiting.py
@@ -1,5 +1,7 @@
 """Who waits for room, who goes first, who should come back.  Pure."""
 
+from typing import NamedTuple
+
 import msgspec
 
 # Who is told to come back does so later than room is expected by up to
@@ -7,6 +9,28 @@
 _SPREAD = 0.5
 # Nobody is told to come back sooner than this, in seconds.
 _SOONEST_S = 0.4
+# Weight of the newest request that came back, and how soon a run of bad
+# luck is forgotten, in seconds: about a burst.
+_ALPHA = 0.15
+_FORGET_S = 8.0
+# Whoever is refused must have this chance to be in time on coming back.  A
+# refusal that is followed by another is worse for its client than a wait.
+_ENOUGH = 0.7
+# What others have left is some milliseconds old when it comes, so that each
+# would hold itself to be first; nearer than this, names decide, in seconds.
+_TIE_S = 0.06
+
+
+class Rank(NamedTuple):
+    """Place in the order of those that wait; the least goes first.
+
+    `at` is a deadline, in seconds by a clock that all ranks that are
+    compared share.
+    """
+
+    late: bool
+    priority: int
+    at: float
 
 
 class Claim(msgspec.Struct, frozen=True, kw_only=True):
@@ -31,15 +55,6 @@
     came_back: bool = False
 
 
-# Weight of the newest request that came back, and how soon a run of bad
-# luck is forgotten, in seconds: about a burst.
-_ALPHA = 0.15
-_FORGET_S = 8.0
-# Whoever is refused must have this chance to be in time on coming back.  A
-# refusal that is followed by another is worse for its client than a wait.
-_ENOUGH = 0.7
-
-
 class Luck:
     """How those that came back have fared lately."""
 
@@ -70,14 +85,15 @@
     )
 
 
-def order(claim: Claim, now: float) -> tuple[bool, int, float]:
+def order(claim: Claim, now: float) -> Rank:
     """Sort key: the least goes first.
 
     What can still be in time goes before what is late already and loses
     nothing more by waiting; among equals the earliest deadline first.
     """
     late = now + claim.start_s > claim.target
-    return (late, claim.priority, claim.start_by if late else claim.target)
+    at = claim.start_by if late else claim.target
+    return Rank(late, claim.priority, at)
 
 
 class Left(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -94,26 +110,22 @@
     slack_s: float
     start_s: float
 
-    def rank(self, age_s: float) -> tuple[bool, int, float]:
+    def rank(self, age_s: float) -> Rank:
         """`order`, some time after it was told."""
         late = self.slack_s < age_s
         at = self.start_s if late else self.slack_s
-        return (late, self.priority, at - age_s)
-
-
-# What others have left is some milliseconds old when it comes, so that each
-# would hold itself to be first; nearer than this, names decide, in seconds.
-_TIE_S = 0.06
+        return Rank(late, self.priority, at - age_s)
 
 
 def goes_before(
-    other: tuple[bool, int, float],
+    other: Rank,
     other_name: str,
-    mine: tuple[bool, int, float],
+    mine: Rank,
     my_name: str,
 ) -> bool:
     """Whether another gateway's request goes before one here, by rank."""
-    if other[:2] == mine[:2] and abs(other[2] - mine[2]) < _TIE_S:
+    alike = other.late == mine.late and other.priority == mine.priority
+    if alike and abs(other.at - mine.at) < _TIE_S:
         return other_name < my_name
     return other < mine
 
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -241,7 +241,7 @@
         raise exceptions.ExchangeError("not a stream to go on with")
     if head.status >= 500:
         call.site.health.erred(endpoint.id)
-        call.failure = (head, body)
+        call.failure = call_mod.Failure(head=head, body=body)
         call.log("Endpoint failed.", endpoint=endpoint.id, status=head.status)
         return forwarding.Ended.FAILED
     took = call.site.loop_time() - began
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -2,6 +2,7 @@
 
 import enum
 from typing import Callable
+from typing import NamedTuple
 
 from rackpost.decide import forwarding
 from rackpost.gateway import site as site_mod
@@ -31,6 +32,13 @@
     BAD_REQUEST = "bad-request"
 
 
+class Failure(NamedTuple):
+    """An endpoint's own failure, kept in case that nothing else is tried."""
+
+    head: message.Head
+    body: bytes
+
+
 class Call:
     """A request, what was tried for it, and what its client is told.
 
@@ -61,7 +69,7 @@
         self.tried: list[types.EndpointId] = []
         self.attempts = 0
         self.may_have_run = False
-        self.failure: tuple[message.Head, bytes] | None = None
+        self.failure: Failure | None = None
         # Called for each event that comes from an endpoint.
         self.on_event: Callable[[], None] = _nothing
         # The last event that the client was sent, to go on from.
@@ -110,7 +118,7 @@
 
     def refuse(self, reason: Reason, come_back_s: float) -> None:
         """Tell the client that its request has not run and won't."""
-        self._count(reason, 503)
+        self._count(reason)
         self.log(
             "Refused, not run.", reason=reason.value, come_back_s=come_back_s
         )
@@ -118,14 +126,14 @@
 
     def fail(self, reason: Reason, status: int) -> None:
         """Tell the client that it is not known whether its request ran."""
-        self._count(reason, status)
+        self._count(reason)
         self.log("Failed, may have run.", reason=reason.value, status=status)
         if self.responder.started:
             self.responder.abort()
         else:
             self.responder.whole(status, [], b"")
 
-    def _count(self, reason: Reason, status: int) -> None:
+    def _count(self, reason: Reason) -> None:
         self.site.metrics.count("own_answers", reason, self.route.name)
 
     def delivered(self, endpoint: endpoints.Endpoint, status: int) -> None:
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -95,8 +95,7 @@
             )
         return True
     if step is forwarding.Next.PASS and call.failure is not None:
-        head, body = call.failure
-        attempt.pass_whole(call, head, body)
+        attempt.pass_whole(call, call.failure.head, call.failure.body)
     elif step is forwarding.Next.REFUSE:
         call.refuse(call_mod.Reason.REJECTED, come_back_s(call))
     else:
@@ -107,8 +106,7 @@
 def give_up(call: call_mod.Call, reason: call_mod.Reason) -> None:
     """Nothing is left to try."""
     if call.failure is not None and not call.responder.started:
-        head, body = call.failure
-        attempt.pass_whole(call, head, body)
+        attempt.pass_whole(call, call.failure.head, call.failure.body)
     elif call.may_have_run:
         call.fail(reason, 502)
     else:
