--- a/rackpost/coordinator/disk.py
+++ b/rackpost/coordinator/disk.py
@@ -4,6 +4,8 @@
 import contextlib
 import pathlib
 import secrets
+from typing import Awaitable
+from typing import Callable
 
 from rackpost.consensus import log as log_mod
 from rackpost.consensus import messages as consensus
@@ -14,6 +16,7 @@
 
 # A full or faulty disk is tried again this often, in seconds.
 _AGAIN_S = 0.2
+# Random part of a new replica's id, in bytes: no two are ever the same.
 _NEW_ID_BYTES = 6
 
 
@@ -30,15 +33,9 @@
 
     async def save(self, out: raft.Output) -> None:
         """Make an output durable, however long it takes."""
-        while True:
-            try:
-                await self._disk.save(out)
-            except exceptions.StorageError as exc:
-                self._failed(exc)
-                await asyncio.sleep(_AGAIN_S)
-            else:
-                self._recovered()
-                return
+        await self._until_done(
+            lambda: self._disk.save(out), exceptions.StorageError
+        )
 
     async def compact(
         self,
@@ -47,10 +44,22 @@
         log: log_mod.Log,
     ) -> None:
         """Replace the log by a snapshot, however long it takes."""
+        await self._until_done(
+            lambda: self._disk.compact(snapshot, hard, log),
+            exceptions.StorageError,
+            OSError,
+        )
+
+    async def _until_done(
+        self,
+        write: Callable[[], Awaitable[None]],
+        *faults: type[Exception],
+    ) -> None:
+        """Write again and again while it ends in one of these faults."""
         while True:
             try:
-                await self._disk.compact(snapshot, hard, log)
-            except (exceptions.StorageError, OSError) as exc:
+                await write()
+            except faults as exc:
                 self._failed(exc)
                 await asyncio.sleep(_AGAIN_S)
             else:
--- a/rackpost/decide/refused.py
+++ b/rackpost/decide/refused.py
@@ -7,7 +7,7 @@
 import zlib
 
 # Whoever comes back does so within a third of its time; this is more than
-# that for the longest time-outs of the sheets (14 s), in seconds.
+# that for the longest time that a client has (14 s), in seconds.
 _KEEP_S = 6.0
 # Told to other gateways with each change, so that it must stay small.
 _MOST = 64
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -18,7 +18,7 @@
 _NO_DOCUMENT_S = 0.5
 
 # What an answer needs to reach its client, in seconds: several times the
-# delay to clients on the sheets (3 ms).
+# usual delay on the way (3 ms).
 _WAY_BACK_S = 0.03
 
 
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -12,6 +12,7 @@
 from rackpost.routing import model
 from rackpost import types
 
+# Longest answer to a prefill or a release, in bytes.
 _MAX_RESULT = 64 << 10
 # Prefill endpoints that are tried before the decode endpoint reads itself.
 _TRIES = 2
@@ -120,34 +121,54 @@
         exceptions.CodecError,
         TimeoutError,
     ) as exc:
-        site.health.broke(endpoint.id, site.loop_time())
+        # A call that was never sent has arrived nowhere.
         if getattr(exc, "sent", True):
             read.arrivals += 1
-        call.log(
-            "Prefill failed.",
-            endpoint=endpoint.id,
-            why=str(exc) or "slow",
-            patience_s=round(patience, 3),
-        )
+        _note_failed(call, endpoint, str(exc) or "slow", patience)
         return False
     read.arrivals += 1
     if result is None:
         # One that is rejected counts, be it the first.
         call.budget.repeat(site.loop_time())
         return False
-    took = site.loop_time() - began
-    site.pace.took(ahead + prompt, took)
-    site.health.answered(endpoint.id, took)
+    _note_done(call, endpoint, prompt, ahead, site.loop_time() - began)
     read.put(endpoint.address, result)
+    return True
+
+
+def _note_failed(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    why: str,
+    patience_s: float,
+) -> None:
+    call.site.health.broke(endpoint.id, call.site.loop_time())
+    call.log(
+        "Prefill failed.",
+        endpoint=endpoint.id,
+        why=why,
+        patience_s=round(patience_s, 3),
+    )
+
+
+def _note_done(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    prompt: int,
+    ahead: int,
+    took_s: float,
+) -> None:
+    """Learn from a prefill that took so long, with tokens ahead of it."""
+    call.site.pace.took(ahead + prompt, took_s)
+    call.site.health.answered(endpoint.id, took_s)
     if call.sampled:
         call.log(
             "Prefilled.",
             endpoint=endpoint.id,
             prompt=prompt,
             ahead=ahead,
-            took_s=round(took, 4),
+            took_s=round(took_s, 4),
         )
-    return True
 
 
 async def _ask_prefill(
