Test of how many coordinators should vote

Cause: the number of voters was an expression within the coordinator and had no test. Change: membership.target_voters is checked against the quorum of its config for two to five copies, and for one.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -130,3 +130,11 @@
     assert leader.commit < (index or 0)
     _acknowledge(leader, "c")
     assert leader.commit == index
+
+
+def test_a_quorum_stands_while_as_many_are_down_as_disks_may_be_lost() -> None:
+    for copies in range(2, 6):
+        target = membership.target_voters(copies)
+        voters = tuple(m.ReplicaId(f"h{n}") for n in range(target))
+        assert m.Config(voters=voters).quorum == copies
+    assert membership.target_voters(1) == 3
