--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,39 @@
 """What the tests share: hypothesis without randomness, small sites."""
 
+import pathlib
+
 import hypothesis
+import pytest
 
 hypothesis.settings.register_profile(
     "fixed", derandomize=True, deadline=None, database=None
 )
 hypothesis.settings.load_profile("fixed")
+
+_KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def _known_red() -> dict[str, str]:
+    """Tests that fail for a known fault, with its cause."""
+    if not _KNOWN_RED.exists():
+        return {}
+    lines = _KNOWN_RED.read_text().splitlines()
+    return dict(line.split(" | ", 1) for line in lines if line)
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Pass over just the known red tests; one that passes is an error."""
+    known = _known_red()
+    for item in items:
+        if item.nodeid in known:
+            item.add_marker(
+                pytest.mark.xfail(reason=known[item.nodeid], strict=True)
+            )
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+) -> None:
+    """Print what is passed over."""
+    for name, cause in _known_red().items():
+        terminalreporter.write_line(f"KNOWN RED: {name}: {cause}")
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -7,9 +7,11 @@
 
 from rackpost.coordinator import messages
 from rackpost.decide import endpoint_load
+from rackpost.gateway import load_share
 from rackpost.gateway import site as site_mod
 from rackpost.http1 import message
 from rackpost.http1 import server
+from rackpost.link import codec
 from rackpost import logs
 from rackpost.platform import documents
 from rackpost import site_program
@@ -129,6 +131,27 @@
     asyncio.run(main())
 
 
+def test_all_that_a_gateway_tells_is_taken(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        plan = platform_site.Plan(root=tmp_path)
+        site = site_mod.Site(host=plan.host(31, kind="edge"))
+        told = messages.Loads(
+            vm=types.VmId("g2"),
+            loads="127.0.0.1:1",
+            life=1,
+            number=1,
+            uses={},
+            waiting=7,
+            refused=(11,),
+        )
+        share = load_share.LoadShare(site=site)
+        share.datagram_received(codec.encode(told), None)
+        assert site.loads.waiting() == 7
+        assert site.refused.came_back(11, site.loop_time())
+
+    asyncio.run(main())
+
+
 def test_a_log_that_nobody_reads_drops_lines_and_never_waits() -> None:
     read_end, write_end = os.pipe()
     output = logs.BoundedOutput(fd=write_end, most=10)
