What gateways tell of waits and refusals is taken by the others

Cause: LoadShare.datagram_received handed on uses, full and broken endpoints only; `waiting`, `first`, `refused` and `given_up` were sent and dropped. So a request that came back to another gateway was not known again, and the expected wait left out who waits elsewhere.

A key that is told many times counts from the first, or a refusal would have been remembered as long as its gateway repeats it, plus six seconds.

--- a/rackpost/decide/refused.py
+++ b/rackpost/decide/refused.py
@@ -33,11 +33,13 @@
         _trim(self._own, now)
 
     def take(self, keys: tuple[int, ...], now: float) -> None:
-        """Another gateway has refused these lately."""
-        for key in keys:
-            self._told.pop(key, None)
-            self._told[key] = now
+        """Another gateway has refused these lately.
+
+        It tells each of them many times; the first time counts.
+        """
         _trim(self._told, now)
+        for key in keys:
+            self._told.setdefault(key, now)
 
     def came_back(self, key: int, now: float) -> bool:
         """Whether a request was refused before."""
--- a/rackpost/gateway/load_share.py
+++ b/rackpost/gateway/load_share.py
@@ -48,16 +48,27 @@
                 logs.Part.GATEWAY, "Load figures unreadable.", why=str(exc)
             )
             return
-        now = self._site.loop_time()
-        self._site.loads.take(msg.vm, msg.life, msg.number, msg.uses, now)
-        self._site.add_gateway(
-            messages.GatewayAddress(vm=msg.vm, loads=msg.loads)
+        self._take(msg, self._site.loop_time())
+
+    def _take(self, msg: messages.Loads, now: float) -> None:
+        site = self._site
+        site.loads.take(
+            msg.vm,
+            msg.life,
+            msg.number,
+            msg.uses,
+            now,
+            waiting=msg.waiting,
+            first=msg.first,
         )
+        site.add_gateway(messages.GatewayAddress(vm=msg.vm, loads=msg.loads))
+        site.refused.take(msg.refused, now)
+        site.given_up.take(msg.given_up, now)
         for endpoint in msg.full:
-            self._site.health.told_full(endpoint, now)
+            site.health.told_full(endpoint, now)
         for endpoint in msg.broken:
-            self._site.health.told(endpoint, now)
-        self._site.room_changed.set()
+            site.health.told(endpoint, now)
+        site.room_changed.set()
 
     async def _tell(self) -> None:
         changed = self._site.loads_changed
