Streams are late by their first event or a pause, not by their length

Cause: a stream's whole time was compared with the target of its first event, so that nearly each of them was logged as late and the log did not say what made one late. Answered lines now carry first_s, longest_pause_s and late; both times are in histograms (first_event, longest_pause).

--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -293,4 +293,5 @@
     if call.last_event is not None and event.id <= call.last_event:
         return False
     call.last_event = event.id
+    call.times.event(call.site.loop_time())
     return True
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -6,6 +6,7 @@
 
 from rackpost.decide import forwarding
 from rackpost.gateway import site as site_mod
+from rackpost.gateway import stream_times
 from rackpost.http1 import message
 from rackpost.http1 import server
 from rackpost import logs
@@ -73,6 +74,7 @@
         self.failure: Failure | None = None
         # Called for each event that comes from an endpoint.
         self.on_event: Callable[[], None] = _nothing
+        self.times = stream_times.StreamTimes(began=began)
         # The last event that the client was sent, to go on from.
         self.last_event: int | None = None
         self.passed = [
@@ -141,15 +143,33 @@
         """The client has the whole answer."""
         took = self.site.loop_time() - self.began
         self.site.metrics.time("answer", self.route.name, took)
-        late = self.route.target_s and took > self.route.target_s
+        first = self.times.first_s
+        if first is None:
+            late = 0.0 < self.route.target_s < took
+            facts = {}
+        else:
+            late = self.times.is_late(self.route)
+            facts = self._time_events(first)
         if self.sampled or late or status >= 400:
             self.log(
                 "Answered.",
                 endpoint=endpoint.id,
                 status=status,
+                late=late,
                 took_s=round(took, 4),
+                **facts,
             )
 
+    def _time_events(self, first_s: float) -> dict[str, float]:
+        """Put a stream's times into the histograms; for the log, too."""
+        pause_s = self.times.longest_pause_s
+        self.site.metrics.time("first_event", self.route.name, first_s)
+        self.site.metrics.time("longest_pause", self.route.name, pause_s)
+        return {
+            "first_s": round(first_s, 4),
+            "longest_pause_s": round(pause_s, 4),
+        }
+
 
 def _nothing() -> None:
     """Nobody follows the events."""
