A role is changed at a small gain where the pool that gives has room

A change had to make the fuller pool less full by 1 + 2.5 / endpoints (1.6 of four), also where it costs nothing because the pool that gives one is nearly idle.

Change: where the fuller pool gets no fuller while the change goes on, a factor of 1.2 is enough; a prefill pool counts as full at 0.7 of its time.

--- a/rackpost/decide/role_balance.py
+++ b/rackpost/decide/role_balance.py
@@ -10,12 +10,16 @@
 # Demand is averaged over this long, in seconds: longer than one burst's
 # rise, shorter than a change of role pays for itself.
 _WINDOW_S = 6.0
-# A role is changed only where the fuller pool is this full, and would be
-# less full by a factor.  A change takes one endpoint away for seconds, and a
-# small pool waits long before it is full, so that the factor is larger for
-# few endpoints (five, two of which prefill, did worse with one; of three,
-# one was better).
+# A role is changed only where the fuller pool is this full.
 _FULL = 0.6
+# Prompts come in bursts and wait for each other, and a result that waits
+# lapses: a pool that prefills counts as full at this part of its time (five
+# endpoints, two of which prefill, did worse with one: trials of scale-1).
+_PREFILL_PART = 0.7
+# The fuller pool must get less full by this factor.  A change takes one
+# endpoint away for seconds.  Where the pool that gives it has room to spare
+# that costs nothing; else it must pay, the more the fewer there are.
+_GAIN_FREE = 1.2
 _GAIN_OF_ONE = 2.5
 
 
@@ -74,11 +78,26 @@
 def fullest(pools: Pools, demand: Demand) -> float:
     """How full the fuller of the two pools is; 1 is all of it."""
     return max(
-        _fullness(demand.prefill, pools.prefill),
+        _fullness(demand.prefill / _PREFILL_PART, pools.prefill),
         _fullness(demand.decode, pools.decode),
     )
 
 
+def _without_one(pools: Pools, new_role: types.Role) -> Pools:
+    """The pools while one endpoint is on its way to a role."""
+    if new_role is types.Role.DECODE:
+        return Pools(prefill=pools.prefill - 1, decode=pools.decode)
+    return Pools(prefill=pools.prefill, decode=pools.decode - 1)
+
+
+def _gain_wanted(pools: Pools, demand: Demand, new_role: types.Role) -> float:
+    """The factor by which a change must make the fuller pool less full."""
+    during = fullest(_without_one(pools, new_role), demand)
+    if during <= fullest(pools, demand):
+        return _GAIN_FREE
+    return 1.0 + _GAIN_OF_ONE / (pools.prefill + pools.decode)
+
+
 def role_to_add(pools: Pools, demand: Demand) -> types.Role | None:
     """The role that one endpoint of the other should take, if any.
 
@@ -96,10 +115,12 @@
         ),
         default=pools.prefill,
     )
-    after = fullest(Pools(prefill=best, decode=total - best), demand)
-    gain = 1.0 + _GAIN_OF_ONE / total
-    if after * gain >= now or best == pools.prefill:
+    if best == pools.prefill:
         return None
+    role = types.Role.PREFILL
     if best < pools.prefill:
-        return types.Role.DECODE
-    return types.Role.PREFILL
+        role = types.Role.DECODE
+    after = fullest(Pools(prefill=best, decode=total - best), demand)
+    if after * _gain_wanted(pools, demand, role) >= now:
+        return None
+    return role
