Prompts read in place take turns and rest; failed prefills wait for a turn

Cause: with no prefill endpoint, prompts were read one after the other at a decode endpoint, so that one event of those that ran there took 0.4 to 0.63 s; gateways that woke together read two at a time; and after a failed prefill the prompt was read in place whatever else was read there.

Change: an endpoint rests for one event's time between two prompts (as far as streams run there); gateways give way to each other for such turns however few they are; a failed prefill goes back to wait for a turn.

--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -2,6 +2,7 @@
 
 import random
 from typing import Iterable
+from typing import NamedTuple
 from typing import Sequence
 
 from rackpost.decide import endpoint_health
@@ -25,6 +26,16 @@
 _MOST_PLACES = 3
 
 
+class InPlace(NamedTuple):
+    """A prompt that a decode endpoint reads itself.
+
+    It holds up the tokens of all that run there: one is read at a time,
+    and those that run make an event in between, in `rest_s` seconds.
+    """
+
+    rest_s: float
+
+
 class Chooser:
     """Chooses among the endpoints that are known to one gateway."""
 
@@ -146,15 +157,13 @@
         run: kv_forecast.Run,
         capacity: int,
         *,
-        in_place: bool = False,
+        in_place: InPlace | None = None,
         but: Sequence[types.EndpointId] = (),
         now: float,
     ) -> endpoints.Endpoint | None:
         """The decode endpoint with the most room; None if none has it.
 
-        `capacity` is the KV memory of each endpoint, in tokens.  A prompt
-        that is read `in_place` holds up the tokens of all that run there:
-        only one is read at a time.
+        `capacity` is the KV memory of each endpoint, in tokens.
         """
         found = self.candidates(service, types.Role.DECODE, but=but, now=now)
         fitting = []
@@ -169,7 +178,7 @@
         item: endpoints.Endpoint,
         runs: list[kv_forecast.Run],
         capacity: int,
-        in_place: bool,
+        in_place: InPlace | None,
         now: float,
     ) -> int | None:
         """How full it would get with further runs; None if it can't."""
@@ -178,8 +187,11 @@
         use = self._loads.total(item.id)
         if use.requests + len(runs) > item.slots:
             return None
-        if in_place and (use.prompt > 0 or len(runs) > 1):
-            return None
+        if in_place is not None:
+            if use.prompt > 0 or len(runs) > 1:
+                return None
+            if use.runs and self._loads.rests(item.id, in_place.rest_s, now):
+                return None
         peak = kv_forecast.peak([*use.runs, *runs])
         return peak if peak <= capacity else None
 
@@ -189,7 +201,7 @@
         run: kv_forecast.Run,
         capacity: int,
         *,
-        in_place: bool = False,
+        in_place: InPlace | None = None,
         now: float,
     ) -> int:
         """How many runs like this one there is room for, some at most."""
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -54,6 +54,7 @@
         self._others: dict[types.VmId, _Heard] = {}
         # The same figures by endpoint: few gateways use one at a time.
         self._at: dict[types.EndpointId, dict[types.VmId, Use]] = {}
+        self._read_at: dict[types.EndpointId, float] = {}
 
     @contextlib.contextmanager
     def held(
@@ -118,12 +119,25 @@
         heard.number = number
         heard.at = now
         self._unindex(sender, heard)
+        for endpoint, use in heard.uses.items():
+            if use.prompt and not uses.get(endpoint, Use()).prompt:
+                self.note_read(endpoint, now)
         heard.uses = uses
         for endpoint, use in uses.items():
             self._at.setdefault(endpoint, {})[sender] = use
         heard.waiting = waiting
         heard.first = first
 
+    def note_read(self, endpoint: types.EndpointId, now: float) -> None:
+        """An endpoint has read a prompt to its end."""
+        self._read_at[endpoint] = now
+
+    def rests(
+        self, endpoint: types.EndpointId, rest_s: float, now: float
+    ) -> bool:
+        """Whether its last prompt was read less than `rest_s` ago."""
+        return now < self._read_at.get(endpoint, -rest_s) + rest_s
+
     def heard_from(self, sender: types.VmId, since: float) -> bool:
         """Whether a gateway has told its figures after a clock reading."""
         heard = self._others.get(sender)
@@ -144,6 +158,9 @@
 
     def expire(self, now: float) -> None:
         """Drop figures that have not been refreshed."""
+        for endpoint, at in list(self._read_at.items()):
+            if now - at > KEEP_S:
+                del self._read_at[endpoint]
         for sender, heard in list(self._others.items()):
             if now - heard.at > KEEP_S:
                 self.forget(sender)
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -16,7 +16,6 @@
 from rackpost.gateway import prefill
 from rackpost.gateway import room
 from rackpost.platform import headers
-from rackpost.routing import endpoints
 from rackpost.routing import model
 
 # A refusal within this part of the target is one at once: its client loses
@@ -50,6 +49,8 @@
         # One that was given up late can't be in time any more.
         self._is_late = site.given_up.came_back(self._key, call.began)
         self._read = prefill.Prefilled(call=call)
+        # No prefill endpoint has read it: wait for a turn at a decode one.
+        self._in_place = False
         self._progress = self._new_progress()
 
     def _new_progress(self) -> kv_forecast.Progress:
@@ -72,7 +73,7 @@
                 return
             call.on_event = self._on_event(place)
             try:
-                ended = await self._run_at(place.endpoint)
+                ended = await self._run_at(place)
             finally:
                 place.release()
             if ended is None or not forward.goes_on(call, ended):
@@ -113,6 +114,8 @@
             capacity=self._engine.memory_tokens,
             run=self._progress.run,
             but=call.tried,
+            event_s=pace.making_s(self._engine.event_tokens),
+            in_place=self._in_place,
             claim=waiting.Claim(
                 priority=call.route.priority,
                 target=self._target(),
@@ -141,15 +144,15 @@
         leaves = began + call.route.silence_s
         return min(call.until, leaves - _WAY_BACK_S)
 
-    async def _run_at(
-        self, decode: endpoints.Endpoint
-    ) -> forwarding.Ended | None:
+    async def _run_at(self, place: room.Place) -> forwarding.Ended | None:
         call = self._call
+        decode = place.endpoint
         try:
             async with attempt.connected(call, decode) as conn:
-                if not self._read.is_fresh(self._engine):
-                    self._read.release()
-                    await self._prefill()
+                if not await self._can_run(place):
+                    self._in_place = True
+                    return forwarding.Ended.NOT_SENT
+                self._in_place = False
                 began = call.site.loop_time()
                 ended = await attempt.run_on(
                     call, decode, conn, self._read.headers()
@@ -165,10 +168,18 @@
             self._read.release()
         return ended
 
+    async def _can_run(self, place: room.Place) -> bool:
+        """Whether the prompt is read, or it is its turn to be in place."""
+        if self._read.is_fresh(self._engine):
+            return True
+        self._read.release()
+        if place.in_place or self._prompt == 0:
+            return True
+        await self._prefill()
+        return self._read.is_fresh(self._engine)
+
     async def _prefill(self) -> None:
         call = self._call
-        if self._prompt == 0:
-            return
         now = call.site.loop_time()
         first = not self._read.arrivals and not call.attempts
         left = call.budget.left(now, call.site.gateway_count)
--- a/rackpost/gateway/room.py
+++ b/rackpost/gateway/room.py
@@ -38,22 +38,32 @@
 
 
 class Wanted(msgspec.Struct, frozen=True, kw_only=True):
-    """What a generation needs; `but` are endpoints that it has tried."""
+    """What a generation needs.
+
+    Attributes:
+        but: endpoints that it has tried.
+        event_s: how long an endpoint takes for one event of a stream.
+        in_place: its prompt was not to be read elsewhere.
+    """
 
     service: types.ServiceName
     capacity: int
     run: kv_forecast.Run
     but: Sequence[types.EndpointId]
     claim: waiting.Claim
+    event_s: float = 0.0
+    in_place: bool = False
 
 
 class Place(msgspec.Struct, frozen=True, kw_only=True):
     """Room at an endpoint, until released.
 
-    `was_read` is called when the prompt has been read, if not before.
+    `was_read` is called when the prompt has been read, if not before;
+    with `in_place` it is the endpoint's turn to read it itself.
     """
 
     endpoint: endpoints.Endpoint
+    in_place: bool
     release: Callable[[], None]
     was_read: Callable[[], None]
 
@@ -195,17 +205,30 @@
         """Whether no more go before it elsewhere than there are places."""
         left = waiting.left(wanted.claim, now)
         ahead = self._loads.ahead(left, self._vm, now)
-        if ahead == 0 or self._loads.tellers < _FEW:
+        in_place = self._in_place(wanted, now)
+        # Two prompts read at one time at one endpoint make all that run
+        # there late, so that even few gateways take turns.
+        if ahead == 0 or (in_place is None and self._loads.tellers < _FEW):
             return True
         places = self._chooser.places(
             wanted.service,
             wanted.run,
             int(wanted.capacity * FILL),
-            in_place=self._chooser.reads_in_place(wanted.service, now),
+            in_place=in_place,
             now=now,
         )
         return ahead < places
 
+    def _in_place(
+        self, wanted: Wanted, now: float
+    ) -> endpoint_choice.InPlace | None:
+        """How the decode endpoint reads the prompt, if it is to."""
+        if not wanted.in_place and not self._chooser.reads_in_place(
+            wanted.service, now
+        ):
+            return None
+        return endpoint_choice.InPlace(rest_s=wanted.event_s)
+
     def first(self, now: float) -> tuple[waiting.Left, ...]:
         """Those that wait here and go first."""
         found = [
@@ -217,8 +240,10 @@
         return tuple(found[:_MOST_TOLD])
 
     def _place(self, wanted: Wanted, now: float) -> Place | None:
-        in_place = self._chooser.reads_in_place(wanted.service, now)
-        if not in_place and not self._chooser.can_prefill(wanted.service, now):
+        in_place = self._in_place(wanted, now)
+        if in_place is None and not self._chooser.can_prefill(
+            wanted.service, now
+        ):
             return None
         endpoint = self._chooser.decode(
             wanted.service,
@@ -232,16 +257,27 @@
             return None
         held = self._loads.hold(endpoint.id, run=wanted.run)
         reading = _nothing
-        if in_place:
-            prompt = wanted.run.size
-            reading = self._loads.hold(endpoint.id, prompt=prompt)
-        return self._held(endpoint, held, reading)
+        if in_place is not None:
+            reading = self._reading(endpoint, wanted.run.size)
+        return self._held(endpoint, held, reading, in_place is not None)
+
+    def _reading(
+        self, endpoint: endpoints.Endpoint, prompt: int
+    ) -> Callable[[], None]:
+        release = self._loads.hold(endpoint.id, prompt=prompt)
+
+        def was_read() -> None:
+            release()
+            self._loads.note_read(endpoint.id, self._loop.time())
+
+        return was_read
 
     def _held(
         self,
         endpoint: endpoints.Endpoint,
         held: Callable[[], None],
         reading: Callable[[], None],
+        in_place: bool,
     ) -> Place:
         done = False
 
@@ -257,7 +293,12 @@
             held()
             self._changed.set()
 
-        return Place(endpoint=endpoint, release=release, was_read=was_read)
+        return Place(
+            endpoint=endpoint,
+            in_place=in_place,
+            release=release,
+            was_read=was_read,
+        )
 
     def _settle(self, waiter: _Waiter, place: Place | Full) -> None:
         self._waiters.remove(waiter)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -355,6 +355,48 @@
     asyncio.run(main())
 
 
+def test_prompts_that_prefill_endpoints_fail_take_turns_in_place(
+    tmp_path: pathlib.Path,
+) -> None:
+    """They were all read at once where others made their tokens."""
+
+    async def cut(req: message.Request, responder: server.Responder) -> None:
+        responder.abort()
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            site.prefill.answer = cut
+            go_on = asyncio.Event()
+            for one in site.decode:
+
+                async def slow(
+                    req: message.Request,
+                    responder: server.Responder,
+                    one: platform_site.Endpoint = one,
+                ) -> None:
+                    await go_on.wait()
+                    await one.stream(req, responder, 1, 4)
+
+                one.answer = slow
+            calls = [
+                asyncio.create_task(
+                    site.raw(generation().replace(b": r1", b": r%d" % number))
+                )
+                for number in range(6)
+            ]
+            await platform_site.until(
+                lambda: all(one.seen for one in site.decode)
+            )
+            # All have been tried at the prefill endpoint by now or wait.
+            await asyncio.sleep(0.2)
+            assert [len(one.seen) for one in site.decode] == [1, 1]
+            go_on.set()
+            for answer in await asyncio.gather(*calls):
+                assert status(answer) == 200
+
+    asyncio.run(main())
+
+
 def test_rejected_prefills_stay_within_the_retry_budget(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -169,20 +169,59 @@
 def test_one_prompt_at_a_time_is_read_where_tokens_are_made() -> None:
     known = Known(types.Role.DECODE)
     assert known.chooser.reads_in_place(SERVICE, 0.0)
-    wanted = run(100, 100)
-    one = known.chooser.decode(SERVICE, wanted, 9000, in_place=True, now=0.0)
+
+    def choose(at: float = 0.0) -> endpoints.Endpoint | None:
+        return known.chooser.decode(
+            SERVICE,
+            run(100, 100),
+            9000,
+            in_place=endpoint_choice.InPlace(rest_s=0.1),
+            now=at,
+        )
+
+    one = choose()
     assert one is not None
     release = known.loads.hold(one.id, prompt=100)
-    two = known.chooser.decode(SERVICE, wanted, 9000, in_place=True, now=0.0)
+    two = choose()
     assert two is not None and two.id != one.id
     known.loads.hold(two.id, prompt=100)
-    none = known.chooser.decode(SERVICE, wanted, 9000, in_place=True, now=0.0)
-    assert none is None
+    assert choose() is None
     release()
-    again = known.chooser.decode(SERVICE, wanted, 9000, in_place=True, now=0.0)
+    again = choose()
     assert again is not None and again.id == one.id
 
 
+def test_those_that_run_make_an_event_between_two_prompts() -> None:
+    """Prompts read one after the other made pauses of 0.4 and 0.6 s."""
+    known = Known(types.Role.DECODE)
+    turn = endpoint_choice.InPlace(rest_s=0.1)
+    key = types.VmId("g2")
+
+    def use(prompt: int) -> dict[types.EndpointId, endpoint_load.Use]:
+        runs = [run(100, 100)]
+        found = endpoint_load.Use(requests=2, prompt=prompt, runs=runs)
+        return {A: found, B: found}
+
+    def may_read(at: float) -> bool:
+        wanted = run(100, 100)
+        found = known.chooser.decode(
+            SERVICE, wanted, 9000, in_place=turn, now=at
+        )
+        return found is not None
+
+    known.loads.take(key, 1, 1, use(500), 5.0)
+    assert not may_read(5.0)
+    known.loads.take(key, 1, 2, use(0), 6.0)
+    assert not may_read(6.05)
+    assert may_read(6.11)
+    known.loads.note_read(A, 7.0)
+    known.loads.note_read(B, 7.0)
+    assert not may_read(7.05)
+    # Where nothing runs, nobody needs the pause.
+    known.loads.forget(key)
+    assert may_read(7.05)
+
+
 def test_progress_past_its_guess_still_expects_some_more() -> None:
     progress = kv_forecast.Progress(
         prompt=10, guess=100, most=400, event_tokens=50
