Planned stops begin only what can end; a rejected request uses no attempt

Change: late in a stop a request is still served if its time ends before the stop does; a generation counts as hopeless if it can't end by then, so that it goes elsewhere at once; a stop has a time to come back of its own (0.05 s: the others are there). A rejection ("not run") uses up none of the route's attempts; the retry budget still holds.

--- a/rackpost/decide/forwarding.py
+++ b/rackpost/decide/forwarding.py
@@ -32,7 +32,7 @@
     Attributes:
         repeatable: the request may run more than once.
         may_have_run: an earlier attempt may have run.
-        attempts_left: endpoints that it may still be sent to.
+        attempts_left: endpoints that may still run it.
         budget: the retry budget allows one more arrival.
         time_left_s: until the request's time is up.
     """
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -161,9 +161,11 @@
     except exceptions.ExchangeError as exc:
         ended = _broke(call, endpoint, exc)
     if ended is not forwarding.Ended.NOT_SENT:
-        call.attempts += 1
+        call.sent += 1
     if ended in (forwarding.Ended.NOT_SENT, forwarding.Ended.NOT_RUN):
         call.may_have_run = ran_before
+    else:
+        call.runs += 1
     return ended
 
 
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -69,7 +69,10 @@
         self.request_id = message.find(req.headers, headers.REQUEST_ID)
         self.budget = site.budget(service.name)
         self.tried: list[types.EndpointId] = []
-        self.attempts = 0
+        # Sends that arrived, and those of them that an endpoint may have
+        # run: a rejected one uses up none of the route's attempts.
+        self.sent = 0
+        self.runs = 0
         self.may_have_run = False
         self.failure: Failure | None = None
         # Called for each event that comes from an endpoint.
@@ -93,7 +96,7 @@
         return forwarding.Situation(
             repeatable=self.route.repeatable,
             may_have_run=self.may_have_run,
-            attempts_left=self.route.max_attempts - self.attempts,
+            attempts_left=self.route.max_attempts - self.runs,
             budget=self.budget.allows(now, self.site.gateway_count),
             time_left_s=self.until - now,
         )
@@ -107,7 +110,7 @@
             request=ident.decode("latin-1"),
             route=self.route.name,
             version=self.site.version,
-            attempts=self.attempts,
+            attempts=self.sent,
             **fields,
         )
 
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -120,7 +120,8 @@
                 priority=call.route.priority,
                 target=self._target(),
                 start_by=self._start_by(),
-                until=call.until,
+                # One that a planned stop would cut off is not begun.
+                until=min(call.until, call.site.ends_at),
                 came_back=self._came_back,
                 start_s=start_s,
                 run_s=start_s + pace.making_s(self._progress.run.left),
@@ -181,7 +182,7 @@
     async def _prefill(self) -> None:
         call = self._call
         now = call.site.loop_time()
-        first = not self._read.arrivals and not call.attempts
+        first = not self._read.arrivals and not call.sent
         left = call.budget.left(now, call.site.gateway_count)
         # A second reading elsewhere is one more arrival than one in place.
         if first or left >= 2.0:
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -16,7 +16,8 @@
 # A gateway that has no document yet gets one within about this time, in
 # seconds: it dials its coordinators again every 0.3 s.
 _NO_DOCUMENT_S = 0.5
-
+# Other gateways take at once what one that stops does not begin; in seconds.
+_ELSEWHERE_S = 0.05
 # What an answer needs to reach its client, in seconds: several times the
 # usual delay on the way (3 ms).
 _WAY_BACK_S = 0.03
@@ -32,11 +33,6 @@
         self, req: message.Request, responder: server.Responder
     ) -> None:
         """Answer one request."""
-        if self._site.closing:
-            # Begun now it would be cut off at the end of the grace time.
-            self._own(call_mod.Reason.STOPPING, req)
-            call_mod.refuse(responder, _NO_DOCUMENT_S)
-            return
         routes = self._site.routes
         if routes is None:
             self._own(call_mod.Reason.NO_DOCUMENT, req)
@@ -75,6 +71,12 @@
         if told is not None:
             # The answer should be there before the client gives up.
             time_s = min(time_s, max(0.0, told / 1000.0 - _WAY_BACK_S))
+        until = now + time_s
+        if self._site.closing and until > self._site.ends_at:
+            # Begun now it might be cut off at the end of the grace time.
+            self._own(call_mod.Reason.STOPPING, req)
+            call_mod.refuse(responder, _ELSEWHERE_S)
+            return
         call = call_mod.Call(
             site=self._site,
             req=req,
@@ -82,7 +84,7 @@
             route=route,
             service=service,
             began=now,
-            until=now + time_s,
+            until=until,
         )
         call.budget.request(now)
         try:
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -126,6 +126,7 @@
         self._server.stopping = True
         self.is_ready()
         last = began + self._host.bounds.grace_s - _END_S
+        self.site.ends_at = last
         while loop.time() < last:
             noticed = loop.time() - began >= _NOTICED_S
             if noticed:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -1,6 +1,7 @@
 """What a gateway knows, and the decisions' state that its tasks share."""
 
 import asyncio
+import math
 import random
 from typing import Any
 from typing import Coroutine
@@ -71,7 +72,9 @@
             waiters_changed=self.loads_changed.set,
         )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
-        # A planned stop is so far that what comes now could not end in time.
+        # In a planned stop, when it ends at the latest; and whether it is so
+        # far that only what surely ends before that is still begun.
+        self.ends_at = math.inf
         self.closing = False
         self._told: set[types.VmId] = set()
         self._meters: dict[types.ServiceName, role_balance.DemandMeter] = {}
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -135,6 +135,28 @@
     asyncio.run(main())
 
 
+def test_a_rejected_request_uses_up_no_attempt(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A route of one attempt refused what one endpoint had rejected."""
+
+    async def full(req: message.Request, responder: server.Responder) -> None:
+        responder.whole(503, [(b"x-not-executed", b"1")], b"")
+
+    async def main() -> None:
+        document = platform_site.document()
+        assert document["routes"][2]["maxAttempts"] == 1
+        async with platform_site.small_site(tmp_path) as site:
+            site.decode[0].answer = full
+            for _ in range(2):
+                got = await site.raw(generation())
+                assert status(got) == 200
+            rejected, ran = (len(one.seen) for one in site.decode)
+            assert rejected >= 1 and ran == 2
+
+    asyncio.run(main())
+
+
 def test_a_failure_that_promises_nothing_is_not_passed_as_a_promise(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import pathlib
 
@@ -75,14 +76,60 @@
 
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            site.gateway.site.closing = True
+            own = site.gateway.site
+            own.closing = True
+            # The route's time is 3 s.
+            own.ends_at = own.loop_time() + 2.5
+            for path in ("/unsafe/x", "/gen/x"):
+                got = await site.raw(test_gateway.request(path))
+                assert test_gateway.status(got) == 503
+                assert b"retry-after" in got
+            assert not any(one.seen for one in site.endpoints)
+            own.closing = False
+            own.ends_at = math.inf
+            await site.gateway.stop()
+            assert own.closing and own.ends_at < own.loop_time() + 8.0
+
+    asyncio.run(main())
+
+
+def test_what_surely_ends_in_time_is_served_late_in_a_planned_stop(
+    tmp_path: pathlib.Path,
+) -> None:
+    """All gateways stopped at once: 186 quick requests were refused."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            own = site.gateway.site
+            own.closing = True
+            own.ends_at = own.loop_time() + 10.0
             got = await site.raw(test_gateway.request("/unsafe/x"))
+            assert test_gateway.status(got) == 200
+
+    asyncio.run(main())
+
+
+def test_a_stream_that_a_planned_stop_would_cut_is_not_begun(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Streams of ten seconds were begun and cut after seven."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            own = site.gateway.site
+            own.pace.made(10, 10.0)
+            own.ends_at = own.loop_time() + 5.0
+            got = await site.raw(
+                test_gateway.generation(more="X-Length-Hint: 8\r\n")
+            )
             assert test_gateway.status(got) == 503
             assert b"retry-after" in got
-            assert not any(one.seen for one in site.endpoints)
-            site.gateway.site.closing = False
-            await site.gateway.stop()
-            assert site.gateway.site.closing
+            assert not site.prefill.seen
+            own.ends_at = own.loop_time() + 30.0
+            got = await site.raw(
+                test_gateway.generation(more="X-Length-Hint: 1\r\n")
+            )
+            assert test_gateway.status(got) == 200
 
     asyncio.run(main())
 
