Refusals are told to other gateways for a second, not for six

Cause: since what is told of refusals is taken, each load datagram carried up to 64 keys of the last six seconds to all gateways; the receivers keep a key from its first telling, so that the rest was bytes for nothing.

--- a/rackpost/decide/refused.py
+++ b/rackpost/decide/refused.py
@@ -9,7 +9,9 @@
 # Whoever comes back does so within a third of its time; this is more than
 # that for the longest time that a client has (14 s), in seconds.
 _KEEP_S = 6.0
-# Told to other gateways with each change, so that it must stay small.
+# Told to other gateways with each change, so that it must stay small: for
+# as long as it takes that one of several datagrams arrives, in seconds.
+_TELL_S = 1.0
 _MOST = 64
 
 
@@ -47,9 +49,10 @@
         return now - at < _KEEP_S
 
     def recent(self, now: float) -> tuple[int, ...]:
-        """What other gateways should know."""
+        """What other gateways may not have been told yet."""
         _trim(self._own, now)
-        return tuple(self._own)[-_MOST:]
+        fresh = [key for key, at in self._own.items() if now - at < _TELL_S]
+        return tuple(fresh[-_MOST:])
 
 
 def _trim(book: dict[int, float], now: float) -> None:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -392,8 +392,12 @@
     here.add(key, 1.0)
     there.take(here.recent(1.1), 1.1)
     assert there.came_back(key, 2.0)
-    assert not there.came_back(key, 8.0)
-    assert here.recent(8.0) == ()
+    # Told again it still counts from the first time, and soon is no more.
+    there.take(here.recent(1.9), 1.9)
+    assert not there.came_back(key, 7.2)
+    assert here.recent(2.1) == ()
+    assert here.came_back(key, 2.1)
+    assert not here.came_back(key, 8.0)
 
 
 def test_repeats_of_all_gateways_stay_within_the_sites_budget() -> None:
