rackpost site status, routes, endpoints: a site as a coordinator knows it

Each coordinator serves /status beside /metrics: leader, replicas, document, gateways, routes and endpoints, without asking a quorum, and it says whether it hears one. The command takes the first coordinator that answers, prints tables or JSON, and ends with one clear line where none does.

Tests: test_site_overview (a running site over loopback, one coordinator that does not answer, none at all).

--- a/rackpost/cmd_operator.py
+++ b/rackpost/cmd_operator.py
@@ -14,12 +14,14 @@
 
 import msgspec
 
+from rackpost.coordinator import overview
 from rackpost import exceptions
 from rackpost import log_story
 from rackpost import operator_client
 from rackpost import operator_commands
 from rackpost.platform import documents
 from rackpost import program
+from rackpost import site_overview
 
 _TIMEOUT_S = 5.0
 
@@ -357,6 +359,29 @@
     )
 
 
+def _shown(
+    asked: operator_commands.Coordinators,
+    show: Callable[[overview.Overview], str],
+) -> str:
+    found = site_overview.fetch(asked.coordinators)
+    return site_overview.to_json(found) if asked.json else show(found)
+
+
+def site_status(asked: operator_commands.SiteStatus) -> str:
+    """Leader, replicas, gateways and version."""
+    return _shown(asked, site_overview.status)
+
+
+def site_routes(asked: operator_commands.SiteRoutes) -> str:
+    """The routes in force."""
+    return _shown(asked, site_overview.routes)
+
+
+def site_endpoints(asked: operator_commands.SiteEndpoints) -> str:
+    """The endpoints and their states."""
+    return _shown(asked, site_overview.endpoints)
+
+
 _ACTIONS: dict[type, Callable[[Any], str]] = {
     operator_commands.Show: show,
     operator_commands.Set: change,
@@ -372,6 +397,9 @@
     operator_commands.Explain: explain,
     operator_commands.Story: story,
     operator_commands.CheckConfig: check_config,
+    operator_commands.SiteStatus: site_status,
+    operator_commands.SiteRoutes: site_routes,
+    operator_commands.SiteEndpoints: site_endpoints,
 }
 
 
@@ -379,7 +407,12 @@
     """Run the program."""
     asked: Any = program.parse(operator_commands.Operator, argv).what
     if isinstance(
-        asked, (operator_commands.Settings, operator_commands.Events)
+        asked,
+        (
+            operator_commands.Settings,
+            operator_commands.Events,
+            operator_commands.SiteCommands,
+        ),
     ):
         asked = asked.what
     try:
--- /dev/null
+++ b/rackpost/coordinator/overview.py
@@ -0,0 +1,143 @@
+"""What one coordinator knows of its site, for an operator's terminal.
+
+It is that coordinator's own knowledge, without asking a quorum: a replica
+that is cut off shows what it last knew.
+"""
+
+import msgspec
+
+from rackpost.control import node as node_mod
+from rackpost.coordinator import directory as directory_mod
+from rackpost import exceptions
+from rackpost import logs
+from rackpost.platform import documents
+from rackpost.routing import endpoints
+from rackpost.routing import model
+from rackpost import types
+
+
+class EndpointLine(msgspec.Struct, frozen=True, kw_only=True):
+    """One endpoint; `silent_s` is since its last heartbeat, in seconds."""
+
+    id: types.EndpointId
+    service: types.ServiceName
+    role: types.Role
+    state: endpoints.EndpointState
+    data_centre: types.DataCentre
+    address: str
+    slots: int
+    silent_s: float
+    changing: bool
+
+
+class RouteLine(msgspec.Struct, frozen=True, kw_only=True):
+    """One route; times are in seconds."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: model.RouteKind
+    targets: tuple[model.Target, ...]
+    timeout_s: float
+    target_s: float
+    priority: int
+    max_attempts: int
+
+
+class Overview(msgspec.Struct, frozen=True, kw_only=True):
+    """The site, as one coordinator knows it.
+
+    Attributes:
+        version: of the routing document that it holds; 0 if none.
+        hears_quorum: it leads, or has heard the leader lately.
+    """
+
+    vm: types.VmId
+    replica: str
+    leader: str
+    term: int
+    hears_quorum: bool
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+    version: int
+    gateways: tuple[types.VmId, ...]
+    routes: tuple[RouteLine, ...]
+    endpoints: tuple[EndpointLine, ...]
+
+
+def overview(
+    *,
+    vm: types.VmId,
+    node: node_mod.Node,
+    directory: directory_mod.Directory,
+    changing: tuple[types.EndpointId, ...],
+    now: float,
+) -> Overview:
+    """What is known at a reading of the loop's clock."""
+    routing = node.machine.routing
+    return Overview(
+        vm=vm,
+        replica=node.me,
+        leader=node.leader or "",
+        term=node.term,
+        hears_quorum=node.is_leader or node.hears_quorum(),
+        voters=tuple(node.config.voters),
+        learners=tuple(node.config.learners),
+        version=0 if routing is None else routing.version,
+        gateways=tuple(
+            sorted({item.vm for item in directory.gateways.values()})
+        ),
+        routes=() if routing is None else _routes(routing.source),
+        endpoints=_endpoints(directory.table, changing, now),
+    )
+
+
+def _routes(source: bytes) -> tuple[RouteLine, ...]:
+    try:
+        doc = documents.decode(source)
+    except exceptions.RoutingError as exc:
+        # A newer software took it in; its version is shown all the same.
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Document can't be read for the overview.",
+            why=str(exc),
+        )
+        return ()
+    return tuple(
+        RouteLine(
+            name=item.name,
+            host=item.host,
+            prefix=item.prefix,
+            kind=item.kind,
+            targets=item.targets,
+            timeout_s=item.timeout_s,
+            target_s=item.target_s,
+            priority=item.priority,
+            max_attempts=item.max_attempts,
+        )
+        for item in doc.routes
+    )
+
+
+def _endpoints(
+    table: endpoints.EndpointTable,
+    changing: tuple[types.EndpointId, ...],
+    now: float,
+) -> tuple[EndpointLine, ...]:
+    found = sorted(
+        table.alive.values(), key=lambda item: (item.service, item.id)
+    )
+    return tuple(
+        EndpointLine(
+            id=item.id,
+            service=item.service,
+            role=item.role,
+            state=item.state,
+            data_centre=item.data_centre,
+            address=item.address,
+            slots=item.slots,
+            silent_s=round(now - table.heard_at.get(item.id, now), 2),
+            changing=item.id in changing,
+        )
+        for item in found
+    )
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -17,6 +17,7 @@
 from rackpost.coordinator import links
 from rackpost.coordinator import members
 from rackpost.coordinator import messages
+from rackpost.coordinator import overview
 from rackpost.coordinator import roles
 from rackpost import exceptions
 from rackpost.http1 import message
@@ -219,6 +220,16 @@
             messages.RoutingAt(version=self._version())
         )
 
+    def _status_page(self) -> tuple[int, str]:
+        found = overview.overview(
+            vm=self._host.vm,
+            node=self.node,
+            directory=self.directory,
+            changing=self._roles.changing,
+            now=self._loop.time(),
+        )
+        return 200, msgspec.json.encode(found).decode()
+
     # The process.
 
     def reload(self, host: settings.HostSettings) -> None:
@@ -270,7 +281,10 @@
             )
             await stack.enter_async_context(
                 pages.serving(
-                    {b"/metrics": lambda: (200, self.metrics.text())},
+                    {
+                        b"/metrics": lambda: (200, self.metrics.text()),
+                        b"/status": self._status_page,
+                    },
                     host=ip,
                     port=self._port + links.METRICS_PORT,
                     failed=_failed,
--- a/rackpost/operator_commands.py
+++ b/rackpost/operator_commands.py
@@ -213,6 +213,50 @@
     file: Annotated[str, cappa.Arg(help="the document, JSON")]
 
 
+@dataclasses.dataclass(kw_only=True)
+class Coordinators:
+    """Where the coordinators of a site tell what they know."""
+
+    coordinators: Annotated[
+        str,
+        cappa.Arg(
+            long="--coordinators",
+            default=cappa.Env("RACKPOST_COORDINATORS", default=""),
+            help="metrics addresses of coordinators, by commas "
+            "[RACKPOST_COORDINATORS]",
+        ),
+    ] = ""
+    json: Annotated[
+        bool, cappa.Arg(long="--json", help="print JSON for programs")
+    ] = False
+
+
+@cappa.command(name="status", help="Show leader, replicas and gateways.")
+@dataclasses.dataclass(kw_only=True)
+class SiteStatus(Coordinators):
+    """Show leader, replicas, gateways and the document's version."""
+
+
+@cappa.command(name="routes", help="Show the routes in force.")
+@dataclasses.dataclass(kw_only=True)
+class SiteRoutes(Coordinators):
+    """Show the routes in force."""
+
+
+@cappa.command(name="endpoints", help="Show endpoints and their states.")
+@dataclasses.dataclass(kw_only=True)
+class SiteEndpoints(Coordinators):
+    """Show endpoints, their roles and states."""
+
+
+@cappa.command(name="site", help="A site of gateways and coordinators.")
+@dataclasses.dataclass(kw_only=True)
+class SiteCommands:
+    """A site of gateways and coordinators, as a coordinator knows it."""
+
+    what: cappa.Subcommands[SiteStatus | SiteRoutes | SiteEndpoints]
+
+
 @cappa.command(name="rackpost")
 @dataclasses.dataclass(kw_only=True)
 class Operator:
@@ -228,4 +272,5 @@
         | Explain
         | Story
         | CheckConfig
+        | SiteCommands
     ]
--- /dev/null
+++ b/rackpost/site_overview.py
@@ -0,0 +1,129 @@
+"""A site as its coordinators see it, fetched and printed as tables."""
+
+from typing import Iterable
+import urllib.error
+import urllib.request
+
+import msgspec
+
+from rackpost.coordinator import overview
+from rackpost import exceptions
+
+PAGE = "/status"
+# A coordinator answers from memory; one that is cut off does not, in seconds.
+_TIMEOUT_S = 2.0
+
+
+def fetch(addresses: str) -> overview.Overview:
+    """What the first coordinator that answers knows.
+
+    `addresses` are `host:port` of their metrics, by commas.
+    """
+    wanted = [item for item in addresses.split(",") if item]
+    if not wanted:
+        raise exceptions.ConfigError("--coordinators names none")
+    last = ""
+    for address in wanted:
+        base = address if "//" in address else f"http://{address}"
+        try:
+            with urllib.request.urlopen(
+                base + PAGE, timeout=_TIMEOUT_S
+            ) as resp:
+                return msgspec.json.decode(resp.read(), type=overview.Overview)
+        except (OSError, ValueError) as exc:
+            last = f"{base}: {exc}"
+        except msgspec.DecodeError as exc:
+            last = f"{base}: not a coordinator's page: {exc}"
+    raise exceptions.ControlError(last)
+
+
+def to_json(found: overview.Overview) -> str:
+    """All of it, for programs."""
+    return msgspec.json.encode(found).decode()
+
+
+def status(found: overview.Overview) -> str:
+    """Who leads, who votes, and what is in force."""
+    heard = "hears a quorum" if found.hears_quorum else "HEARS NO QUORUM"
+    return "\n".join(
+        (
+            f"as {found.vm} ({found.replica}) knows it; it {heard}",
+            f"leader     {found.leader or 'none'}, term {found.term}",
+            f"voters     {', '.join(found.voters) or 'none'}",
+            f"learners   {', '.join(found.learners) or 'none'}",
+            f"document   version {found.version}, "
+            f"{len(found.routes)} routes",
+            f"gateways   {len(found.gateways)}: {', '.join(found.gateways)}",
+            f"endpoints  {len(found.endpoints)}",
+        )
+    )
+
+
+def routes(found: overview.Overview) -> str:
+    """The routes of the document that it holds."""
+    rows = [
+        (
+            item.host + item.prefix,
+            item.name,
+            item.kind.value,
+            ", ".join(
+                f"{target.service}:{target.weight:g}"
+                for target in item.targets
+            ),
+            f"{item.timeout_s:g}",
+            f"{item.target_s:g}",
+            str(item.priority),
+            str(item.max_attempts),
+        )
+        for item in found.routes
+    ]
+    head = (
+        "route",
+        "name",
+        "kind",
+        "services",
+        "time s",
+        "target s",
+        "priority",
+        "attempts",
+    )
+    return f"version {found.version}\n" + _table(head, rows)
+
+
+def endpoints(found: overview.Overview) -> str:
+    """The endpoints that it has heard of."""
+    rows = [
+        (
+            item.id,
+            item.service,
+            item.role.value,
+            item.state.value + (", changing" if item.changing else ""),
+            item.data_centre,
+            item.address,
+            str(item.slots),
+            f"{item.silent_s:g}",
+        )
+        for item in found.endpoints
+    ]
+    head = (
+        "endpoint",
+        "service",
+        "role",
+        "state",
+        "data centre",
+        "address",
+        "slots",
+        "silent s",
+    )
+    return _table(head, rows)
+
+
+def _table(head: tuple[str, ...], rows: Iterable[tuple[str, ...]]) -> str:
+    lines = [head, *rows]
+    widths = [max(len(line[at]) for line in lines) for at in range(len(head))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
--- /dev/null
+++ b/tests/test_site_overview.py
@@ -0,0 +1,60 @@
+"""What an operator sees of a site from a terminal."""
+
+import asyncio
+import json
+import pathlib
+
+import pytest
+
+from rackpost import cmd_operator
+from rackpost.coordinator import links
+from tests import platform_site
+
+
+def _address(site: platform_site.Site) -> str:
+    port = site.plan.base + links.METRICS_PORT
+    return f"{site.plan.ip(11)}:{port}"
+
+
+def test_status_routes_and_endpoints_of_a_running_site(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            # One that does not answer is passed over.
+            where = f"127.0.0.1:1,{_address(site)}"
+
+            async def run(*words: str) -> str:
+                args = ["site", *words, "--coordinators", where]
+                await asyncio.to_thread(cmd_operator.main, args)
+                return capsys.readouterr().out
+
+            shown = await run("status")
+            assert "hears a quorum" in shown
+            assert "as core-11" in shown and "version 1, 4 routes" in shown
+            shown = await run("routes")
+            assert "site.example/gen/" in shown and "model:1" in shown
+            assert len(shown.splitlines()) == 2 + 4
+            await site.operator.beat(11, site.decode[0], "draining")
+            shown = await run("endpoints")
+            lines = [row.split() for row in shown.splitlines()]
+            states = {row[0]: row[3] for row in lines[1:]}
+            assert states["dec0"] == "draining"
+            assert states["dec1"] == "ready" and len(states) == 5
+            found = json.loads(await run("endpoints", "--json"))
+            assert found["vm"] == "core-11" and found["version"] == 1
+
+    asyncio.run(main())
+
+
+def test_no_coordinator_is_one_clear_line(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    args = ["site", "status", "--coordinators", "127.0.0.1:1"]
+    with pytest.raises(SystemExit) as caught:
+        cmd_operator.main(args)
+    assert caught.value.code == 1
+    assert "127.0.0.1:1" in capsys.readouterr().err
+    with pytest.raises(SystemExit) as caught:
+        cmd_operator.main(["site", "status"])
+    assert caught.value.code == 2
