A gateway may leave out the split and the sharing, to compare

RACKPOST_SPLIT=no reads all prompts in place, RACKPOST_SHARE_LOADS=no tells no figures; both are yes by default, and a bad word ends the program with one line and code 2.

Also: who waits at a gateway that has missed its telling (1.3 s) is not waited for; a killed gateway held places back until its figures expired after 3.5 s. The test of ranks takes newer figures now, since those of five seconds ago count no more, and asks for both sides of the 1.3 s.

--- a/rackpost/cmd_gateway.py
+++ b/rackpost/cmd_gateway.py
@@ -1,5 +1,9 @@
 """The program `rackpost-gateway`."""
 
+import functools
+import os
+
+from rackpost.gateway import policy as policy_mod
 from rackpost.gateway import process
 from rackpost import logs
 from rackpost.platform import settings
@@ -7,10 +11,19 @@
 
 
 async def serve(
-    host: settings.HostSettings, signals: site_program.Signals
+    policy: policy_mod.Policy,
+    host: settings.HostSettings,
+    signals: site_program.Signals,
 ) -> None:
     """Serve clients until a planned stop."""
-    gateway = process.Gateway(host=host)
+    if policy != policy_mod.Policy():
+        logs.say(
+            logs.Part.GATEWAY,
+            "Parts are left out.",
+            split=policy.split,
+            share=policy.share,
+        )
+    gateway = process.Gateway(host=host, policy=policy)
     async with gateway.serving():
         gateway.site.spawn(signals.watch(gateway.reload))
         await signals.stop.wait()
@@ -19,7 +32,10 @@
 
 def main() -> None:
     """Run the program."""
-    site_program.run(logs.Part.GATEWAY, serve)
+    policy = site_program.checked(
+        lambda: policy_mod.from_environment(os.environ)
+    )
+    site_program.run(logs.Part.GATEWAY, functools.partial(serve, policy))
 
 
 if __name__ == "__main__":
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -16,6 +16,9 @@
 
 # Gateways tell their figures at least each second; three may be lost.
 KEEP_S = 3.5
+# Who waits at a gateway that has missed one telling is not waited for: it
+# may be gone, and nobody would take the place meanwhile; in seconds.
+_FIRST_S = 1.3
 
 
 class Use(msgspec.Struct, array_like=True, kw_only=True):
@@ -185,6 +188,8 @@
         count = 0
         for sender, heard in self._others.items():
             age = now - heard.at
+            if age > _FIRST_S:
+                continue
             for other in heard.first:
                 rank = other.rank(age)
                 if waiting_mod.goes_before(rank, sender, mine, me):
--- a/rackpost/gateway/load_share.py
+++ b/rackpost/gateway/load_share.py
@@ -82,6 +82,8 @@
             self._send()
 
     def _send(self) -> None:
+        if not self._site.policy.share:
+            return
         self._number += 1
         me = self._site.host.vm
         now = self._site.loop_time()
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -8,6 +8,7 @@
 from rackpost.gateway import control_links
 from rackpost.gateway import handler as handler_mod
 from rackpost.gateway import load_share
+from rackpost.gateway import policy as policy_mod
 from rackpost.gateway import site as site_mod
 from rackpost.http1 import message
 from rackpost.http1 import pages
@@ -33,9 +34,14 @@
 class Gateway:
     """A running gateway."""
 
-    def __init__(self, *, host: settings.HostSettings) -> None:
+    def __init__(
+        self,
+        *,
+        host: settings.HostSettings,
+        policy: policy_mod.Policy = policy_mod.Policy(),
+    ) -> None:
         self._host = host
-        self.site = site_mod.Site(host=host)
+        self.site = site_mod.Site(host=host, policy=policy)
         self._links = control_links.ControlLinks(site=self.site)
         self._server = server.Server(
             handler=handler_mod.Handler(site=self.site).handle, failed=_failed
--- a/rackpost/gateway/room.py
+++ b/rackpost/gateway/room.py
@@ -102,10 +102,12 @@
         vm: types.VmId,
         changed: asyncio.Event,
         waiters_changed: Callable[[], None],
+        split: bool = True,
     ) -> None:
         """`changed` is set when there may be more room.
 
         `waiters_changed` is called when others should know who waits.
+        Without `split` all prompts are read in place.
         """
         self._loop = asyncio.get_running_loop()
         self._chooser = chooser
@@ -114,6 +116,7 @@
         self._rng = rng
         self._vm = vm
         self._waiters_changed = waiters_changed
+        self._split = split
         self._changed = changed
         self._waiters: list[_Waiter] = []
         self._luck = waiting.Luck()
@@ -223,7 +226,8 @@
         self, wanted: Wanted, now: float
     ) -> endpoint_choice.InPlace | None:
         """How the decode endpoint reads the prompt, if it is to."""
-        if not wanted.in_place and not self._chooser.reads_in_place(
+        read_apart = self._split and not wanted.in_place
+        if read_apart and not self._chooser.reads_in_place(
             wanted.service, now
         ):
             return None
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -17,6 +17,7 @@
 from rackpost.decide import refused as refused_mod
 from rackpost.decide import retry_budget
 from rackpost.decide import role_balance
+from rackpost.gateway import policy as policy_mod
 from rackpost.gateway import room as room_mod
 from rackpost.http1 import pool as pool_mod
 from rackpost import metrics as metrics_mod
@@ -37,10 +38,16 @@
 class Site:
     """Routes, endpoints and their use, as one gateway knows them."""
 
-    def __init__(self, *, host: settings.HostSettings) -> None:
+    def __init__(
+        self,
+        *,
+        host: settings.HostSettings,
+        policy: policy_mod.Policy = policy_mod.Policy(),
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self.tasks = links.Tasks()
         self.host = host
+        self.policy = policy
         self.rng = random.Random()
         self.metrics = metrics_mod.Metrics()
         self.routes: match.RouteTable | None = None
@@ -70,6 +77,7 @@
             rng=self.rng,
             vm=host.vm,
             waiters_changed=self.loads_changed.set,
+            split=policy.split,
         )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
         # In a planned stop, when it ends at the latest; and whether it is so
--- a/rackpost/site_program.py
+++ b/rackpost/site_program.py
@@ -11,6 +11,7 @@
 import sys
 from typing import Awaitable
 from typing import Callable
+from typing import TypeVar
 
 import uvloop
 
@@ -23,6 +24,8 @@
 _LOOK_S = 1.0
 BAD_USE = 2
 
+T = TypeVar("T")
+
 Reload = Callable[[settings.HostSettings], None]
 
 
@@ -66,16 +69,21 @@
     return (found.st_mtime, found.st_size)
 
 
+def checked(read: Callable[[], T]) -> T:
+    """Settings that were read; a bad one ends with one clear line."""
+    try:
+        return read()
+    except exceptions.ConfigError as exc:
+        print(f"rackpost: {exc}", file=sys.stderr)
+        sys.exit(BAD_USE)
+
+
 def run(
     part: logs.Part,
     main: Callable[[settings.HostSettings, Signals], Awaitable[None]],
 ) -> None:
     """Run a program to its end; a bad setting gives one clear line."""
-    try:
-        host = settings.load()
-    except exceptions.ConfigError as exc:
-        print(f"rackpost: {exc}", file=sys.stderr)
-        sys.exit(BAD_USE)
+    host = checked(settings.load)
     output = logs.to_stdout(program=part.value, vm=host.vm)
 
     async def start() -> None:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -19,6 +19,7 @@
 import aiohttp
 
 from rackpost.coordinator import process as coordinator_process
+from rackpost.gateway import policy as policy_mod
 from rackpost.gateway import process as gateway_process
 from rackpost.http1 import message
 from rackpost.http1 import server
@@ -133,8 +134,9 @@
 @contextlib.asynccontextmanager
 async def gateway(
     host: settings.HostSettings,
+    policy: policy_mod.Policy = policy_mod.Policy(),
 ) -> AsyncIterator[gateway_process.Gateway]:
-    running = gateway_process.Gateway(host=host)
+    running = gateway_process.Gateway(host=host, policy=policy)
     async with running.serving():
         yield running
 
@@ -344,7 +346,9 @@
 
 
 @contextlib.asynccontextmanager
-async def small_site(root: pathlib.Path) -> AsyncIterator[Site]:
+async def small_site(
+    root: pathlib.Path, policy: policy_mod.Policy = policy_mod.Policy()
+) -> AsyncIterator[Site]:
     """A site that serves."""
     plan = Plan(root=root)
     site = Site(plan=plan)
@@ -357,7 +361,7 @@
         for endpoint in site.endpoints:
             await enter(endpoint.running())
         site.coordinator = await enter(coordinator(core))
-        site.gateway = await enter(gateway(edge))
+        site.gateway = await enter(gateway(edge, policy))
         await site.operator.put_until_taken(11, document())
         for endpoint in site.endpoints:
             assert await site.operator.beat(11, endpoint) == 200
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -303,7 +303,11 @@
     assert loads.ahead(left(5.0), me, 0.0) == 1
     assert loads.ahead(left(5.0), types.VmId("g1"), 0.0) == 0
     # What has become late since goes after all that is not.
+    loads.take(other, 1, 2, {}, 5.0, 2, (left(0.4), left(9.0)))
     assert loads.ahead(left(0.1), me, 5.5) == 0
+    # A gateway that is killed was waited for until its figures expired.
+    assert loads.ahead(left(9.0), me, 6.2) == 1
+    assert loads.ahead(left(9.0), me, 6.4) == 0
     loads.expire(60.0)
     assert loads.ahead(left(9.0), me, 60.0) == 0
 
