--- a/rackpost/coordinator/role_orders.py
+++ b/rackpost/coordinator/role_orders.py
@@ -45,6 +45,10 @@
         self._holder = holder
         self._pool = pool_mod.Pool(id_header=headers.REQUEST_ID)
 
+    def sweep(self) -> None:
+        """Close connections that are past their time."""
+        self._pool.sweep()
+
     async def give(
         self,
         endpoint: endpoints.Endpoint,
--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -105,6 +105,7 @@
         """Keep the roles until cancelled."""
         while True:
             await asyncio.sleep(_ROUND_S)
+            self._orders.sweep()
             if not self._node.is_leader:
                 self._fence_term = -1
                 self._follow_changes()
@@ -287,6 +288,8 @@
             wait_s = _CHANGE_S
             if given is role_orders.Given.UNKNOWN:
                 wait_s = _UNANSWERED_S
+            # The imbalance that lasted is being mended.
+            self._since.pop(service, None)
             self._changes[endpoint] = _Change(
                 service=service,
                 endpoint=endpoint,
--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -43,6 +43,7 @@
         self._request_id = request_id
         self._is_head = is_head
         self._headers: list[message.Header] = []
+        self._has_headers = False
         self._head: message.Head | None = None
         self._skip = False
         self._chunks: collections.deque[bytes] = collections.deque()
@@ -194,13 +195,16 @@
         if self._done:
             self._clean = False
         self._headers = []
+        self._has_headers = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """A header of the answer."""
-        self._headers.append((name.lower(), value))
+        """A header of the answer; trailers are none, and are dropped."""
+        if not self._has_headers:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """All headers are there: see whose answer it is."""
+        self._has_headers = True
         if self._done:
             return
         status = self._parser.get_status_code()
--- a/rackpost/http1/server.py
+++ b/rackpost/http1/server.py
@@ -114,6 +114,7 @@
         self._discarding = False
         self.closing = False
         self.rested_since = self._loop.time()
+        self._heard_at = self.rested_since
         self.head_since: float | None = None
         self._new_request()
 
@@ -124,6 +125,7 @@
         self._body: list[bytes] = []
         self._body_size = 0
         self._reading = False
+        self._has_head = False
 
     @property
     def busy(self) -> bool:
@@ -178,6 +180,7 @@
         """Bytes have arrived."""
         if self._discarding:
             return
+        self._heard_at = self._loop.time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -199,15 +202,18 @@
         self._count_head(len(data))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """A header."""
-        self._headers.append((name.lower(), value))
+        """A header; trailers come after the body and are dropped."""
+        if not self._has_head:
+            self._headers.append((name.lower(), value))
         self._count_head(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
         """All headers are there."""
         self.head_since = None
+        self._has_head = True
         wants = message.find(self._headers, b"expect")
-        if wants is not None and wants.lower() == b"100-continue":
+        # Within an answer that is being sent it would be a part of that.
+        if self._task is None and _is_continue(wants):
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -300,7 +306,11 @@
         if self.head_since is not None and self._reading:
             if now - self.head_since > limits.header_s:
                 self._refuse(408)
-        elif not self._reading and now - self.rested_since > limits.idle_s:
+        elif self._reading:
+            # In mid-body; bodies may be slow, but must go on.
+            if now - self._heard_at > limits.idle_s:
+                self._refuse(408)
+        elif now - self.rested_since > limits.idle_s:
             self.close_idle()
 
     def close_idle(self) -> None:
@@ -309,6 +319,11 @@
             self._transport.close()
 
 
+def _is_continue(wants: bytes | None) -> bool:
+    """Whether a client waits for word before it sends its body."""
+    return wants is not None and wants.lower() == b"100-continue"
+
+
 def _has_body(headers: list[message.Header]) -> bool:
     for key, _ in headers:
         if key in (b"content-length", b"transfer-encoding"):
--- /dev/null
+++ b/tests/test_http1_client.py
@@ -0,0 +1,44 @@
+"""Answers of endpoints, as one connection reads them."""
+
+import asyncio
+
+from rackpost.http1 import client
+from rackpost.http1 import message
+from rackpost.http1 import pool as pool_mod
+
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nok\r\n0\r\nX-Late: 1\r\n\r\n"
+)
+
+
+def test_trailers_of_an_answer_are_no_headers() -> None:
+    """They were passed on to the client as the endpoint's headers."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER)
+
+    async def ask(conn: client.ClientConnection) -> message.Head:
+        head = await conn.request(
+            head=b"GET / HTTP/1.1\r\nX-Id: r1\r\n\r\n",
+            body=b"",
+            request_id=b"r1",
+        )
+        assert await conn.read_whole(100) == b"ok"
+        return head
+
+    async def main() -> None:
+        listening = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        pool = pool_mod.Pool(id_header=b"x-id")
+        async with listening:
+            address = f"127.0.0.1:{port}"
+            async with pool.connection(address, most=1) as conn:
+                head = await ask(conn)
+            assert message.find(head.headers, b"x-late") is None
+            pool.close()
+
+    asyncio.run(main())
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -144,6 +144,11 @@
             given = [one for one in group if one.orders]
             assert [one.stage for one in given] == ["prefill"]
             assert running._roles.changing == (given[0].ident,)
+            # The next imbalance must last from its own beginning.
+            assert SERVICE not in running._roles._since
+            # Connections that orders were given on were kept for ever.
+            pool = running._roles._orders._pool
+            await platform_site.until(lambda: not pool._idle)
             order = given[0].orders[0]
             assert order["stage"] == "decode"
             assert order["fence"] == 1
