A planned stop is one small typed thing

When a stop ends and whether it still begins anything were two bare attributes of the site, which four modules read and set by themselves; what may still be begun was worked out in the handler. PlannedStop holds both and answers that. The stop's tests say the same through it: that a real stop closes is seen in that it begins nothing that ends too late.

--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -72,7 +72,7 @@
             # The answer should be there before the client gives up.
             time_s = min(time_s, max(0.0, told / 1000.0 - _WAY_BACK_S))
         until = now + time_s
-        if self._site.closing and until > self._site.ends_at:
+        if not self._site.planned_stop.may_begin(until):
             # Begun now it might be cut off at the end of the grace time.
             self._own(call_mod.Reason.STOPPING, req)
             call_mod.refuse(responder, _ELSEWHERE_S)
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -125,12 +125,12 @@
         self.stopping = True
         self._server.stopping = True
         self.is_ready()
-        last = began + self._host.bounds.grace_s - _END_S
-        self.site.ends_at = last
-        while loop.time() < last:
+        ends_at = began + self._host.bounds.grace_s - _END_S
+        self.site.planned_stop.begin(ends_at)
+        while loop.time() < ends_at:
             noticed = loop.time() - began >= _NOTICED_S
             if noticed:
-                self.site.closing = True
+                self.site.planned_stop.close()
                 self._server.close_idle()
             if noticed and not self._server.busy:
                 break
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -1,7 +1,6 @@
 """What a gateway knows, and the decisions' state that its tasks share."""
 
 import asyncio
-import math
 import random
 from typing import Any
 from typing import Coroutine
@@ -17,6 +16,7 @@
 from rackpost.decide import refused as refused_mod
 from rackpost.decide import retry_budget
 from rackpost.decide import role_balance
+from rackpost.gateway import planned_stop
 from rackpost.gateway import room as room_mod
 from rackpost.http1 import pool as pool_mod
 from rackpost import metrics as metrics_mod
@@ -72,10 +72,7 @@
             waiters_changed=self.loads_changed.set,
         )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
-        # In a planned stop, when it ends at the latest; and whether it is so
-        # far that only what surely ends before that is still begun.
-        self.ends_at = math.inf
-        self.closing = False
+        self.planned_stop = planned_stop.PlannedStop()
         self._told: set[types.VmId] = set()
         self._meters: dict[types.ServiceName, role_balance.DemandMeter] = {}
         self._budgets: dict[types.ServiceName, retry_budget.RetryBudget] = {}
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import json
-import math
 import os
 import pathlib
 
 from rackpost.coordinator import messages
 from rackpost.decide import endpoint_load
 from rackpost.gateway import load_share
+from rackpost.gateway import planned_stop
 from rackpost.gateway import site as site_mod
 from rackpost.http1 import message
 from rackpost.http1 import server
@@ -77,18 +77,18 @@
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
             own = site.gateway.site
-            own.closing = True
             # The route's time is 3 s.
-            own.ends_at = own.loop_time() + 2.5
+            own.planned_stop.begin(own.loop_time() + 2.5)
+            own.planned_stop.close()
             for path in ("/unsafe/x", "/gen/x"):
                 got = await site.raw(test_gateway.request(path))
                 assert test_gateway.status(got) == 503
                 assert b"retry-after" in got
             assert not any(one.seen for one in site.endpoints)
-            own.closing = False
-            own.ends_at = math.inf
+            own.planned_stop = planned_stop.PlannedStop()
             await site.gateway.stop()
-            assert own.closing and own.ends_at < own.loop_time() + 8.0
+            assert own.planned_stop.ends_at < own.loop_time() + 8.0
+            assert not own.planned_stop.may_begin(own.loop_time() + 8.0)
 
     asyncio.run(main())
 
@@ -101,8 +101,8 @@
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
             own = site.gateway.site
-            own.closing = True
-            own.ends_at = own.loop_time() + 10.0
+            own.planned_stop.begin(own.loop_time() + 10.0)
+            own.planned_stop.close()
             got = await site.raw(test_gateway.request("/unsafe/x"))
             assert test_gateway.status(got) == 200
 
@@ -118,14 +118,14 @@
         async with platform_site.small_site(tmp_path) as site:
             own = site.gateway.site
             own.pace.made(10, 10.0)
-            own.ends_at = own.loop_time() + 5.0
+            own.planned_stop.begin(own.loop_time() + 5.0)
             got = await site.raw(
                 test_gateway.generation(more="X-Length-Hint: 8\r\n")
             )
             assert test_gateway.status(got) == 503
             assert b"retry-after" in got
             assert not site.prefill.seen
-            own.ends_at = own.loop_time() + 30.0
+            own.planned_stop.begin(own.loop_time() + 30.0)
             got = await site.raw(
                 test_gateway.generation(more="X-Length-Hint: 1\r\n")
             )
