An answer's and an event's query and command are apart

Call._time_events both filled the histograms and built fields for the log, and attempt._is_next both asked whether a client lacks an event and counted it as sent; a reader of either had to know that asking changes something. Now lateness, timing and the log's fields are three small methods, and an event is asked about, then noted.

--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -278,22 +278,29 @@
         responder.start(200, message.end_to_end(reply.head.headers))
     splitter = events.Splitter()
     while chunk := await reply.conn.read():
-        fresh = [
-            event for event in splitter.feed(chunk) if _is_next(call, event)
-        ]
-        await responder.part(b"".join(event.data for event in fresh))
+        fresh = []
+        for event in splitter.feed(chunk):
+            if _is_new(call, event):
+                fresh.append(event.data)
+            _note_event(call, event)
+        await responder.part(b"".join(fresh))
     if splitter.rest:
         raise exceptions.ExchangeError("ended within an event")
     responder.finish()
 
 
-def _is_next(call: call_mod.Call, event: events.Event) -> bool:
-    """Whether the client lacks an event; it is then counted as sent."""
-    if event.id is None:
+def _is_new(call: call_mod.Call, event: events.Event) -> bool:
+    """Whether the client has not been sent an event yet."""
+    if event.id is None or call.last_event is None:
         return True
+    return event.id > call.last_event
+
+
+def _note_event(call: call_mod.Call, event: events.Event) -> None:
+    """An event came; one that the client lacks counts as sent to it."""
+    if event.id is None:
+        return
     call.on_event()
-    if call.last_event is not None and event.id <= call.last_event:
-        return False
-    call.last_event = event.id
-    call.times.event(call.site.loop_time())
-    return True
+    if _is_new(call, event):
+        call.last_event = event.id
+        call.times.note_event(call.site.loop_time())
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -144,34 +144,33 @@
 
     def delivered(self, endpoint: endpoints.Endpoint, status: int) -> None:
         """The client has the whole answer."""
-        took = self.site.loop_time() - self.began
-        self.site.metrics.time("answer", self.route.name, took)
-        first = self.times.first_s
-        if first is None:
-            late = 0.0 < self.route.target_s < took
-            facts = {}
-        else:
-            late = self.times.is_late(self.route)
-            facts = self._time_events(first)
+        took_s = self.site.loop_time() - self.began
+        self._time(took_s)
+        late = self._is_late(took_s)
         if self.sampled or late or status >= 400:
             self.log(
                 "Answered.",
                 endpoint=endpoint.id,
                 status=status,
                 late=late,
-                took_s=round(took, 4),
-                **facts,
+                took_s=round(took_s, 4),
+                **self.times.facts(),
             )
 
-    def _time_events(self, first_s: float) -> dict[str, float]:
-        """Put a stream's times into the histograms; for the log, too."""
-        pause_s = self.times.longest_pause_s
-        self.site.metrics.time("first_event", self.route.name, first_s)
-        self.site.metrics.time("longest_pause", self.route.name, pause_s)
-        return {
-            "first_s": round(first_s, 4),
-            "longest_pause_s": round(pause_s, 4),
-        }
+    def _is_late(self, took_s: float) -> bool:
+        """Whether an answer, or an event of it, came after its target."""
+        if self.times.first_s is not None:
+            return self.times.is_late(self.route)
+        return 0.0 < self.route.target_s < took_s
+
+    def _time(self, took_s: float) -> None:
+        """Put an answer's times into the histograms."""
+        metrics = self.site.metrics
+        name = self.route.name
+        metrics.time("answer", name, took_s)
+        if self.times.first_s is not None:
+            metrics.time("first_event", name, self.times.first_s)
+            metrics.time("longest_pause", name, self.times.longest_pause_s)
 
 
 def _nothing() -> None:
--- a/rackpost/gateway/stream_times.py
+++ b/rackpost/gateway/stream_times.py
@@ -13,13 +13,13 @@
         self.first_s: float | None = None
         self.longest_pause_s = 0.0
 
-    def event(self, now: float) -> None:
+    def note_event(self, now: float) -> None:
         """An event is passed on to the client."""
         if self.first_s is None:
             self.first_s = now - self._began
         else:
-            pause = now - self._last
-            self.longest_pause_s = max(self.longest_pause_s, pause)
+            pause_s = now - self._last
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self._last = now
 
     def is_late(self, route: model.Route) -> bool:
@@ -28,3 +28,12 @@
             return False
         first_late = 0.0 < route.target_s < self.first_s
         return first_late or 0.0 < route.gap_s < self.longest_pause_s
+
+    def facts(self) -> dict[str, float]:
+        """Fields for the log; none where there was no event."""
+        if self.first_s is None:
+            return {}
+        return {
+            "first_s": round(self.first_s, 4),
+            "longest_pause_s": round(self.longest_pause_s, 4),
+        }
