An attempt, the check of an answer and passing it on are apart

attempt.py had grown to 300 lines with three jobs: sending a request and counting what became of it, judging an answer's head, and passing an answer on to the client. The judging needs no call, only the head and the request's id, and is now answer_check; passing on is pass_on. Functions moved as they were, behaviour is unchanged; tests/test_gateway.py, tests/test_http.py and tests/test_stop.py ran and passed.

--- /dev/null
+++ b/rackpost/gateway/answer_check.py
@@ -0,0 +1,40 @@
+"""What the head of an endpoint's answer says, and whether it is sound."""
+
+from rackpost.http1 import message
+from rackpost.platform import headers
+
+# Statuses that promise that a request has not run; only an endpoint that
+# says so explicitly is believed.
+_PROMISES = (408, 421, 429, 503)
+
+
+def is_not_run(head: message.Head) -> bool:
+    """Whether the endpoint says that it did not run the request."""
+    if message.find(head.headers, headers.NOT_RUN) is not None:
+        return True
+    return head.status == 421
+
+
+def is_stream(head: message.Head) -> bool:
+    """Whether an answer's body is a stream of events."""
+    kind = message.find(head.headers, b"content-type") or b""
+    return head.status == 200 and kind.startswith(b"text/event-stream")
+
+
+def why_unsound(head: message.Head, request_id: bytes | None) -> str:
+    """Why an answer may not be passed on; "" if it is sound.
+
+    `request_id` is the request's own, None if it has none.
+    """
+    found = head.headers
+    if head.status < 300:
+        if message.find(found, headers.SIGNATURE) is None:
+            return "not signed"
+        if message.find(found, b"content-encoding") is not None:
+            return "encoded"
+        echoed = message.find(found, headers.REQUEST_ID)
+        if request_id is not None and echoed is None:
+            return "without an id"
+    elif head.status in _PROMISES:
+        return f"a {head.status} that promises nothing"
+    return ""
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -6,9 +6,10 @@
 
 from rackpost.decide import forwarding
 from rackpost import exceptions
+from rackpost.gateway import answer_check
 from rackpost.gateway import call as call_mod
+from rackpost.gateway import pass_on
 from rackpost.http1 import client
-from rackpost.http1 import events
 from rackpost.http1 import message
 from rackpost.platform import headers
 from rackpost.routing import endpoints
@@ -17,9 +18,6 @@
 # Answers that are not streams are held until they are whole, so that one
 # that is cut can be told from one that is whole.
 _MAX_ANSWER = 16 << 20
-# Statuses that promise that a request has not run; only an endpoint that
-# says so explicitly is believed.
-_PROMISES = (408, 421, 429, 503)
 
 
 class Reply(NamedTuple):
@@ -77,13 +75,6 @@
     return Reply(conn, head)
 
 
-def is_not_run(head: message.Head) -> bool:
-    """Whether the endpoint says that it did not run the request."""
-    if message.find(head.headers, headers.NOT_RUN) is not None:
-        return True
-    return head.status == 421
-
-
 def note_replaced(
     call: call_mod.Call, endpoint: endpoints.Endpoint, head: message.Head
 ) -> None:
@@ -101,22 +92,6 @@
         )
 
 
-def _why_unsound(call: call_mod.Call, head: message.Head) -> str:
-    """Why an answer is none that may be passed on; "" if it is sound."""
-    found = head.headers
-    if head.status < 300:
-        if message.find(found, headers.SIGNATURE) is None:
-            return "not signed"
-        if message.find(found, b"content-encoding") is not None:
-            return "encoded"
-        echoed = message.find(found, headers.REQUEST_ID)
-        if call.request_id is not None and echoed is None:
-            return "without an id"
-    elif head.status in _PROMISES:
-        return f"a {head.status} that promises nothing"
-    return ""
-
-
 async def run(
     call: call_mod.Call, endpoint: endpoints.Endpoint
 ) -> forwarding.Ended | None:
@@ -208,28 +183,32 @@
     began: float,
 ) -> forwarding.Ended | None:
     head = reply.head
-    if is_not_run(head):
+    if answer_check.is_not_run(head):
         await reply.conn.read_whole(_MAX_ANSWER)
-        call.log(
-            "Endpoint did not run it.",
-            endpoint=endpoint.id,
-            status=head.status,
-        )
-        note_replaced(call, endpoint, head)
-        if head.status == 503:
-            call.site.health.turned_away(endpoint.id, call.site.loop_time())
+        _note_not_run(call, endpoint, head)
         return forwarding.Ended.NOT_RUN
-    why = _why_unsound(call, head)
+    why = answer_check.why_unsound(head, call.request_id)
     if why:
         raise exceptions.ExchangeError(why)
-    if _is_stream(head):
+    if answer_check.is_stream(head):
         call.site.health.answered(endpoint.id, call.site.loop_time() - began)
-        await _relay(call, reply)
+        await pass_on.relay(call, head, reply.conn)
         call.delivered(endpoint, head.status)
         return None
     return await _take_whole(call, endpoint, reply, began)
 
 
+def _note_not_run(
+    call: call_mod.Call, endpoint: endpoints.Endpoint, head: message.Head
+) -> None:
+    call.log(
+        "Endpoint did not run it.", endpoint=endpoint.id, status=head.status
+    )
+    note_replaced(call, endpoint, head)
+    if head.status == 503:
+        call.site.health.turned_away(endpoint.id, call.site.loop_time())
+
+
 async def _take_whole(
     call: call_mod.Call,
     endpoint: endpoints.Endpoint,
@@ -249,58 +228,6 @@
     took = call.site.loop_time() - began
     if call.route.kind is not model.RouteKind.STREAM:
         call.site.health.answered(endpoint.id, took)
-    pass_whole(call, head, body)
+    pass_on.pass_whole(call, head, body)
     call.delivered(endpoint, head.status)
     return None
-
-
-def pass_whole(call: call_mod.Call, head: message.Head, body: bytes) -> None:
-    """Pass an endpoint's whole answer on, unchanged."""
-    lines = message.end_to_end(head.headers)
-    if call.is_head:
-        length = message.find(head.headers, b"content-length")
-        if length is not None:
-            lines.append((b"content-length", length))
-        call.responder.bare(head.status, lines)
-    else:
-        call.responder.whole(head.status, lines, body)
-
-
-def _is_stream(head: message.Head) -> bool:
-    kind = message.find(head.headers, b"content-type") or b""
-    return head.status == 200 and kind.startswith(b"text/event-stream")
-
-
-async def _relay(call: call_mod.Call, reply: Reply) -> None:
-    """Pass a stream's events on as they come, each once and whole."""
-    responder = call.responder
-    if not responder.started:
-        responder.start(200, message.end_to_end(reply.head.headers))
-    splitter = events.Splitter()
-    while chunk := await reply.conn.read():
-        fresh = []
-        for event in splitter.feed(chunk):
-            if _is_new(call, event):
-                fresh.append(event.data)
-            _note_event(call, event)
-        await responder.part(b"".join(fresh))
-    if splitter.rest:
-        raise exceptions.ExchangeError("ended within an event")
-    responder.finish()
-
-
-def _is_new(call: call_mod.Call, event: events.Event) -> bool:
-    """Whether the client has not been sent an event yet."""
-    if event.id is None or call.last_event is None:
-        return True
-    return event.id > call.last_event
-
-
-def _note_event(call: call_mod.Call, event: events.Event) -> None:
-    """An event came; one that the client lacks counts as sent to it."""
-    if event.id is None:
-        return
-    call.on_event()
-    if _is_new(call, event):
-        call.last_event = event.id
-        call.times.note_event(call.site.loop_time())
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -4,6 +4,7 @@
 from rackpost.decide import forwarding
 from rackpost.gateway import attempt
 from rackpost.gateway import call as call_mod
+from rackpost.gateway import pass_on
 from rackpost.routing import endpoints
 
 # Whoever was refused comes back after this long, in seconds, spread so
@@ -95,7 +96,7 @@
             )
         return True
     if step is forwarding.Next.PASS and call.failure is not None:
-        attempt.pass_whole(call, call.failure.head, call.failure.body)
+        pass_on.pass_whole(call, call.failure.head, call.failure.body)
     elif step is forwarding.Next.REFUSE:
         call.refuse(call_mod.Reason.REJECTED, come_back_s(call))
     else:
@@ -106,7 +107,7 @@
 def give_up(call: call_mod.Call, reason: call_mod.Reason) -> None:
     """Nothing is left to try."""
     if call.failure is not None and not call.responder.started:
-        attempt.pass_whole(call, call.failure.head, call.failure.body)
+        pass_on.pass_whole(call, call.failure.head, call.failure.body)
     elif call.may_have_run:
         call.fail(reason, 502)
     else:
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -4,6 +4,7 @@
 import enum
 
 from rackpost import exceptions
+from rackpost.gateway import answer_check
 from rackpost.gateway import attempt
 from rackpost.gateway import call as call_mod
 from rackpost.http1 import message
@@ -187,7 +188,7 @@
     async with attempt.connected(call, endpoint) as conn:
         reply = await attempt.send(call, endpoint, conn, extra)
         body = await conn.read_whole(_MAX_RESULT)
-    if attempt.is_not_run(reply.head) or reply.head.status != 200:
+    if answer_check.is_not_run(reply.head) or reply.head.status != 200:
         attempt.note_replaced(call, endpoint, reply.head)
         if reply.head.status == 503:
             call.site.health.turned_away(endpoint.id, call.site.loop_time())
