What a generation wants and the place it gets stand in a module

Place is now a class with two methods, with Wanted and Full in place.py; the memory that is given away is worked out in one function, and constants that nobody else used are private.

--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -13,8 +13,8 @@
 from rackpost.gateway import attempt
 from rackpost.gateway import call as call_mod
 from rackpost.gateway import forward
+from rackpost.gateway import place as place_mod
 from rackpost.gateway import prefill
-from rackpost.gateway import room
 from rackpost.platform import headers
 from rackpost.routing import model
 
@@ -68,7 +68,7 @@
         while True:
             self._progress = self._new_progress()
             place = await call.site.room.wait(self._wanted())
-            if isinstance(place, room.Full):
+            if isinstance(place, place_mod.Full):
                 self._refuse_full(place)
                 return
             call.on_event = self._on_event(place)
@@ -80,7 +80,7 @@
                 self._read.release()
                 return
 
-    def _on_event(self, place: room.Place) -> Callable[[], None]:
+    def _on_event(self, place: place_mod.Place) -> Callable[[], None]:
         progress = self._progress
 
         def on_event() -> None:
@@ -105,11 +105,11 @@
             decode_s=share * site.pace.making_s(out),
         )
 
-    def _wanted(self) -> room.Wanted:
+    def _wanted(self) -> place_mod.Wanted:
         call = self._call
         pace = call.site.pace
         start_s = pace.expected_s(self._prompt)
-        return room.Wanted(
+        return place_mod.Wanted(
             service=call.service.name,
             capacity=self._engine.memory_tokens,
             run=self._progress.run,
@@ -145,7 +145,7 @@
         leaves = began + call.route.silence_s
         return min(call.until, leaves - _WAY_BACK_S)
 
-    async def _run_at(self, place: room.Place) -> forwarding.Ended | None:
+    async def _run_at(self, place: place_mod.Place) -> forwarding.Ended | None:
         call = self._call
         decode = place.endpoint
         try:
@@ -169,7 +169,7 @@
             self._read.release()
         return ended
 
-    async def _can_run(self, place: room.Place) -> bool:
+    async def _can_run(self, place: place_mod.Place) -> bool:
         """Whether the prompt is read, or it is its turn to be in place."""
         if self._read.is_fresh(self._engine):
             return True
@@ -188,7 +188,7 @@
         if first or left >= 2.0:
             await prefill.prefill(call, self._prompt, self._read)
 
-    def _refuse_full(self, full: room.Full) -> None:
+    def _refuse_full(self, full: place_mod.Full) -> None:
         call = self._call
         call.log(
             "No room.",
--- /dev/null
+++ b/rackpost/gateway/place.py
@@ -0,0 +1,77 @@
+"""What a generation wants of a decode endpoint, and the place it gets."""
+
+from typing import Callable
+from typing import Sequence
+
+import msgspec
+
+from rackpost.decide import kv_forecast
+from rackpost.decide import waiting
+from rackpost.routing import endpoints
+from rackpost import types
+
+
+class Wanted(msgspec.Struct, frozen=True, kw_only=True):
+    """What a generation needs.
+
+    Attributes:
+        capacity: KV memory of each endpoint, in tokens.
+        but: endpoints that it has tried.
+        event_s: how long an endpoint takes for one event of a stream.
+        in_place: its prompt was not to be read elsewhere.
+    """
+
+    service: types.ServiceName
+    capacity: int
+    run: kv_forecast.Run
+    but: Sequence[types.EndpointId]
+    claim: waiting.Claim
+    event_s: float = 0.0
+    in_place: bool = False
+
+
+class Full(msgspec.Struct, frozen=True, kw_only=True):
+    """No room soon enough; when to come back, in seconds."""
+
+    come_back_s: float
+    expected_wait_s: float
+
+
+class Place:
+    """Room at an endpoint, until released.
+
+    With `in_place` it is the endpoint's turn to read the prompt itself.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint: endpoints.Endpoint,
+        in_place: bool,
+        free: Callable[[], None],
+        end_turn: Callable[[], None],
+        changed: Callable[[], None],
+    ) -> None:
+        """`free` gives the room back and `end_turn` the turn to read.
+
+        `changed` is called when there may be more room.
+        """
+        self.endpoint = endpoint
+        self.in_place = in_place
+        self._free = free
+        self._end_turn = end_turn
+        self._changed = changed
+        self._is_read = False
+
+    def was_read(self) -> None:
+        """The prompt has been read, if it was not before."""
+        if not self._is_read:
+            self._is_read = True
+            self._end_turn()
+            self._changed()
+
+    def release(self) -> None:
+        """The generation has ended here."""
+        self.was_read()
+        self._free()
+        self._changed()
--- a/rackpost/gateway/room.py
+++ b/rackpost/gateway/room.py
@@ -4,15 +4,12 @@
 import contextlib
 import random
 from typing import Callable
-from typing import Sequence
-
-import msgspec
 
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_load
-from rackpost.decide import kv_forecast
 from rackpost.decide import pace as pace_mod
 from rackpost.decide import waiting
+from rackpost.gateway import place as place_mod
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -22,7 +19,7 @@
 # Part of an endpoint's memory that is given away; the rest is for what two
 # gateways give away in one moment.  With 0.9 fewer runs were preempted under
 # load (7 for 24), but a quiet day's bursts waited (worth 0.81 for 0.90).
-FILL = 0.97
+_FILL = 0.97
 # With fewer other gateways than this a race for a place is rare, and waiting
 # for each other's word costs more (trials: worth 0.21 for 0.14).
 _FEW = 8
@@ -34,57 +31,24 @@
 # each gateway, of which many tell some hundred changes a second.
 _GATHER_EACH_S = 0.0005
 # Requests that may wait at one gateway.
-MOST = 512
-
-
-class Wanted(msgspec.Struct, frozen=True, kw_only=True):
-    """What a generation needs.
-
-    Attributes:
-        but: endpoints that it has tried.
-        event_s: how long an endpoint takes for one event of a stream.
-        in_place: its prompt was not to be read elsewhere.
-    """
-
-    service: types.ServiceName
-    capacity: int
-    run: kv_forecast.Run
-    but: Sequence[types.EndpointId]
-    claim: waiting.Claim
-    event_s: float = 0.0
-    in_place: bool = False
-
+_MOST = 512
 
-class Place(msgspec.Struct, frozen=True, kw_only=True):
-    """Room at an endpoint, until released.
 
-    `was_read` is called when the prompt has been read, if not before;
-    with `in_place` it is the endpoint's turn to read it itself.
-    """
-
-    endpoint: endpoints.Endpoint
-    in_place: bool
-    release: Callable[[], None]
-    was_read: Callable[[], None]
-
-
-class Full(msgspec.Struct, frozen=True, kw_only=True):
-    """No room soon enough; when to come back, in seconds."""
-
-    come_back_s: float
-    expected_wait_s: float
+def _nothing() -> None:
+    """No turn ends: a prefill endpoint reads the prompt."""
 
 
-def _nothing() -> None:
-    """A prefill endpoint reads the prompt."""
+def _usable(wanted: place_mod.Wanted) -> int:
+    """The part of an endpoint's memory that is given away, in tokens."""
+    return int(wanted.capacity * _FILL)
 
 
 class _Waiter:
     """A generation that waits."""
 
-    def __init__(self, *, wanted: Wanted) -> None:
+    def __init__(self, *, wanted: place_mod.Wanted) -> None:
         self.wanted = wanted
-        self.found: asyncio.Future[Place | Full] = (
+        self.found: asyncio.Future[place_mod.Place | place_mod.Full] = (
             asyncio.get_running_loop().create_future()
         )
 
@@ -123,7 +87,19 @@
         """How many generations wait."""
         return len(self._waiters)
 
-    async def wait(self, wanted: Wanted) -> Place | Full:
+    def first(self, now: float) -> tuple[waiting.Left, ...]:
+        """Those that wait here and go first."""
+        found = [
+            waiting.left(waiter.wanted.claim, now)
+            for waiter in self._waiters
+            if not waiter.found.done()
+        ]
+        found.sort(key=lambda item: item.rank(0.0))
+        return tuple(found[:_MOST_TOLD])
+
+    async def wait(
+        self, wanted: place_mod.Wanted
+    ) -> place_mod.Place | place_mod.Full:
         """A place, which the caller must release, or word to come back."""
         now = self._loop.time()
         waiter = _Waiter(wanted=wanted)
@@ -151,10 +127,10 @@
         sent_back = self._luck.is_enough(now) and waiting.should_come_back(
             claim, wait_s, now
         )
-        if sent_back or len(self._waiters) > MOST:
+        if sent_back or len(self._waiters) > _MOST:
             self._settle(waiter, self._full(waiter.wanted, now))
 
-    def _expected_wait_s(self, wanted: Wanted, now: float) -> float:
+    def _expected_wait_s(self, wanted: place_mod.Wanted, now: float) -> float:
         ahead = len(self._waiters) - 1 + self._loads.waiting()
         return waiting.expected_wait_s(
             ahead=max(0, ahead),
@@ -162,16 +138,16 @@
             run_s=self._pace.run_s,
         )
 
-    def _full(self, wanted: Wanted, now: float) -> Full:
+    def _full(self, wanted: place_mod.Wanted, now: float) -> place_mod.Full:
         wait_s = self._expected_wait_s(wanted, now)
         chance = self._rng.random()
         after = waiting.come_back_s(wanted.claim, wait_s, now, chance)
-        return Full(come_back_s=after, expected_wait_s=wait_s)
+        return place_mod.Full(come_back_s=after, expected_wait_s=wait_s)
 
     def _give_back(self, waiter: _Waiter) -> None:
         if waiter.found.done() and not waiter.found.cancelled():
             place = waiter.found.result()
-            if isinstance(place, Place):
+            if isinstance(place, place_mod.Place):
                 place.release()
 
     def _give(self) -> None:
@@ -201,7 +177,7 @@
             if hopeless and not waiter.found.done():
                 self._settle(waiter, self._full(waiter.wanted, now))
 
-    def _is_next(self, wanted: Wanted, now: float) -> bool:
+    def _is_next(self, wanted: place_mod.Wanted, now: float) -> bool:
         """Whether no more go before it elsewhere than there are places."""
         left = waiting.left(wanted.claim, now)
         ahead = self._loads.ahead(left, self._vm, now)
@@ -213,14 +189,14 @@
         places = self._chooser.places(
             wanted.service,
             wanted.run,
-            int(wanted.capacity * FILL),
+            _usable(wanted),
             in_place=in_place,
             now=now,
         )
         return ahead < places
 
     def _in_place(
-        self, wanted: Wanted, now: float
+        self, wanted: place_mod.Wanted, now: float
     ) -> endpoint_choice.InPlace | None:
         """How the decode endpoint reads the prompt, if it is to."""
         if not wanted.in_place and not self._chooser.reads_in_place(
@@ -229,17 +205,9 @@
             return None
         return endpoint_choice.InPlace(rest_s=wanted.event_s)
 
-    def first(self, now: float) -> tuple[waiting.Left, ...]:
-        """Those that wait here and go first."""
-        found = [
-            waiting.left(waiter.wanted.claim, now)
-            for waiter in self._waiters
-            if not waiter.found.done()
-        ]
-        found.sort(key=lambda item: item.rank(0.0))
-        return tuple(found[:_MOST_TOLD])
-
-    def _place(self, wanted: Wanted, now: float) -> Place | None:
+    def _place(
+        self, wanted: place_mod.Wanted, now: float
+    ) -> place_mod.Place | None:
         in_place = self._in_place(wanted, now)
         if in_place is None and not self._chooser.can_prefill(
             wanted.service, now
@@ -248,69 +216,51 @@
         endpoint = self._chooser.decode(
             wanted.service,
             wanted.run,
-            int(wanted.capacity * FILL),
+            _usable(wanted),
             in_place=in_place,
             but=wanted.but,
             now=now,
         )
         if endpoint is None:
             return None
-        held = self._loads.hold(endpoint.id, run=wanted.run)
-        reading = _nothing
+        free = self._loads.hold(endpoint.id, run=wanted.run)
+        end_turn = _nothing
         if in_place is not None:
-            reading = self._reading(endpoint, wanted.run.size)
-        return self._held(endpoint, held, reading, in_place is not None)
+            end_turn = self._turn_to_read(endpoint, wanted.run.size)
+        return place_mod.Place(
+            endpoint=endpoint,
+            in_place=in_place is not None,
+            free=free,
+            end_turn=end_turn,
+            changed=self._changed.set,
+        )
 
-    def _reading(
+    def _turn_to_read(
         self, endpoint: endpoints.Endpoint, prompt: int
     ) -> Callable[[], None]:
+        """Take the turn to read a prompt; what is returned ends it."""
         release = self._loads.hold(endpoint.id, prompt=prompt)
 
-        def was_read() -> None:
+        def end_turn() -> None:
             release()
             self._loads.note_read(endpoint.id, self._loop.time())
 
-        return was_read
+        return end_turn
 
-    def _held(
-        self,
-        endpoint: endpoints.Endpoint,
-        held: Callable[[], None],
-        reading: Callable[[], None],
-        in_place: bool,
-    ) -> Place:
-        done = False
-
-        def was_read() -> None:
-            nonlocal done
-            if not done:
-                done = True
-                reading()
-                self._changed.set()
-
-        def release() -> None:
-            was_read()
-            held()
-            self._changed.set()
-
-        return Place(
-            endpoint=endpoint,
-            in_place=in_place,
-            release=release,
-            was_read=was_read,
-        )
-
-    def _settle(self, waiter: _Waiter, place: Place | Full) -> None:
+    def _settle(
+        self, waiter: _Waiter, place: place_mod.Place | place_mod.Full
+    ) -> None:
         self._waiters.remove(waiter)
         waiter.found.set_result(place)
         self._waiters_changed()
-        claim = waiter.wanted.claim
-        if claim.came_back:
-            now = self._loop.time()
-            in_time = now + claim.start_s <= claim.target
-            self._luck.ended(
-                in_time=in_time and isinstance(place, Place), now=now
-            )
+        if waiter.wanted.claim.came_back:
+            placed = isinstance(place, place_mod.Place)
+            self._note_luck(waiter.wanted.claim, placed)
+
+    def _note_luck(self, claim: waiting.Claim, placed: bool) -> None:
+        now = self._loop.time()
+        in_time = now + claim.start_s <= claim.target
+        self._luck.ended(in_time=in_time and placed, now=now)
 
     async def run(self) -> None:
         """Give places away as room comes, until cancelled."""
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -9,6 +9,7 @@
 from rackpost.decide import kv_forecast
 from rackpost.decide import pace
 from rackpost.decide import waiting
+from rackpost.gateway import place as place_mod
 from rackpost.gateway import room
 from rackpost.routing import endpoints
 from rackpost.testing import virtual
@@ -127,8 +128,8 @@
             task.cancel()
 
 
-def wanted(now: float, left_s: float) -> room.Wanted:
-    return room.Wanted(
+def wanted(now: float, left_s: float) -> place_mod.Wanted:
+    return place_mod.Wanted(
         service=SERVICE,
         capacity=100_000,
         run=kv_forecast.Run(size=1000, left=1000),
@@ -170,7 +171,7 @@
         placed = [task for task in waits if task.done()]
         for task in placed:
             place = task.result()
-            assert isinstance(place, room.Place)
+            assert isinstance(place, place_mod.Place)
             place.release()
         # What is released is taken by others, again by few at a time.
         for _ in range(300):
