Answers that several gateway tests give stand once

Three copies of a cut connection, three of a rejection and five of the headers that an endpoint must put on its answers stood in the gateway's tests; a change of the wire would have had to find them all. They are functions now, answers have a type in place of ignored assignments, and a generation takes its id as an argument.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -26,7 +26,6 @@
 
 DATA_CENTRE = "hall-nord"
 
-
 # A fault fails a test after this long in place of hanging it, in seconds.
 MOST_S = 30.0
 # Below the ports that systems give to outgoing connections; a site uses 13
@@ -139,6 +138,15 @@
         yield running
 
 
+Answer = Callable[[message.Request, server.Responder], Awaitable[None]]
+
+
+def echoed(req: message.Request) -> list[message.Header]:
+    """What an endpoint must put on each answer that it vouches for."""
+    ident = message.find(req.headers, b"x-request-id") or b""
+    return [(b"x-request-id", ident), (b"x-response-seal", b"seal")]
+
+
 class Endpoint:
     """An endpoint that answers as its `answer` says."""
 
@@ -149,24 +157,18 @@
         self.sequence = 0
         self.seen: list[message.Request] = []
         self.address = ""
-        self.answer: Callable[
-            [message.Request, server.Responder], Awaitable[None]
-        ] = self.usual
-
-    def echoed(self, req: message.Request) -> list[message.Header]:
-        ident = message.find(req.headers, b"x-request-id") or b""
-        return [(b"x-request-id", ident), (b"x-response-seal", b"seal")]
+        self.answer: Answer = self.usual
 
     async def usual(
         self, req: message.Request, responder: server.Responder
     ) -> None:
         if message.find(req.headers, b"x-serving-stage") == b"prefill":
             body = b'{"kvHandle":"h1","tokens":10,"version":1}'
-            responder.whole(200, self.echoed(req), body)
+            responder.whole(200, echoed(req), body)
         elif self.stage == "decode":
             await self.stream(req, responder, 1, 4)
         else:
-            responder.whole(200, self.echoed(req), b"from " + req.body)
+            responder.whole(200, echoed(req), b"from " + req.body)
 
     async def stream(
         self,
@@ -176,7 +178,7 @@
         after: int,
     ) -> None:
         kind = [(b"content-type", b"text/event-stream")]
-        responder.start(200, self.echoed(req) + kind)
+        responder.start(200, echoed(req) + kind)
         for number in range(first, after):
             await responder.part(b"id: %d\ndata: x%d\n\n" % (number, number))
         responder.finish()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,20 +19,30 @@
     return head.encode() + body
 
 
-def generation(path: str = "/gen/x", more: str = "") -> bytes:
-    return request(path, b"prompt", more="X-Token-Usage: 100,50\r\n" + more)
+def generation(
+    path: str = "/gen/x", ident: str = "r1", more: str = ""
+) -> bytes:
+    sizes = "X-Token-Usage: 100,50\r\n"
+    return request(path, b"prompt", ident, more=sizes + more)
 
 
 def status(answer: bytes) -> int:
     return int(answer.split(b" ", 2)[1])
 
 
-async def all_answer(
-    site: platform_site.Site,
-    answer: object,
-) -> None:
+def all_answer(site: platform_site.Site, answer: platform_site.Answer) -> None:
     for endpoint in site.endpoints:
-        endpoint.answer = answer  # type: ignore[assignment]
+        endpoint.answer = answer
+
+
+async def cut(req: message.Request, responder: server.Responder) -> None:
+    """The connection breaks before there is an answer."""
+    responder.abort()
+
+
+async def shed(req: message.Request, responder: server.Responder) -> None:
+    """The endpoint says that it has not run the request."""
+    responder.whole(503, [(b"x-not-executed", b"1")], b"")
 
 
 def test_method_path_and_body_arrive_unchanged(
@@ -104,13 +114,11 @@
             b"x-response-seal: s\r\ncontent-length: 5\r\n\r\nwrong"
         )
         responder._conn.write(late)
-        ident = message.find(req.headers, b"x-request-id") or b""
-        found = [(b"x-request-id", ident), (b"x-response-seal", b"s")]
-        responder.whole(200, found, b"right")
+        responder.whole(200, platform_site.echoed(req), b"right")
 
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            await all_answer(site, crossed)
+            all_answer(site, crossed)
             got = await site.raw(request("/unsafe/x"))
             assert status(got) == 200
             assert got.endswith(b"right")
@@ -121,12 +129,9 @@
 def test_an_unsafe_request_that_may_have_run_is_not_repeated(
     tmp_path: pathlib.Path,
 ) -> None:
-    async def cut(req: message.Request, responder: server.Responder) -> None:
-        responder.abort()
-
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            await all_answer(site, cut)
+            all_answer(site, cut)
             assert status(await site.raw(request("/unsafe/x"))) == 502
             assert sum(len(one.seen) for one in site.plain) == 1
             assert status(await site.raw(request("/safe/x"))) == 502
@@ -140,14 +145,11 @@
 ) -> None:
     """A route of one attempt refused what one endpoint had rejected."""
 
-    async def full(req: message.Request, responder: server.Responder) -> None:
-        responder.whole(503, [(b"x-not-executed", b"1")], b"")
-
     async def main() -> None:
         document = platform_site.document()
         assert document["routes"][2]["maxAttempts"] == 1
         async with platform_site.small_site(tmp_path) as site:
-            site.decode[0].answer = full
+            site.decode[0].answer = shed
             for _ in range(2):
                 got = await site.raw(generation())
                 assert status(got) == 200
@@ -163,16 +165,13 @@
     async def vague(req: message.Request, responder: server.Responder) -> None:
         responder.whole(503, [(b"x-response-seal", b"s")], b"")
 
-    async def shed(req: message.Request, responder: server.Responder) -> None:
-        responder.whole(503, [(b"x-not-executed", b"1")], b"")
-
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            await all_answer(site, vague)
+            all_answer(site, vague)
             got = await site.raw(request("/unsafe/x"))
             assert status(got) == 502
             assert b"x-response-seal" not in got
-            await all_answer(site, shed)
+            all_answer(site, shed)
             got = await site.raw(request("/unsafe/x"))
             assert status(got) == 503
             assert b"retry-after" in got
@@ -190,17 +189,15 @@
         responder.whole(200, [(b"x-request-id", ident)], b"forged")
 
     async def short(req: message.Request, responder: server.Responder) -> None:
-        ident = message.find(req.headers, b"x-request-id") or b""
-        found = [(b"x-request-id", ident), (b"x-response-seal", b"s")]
-        found.append((b"content-length", b"100"))
-        responder.bare(200, found)
+        length = [(b"content-length", b"100")]
+        responder.bare(200, platform_site.echoed(req) + length)
         responder._conn.write(b"only a part")
         responder.abort()
 
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
             for bad in (unsigned, short):
-                await all_answer(site, bad)
+                all_answer(site, bad)
                 got = await site.raw(request("/unsafe/x"))
                 assert status(got) == 502
 
@@ -213,15 +210,13 @@
     async def unframed(
         req: message.Request, responder: server.Responder
     ) -> None:
-        ident = message.find(req.headers, b"x-request-id") or b""
-        found = [(b"x-request-id", ident), (b"x-response-seal", b"s")]
         responder._conn.closing = True
-        responder.bare(200, found)
+        responder.bare(200, platform_site.echoed(req))
         responder._conn.write(b"all of it")
 
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            await all_answer(site, unframed)
+            all_answer(site, unframed)
             got = await site.raw(request("/unsafe/x"))
             assert status(got) == 200
             assert got.endswith(b"all of it")
@@ -237,7 +232,7 @@
         async with platform_site.small_site(tmp_path) as site:
             broken: list[str] = []
 
-            def answer(one: platform_site.Endpoint) -> object:
+            def answer(one: platform_site.Endpoint) -> platform_site.Answer:
                 async def stream(
                     req: message.Request, responder: server.Responder
                 ) -> None:
@@ -247,7 +242,7 @@
                         return
                     broken.append(one.ident)
                     kind = [(b"content-type", b"text/event-stream")]
-                    responder.start(200, one.echoed(req) + kind)
+                    responder.start(200, platform_site.echoed(req) + kind)
                     await responder.part(b"id: 1\ndata: x1\n\nid: 2\nda")
                     await asyncio.sleep(0.05)
                     responder.abort()
@@ -255,7 +250,7 @@
                 return stream
 
             for one in site.decode:
-                one.answer = answer(one)  # type: ignore[assignment]
+                one.answer = answer(one)
             got = await site.raw(generation("/res/x"))
             assert status(got) == 200
             for number in (1, 2, 3):
@@ -308,7 +303,7 @@
 
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            await all_answer(site, silent)
+            all_answer(site, silent)
             loop = asyncio.get_running_loop()
             began = loop.time()
             data = request("/unsafe/x").replace(b": 3000", b": 300")
@@ -333,7 +328,7 @@
 
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            await all_answer(site, silent)
+            all_answer(site, silent)
             _, writer = await asyncio.open_connection(*site.plan.front(31))
             writer.write(request("/unsafe/x"))
             await platform_site.until(
@@ -363,9 +358,6 @@
 def test_a_prompt_is_read_in_place_when_no_prefill_endpoint_answers(
     tmp_path: pathlib.Path,
 ) -> None:
-    async def cut(req: message.Request, responder: server.Responder) -> None:
-        responder.abort()
-
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
             site.prefill.answer = cut
@@ -382,9 +374,6 @@
 ) -> None:
     """They were all read at once where others made their tokens."""
 
-    async def cut(req: message.Request, responder: server.Responder) -> None:
-        responder.abort()
-
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
             site.prefill.answer = cut
@@ -401,9 +390,7 @@
 
                 one.answer = slow
             calls = [
-                asyncio.create_task(
-                    site.raw(generation().replace(b": r1", b": r%d" % number))
-                )
+                asyncio.create_task(site.raw(generation(ident=f"r{number}")))
                 for number in range(6)
             ]
             await platform_site.until(
@@ -422,20 +409,15 @@
 def test_rejected_prefills_stay_within_the_retry_budget(
     tmp_path: pathlib.Path,
 ) -> None:
-    async def full(req: message.Request, responder: server.Responder) -> None:
-        responder.whole(503, [(b"x-not-executed", b"1")], b"")
-
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            site.prefill.answer = full
+            site.prefill.answer = shed
             # Nothing is remembered of the rejections but the budget.
             site.gateway.site.health.turned_away = (  # type: ignore
                 lambda endpoint, now: None
             )
             for number in range(80):
-                got = await site.raw(
-                    generation().replace(b": r1", b": r%d" % number)
-                )
+                got = await site.raw(generation(ident=f"r{number}"))
                 assert status(got) == 200
             allowed = 0.2 * 80 + 56
             assert 20 < len(site.prefill.seen) <= allowed
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -28,13 +28,11 @@
 
     async def slow(req: message.Request, responder: server.Responder) -> None:
         await go_on.wait()
-        ident = message.find(req.headers, b"x-request-id") or b""
-        found = [(b"x-request-id", ident), (b"x-response-seal", b"s")]
-        responder.whole(200, found, b"done")
+        responder.whole(200, platform_site.echoed(req), b"done")
 
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            await test_gateway.all_answer(site, slow)
+            test_gateway.all_answer(site, slow)
             url = site.plan.ready_url(31)
             async with site.operator.http.get(url) as resp:
                 assert resp.status == 200
