Set-ups of the coordinators' and the stop's tests stand once

Each test of the group put its first document by the same two lines and passed an operator beside the group to a function that read it back; three tests of the stop made the same lone site, and two the same late stop. They are methods and functions now, and the group is one object in place of a tuple.

--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -17,8 +17,9 @@
 class Group:
     """Coordinators that can be stopped, wiped and started one by one."""
 
-    def __init__(self, *, plan: platform_site.Plan) -> None:
-        self.plan = plan
+    def __init__(self, *, operator: platform_site.Operator) -> None:
+        self.plan = operator.plan
+        self.operator = operator
         self.up: dict[int, process.Coordinator] = {}
         self._stacks: dict[int, contextlib.AsyncExitStack] = {}
 
@@ -48,56 +49,60 @@
         led = any(node.is_leader and node.hears_quorum() for node in nodes)
         return set(known.pop()) if led and len(known) == 1 else set()
 
+    async def put_version(self, number: int, version: int) -> dict:
+        """Have a node take a document; what it was sent."""
+        doc = platform_site.document(version)
+        await self.operator.put_until_taken(number, doc)
+        return doc
+
+    async def read(self, number: int) -> dict:
+        """The document that a node tells, once it tells one."""
+        async with asyncio.timeout(platform_site.MOST_S):
+            while True:
+                status, doc = await self.operator.get(number)
+                if status == 200:
+                    return doc
+                await asyncio.sleep(0.05)
+
     async def close(self) -> None:
         for number in list(self.up):
             await self.stop(number)
 
 
 @contextlib.asynccontextmanager
-async def group(
-    root: pathlib.Path,
-) -> AsyncIterator[tuple[Group, platform_site.Operator]]:
+async def group(root: pathlib.Path) -> AsyncIterator[Group]:
+    """All coordinators of a site, each of which votes."""
     plan = platform_site.Plan(root=root)
-    found = Group(plan=plan)
     async with aiohttp.ClientSession() as http:
         operator = platform_site.Operator(plan=plan, http=http)
+        found = Group(operator=operator)
         try:
             for number in CORE:
                 await found.start(number, first=True)
             await platform_site.until(lambda: len(found.voters()) == 5)
-            yield found, operator
+            yield found
         finally:
             await found.close()
 
 
-async def read(operator: platform_site.Operator, number: int) -> dict:
-    async with asyncio.timeout(platform_site.MOST_S):
-        while True:
-            status, doc = await operator.get(number)
-            if status == 200:
-                return doc
-            await asyncio.sleep(0.05)
-
-
 def test_a_document_is_read_back_as_it_was_sent_at_every_node(
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        async with group(tmp_path) as (found, operator):
-            doc = platform_site.document(7)
-            await operator.put_until_taken(14, doc)
+        async with group(tmp_path) as found:
+            doc = await found.put_version(14, 7)
             for number in CORE:
-                assert await read(operator, number) == doc
+                assert await found.read(number) == doc
             other = platform_site.document(7, limits={"maxBodyBytes": 1})
-            assert await operator.put(12, other) == 200
-            assert await operator.put(12, platform_site.document(3)) == 200
-            assert await read(operator, 11) == doc
+            assert await found.operator.put(12, other) == 200
+            older = platform_site.document(3)
+            assert await found.operator.put(12, older) == 200
+            assert await found.read(11) == doc
             bad = platform_site.document(9, services=[])
-            assert await operator.put(11, bad) == 400
-            assert await read(operator, 13) == doc
-            newer = platform_site.document(8)
-            await operator.put_until_taken(11, newer)
-            assert await read(operator, 15) == newer
+            assert await found.operator.put(11, bad) == 400
+            assert await found.read(13) == doc
+            newer = await found.put_version(11, 8)
+            assert await found.read(15) == newer
 
     asyncio.run(main())
 
@@ -106,16 +111,15 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        async with group(tmp_path) as (found, operator):
-            doc = platform_site.document(7)
-            await operator.put_until_taken(11, doc)
+        async with group(tmp_path) as found:
+            doc = await found.put_version(11, 7)
             # Two seeds, the leader perhaps among them.
             for number in (11, 12):
                 await found.stop(number)
                 found.wipe(number)
             for number in (11, 12):
                 await found.start(number)
-            assert await read(operator, 11) == doc
+            assert await found.read(11) == doc
             await platform_site.until(
                 lambda: len(found.voters()) == 5
                 and not found.voters() & {"127.0.0.11", "127.0.0.12"}
@@ -124,9 +128,8 @@
             for number in (13, 14):
                 await found.stop(number)
                 found.wipe(number)
-            newer = platform_site.document(8)
-            await operator.put_until_taken(11, newer)
-            assert await read(operator, 12) == newer
+            newer = await found.put_version(11, 8)
+            assert await found.read(12) == newer
 
     asyncio.run(main())
 
@@ -135,16 +138,15 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        async with group(tmp_path) as (found, operator):
-            doc = platform_site.document(7)
-            await operator.put_until_taken(11, doc)
+        async with group(tmp_path) as found:
+            doc = await found.put_version(11, 7)
             await found.stop(15)
             await found.start(16)
             await platform_site.until(
                 lambda: len(found.voters()) == 5
                 and "127.0.0.15" not in found.voters()
             )
-            assert await read(operator, 16) == doc
+            assert await found.read(16) == doc
 
     asyncio.run(main())
 
@@ -153,14 +155,13 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        async with group(tmp_path) as (found, operator):
-            doc = platform_site.document(7)
-            await operator.put_until_taken(11, doc)
+        async with group(tmp_path) as found:
+            doc = await found.put_version(11, 7)
             for number in CORE:
                 await found.stop(number)
             for number in CORE:
                 await found.start(number)
-            assert await read(operator, 13) == doc
+            assert await found.read(13) == doc
             assert len(found.voters()) == 5
 
     asyncio.run(main())
@@ -170,14 +171,14 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        async with group(tmp_path) as (found, operator):
-            doc = platform_site.document(7)
-            await operator.put_until_taken(11, doc)
+        async with group(tmp_path) as found:
+            await found.put_version(11, 7)
             for number in (11, 12, 13):
                 await found.stop(number)
-            status, _ = await operator.get(14)
+            status, _ = await found.operator.get(14)
             assert status == 503
-            assert await operator.put(15, platform_site.document(8)) == 503
+            newer = platform_site.document(8)
+            assert await found.operator.put(15, newer) == 503
 
     asyncio.run(main())
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -21,6 +21,23 @@
 from tests import test_gateway
 
 
+def close_late(site: site_mod.Site, *, left_s: float) -> None:
+    """A planned stop is so far that it ends in `left_s` seconds."""
+    site.planned_stop.begin(site.loop_time() + left_s)
+    site.planned_stop.close()
+
+
+def hinted(tokens: int) -> bytes:
+    """A generation of a length that its client guesses."""
+    return test_gateway.generation(more=f"X-Length-Hint: {tokens}\r\n")
+
+
+def alone(root: pathlib.Path) -> site_mod.Site:
+    """What a gateway knows that is linked to nobody."""
+    plan = platform_site.Plan(root=root)
+    return site_mod.Site(host=plan.host(31, kind="edge"))
+
+
 def test_a_planned_stop_ends_what_runs_and_is_not_ready_at_once(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -76,8 +93,7 @@
         async with platform_site.small_site(tmp_path) as site:
             own = site.gateway.site
             # The route's time is 3 s.
-            own.planned_stop.begin(own.loop_time() + 2.5)
-            own.planned_stop.close()
+            close_late(own, left_s=2.5)
             for path in ("/unsafe/x", "/gen/x"):
                 got = await site.raw(test_gateway.request(path))
                 assert test_gateway.status(got) == 503
@@ -98,9 +114,7 @@
 
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            own = site.gateway.site
-            own.planned_stop.begin(own.loop_time() + 10.0)
-            own.planned_stop.close()
+            close_late(site.gateway.site, left_s=10.0)
             got = await site.raw(test_gateway.request("/unsafe/x"))
             assert test_gateway.status(got) == 200
 
@@ -117,16 +131,12 @@
             own = site.gateway.site
             own.pace.made(10, 10.0)
             own.planned_stop.begin(own.loop_time() + 5.0)
-            got = await site.raw(
-                test_gateway.generation(more="X-Length-Hint: 8\r\n")
-            )
+            got = await site.raw(hinted(8))
             assert test_gateway.status(got) == 503
             assert b"retry-after" in got
             assert not site.prefill.seen
             own.planned_stop.begin(own.loop_time() + 30.0)
-            got = await site.raw(
-                test_gateway.generation(more="X-Length-Hint: 1\r\n")
-            )
+            got = await site.raw(hinted(1))
             assert test_gateway.status(got) == 200
 
     asyncio.run(main())
@@ -136,8 +146,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        plan = platform_site.Plan(root=tmp_path)
-        site = site_mod.Site(host=plan.host(31, kind="edge"))
+        site = alone(tmp_path)
 
         def put(version: int) -> bool:
             text = json.dumps(platform_site.document(version)).encode()
@@ -158,8 +167,7 @@
     """Cut off from control it serves on; the others forgot its load."""
 
     async def main() -> None:
-        plan = platform_site.Plan(root=tmp_path)
-        site = site_mod.Site(host=plan.host(31, kind="edge"))
+        site = alone(tmp_path)
         other = messages.GatewayAddress(vm=types.VmId("g2"), loads="h:1")
         use = {types.EndpointId("a"): endpoint_load.Use(requests=3)}
         site.set_gateways([other])
@@ -178,8 +186,7 @@
 
 def test_all_that_a_gateway_tells_is_taken(tmp_path: pathlib.Path) -> None:
     async def main() -> None:
-        plan = platform_site.Plan(root=tmp_path)
-        site = site_mod.Site(host=plan.host(31, kind="edge"))
+        site = alone(tmp_path)
         told = messages.Loads(
             vm=types.VmId("g2"),
             loads="127.0.0.1:1",
