Long steps of the gateway are split, and one name means one thing

The handler's _route, the planned stop and the generation's _wanted each held several steps; a stop's loop could not be read apart from its log line. Two constants of different meaning and value in handler.py and generate.py were both called _WAY_BACK_S, and _is_late meant that a request had been given up before. Behaviour is unchanged; tests/test_stop.py, tests/test_gateway.py and tests/test_http.py ran (32 passed).

--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -23,12 +23,12 @@
 _AT_ONCE_SHARE = 0.25
 # A refusal reaches its client so long before the client would leave, in
 # seconds.
-_WAY_BACK_S = 0.1
+_BEFORE_LEAVING_S = 0.1
 # Of an answer's tokens, the part that a run takes room for on the average:
 # half of them would be there if nothing were kept for the rest.
 _KEPT_SHARE = 0.75
 # A prompt takes some time to read, also before any was seen, in seconds.
-_LEAST_S = 0.001
+_LEAST_READ_S = 0.001
 
 
 class Generation:
@@ -47,7 +47,7 @@
         self._key = book.key(call.route.name, part, call.req.body)
         self._came_back = book.came_back(self._key, call.began)
         # One that was given up late can't be in time any more.
-        self._is_late = site.given_up.came_back(self._key, call.began)
+        self._was_given_up = site.given_up.came_back(self._key, call.began)
         self._read = prefill.Prefilled(call=call)
         # No prefill endpoint has read it: wait for a turn at a decode one.
         self._in_place = False
@@ -101,36 +101,40 @@
         )
         site.meter(self._call.service.name).add(
             self._call.began,
-            prefill_s=max(_LEAST_S, site.pace.expected_s(self._prompt)),
+            prefill_s=max(_LEAST_READ_S, site.pace.expected_s(self._prompt)),
             decode_s=share * site.pace.making_s(out),
         )
 
     def _wanted(self) -> place_mod.Wanted:
         call = self._call
-        pace = call.site.pace
-        start_s = pace.expected_s(self._prompt)
         return place_mod.Wanted(
             service=call.service.name,
             capacity=self._engine.memory_tokens,
             run=self._progress.run,
             but=call.tried,
-            event_s=pace.making_s(self._engine.event_tokens),
+            event_s=call.site.pace.making_s(self._engine.event_tokens),
             in_place=self._in_place,
-            claim=waiting.Claim(
-                priority=call.route.priority,
-                target=self._target(),
-                start_by=self._start_by(),
-                # One that a planned stop would cut off is not begun.
-                until=min(call.until, call.site.planned_stop.ends_at),
-                came_back=self._came_back,
-                start_s=start_s,
-                run_s=start_s + pace.making_s(self._progress.run.left),
-            ),
+            claim=self._claim(),
+        )
+
+    def _claim(self) -> waiting.Claim:
+        call = self._call
+        pace = call.site.pace
+        start_s = pace.expected_s(self._prompt)
+        return waiting.Claim(
+            priority=call.route.priority,
+            target=self._target(),
+            start_by=self._start_by(),
+            # One that a planned stop would cut off is not begun.
+            until=min(call.until, call.site.planned_stop.ends_at),
+            came_back=self._came_back,
+            start_s=start_s,
+            run_s=start_s + pace.making_s(self._progress.run.left),
         )
 
     def _target(self) -> float:
         call = self._call
-        if self._is_late:
+        if self._was_given_up:
             return call.began
         return call.began + call.route.target_s
 
@@ -143,7 +147,7 @@
         if call.responder.started:
             began = call.site.loop_time()
         leaves = began + call.route.silence_s
-        return min(call.until, leaves - _WAY_BACK_S)
+        return min(call.until, leaves - _BEFORE_LEAVING_S)
 
     async def _run_at(self, place: place_mod.Place) -> forwarding.Ended | None:
         call = self._call
@@ -161,14 +165,19 @@
         except exceptions.ExchangeError as exc:
             return attempt.not_connected(call, decode, exc)
         if ended is None:
-            self._read.taken()
-            made = self._progress.made
-            call.site.pace.made(made, call.site.loop_time() - began)
-            call.site.lengths.ended(guess=self._guess, made=made)
+            self._note_made(call.site.loop_time() - began)
         elif ended is not forwarding.Ended.NOT_SENT:
             self._read.release()
         return ended
 
+    def _note_made(self, took_s: float) -> None:
+        """The whole answer was made; learn from it."""
+        site = self._call.site
+        made = self._progress.made
+        self._read.taken()
+        site.pace.made(made, took_s)
+        site.lengths.ended(guess=self._guess, made=made)
+
     async def _can_run(self, place: place_mod.Place) -> bool:
         """Whether the prompt is read, or it is its turn to be in place."""
         if self._read.is_fresh(self._engine):
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -66,12 +66,7 @@
         service: model.Service,
     ) -> None:
         now = self._site.loop_time()
-        told = headers.whole(message.find(req.headers, headers.DEADLINE_MS))
-        time_s = route.timeout_s
-        if told is not None:
-            # The answer should be there before the client gives up.
-            time_s = min(time_s, max(0.0, told / 1000.0 - _WAY_BACK_S))
-        until = now + time_s
+        until = now + _time_s(req, route)
         if not self._site.planned_stop.may_begin(until):
             # Begun now it might be cut off at the end of the grace time.
             self._own(call_mod.Reason.STOPPING, req)
@@ -87,20 +82,24 @@
             until=until,
         )
         call.budget.request(now)
+        await self._answer_in_time(call)
+
+    async def _answer_in_time(self, call: call_mod.Call) -> None:
         try:
             async with asyncio.timeout_at(call.until):
                 await self._answer(call)
         except TimeoutError:
             self._time_up(call)
         except asyncio.CancelledError:
-            self._site.metrics.count("left", call_mod.Reason.TIME_UP)
-            if call.sampled:
-                call.log(
-                    "Client left.",
-                    after_s=round(self._site.loop_time() - now, 3),
-                )
+            self._note_left(call)
             raise
 
+    def _note_left(self, call: call_mod.Call) -> None:
+        self._site.metrics.count("left", call_mod.Reason.TIME_UP)
+        if call.sampled:
+            after_s = self._site.loop_time() - call.began
+            call.log("Client left.", after_s=round(after_s, 3))
+
     async def _answer(self, call: call_mod.Call) -> None:
         engine = call.service.engine
         if engine is None:
@@ -113,3 +112,12 @@
             call.fail(call_mod.Reason.TIME_UP, 504)
         else:
             call.refuse(call_mod.Reason.TIME_UP, forward.come_back_s(call))
+
+
+def _time_s(req: message.Request, route: model.Route) -> float:
+    """How long the answer may take: the route's or the client's time."""
+    told = headers.whole(message.find(req.headers, headers.DEADLINE_MS))
+    if told is None:
+        return route.timeout_s
+    # The answer should be there before the client gives up.
+    return min(route.timeout_s, max(0.0, told / 1000.0 - _WAY_BACK_S))
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -120,28 +120,30 @@
 
     async def stop(self) -> None:
         """End what runs, take nothing new once the balancer knows."""
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+        began = self.site.loop_time()
         self.stopping = True
         self._server.stopping = True
         self.is_ready()
-        ends_at = began + self._host.bounds.grace_s - _END_S
-        self.site.planned_stop.begin(ends_at)
-        while loop.time() < ends_at:
-            noticed = loop.time() - began >= _NOTICED_S
-            if noticed:
-                self.site.planned_stop.close()
-                self._server.close_idle()
-            if noticed and not self._server.busy:
-                break
-            await asyncio.sleep(_STEP_S)
+        await self._end_what_runs(began)
         logs.say(
             logs.Part.GATEWAY,
             "Stopped.",
             cut_off=self._server.busy,
-            took_s=round(loop.time() - began, 2),
+            took_s=round(self.site.loop_time() - began, 2),
         )
 
+    async def _end_what_runs(self, began: float) -> None:
+        """Wait until all is answered, up to the end of the grace time."""
+        stop = self.site.planned_stop
+        stop.begin(began + self._host.bounds.grace_s - _END_S)
+        while (now := self.site.loop_time()) < stop.ends_at:
+            if now - began >= _NOTICED_S:
+                stop.close()
+                self._server.close_idle()
+                if not self._server.busy:
+                    return
+            await asyncio.sleep(_STEP_S)
+
 
 def _failed(req: message.Request, exc: Exception) -> None:
     ident = message.find(req.headers, headers.REQUEST_ID) or b""
