Choices of endpoints and roles are made in smaller steps

role_to_add searched the best division by counts from which it built pools twice; _peak_with also decided whose turn it is to be read in place, and places counted in two nested loops; taking figures also looked for prompts that are read. Each is a named step now, and the two constants of a gain say what they are multiplied with. Behaviour is unchanged; tests/test_gateway_decisions.py, tests/test_roles.py, tests/test_room.py and tests/test_gateway.py ran (53 passed).

--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -188,13 +188,27 @@
         if use.requests + len(runs) > item.slots:
             return None
         if in_place is not None:
-            if use.prompt > 0 or len(runs) > 1:
-                return None
-            if use.runs and self._loads.rests(item.id, in_place.rest_s, now):
+            may_read = self._may_read(item, use, in_place, now)
+            if len(runs) > 1 or not may_read:
                 return None
         peak = kv_forecast.peak([*use.runs, *runs])
         return peak if peak <= capacity else None
 
+    def _may_read(
+        self,
+        item: endpoints.Endpoint,
+        use: endpoint_load.Use,
+        in_place: InPlace,
+        now: float,
+    ) -> bool:
+        """Whether it is the turn of one more prompt to be read there."""
+        if use.prompt > 0:
+            return False
+        # Where nothing runs, nobody needs a pause.
+        return not use.runs or not self._loads.rests(
+            item.id, in_place.rest_s, now
+        )
+
     def places(
         self,
         service: types.ServiceName,
@@ -205,16 +219,26 @@
         now: float,
     ) -> int:
         """How many runs like this one there is room for, some at most."""
-        count = 0
-        for item in self.candidates(service, types.Role.DECODE, now=now):
-            for more in range(1, _MOST_PLACES + 1):
-                runs = [run] * more
-                if self._peak_with(item, runs, capacity, in_place, now) is (
-                    None
-                ):
-                    break
-                count += 1
-        return count
+        found = self.candidates(service, types.Role.DECODE, now=now)
+        return sum(
+            self._places_at(item, run, capacity, in_place, now)
+            for item in found
+        )
+
+    def _places_at(
+        self,
+        item: endpoints.Endpoint,
+        run: kv_forecast.Run,
+        capacity: int,
+        in_place: InPlace | None,
+        now: float,
+    ) -> int:
+        for count in range(_MOST_PLACES):
+            runs = [run] * (count + 1)
+            peak = self._peak_with(item, runs, capacity, in_place, now)
+            if peak is None:
+                return count
+        return _MOST_PLACES
 
     def reads_in_place(self, service: types.ServiceName, now: float) -> bool:
         """Whether no endpoint prefills, so that decodes read themselves."""
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -118,16 +118,22 @@
         heard.life = life
         heard.number = number
         heard.at = now
+        self._note_read_since(heard, uses, now)
         self._unindex(sender, heard)
-        for endpoint, use in heard.uses.items():
-            if use.prompt and not uses.get(endpoint, Use()).prompt:
-                self.note_read(endpoint, now)
         heard.uses = uses
         for endpoint, use in uses.items():
             self._at.setdefault(endpoint, {})[sender] = use
         heard.waiting = waiting
         heard.first = first
 
+    def _note_read_since(
+        self, heard: _Heard, uses: dict[types.EndpointId, Use], now: float
+    ) -> None:
+        """Note where a gateway has no prompt any more that is read."""
+        for endpoint, use in heard.uses.items():
+            if use.prompt and not uses.get(endpoint, Use()).prompt:
+                self.note_read(endpoint, now)
+
     def note_read(self, endpoint: types.EndpointId, now: float) -> None:
         """An endpoint has read a prompt to its end."""
         self._read_at[endpoint] = now
--- a/rackpost/decide/role_balance.py
+++ b/rackpost/decide/role_balance.py
@@ -16,9 +16,10 @@
 # lapses: a pool that prefills counts as full at this part of its time (five
 # endpoints, two of which prefill, did worse with one: trials of scale-1).
 _PREFILL_PART = 0.7
-# The fuller pool must get less full by this factor.  A change takes one
+# The fuller pool must get less full by a factor.  A change takes one
 # endpoint away for seconds.  Where the pool that gives it has room to spare
-# that costs nothing; else it must pay, the more the fewer there are.
+# that costs nothing, and this factor is enough; else a change must pay, by
+# 1 and this share for each endpoint: the more the fewer there are.
 _GAIN_FREE = 1.2
 _GAIN_OF_ONE = 2.5
 
@@ -98,6 +99,17 @@
     return 1.0 + _GAIN_OF_ONE / (pools.prefill + pools.decode)
 
 
+def _best(pools: Pools, demand: Demand) -> Pools:
+    """The division of the endpoints that is least full."""
+    total = pools.prefill + pools.decode
+    divisions = [
+        Pools(prefill=count, decode=total - count) for count in range(1, total)
+    ]
+    return min(
+        divisions, key=lambda item: fullest(item, demand), default=pools
+    )
+
+
 def role_to_add(pools: Pools, demand: Demand) -> types.Role | None:
     """The role that one endpoint of the other should take, if any.
 
@@ -107,20 +119,12 @@
     now = fullest(pools, demand)
     if now < _FULL:
         return None
-    total = pools.prefill + pools.decode
-    best = min(
-        range(1, total),
-        key=lambda count: fullest(
-            Pools(prefill=count, decode=total - count), demand
-        ),
-        default=pools.prefill,
-    )
-    if best == pools.prefill:
+    best = _best(pools, demand)
+    if best.prefill == pools.prefill:
         return None
     role = types.Role.PREFILL
-    if best < pools.prefill:
+    if best.prefill < pools.prefill:
         role = types.Role.DECODE
-    after = fullest(Pools(prefill=best, decode=total - best), demand)
-    if after * _gain_wanted(pools, demand, role) >= now:
+    if fullest(best, demand) * _gain_wanted(pools, demand, role) >= now:
         return None
     return role
