An address is split into host and port in one place

Five places of the gateway and its pool split host:port by themselves into loose names; serving() also built two pages' addresses in one loop, and telling figures mixed the message with its sending.

--- a/rackpost/gateway/load_share.py
+++ b/rackpost/gateway/load_share.py
@@ -13,6 +13,7 @@
 from rackpost.coordinator import messages
 from rackpost import exceptions
 from rackpost.gateway import site as site_mod
+from rackpost.http1 import address
 from rackpost.link import codec
 from rackpost import logs
 
@@ -84,34 +85,33 @@
     def _send(self) -> None:
         self._number += 1
         me = self._site.host.vm
-        now = self._site.loop_time()
-        data = codec.encode(
-            messages.Loads(
-                vm=me,
-                loads=self._address,
-                life=self._life,
-                number=self._number,
-                uses=self._site.loads.own,
-                broken=self._site.health.broken(now),
-                full=self._site.health.full(now),
-                waiting=self._site.room.count,
-                first=self._site.room.first(now),
-                refused=self._site.refused.recent(now),
-                given_up=self._site.given_up.recent(now),
-            )
-        )
+        data = codec.encode(self._figures(self._site.loop_time()))
         for item in self._site.gateways.values():
             if item.vm != me and self._transport is not None:
-                host, _, port = item.loads.rpartition(":")
-                self._transport.sendto(data, (host, int(port)))
+                self._transport.sendto(data, address.split(item.loads))
+
+    def _figures(self, now: float) -> messages.Loads:
+        site = self._site
+        return messages.Loads(
+            vm=site.host.vm,
+            loads=self._address,
+            life=self._life,
+            number=self._number,
+            uses=site.loads.own,
+            broken=site.health.broken(now),
+            full=site.health.full(now),
+            waiting=site.room.count,
+            first=site.room.first(now),
+            refused=site.refused.recent(now),
+            given_up=site.given_up.recent(now),
+        )
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Tell and take figures until the block ends."""
-        host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host, int(port))
+            lambda: self, local_addr=address.split(self._address)
         )
         self._transport = transport
         task = asyncio.create_task(self._tell())
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -9,6 +9,7 @@
 from rackpost.gateway import handler as handler_mod
 from rackpost.gateway import load_share
 from rackpost.gateway import site as site_mod
+from rackpost.http1 import address
 from rackpost.http1 import message
 from rackpost.http1 import pages
 from rackpost.http1 import server
@@ -84,32 +85,39 @@
     @contextlib.asynccontextmanager
     async def serving(self) -> AsyncIterator[None]:
         """Serve until the block ends."""
-        ip = self._host.ip
-        port = self._host.internal_ports[0] + links.METRICS_PORT
         share = load_share.LoadShare(site=self.site)
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._links.close)
             stack.callback(self.site.pool.close)
             stack.push_async_callback(self.site.tasks.close)
             await stack.enter_async_context(share.running())
-            for address, served in (
-                (self._host.listen.ready, {paths.READY: self._ready_page}),
-                (f"{ip}:{port}", {b"/metrics": self._metrics_page}),
-            ):
-                at, _, number = address.rpartition(":")
-                await stack.enter_async_context(
-                    pages.serving(
-                        served, host=at, port=int(number), failed=_failed
-                    )
-                )
-            at, _, number = self._host.listen.clients.rpartition(":")
+            await stack.enter_async_context(self._serving_ready())
+            await stack.enter_async_context(self._serving_metrics())
+            at = address.split(self._host.listen.clients)
             await stack.enter_async_context(
-                self._server.serving(at, int(number))
+                self._server.serving(at.host, at.port)
             )
             self.site.spawn(self._sweep())
             self.site.spawn(self.site.room.run())
             yield
 
+    def _serving_ready(self) -> contextlib.AbstractAsyncContextManager:
+        at = address.split(self._host.listen.ready)
+        return pages.serving(
+            {paths.READY: self._ready_page},
+            host=at.host,
+            port=at.port,
+            failed=_failed,
+        )
+
+    def _serving_metrics(self) -> contextlib.AbstractAsyncContextManager:
+        return pages.serving(
+            {b"/metrics": self._metrics_page},
+            host=self._host.ip,
+            port=self._host.internal_ports[0] + links.METRICS_PORT,
+            failed=_failed,
+        )
+
     def _ready_page(self) -> tuple[int, str]:
         return (200, "ready\n") if self.is_ready() else (503, "not ready\n")
 
--- a/rackpost/http1/pool.py
+++ b/rackpost/http1/pool.py
@@ -6,6 +6,7 @@
 from typing import AsyncIterator
 
 from rackpost import exceptions
+from rackpost.http1 import address as address_mod
 from rackpost.http1 import client
 
 # An endpoint that takes no connection for this long is left alone; the
@@ -58,13 +59,13 @@
         return None
 
     async def _connect(self, address: str) -> client.ClientConnection:
-        host, _, port = address.rpartition(":")
         try:
+            at = address_mod.split(address)
             async with asyncio.timeout(_CONNECT_S):
                 transport, conn = await self._loop.create_connection(
                     lambda: client.ClientConnection(id_header=self._id_header),
-                    host,
-                    int(port),
+                    at.host,
+                    at.port,
                 )
         except TimeoutError as exc:
             raise exceptions.ExchangeError(
