A claim and a held back answer stand once in the gateway's tests

Two tests of the order of those that wait built the same claims by the same nested function, and one test defined an answer anew in a loop with a default argument to bind its endpoint, which is easily read wrongly.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -45,6 +45,20 @@
     responder.whole(503, [(b"x-not-executed", b"1")], b"")
 
 
+def usual_after(
+    go_on: asyncio.Event, endpoint: platform_site.Endpoint
+) -> platform_site.Answer:
+    """The usual answer, but not before an event is set."""
+
+    async def answer(
+        req: message.Request, responder: server.Responder
+    ) -> None:
+        await go_on.wait()
+        await endpoint.usual(req, responder)
+
+    return answer
+
+
 def test_method_path_and_body_arrive_unchanged(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -379,16 +393,7 @@
             site.prefill.answer = cut
             go_on = asyncio.Event()
             for one in site.decode:
-
-                async def slow(
-                    req: message.Request,
-                    responder: server.Responder,
-                    one: platform_site.Endpoint = one,
-                ) -> None:
-                    await go_on.wait()
-                    await one.stream(req, responder, 1, 4)
-
-                one.answer = slow
+                one.answer = usual_after(go_on, one)
             calls = [
                 asyncio.create_task(site.raw(generation(ident=f"r{number}")))
                 for number in range(6)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -66,6 +66,17 @@
     return kv_forecast.Run(size=size, left=left)
 
 
+def claim(target: float, priority: int = 1) -> waiting.Claim:
+    return waiting.Claim(
+        priority=priority,
+        target=target,
+        start_by=target + 3.0,
+        until=14.0,
+        start_s=0.2,
+        run_s=4.0,
+    )
+
+
 def test_the_least_loaded_endpoint_over_all_gateways_is_chosen() -> None:
     known = Known()
     use = endpoint_load.Use(requests=4)
@@ -245,16 +256,6 @@
 
 
 def test_who_can_be_in_time_goes_before_who_is_late() -> None:
-    def claim(target: float, priority: int = 1) -> waiting.Claim:
-        return waiting.Claim(
-            priority=priority,
-            target=target,
-            start_by=target + 3.0,
-            until=14.0,
-            start_s=0.2,
-            run_s=4.0,
-        )
-
     late, soon, later = claim(0.5), claim(1.3), claim(1.8)
     urgent = claim(1.9, priority=0)
     ordered = sorted(
@@ -268,16 +269,6 @@
 
 
 def test_ranks_agree_with_the_order_and_age() -> None:
-    def claim(target: float, priority: int = 1) -> waiting.Claim:
-        return waiting.Claim(
-            priority=priority,
-            target=target,
-            start_by=target + 3.0,
-            until=14.0,
-            start_s=0.2,
-            run_s=4.0,
-        )
-
     claims = [claim(0.5), claim(1.3), claim(1.8), claim(1.9, priority=0)]
     by_order = sorted(claims, key=lambda item: waiting.order(item, 1.0))
     by_rank = sorted(
