--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -10,6 +10,7 @@
 from rackpost.gateway import load_share
 from rackpost.gateway import policy as policy_mod
 from rackpost.gateway import site as site_mod
+from rackpost.http1 import address
 from rackpost.http1 import message
 from rackpost.http1 import pages
 from rackpost.http1 import server
@@ -90,32 +91,39 @@
     @contextlib.asynccontextmanager
     async def serving(self) -> AsyncIterator[None]:
         """Serve until the block ends."""
-        ip = self._host.ip
-        port = self._host.internal_ports[0] + links.METRICS_PORT
         share = load_share.LoadShare(site=self.site)
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._links.close)
             stack.callback(self.site.pool.close)
             stack.push_async_callback(self.site.tasks.close)
             await stack.enter_async_context(share.running())
-            for address, served in (
-                (self._host.listen.ready, {paths.READY: self._ready_page}),
-                (f"{ip}:{port}", {b"/metrics": self._metrics_page}),
-            ):
-                at, _, number = address.rpartition(":")
-                await stack.enter_async_context(
-                    pages.serving(
-                        served, host=at, port=int(number), failed=_failed
-                    )
-                )
-            at, _, number = self._host.listen.clients.rpartition(":")
+            await stack.enter_async_context(self._serving_ready())
+            await stack.enter_async_context(self._serving_metrics())
+            at = address.split(self._host.listen.clients)
             await stack.enter_async_context(
-                self._server.serving(at, int(number))
+                self._server.serving(at.host, at.port)
             )
             self.site.spawn(self._sweep())
             self.site.spawn(self.site.room.run())
             yield
 
+    def _serving_ready(self) -> contextlib.AbstractAsyncContextManager:
+        at = address.split(self._host.listen.ready)
+        return pages.serving(
+            {paths.READY: self._ready_page},
+            host=at.host,
+            port=at.port,
+            failed=_failed,
+        )
+
+    def _serving_metrics(self) -> contextlib.AbstractAsyncContextManager:
+        return pages.serving(
+            {b"/metrics": self._metrics_page},
+            host=self._host.ip,
+            port=self._host.internal_ports[0] + links.METRICS_PORT,
+            failed=_failed,
+        )
+
     def _ready_page(self) -> tuple[int, str]:
         return (200, "ready\n") if self.is_ready() else (503, "not ready\n")
 
@@ -126,28 +134,30 @@
 
     async def stop(self) -> None:
         """End what runs, take nothing new once the balancer knows."""
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+        began = self.site.loop_time()
         self.stopping = True
         self._server.stopping = True
         self.is_ready()
-        last = began + self._host.bounds.grace_s - _END_S
-        self.site.ends_at = last
-        while loop.time() < last:
-            noticed = loop.time() - began >= _NOTICED_S
-            if noticed:
-                self.site.closing = True
-                self._server.close_idle()
-            if noticed and not self._server.busy:
-                break
-            await asyncio.sleep(_STEP_S)
+        await self._end_what_runs(began)
         logs.say(
             logs.Part.GATEWAY,
             "Stopped.",
             cut_off=self._server.busy,
-            took_s=round(loop.time() - began, 2),
+            took_s=round(self.site.loop_time() - began, 2),
         )
 
+    async def _end_what_runs(self, began: float) -> None:
+        """Wait until all is answered, up to the end of the grace time."""
+        stop = self.site.planned_stop
+        stop.begin(began + self._host.bounds.grace_s - _END_S)
+        while (now := self.site.loop_time()) < stop.ends_at:
+            if now - began >= _NOTICED_S:
+                stop.close()
+                self._server.close_idle()
+                if not self._server.busy:
+                    return
+            await asyncio.sleep(_STEP_S)
+
 
 def _failed(req: message.Request, exc: Exception) -> None:
     ident = message.find(req.headers, headers.REQUEST_ID) or b""
