No full pool gives its endpoint to prefill; a last endpoint decodes

Change: without a prefill pool prompts are read in place, at half the pace, which is what fullness now says; an endpoint goes to prefill when it can be spared, or when that pays as for any change. A single endpoint decodes. Also, found by the review: near the end of a planned stop the time to come back was below zero; a generation refused for the stop alone was told to the other gateways as refused for want of room.

--- a/rackpost/decide/role_balance.py
+++ b/rackpost/decide/role_balance.py
@@ -16,6 +16,11 @@
 # lapses: a pool that prefills counts as full at this part of its time (five
 # endpoints, two of which prefill, did worse with one: trials of scale-1).
 _PREFILL_PART = 0.7
+# Without a pool that prefills, prompts are read where tokens are made, at
+# half the pace; and those too long for one allowed pause hold up all that
+# run there, which counts as some more work.
+_IN_PLACE_X = 2.0
+_IN_PLACE_PAUSES_X = 1.5
 # The fuller pool must get less full by a factor.  A change takes one
 # endpoint away for seconds.  Where the pool that gives it has room to spare
 # that costs nothing, and this factor is enough; else a change must pay, by
@@ -78,6 +83,9 @@
 
 def fullest(pools: Pools, demand: Demand) -> float:
     """How full the fuller of the two pools is; 1 is all of it."""
+    if pools.prefill == 0:
+        work = demand.decode + _IN_PLACE_X * demand.prefill
+        return _IN_PLACE_PAUSES_X * _fullness(work, pools.decode)
     return max(
         _fullness(demand.prefill / _PREFILL_PART, pools.prefill),
         _fullness(demand.decode, pools.decode),
@@ -110,6 +118,14 @@
     )
 
 
+def _can_spare_one(pools: Pools, demand: Demand) -> bool:
+    """Whether nobody prefills, and one of those that decode can be spared."""
+    if pools.prefill > 0 or pools.decode < 2:
+        return False
+    during = fullest(_without_one(pools, types.Role.PREFILL), demand)
+    return 0.0 < during < _FULL
+
+
 def role_to_add(pools: Pools, demand: Demand) -> types.Role | None:
     """The role that one endpoint of the other should take, if any.
 
@@ -117,8 +133,13 @@
     better by enough.
     """
     now = fullest(pools, demand)
+    if _can_spare_one(pools, demand):
+        return types.Role.PREFILL
     if now < _FULL:
         return None
+    if pools.decode == 0 and pools.prefill == 1:
+        # The only endpoint can read prompts itself, if it decodes.
+        return types.Role.DECODE
     best = _best(pools, demand)
     if best.prefill == pools.prefill:
         return None
--- a/rackpost/decide/waiting.py
+++ b/rackpost/decide/waiting.py
@@ -170,4 +170,6 @@
     Clients heed up to a third of the time that they have left.
     """
     later = wait_s * (1.0 + _SPREAD * chance) + 0.3 * chance
-    return min(max(_SOONEST_S, later), (claim.until - now) / 3.0)
+    # What ends now can still come back at once, to somebody else.
+    heeded = max(0.0, (claim.until - now) / 3.0)
+    return min(max(_SOONEST_S, later), heeded)
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -17,6 +17,8 @@
 
 # Of answers in time, one in this many is logged; all others are.
 _SAMPLE = 16
+# Other gateways take at once what one that stops does not begin; in seconds.
+ELSEWHERE_S = 0.05
 
 
 class Reason(enum.Enum):
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -197,8 +197,18 @@
         if first or left >= 2.0:
             await prefill.prefill(call, self._prompt, self._read)
 
+    def _would_be_cut(self) -> bool:
+        """Whether a planned stop leaves too little time for the answer."""
+        claim = self._claim()
+        ends_at = self._call.site.planned_stop.ends_at
+        return self._call.site.loop_time() + claim.run_s > ends_at
+
     def _refuse_full(self, full: place_mod.Full) -> None:
         call = self._call
+        if self._would_be_cut() and not call.may_have_run:
+            # Nothing is full: others take it at once, and as a new one.
+            call.refuse(call_mod.Reason.STOPPING, call_mod.ELSEWHERE_S)
+            return
         call.log(
             "No room.",
             expected_wait_s=round(full.expected_wait_s, 3),
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -16,8 +16,6 @@
 # A gateway that has no document yet gets one within about this time, in
 # seconds: it dials its coordinators again every 0.3 s.
 _NO_DOCUMENT_S = 0.5
-# Other gateways take at once what one that stops does not begin; in seconds.
-_ELSEWHERE_S = 0.05
 # What an answer needs to reach its client, in seconds: several times the
 # usual delay on the way (3 ms).
 _WAY_BACK_S = 0.03
@@ -70,7 +68,7 @@
         if not self._site.planned_stop.may_begin(until):
             # Begun now it might be cut off at the end of the grace time.
             self._own(call_mod.Reason.STOPPING, req)
-            call_mod.refuse(responder, _ELSEWHERE_S)
+            call_mod.refuse(responder, call_mod.ELSEWHERE_S)
             return
         call = call_mod.Call(
             site=self._site,
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -332,6 +332,8 @@
         after = waiting.come_back_s(first, 0.9, 0.0, chance)
         assert 0.9 <= after <= 14.0 / 3
     assert waiting.come_back_s(first, 60.0, 0.0, 1.0) <= 14.0 / 3
+    # Late in a planned stop it was told to come back before now.
+    assert waiting.come_back_s(first, 0.9, 14.5, 1.0) == 0.0
 
 
 def test_nobody_is_sent_away_while_those_that_come_back_fail() -> None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -133,8 +133,11 @@
             own.planned_stop.begin(own.loop_time() + 5.0)
             got = await site.raw(hinted(8))
             assert test_gateway.status(got) == 503
-            assert b"retry-after" in got
+            assert b"retry-after: 0.05" in got
             assert not site.prefill.seen
+            # Nothing was full: elsewhere it comes as a new one.
+            assert not own.refused.recent(own.loop_time())
+            assert not own.given_up.recent(own.loop_time())
             own.planned_stop.begin(own.loop_time() + 30.0)
             got = await site.raw(hinted(1))
             assert test_gateway.status(got) == 200
