What only the site may set is one list, taken from every client's request

Change: the list in platform/headers.py names every field that tells an endpoint how to run a request; a test walks the list through plain requests, prefills, decodes, rejected and resumed attempts.

--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -26,7 +26,9 @@
 
 PREFILL = b"prefill"
 
-# Set by us alone, whatever a client sent.
+# Set by us alone, whatever a client sent: all that tells an endpoint how
+# to run a request.  What a client pins or reserves there cannot give way,
+# so that endpoints hold less than the gateways' figures say.
 OURS = frozenset(
     (
         DEADLINE_MS,
@@ -35,8 +37,9 @@
         KV_SOURCE,
         PRIORITY,
         b"x-expect-version",
-        b"x-kv-hold",
         b"x-kv-backup",
+        b"x-kv-hold",
+        b"x-pin-ms",
         b"kv-fetch",
     )
 )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,8 +3,11 @@
 import asyncio
 import pathlib
 
+import pytest
+
 from rackpost.http1 import message
 from rackpost.http1 import server
+from rackpost.platform import headers
 from tests import platform_site
 
 
@@ -59,6 +62,28 @@
     return answer
 
 
+def breaks_off(
+    one: platform_site.Endpoint, broken: list[str]
+) -> platform_site.Answer:
+    """A stream that breaks in its second event, unless it is taken up."""
+
+    async def stream(
+        req: message.Request, responder: server.Responder
+    ) -> None:
+        last = message.find(req.headers, b"last-event-id")
+        if last is not None:
+            await one.stream(req, responder, int(last) + 1, 4)
+            return
+        broken.append(one.ident)
+        kind = [(b"content-type", b"text/event-stream")]
+        responder.start(200, platform_site.echoed(req) + kind)
+        await responder.part(b"id: 1\ndata: x1\n\nid: 2\nda")
+        await asyncio.sleep(0.05)
+        responder.abort()
+
+    return stream
+
+
 def test_method_path_and_body_arrive_unchanged(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -88,13 +113,87 @@
     asyncio.run(main())
 
 
+# All fields by which an endpoint is told how to run a request, with a value
+# as a client would smuggle it in.
+ONLY_THE_SITE_SETS = {
+    b"x-deadline-ms": b"999999",
+    b"x-expect-instance": b"somebody",
+    b"x-serving-stage": b"decode",
+    b"x-kv-source": b"a:1/h",
+    b"x-request-priority": b"7",
+    b"x-expect-version": b"77",
+    b"x-kv-backup": b"10.0.0.1:1",
+    b"x-kv-hold": b"hold-1",
+    b"x-pin-ms": b"4000",
+    b"kv-fetch": b"10.0.0.1:2",
+}
+
+
+def smuggled() -> str:
+    """Those fields as a client sends them."""
+    lines = ONLY_THE_SITE_SETS.items()
+    return "".join(
+        f"{name.decode().title()}: {value.decode()}\r\n"
+        for name, value in lines
+    )
+
+
+def assert_nothing_smuggled(site: platform_site.Site, most: int) -> None:
+    """No endpoint saw a client's value; at least `most` requests came."""
+    seen = [req for one in site.endpoints for req in one.seen]
+    assert len(seen) >= most
+    for req in seen:
+        for name, value in ONLY_THE_SITE_SETS.items():
+            got = [item[1] for item in req.headers if item[0] == name]
+            assert value not in got, name
+            assert len(got) <= 1, name
+
+
+def test_the_list_of_what_only_the_site_sets_is_whole() -> None:
+    assert headers.OURS == frozenset(ONLY_THE_SITE_SETS)
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/gen/x", "/res/x"])
 def test_what_only_the_site_sets_is_taken_from_clients(
+    tmp_path: pathlib.Path, path: str
+) -> None:
+    """On plain requests, and on both halves of generations."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            got = await site.raw(generation(path, more=smuggled()))
+            assert status(got) == 200
+            assert_nothing_smuggled(site, 1)
+
+    asyncio.run(main())
+
+
+def test_what_only_the_site_sets_is_taken_from_second_attempts(
     tmp_path: pathlib.Path,
 ) -> None:
+    """After a rejection, in place, and where a stream goes on elsewhere."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            for one in [site.prefill, *site.plain]:
+                one.answer = shed
+            broken: list[str] = []
+            for one in site.decode:
+                one.answer = breaks_off(one, broken)
+            got = await site.raw(generation("/res/x", more=smuggled()))
+            assert status(got) == 200
+            assert len(broken) == 1
+            await site.raw(request("/safe/x", more=smuggled()))
+            # Two plain sends, a prefill and both halves of the stream.
+            assert_nothing_smuggled(site, 5)
+
+    asyncio.run(main())
+
+
+def test_a_prefills_source_is_the_sites_own(tmp_path: pathlib.Path) -> None:
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            more = "X-Serving-Stage: prefill\r\nX-Kv-Source: a:1/h\r\n"
-            got = await site.raw(generation(more=more))
+            got = await site.raw(generation(more=smuggled()))
             assert status(got) == 200
             run = [req for one in site.decode for req in one.seen]
             assert len(run) == 1
@@ -245,26 +344,8 @@
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
             broken: list[str] = []
-
-            def answer(one: platform_site.Endpoint) -> platform_site.Answer:
-                async def stream(
-                    req: message.Request, responder: server.Responder
-                ) -> None:
-                    last = message.find(req.headers, b"last-event-id")
-                    if last is not None:
-                        await one.stream(req, responder, int(last) + 1, 4)
-                        return
-                    broken.append(one.ident)
-                    kind = [(b"content-type", b"text/event-stream")]
-                    responder.start(200, platform_site.echoed(req) + kind)
-                    await responder.part(b"id: 1\ndata: x1\n\nid: 2\nda")
-                    await asyncio.sleep(0.05)
-                    responder.abort()
-
-                return stream
-
             for one in site.decode:
-                one.answer = answer(one)
+                one.answer = breaks_off(one, broken)
             got = await site.raw(generation("/res/x"))
             assert status(got) == 200
             for number in (1, 2, 3):
