The seconds after a loss: the document before the quorum, early elections

Cause: after power came back gateways and coordinators ran within 0.7 s, but the document was in force 1.1 s later: a dial to a host still down hung for a second, and nothing of the log counted until an election 0.6 to 1.2 s after the start. Callers were refused meanwhile, came back once, too early. Change: a coordinator keeps a mark of what is committed and applies that at its start; a replica asks for votes once it is linked to a quorum; a first dial has 0.2 s; who asks a gateway that has just started waits for its first document and endpoints.

--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -8,6 +8,7 @@
 
 import enum
 import random
+from typing import Collection
 from typing import NamedTuple
 
 from rackpost.consensus import log as log_mod
@@ -77,12 +78,14 @@
         rng: random.Random,
         now: float,
         copies: int = 1,
+        committed: m.Index = m.Index(0),
     ) -> None:
         """Start from what the disk holds.
 
         `copies` is how many voters must have a record on their disks
         before it is committed, where that is more than a quorum: one more
-        than may lose their disks at once.
+        than may lose their disks at once.  Records up to `committed` are
+        known to be committed; they are applied at once.
         """
         self.me = me
         self._copies = copies
@@ -103,7 +106,11 @@
         self._heard_at = now
         self._next_beat = now
         self._deadline = now
+        # No leader was heard of, and none sought, since the start.
+        self._is_new = True
         self._reset_deadline(now)
+        if committed > self.commit:
+            self._commit_to(committed)
 
     # Queries.
 
@@ -165,6 +172,23 @@
             soon = now + _SOON_S * (0.2 + self._rng.random())
             self._deadline = min(self._deadline, soon)
 
+    def linked(self, peers: Collection[m.ReplicaId], now: float) -> None:
+        """Links to these replicas are up.
+
+        After a start, one that has heard of no leader asks for votes soon
+        once they make a quorum.  Where all have restarted that saves the
+        rest of an election time, 0.6 s at the median; where a leader is,
+        those that hear it give no vote.
+        """
+        if not self._is_new or self.leader is not None:
+            return
+        reached = {self.me, *peers} & set(self.config.voters)
+        if len(reached) < self.config.quorum:
+            return
+        self._is_new = False
+        soon = now + _SOON_S * (0.2 + self._rng.random())
+        self._deadline = min(self._deadline, soon)
+
     def propose(self, data: bytes, now: float) -> m.Index | None:
         """Append a command; its index, or None if this is no leader."""
         if self.role is not Role.LEADER:
@@ -262,6 +286,7 @@
 
     def _campaign(self, now: float, *, pre: bool) -> None:
         self._reset_deadline(now)
+        self._is_new = False
         if self.me not in self.config.voters:
             return
         self.role = Role.CANDIDATE
--- a/rackpost/consensus/storage.py
+++ b/rackpost/consensus/storage.py
@@ -1,6 +1,7 @@
 """The log and snapshots of a replica on its disk.
 
-A data folder holds `identity`, `snapshot` and `log`.  The log is a row of
+A data folder holds `identity`, `snapshot`, `log` and, as a hint for the
+next start, `committed`.  The log is a row of
 frames; each frame is what was synced at once: a header of magic, length,
 checksum of the payload and checksum of the header, then the payload.  A
 frame is only written when the one before it was synced, so a bad frame
@@ -46,12 +47,23 @@
     cut_from: m.Index | None = None
 
 
+class Mark(msgspec.Struct, frozen=True, kw_only=True):
+    """A record that is known to be committed, and so all before it."""
+
+    index: m.Index
+    term: m.Term
+
+
 class Loaded(msgspec.Struct, kw_only=True):
-    """What a replica restarts from."""
+    """What a replica restarts from.
+
+    Records up to `committed` were committed when the replica ended.
+    """
 
     identity: Identity
     hard: m.HardState
     log: log_mod.Log
+    committed: m.Index = m.Index(0)
     torn_bytes: int = 0
 
 
@@ -218,9 +230,35 @@
             identity=identity,
             hard=hard,
             log=log,
+            committed=self._load_committed(log),
             torn_bytes=len(data) - good,
         )
 
+    def _load_committed(self, log: log_mod.Log) -> m.Index:
+        """Up to where the log is known to be committed.
+
+        A mark that is damaged, or whose record the log does not hold,
+        tells nothing: a quorum says it again.
+        """
+        path = self._folder / "committed"
+        try:
+            mark = _read_one(path, Mark)
+        except (OSError, exceptions.RackpostError):
+            return log.snapshot.index
+        assert isinstance(mark, Mark)
+        if log.term_at(mark.index) != mark.term:
+            return log.snapshot.index
+        return mark.index
+
+    async def note_committed(self, mark: Mark) -> None:
+        """Keep a mark for the next start; StorageError if that fails."""
+        data = frame(codec.encode(mark))
+        path = self._folder / "committed"
+        try:
+            await asyncio.to_thread(_write_whole, path, data)
+        except OSError as exc:
+            raise exceptions.StorageError(f"committed: {exc}") from exc
+
     def _load_identity(self) -> Identity:
         path = self._folder / "identity"
         if not path.exists():
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -79,12 +79,15 @@
             rng=rng,
             now=self._loop.time(),
             copies=copies,
+            committed=loaded.committed,
         )
         # What the state machine holds; consensus itself may be ahead while
         # an output is being synced.
         self._applied = loaded.log.snapshot.index
         self._peers: dict[consensus.ReplicaId, channel.Channel] = {}
         self._wake = asyncio.Event()
+        # What is known to be committed is applied at once.
+        self._wake.set()
         self._number = 0
         self._asked: dict[int, asyncio.Future[commands.Result | None]] = {}
         self._at_index: dict[int, asyncio.Future[commands.Result | None]] = {}
@@ -120,6 +123,14 @@
         """The present term."""
         return self._raft.term
 
+    @property
+    def mark(self) -> storage.Mark | None:
+        """The newest record that is applied here; None if there is none."""
+        term = self._raft.log.term_at(self._applied)
+        if term is None or self._applied == 0:
+            return None
+        return storage.Mark(index=self._applied, term=term)
+
     def hears_quorum(self) -> bool:
         """Whether this replica was in touch with a quorum lately."""
         return self._raft.hears_quorum(self._loop.time())
@@ -143,6 +154,7 @@
             receive=lambda msg: self._on_message(peer, msg),
             closed=lambda: self._on_closed(peer, conn),
         )
+        self._raft.linked(self._peers, self._loop.time())
 
     def accept(self, peer: consensus.ReplicaId, conn: channel.Channel) -> None:
         """Receive from a link that another replica made to send on."""
--- a/rackpost/coordinator/disk.py
+++ b/rackpost/coordinator/disk.py
@@ -125,13 +125,13 @@
 
 def _remove_leftovers(folder: pathlib.Path) -> None:
     # A log without an identity belongs to nobody.
-    for name in ("log", "snapshot"):
+    for name in ("log", "snapshot", "committed"):
         with contextlib.suppress(FileNotFoundError):
             (folder / name).unlink()
 
 
 def _set_aside(folder: pathlib.Path) -> None:
-    for name in ("identity", "log", "snapshot"):
+    for name in ("identity", "log", "snapshot", "committed"):
         path = folder / name
         if path.exists():
             path.replace(folder / f"{name}.damaged")
--- a/rackpost/coordinator/links.py
+++ b/rackpost/coordinator/links.py
@@ -8,6 +8,8 @@
 from typing import Coroutine
 from typing import Iterable
 
+import msgspec
+
 from rackpost import exceptions
 from rackpost.link import websocket
 from rackpost import logs
@@ -16,11 +18,17 @@
 # than that a peer speaks this protocol.
 SECURITY = websocket.Security(key=b"rackpost-site-link")
 # A cut says nothing: a silent peer is given up after 1.5 s, and dialled
-# again every 0.3 s, so that a healed link is back within a second.
+# again every 0.15 s, so that a healed link is back within a second.
 PATIENCE = websocket.Patience(
     ping_s=0.7, ping_timeout_s=0.8, open_s=1.0, close_s=0.2
 )
-_REDIAL_S = 0.3
+_REDIAL_S = 0.15
+# A host that is down answers nothing, and one that has just come up does
+# not see what was sent before: a first dial is given up after this, in
+# seconds, each further one has twice the time up to `PATIENCE.open_s`.
+# Some 20 times the usual time.  With a whole second, gateways that started
+# just before their coordinators were linked 1.1 s later (all power lost).
+_FIRST_OPEN_S = 0.2
 
 # Offsets from the first of the internal ports.
 LINKS_PORT = 0
@@ -58,18 +66,20 @@
             self._tasks.pop(host).cancel()
 
     async def _keep(self, host: str) -> None:
+        open_s = _FIRST_OPEN_S
         while True:
             try:
                 async with websocket.connected(
                     f"{host}:{self._port}",
                     security=SECURITY,
                     kinds=self._kinds,
-                    patience=PATIENCE,
+                    patience=msgspec.structs.replace(PATIENCE, open_s=open_s),
                 ) as conn:
+                    open_s = _FIRST_OPEN_S
                     await self._while_up(host, conn)
             except exceptions.LinkError:
                 # Told when it was lost; it is dialled until it is back.
-                pass
+                open_s = min(2.0 * open_s, PATIENCE.open_s)
             await asyncio.sleep(_REDIAL_S)
 
     async def _while_up(
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -12,6 +12,7 @@
 from rackpost.control import messages as control
 from rackpost.control import node as node_mod
 from rackpost.coordinator import api
+from rackpost.coordinator import commit_marks
 from rackpost.coordinator import directory as directory_mod
 from rackpost.coordinator import disk as disk_mod
 from rackpost.coordinator import links
@@ -65,6 +66,9 @@
             copies=copies,
         )
         self.node.other = self._on_other
+        self.marks = commit_marks.CommitMarks(
+            node=self.node, disk=self._file_disk
+        )
         self.directory = directory_mod.Directory(
             heartbeat_s=host.heartbeat_ms / 1000.0
         )
@@ -294,6 +298,7 @@
             await stack.enter_async_context(http.serving(host, int(port)))
             stack.enter_context(self.node.watched(self._on_changes))
             tasks.spawn(self.node.run())
+            tasks.spawn(self.marks.run())
             tasks.spawn(self._members.run())
             tasks.spawn(self._forget())
             tasks.spawn(self._roles.run())
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -1,5 +1,7 @@
 """Requests to plain services: choose, send, repeat where that is right."""
 
+import asyncio
+
 from rackpost.decide import admission
 from rackpost.decide import forwarding
 from rackpost.gateway import attempt
@@ -11,6 +13,11 @@
 # that a crowd does not come back at once.
 _COME_BACK_S = 0.25
 _COME_BACK_SPREAD_S = 0.5
+# A gateway that has just started hears of the endpoints within two of
+# their heartbeats (1.2 s each); who asks before then waits, in seconds.
+_HEARD_S = 2.5
+# How often those that wait look for an endpoint, in seconds.
+_LOOK_S = 0.03
 
 
 def come_back_s(call: call_mod.Call) -> float:
@@ -21,7 +28,7 @@
 async def forward(call: call_mod.Call) -> None:
     """Answer a request for a plain service."""
     while True:
-        endpoint = _choose(call)
+        endpoint = _choose(call) or await _first_endpoint(call)
         if endpoint is None:
             give_up(call, call_mod.Reason.NO_ENDPOINT)
             return
@@ -79,6 +86,20 @@
     return site.chooser.plain(name, but=call.tried, now=now)
 
 
+async def _first_endpoint(
+    call: call_mod.Call,
+) -> endpoints.Endpoint | None:
+    """The first endpoint that a gateway hears of after its start."""
+    site = call.site
+    if call.tried:
+        return None
+    endpoint = None
+    while endpoint is None and site.loop_time() < site.began + _HEARD_S:
+        await asyncio.sleep(_LOOK_S)
+        endpoint = _choose(call)
+    return endpoint
+
+
 def goes_on(call: call_mod.Call, ended: forwarding.Ended) -> bool:
     """Whether to try again; if not, the client has been told."""
     now = call.site.loop_time()
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -1,6 +1,7 @@
 """From a client's request to its route, within its time."""
 
 import asyncio
+import math
 
 from rackpost.gateway import call as call_mod
 from rackpost.gateway import forward
@@ -13,9 +14,14 @@
 from rackpost.routing import match
 from rackpost.routing import model
 
-# A gateway that has no document yet gets one within about this time, in
-# seconds: it dials its coordinators again every 0.3 s.
+# A gateway that has just started gets its document this soon, in seconds:
+# coordinators that started with it tell it within 0.6 s.  Who asks earlier
+# waits for it; refused they come back once, mostly too early again.
+_DOCUMENT_S = 2.0
+# With no document after that, clients come back after this, in seconds.
 _NO_DOCUMENT_S = 0.5
+# So many may wait for the document; their bodies are in memory.
+_MOST_WAITING = 256
 # What an answer needs to reach its client, in seconds: several times the
 # usual delay on the way (3 ms).
 _WAY_BACK_S = 0.03
@@ -26,12 +32,14 @@
 
     def __init__(self, *, site: site_mod.Site) -> None:
         self._site = site
+        self._waiting = 0
 
     async def handle(
         self, req: message.Request, responder: server.Responder
     ) -> None:
         """Answer one request."""
-        routes = self._site.routes
+        began = self._site.loop_time()
+        routes = self._site.routes or await self._first_routes(req, began)
         if routes is None:
             self._own(call_mod.Reason.NO_DOCUMENT, req)
             call_mod.refuse(responder, _NO_DOCUMENT_S)
@@ -43,7 +51,26 @@
             responder.whole(404, [], b"")
             return
         name = match.choose_service(route, self._site.rng)
-        await self._route(req, responder, route, routes.services[name])
+        service = routes.services[name]
+        await self._route(req, responder, route, service, began)
+
+    async def _first_routes(
+        self, req: message.Request, now: float
+    ) -> match.RouteTable | None:
+        """The routes of a gateway that has just started, when they come."""
+        site = self._site
+        until = min(site.began + _DOCUMENT_S, now + _client_s(req))
+        if until <= now or self._waiting >= _MOST_WAITING:
+            return None
+        self._waiting += 1
+        try:
+            async with asyncio.timeout_at(until):
+                await site.routed.wait()
+        except TimeoutError:
+            return None
+        finally:
+            self._waiting -= 1
+        return site.routes
 
     def _own(self, reason: call_mod.Reason, req: message.Request) -> None:
         self._site.metrics.count("own_answers", reason)
@@ -62,9 +89,9 @@
         responder: server.Responder,
         route: model.Route,
         service: model.Service,
+        began: float,
     ) -> None:
-        now = self._site.loop_time()
-        until = now + _time_s(req, route)
+        until = began + min(route.timeout_s, _client_s(req))
         if not self._site.planned_stop.may_begin(until):
             # Begun now it might be cut off at the end of the grace time.
             self._own(call_mod.Reason.STOPPING, req)
@@ -76,10 +103,10 @@
             responder=responder,
             route=route,
             service=service,
-            began=now,
+            began=began,
             until=until,
         )
-        call.budget.request(now)
+        call.budget.request(self._site.loop_time())
         await self._answer_in_time(call)
 
     async def _answer_in_time(self, call: call_mod.Call) -> None:
@@ -112,10 +139,10 @@
             call.refuse(call_mod.Reason.TIME_UP, forward.come_back_s(call))
 
 
-def _time_s(req: message.Request, route: model.Route) -> float:
-    """How long the answer may take: the route's or the client's time."""
+def _client_s(req: message.Request) -> float:
+    """How long the client waits for its answer, in seconds."""
     told = headers.whole(message.find(req.headers, headers.DEADLINE_MS))
     if told is None:
-        return route.timeout_s
+        return math.inf
     # The answer should be there before the client gives up.
-    return min(route.timeout_s, max(0.0, told / 1000.0 - _WAY_BACK_S))
+    return max(0.0, told / 1000.0 - _WAY_BACK_S)
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -50,7 +50,10 @@
         self.policy = policy
         self.rng = random.Random()
         self.metrics = metrics_mod.Metrics()
+        self.began = self._loop.time()
         self.routes: match.RouteTable | None = None
+        # Set once there are routes.
+        self.routed = asyncio.Event()
         self.table = endpoints.EndpointTable()
         self.loads_changed = asyncio.Event()
         self.loads = endpoint_load.LoadBook(changed=self.loads_changed.set)
@@ -135,6 +138,7 @@
         if self.routes is not None and doc.version <= self.version:
             return False
         self.routes = match.RouteTable(doc=doc)
+        self.routed.set()
         return True
 
     def budget(self, service: types.ServiceName) -> retry_budget.RetryBudget:
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -167,6 +167,31 @@
     asyncio.run(main())
 
 
+def test_a_gateway_is_told_the_document_before_there_is_a_quorum(
+    tmp_path: pathlib.Path,
+) -> None:
+    """After all have restarted; reads still wait for the quorum."""
+
+    async def main() -> None:
+        async with group(tmp_path) as found:
+            await found.put_version(11, 7)
+            one = found.up[12]
+            await platform_site.until(
+                lambda: one.node.machine.routing is not None
+                and one.marks.written == one.node.mark
+            )
+            for number in CORE:
+                await found.stop(number)
+            await found.start(12)
+            edge = found.operator.plan.host(31, kind="edge")
+            async with platform_site.gateway(edge) as gateway:
+                await platform_site.until(lambda: gateway.site.version == 7)
+                status, _ = await found.operator.get(12)
+                assert status == 503
+
+    asyncio.run(main())
+
+
 def test_without_a_quorum_nothing_is_read_or_acknowledged(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -80,17 +80,70 @@
     assert new is not None and new.learners == ids("e#2")
 
 
-def _leader(copies: int, names: tuple[str, ...]) -> raft.Replica:
+def _replica(
+    copies: int,
+    names: tuple[str, ...],
+    records: int = 0,
+    committed: int = 0,
+) -> raft.Replica:
     config = m.Config(voters=ids(*names))
     snapshot = m.Snapshot(index=m.Index(0), term=m.Term(0), config=config)
-    leader = raft.Replica(
+    log = log_mod.Log(snapshot)
+    for at in range(records):
+        index = m.Index(at + 1)
+        log.append([m.Entry(index=index, term=m.Term(0), data=b"x")])
+    return raft.Replica(
         me=ids("a")[0],
         hard=m.HardState(term=m.Term(0)),
-        log=log_mod.Log(snapshot),
+        log=log,
         rng=random.Random(1),
         now=0.0,
         copies=copies,
+        committed=m.Index(committed),
+    )
+
+
+def test_what_was_committed_before_a_restart_is_applied_at_once() -> None:
+    """And no more than that: what follows may still be cut off."""
+    out = _replica(3, ("a", "b", "c"), records=3, committed=2).take()
+    assert [entry.index for entry in out.committed] == [1, 2]
+
+
+# The longest that a replica waits that has just linked to a quorum, in
+# seconds; by its election time alone it would wait up to 1.2 s.
+_SOON_S = 0.25
+
+
+def test_after_a_start_votes_are_asked_for_once_a_quorum_is_linked() -> None:
+    names = ("a", "b", "c", "d", "e")
+    new = _replica(3, names)
+    new.linked(ids("b"), 0.1)
+    new.tick(0.1 + _SOON_S)
+    assert new.role is raft.Role.FOLLOWER
+    new.linked(ids("b", "c"), 0.3)
+    new.tick(0.3 + _SOON_S)
+    assert new.role is raft.Role.CANDIDATE
+
+
+def test_a_replica_that_hears_a_leader_asks_for_no_votes() -> None:
+    new = _replica(3, ("a", "b", "c"))
+    append = m.Append(
+        sender=ids("b")[0],
+        term=m.Term(1),
+        prev_index=m.Index(0),
+        prev_term=m.Term(0),
+        commit=m.Index(0),
+        number=1,
+        entries=(),
     )
+    new.receive(append, 0.1)
+    new.linked(ids("b", "c"), 0.1)
+    new.tick(0.1 + _SOON_S)
+    assert new.role is raft.Role.FOLLOWER
+
+
+def _leader(copies: int, names: tuple[str, ...]) -> raft.Replica:
+    leader = _replica(copies, names)
     leader.tick(10.0)
     for pre in (True, False):
         for name in names[1:]:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -164,6 +164,62 @@
     asyncio.run(main())
 
 
+def test_who_asks_before_the_first_document_waits_for_it(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            known = site.gateway.site
+            routes, known.routes = known.routes, None
+            known.routed.clear()
+            known.began = known.loop_time()
+            asked = asyncio.create_task(
+                site.raw(test_gateway.request("/safe/x"))
+            )
+            done, _ = await asyncio.wait([asked], timeout=0.1)
+            assert not done
+            known.routes = routes
+            known.routed.set()
+            assert test_gateway.status(await asked) == 200
+
+    asyncio.run(main())
+
+
+def test_a_gateway_long_without_a_document_refuses_at_once(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            known = site.gateway.site
+            known.routes = None
+            known.routed.clear()
+            known.began = known.loop_time() - 10.0
+            got = await site.raw(test_gateway.request("/safe/x"))
+            assert test_gateway.status(got) == 503
+
+    asyncio.run(main())
+
+
+def test_who_asks_before_the_first_heartbeats_waits_for_one(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            known = site.gateway.site
+            alive = dict(known.table.alive)
+            known.table.alive.clear()
+            known.began = known.loop_time()
+            asked = asyncio.create_task(
+                site.raw(test_gateway.request("/unsafe/x"))
+            )
+            done, _ = await asyncio.wait([asked], timeout=0.1)
+            assert not done
+            known.table.alive.update(alive)
+            assert test_gateway.status(await asked) == 200
+
+    asyncio.run(main())
+
+
 def test_a_gateway_without_coordinators_is_still_counted(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -55,6 +55,34 @@
     assert found.torn_bytes == 0
 
 
+def note(folder: pathlib.Path, index: int, term: int) -> None:
+    """Keep a commit mark in a folder."""
+    mark = storage.Mark(index=m.Index(index), term=m.Term(term))
+    disk = storage.FileDisk(folder=folder)
+    asyncio.run(disk.note_committed(mark))
+
+
+def test_what_is_known_to_be_committed_is_there_after_a_restart(
+    tmp_path: pathlib.Path,
+) -> None:
+    fill(tmp_path, 5)
+    assert load(tmp_path).committed == 0
+    note(tmp_path, 3, 1)
+    assert load(tmp_path).committed == 3
+
+
+def test_a_commit_mark_that_the_log_does_not_hold_tells_nothing(
+    tmp_path: pathlib.Path,
+) -> None:
+    fill(tmp_path, 2)
+    for index, term in ((3, 1), (2, 2)):
+        note(tmp_path, index, term)
+        assert load(tmp_path).committed == 0
+    path = tmp_path / "committed"
+    path.write_bytes(path.read_bytes()[:-1])
+    assert load(tmp_path).committed == 0
+
+
 def test_a_torn_end_is_cut_at_every_byte(tmp_path: pathlib.Path) -> None:
     fill(tmp_path, 3)
     whole = (tmp_path / "log").read_bytes()
