Prompts wait at the gateway, roles follow known demand, streams go on in place

Change: at most 0.25 s of prompts are sent to a prefill endpoint, and held as its turn from the place on; only what is known not to be served is refused; the time from place to first event is followed; the pace is known after some events, demand is told as unknown before, and no role is ordered on it; a broken stream goes on at the endpoint that has its KV cache.

--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -96,10 +96,8 @@
 
     `loads` is where the gateway takes such messages, as host:port.
     `broken` and `full` are endpoints that it has just seen fail or turn a
-    request away, `waiting` counts the generations that wait for room and
-    `first` are those of them that go first,
-    `refused` and `given_up` are keys of
-    `RefusedBook`: of requests refused at once, and after a wait.
+    request away, `first` the generations that wait for room and go first,
+    `refused` are keys of `RefusedBook`.
     """
 
     vm: types.VmId
@@ -109,10 +107,8 @@
     uses: dict[types.EndpointId, endpoint_load.Use]
     broken: tuple[types.EndpointId, ...] = ()
     full: tuple[types.EndpointId, ...] = ()
-    waiting: int = 0
     first: tuple[waiting_mod.Left, ...] = ()
     refused: tuple[int, ...] = ()
-    given_up: tuple[int, ...] = ()
 
 
 FromGateway = Union[GatewayHello, Fetch, Demands, Endpoints]
--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -157,15 +157,19 @@
         ]
 
     def _demand(self, service: types.ServiceName) -> role_balance.Demand:
+        """What all gateways' clients ask for; known if each knows its own."""
         now = self._loop.time()
-        prefill = decode = 0.0
-        for told in self._demands.values():
-            for item in told.items:
-                if item.service == service and now - told.at < _DEMAND_S:
-                    prefill += item.prefill
-                    decode += item.decode
+        found = [
+            item
+            for told in self._demands.values()
+            for item in told.items
+            if item.service == service and now - told.at < _DEMAND_S
+        ]
         return role_balance.Demand(
-            service=service, prefill=prefill, decode=decode
+            service=service,
+            prefill=sum(item.prefill for item in found),
+            decode=sum(item.decode for item in found),
+            is_known=all(item.is_known for item in found),
         )
 
     async def _look(self, service: types.ServiceName) -> None:
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -74,10 +74,12 @@
         *,
         but: Sequence[types.EndpointId] = (),
         now: float,
+        well_only: bool = False,
     ) -> list[endpoints.Endpoint]:
         """Ready endpoints of a role.
 
-        Those that are silent or have just failed only if there is no other.
+        Those that are silent only if there is no other, and those that
+        have just failed neither then with `well_only`.
         """
         found = [
             item
@@ -95,7 +97,15 @@
         heard = [
             item for item in well if not self._table.is_silent(item.id, before)
         ]
-        return heard or well or found
+        return heard or well or ([] if well_only else found)
+
+    def still_takes(self, endpoint: types.EndpointId) -> bool:
+        """Whether an endpoint that had a request may be sent it again."""
+        item = self._table.alive.get(endpoint)
+        ready = (
+            item is not None and item.state is endpoints.EndpointState.READY
+        )
+        return ready and endpoint not in self._changing
 
     def plain(
         self,
@@ -117,26 +127,46 @@
         prompt: int,
         *,
         but: Sequence[types.EndpointId] = (),
+        most_ahead: int | None = None,
         now: float,
     ) -> endpoints.Endpoint | None:
         """The prefill endpoint with the least to read before `prompt`.
 
-        None where there is none with a free slot.
+        None where there is none with a free slot, and at most
+        `most_ahead` tokens to read first.
         """
-        found = self.candidates(service, types.Role.PREFILL, but=but, now=now)
+        found = self._prefilling(service, but, now)
         usual = self._usual_s(found)
         free = []
         for item in found:
-            use = self._loads.total(item.id)
-            if use.requests >= item.slots:
-                continue
-            if self._health.is_full(item.id, now):
+            if not self._takes_prompt(item, most_ahead, now):
                 continue
             slow = self._health.slowness(item.id, usual)
-            wait = (use.prompt + prompt) * slow * self._far(item)
+            ahead = self._loads.total(item.id).prompt
+            wait = (ahead + prompt) * slow * self._far(item)
             free.append((wait, item))
         return self._least(free)
 
+    def _prefilling(
+        self,
+        service: types.ServiceName,
+        but: Sequence[types.EndpointId],
+        now: float,
+    ) -> list[endpoints.Endpoint]:
+        # Where all of them fail, prompts are read in place at once: four
+        # gateways went on sending to one that refused connections.
+        return self.candidates(
+            service, types.Role.PREFILL, but=but, now=now, well_only=True
+        )
+
+    def _takes_prompt(
+        self, item: endpoints.Endpoint, most_ahead: int | None, now: float
+    ) -> bool:
+        use = self._loads.total(item.id)
+        if use.requests >= item.slots or self._health.is_full(item.id, now):
+            return False
+        return most_ahead is None or use.prompt <= most_ahead
+
     def _least(
         self, found: list[tuple[float, endpoints.Endpoint]]
     ) -> endpoints.Endpoint | None:
@@ -242,11 +272,14 @@
 
     def reads_in_place(self, service: types.ServiceName, now: float) -> bool:
         """Whether no endpoint prefills, so that decodes read themselves."""
-        return not self.candidates(service, types.Role.PREFILL, now=now)
+        return not self._prefilling(service, (), now)
 
-    def can_prefill(self, service: types.ServiceName, now: float) -> bool:
-        """Whether a prefill endpoint has a free slot."""
-        return self.prefill(service, 0, now=now) is not None
+    def prefill_places(
+        self, service: types.ServiceName, most_ahead: int, now: float
+    ) -> int:
+        """How many prompts can be taken now, one at each endpoint."""
+        found = self._prefilling(service, (), now)
+        return sum(self._takes_prompt(item, most_ahead, now) for item in found)
 
     def running(self, service: types.ServiceName, now: float) -> int:
         """How many generations hold a place at a service."""
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -43,7 +43,6 @@
         self.number = -1
         self.at = 0.0
         self.uses: dict[types.EndpointId, Use] = {}
-        self.waiting = 0
         self.first: tuple[waiting_mod.Left, ...] = ()
 
 
@@ -107,13 +106,12 @@
         number: int,
         uses: dict[types.EndpointId, Use],
         now: float,
-        waiting: int = 0,
         first: tuple[waiting_mod.Left, ...] = (),
     ) -> None:
         """Take another gateway's figures; older ones are dropped.
 
-        `life` differs after a restart, when numbers begin anew; `waiting`
-        requests have no place yet, `first` are those that go first.
+        `life` differs after a restart, when numbers begin anew; `first`
+        are those that wait for a place and go first.
         """
         heard = self._others.setdefault(sender, _Heard())
         if life == heard.life and number <= heard.number:
@@ -126,7 +124,6 @@
         heard.uses = uses
         for endpoint, use in uses.items():
             self._at.setdefault(endpoint, {})[sender] = use
-        heard.waiting = waiting
         heard.first = first
 
     def _note_read_since(
@@ -179,10 +176,6 @@
         """How many other gateways tell their figures."""
         return len(self._others)
 
-    def waiting(self) -> int:
-        """Requests that wait for room at other gateways."""
-        return sum(heard.waiting for heard in self._others.values())
-
     def oldest_s(self, now: float) -> float:
         """Age of the oldest figures that count, in seconds."""
         ages = (now - heard.at for heard in self._others.values())
--- a/rackpost/decide/pace.py
+++ b/rackpost/decide/pace.py
@@ -13,6 +13,14 @@
 # seconds.
 _MIN_S = 0.4
 _UNKNOWN_S = 1.0
+# What starts take beyond the reading of their prompts is followed so that
+# this part of them take less, in steps of so many seconds, larger ones
+# before many were seen: one start that fails and takes seconds moves it by
+# no more than any other that is slow.  (A mean and its deviation, moved by
+# some such starts, made all requests look late before they were begun.)
+_START_SHARE = 0.8
+_START_STEP_S = 0.005
+_FIRST_STEP_S = 0.1
 
 
 class Pace:
@@ -23,6 +31,9 @@
         self._made_s: float | None = None
         # How long a generation holds its place, in seconds; 0 if unseen.
         self.run_s = 0.0
+        # What a start takes beyond the reading of its prompt, in seconds.
+        self._extra_s = 0.0
+        self._starts = 0
 
     def made(self, tokens: int, seconds: float) -> None:
         """A decode made so many tokens in so long."""
@@ -35,7 +46,20 @@
             self._made_s = pace
         self._made_s += _ALPHA * (pace - self._made_s)
 
-    def making_s(self, tokens: int) -> float:
+    @property
+    def is_known(self) -> bool:
+        """Whether prompts were read, and tokens made, since the start."""
+        return self._token_s is not None and self._made_s is not None
+
+    def making(self, tokens: int, seconds: float) -> None:
+        """A stream under way made so many tokens in so long.
+
+        It counts only until a whole one has ended, which takes seconds.
+        """
+        if self._made_s is None and tokens > 0:
+            self._made_s = seconds / tokens
+
+    def making_s(self, tokens: float) -> float:
         """How long it should take to make so many tokens."""
         return (self._made_s or 0.0) * tokens
 
@@ -53,6 +77,24 @@
         """How long it should take to read so many tokens."""
         return (self._token_s or 0.0) * tokens
 
+    def tokens_in(self, seconds: float) -> int:
+        """How many tokens are read in so long; 0 if no pace is known."""
+        return int(seconds / self._token_s) if self._token_s else 0
+
+    def started(self, tokens: int, seconds: float) -> None:
+        """From its place a prompt took so long to its first event."""
+        self._starts += 1
+        step = max(_START_STEP_S, _FIRST_STEP_S / self._starts)
+        if seconds > self.expected_s(tokens) + self._extra_s:
+            self._extra_s += _START_SHARE * step
+        else:
+            self._extra_s -= (1.0 - _START_SHARE) * step
+        self._extra_s = max(0.0, self._extra_s)
+
+    def start_s(self, tokens: int) -> float:
+        """From a place to the first event, in seconds; most take less."""
+        return self.expected_s(tokens) + self._extra_s
+
     def patience_s(self, tokens: int) -> float:
         """How long to wait for it before it is read elsewhere."""
         if self._token_s is None:
--- a/rackpost/decide/role_balance.py
+++ b/rackpost/decide/role_balance.py
@@ -5,11 +5,14 @@
 
 import msgspec
 
+from rackpost.decide import pace as pace_mod
 from rackpost import types
 
 # Demand is averaged over this long, in seconds: longer than one burst's
 # rise, shorter than a change of role pays for itself.
 _WINDOW_S = 6.0
+# A rate is never told of less time than this, in seconds.
+_LEAST_S = 0.5
 # A role is changed only where the fuller pool is this full.
 _FULL = 0.6
 # Prompts come in bursts and wait for each other, and a result that waits
@@ -34,11 +37,15 @@
 
 
 class Demand(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """Work for a model service, in endpoints that it would keep busy."""
+    """Work for a model service, in endpoints that it would keep busy.
+
+    With `is_known` False the one who tells it has not seen enough to say.
+    """
 
     service: types.ServiceName
     prefill: float
     decode: float
+    is_known: bool = True
 
 
 class Pools(msgspec.Struct, frozen=True, kw_only=True):
@@ -49,33 +56,50 @@
 
 
 class _Asked(NamedTuple):
-    """What one request asked of each role, in seconds of an endpoint."""
+    """What one request asked for.
+
+    `made` is the tokens of its answer, times the share of an endpoint that
+    the request takes meanwhile.
+    """
 
     at: float
-    prefill_s: float
-    decode_s: float
+    prompt: int
+    made: float
 
 
 class DemandMeter:
     """The work that one gateway's clients have asked for lately."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, began: float) -> None:
+        """`began` is when this gateway started to count."""
+        self._began = began
         self._items: collections.deque[_Asked] = collections.deque()
 
-    def add(self, now: float, *, prefill_s: float, decode_s: float) -> None:
-        """A request needs one endpoint of each role for so long."""
-        self._items.append(
-            _Asked(at=now, prefill_s=prefill_s, decode_s=decode_s)
-        )
+    def add(self, now: float, *, prompt: int, out: int, share: float) -> None:
+        """A request takes `share` of an endpoint for `out` tokens."""
+        self._items.append(_Asked(at=now, prompt=prompt, made=share * out))
+
+    def rate(
+        self, service: types.ServiceName, now: float, pace: pace_mod.Pace
+    ) -> Demand:
+        """The demand over the last seconds, at the present pace.
 
-    def rate(self, service: types.ServiceName, now: float) -> Demand:
-        """The demand over the last seconds."""
+        It is known once the pace is, and requests were counted for half a
+        window: a gateway that had just started told a third of the decode
+        work that there was, and an endpoint that decoded was sent to
+        prefill, at 0.2 of a day's worth.
+        """
         while self._items and self._items[0].at < now - _WINDOW_S:
             self._items.popleft()
+        counted_s = min(_WINDOW_S, max(_LEAST_S, now - self._began))
+        prompts = sum(item.prompt for item in self._items)
+        made = sum(item.made for item in self._items)
+        seen = pace.is_known and counted_s >= _WINDOW_S / 2
         return Demand(
             service=service,
-            prefill=sum(item.prefill_s for item in self._items) / _WINDOW_S,
-            decode=sum(item.decode_s for item in self._items) / _WINDOW_S,
+            prefill=pace.expected_s(prompts) / counted_s,
+            decode=pace.making_s(made) / counted_s,
+            is_known=seen or not self._items,
         )
 
 
@@ -138,14 +162,17 @@
     A step is right if it leads towards the best division, and that is
     better by enough.
     """
+    if pools.decode == 0:
+        # Nobody is served, so that no pace and no demand may be known; one
+        # that decodes can read prompts itself.
+        return types.Role.DECODE if pools.prefill > 0 else None
+    if not demand.is_known:
+        return None
     now = fullest(pools, demand)
     if _can_spare_one(pools, demand):
         return types.Role.PREFILL
     if now < _FULL:
         return None
-    if pools.decode == 0 and pools.prefill == 1:
-        # The only endpoint can read prompts itself, if it decodes.
-        return types.Role.DECODE
     best = _best(pools, demand)
     if best.prefill == pools.prefill:
         return None
--- a/rackpost/decide/waiting.py
+++ b/rackpost/decide/waiting.py
@@ -9,13 +9,6 @@
 _SPREAD = 0.5
 # Nobody is told to come back sooner than this, in seconds.
 _SOONEST_S = 0.4
-# Weight of the newest request that came back, and how soon a run of bad
-# luck is forgotten, in seconds: about a burst.
-_ALPHA = 0.15
-_FORGET_S = 8.0
-# Whoever is refused must have this chance to be in time on coming back.  A
-# refusal that is followed by another is worse for its client than a wait.
-_ENOUGH = 0.7
 # What others have left is some milliseconds old when it comes, so that each
 # would hold itself to be first; nearer than this, names decide, in seconds.
 _TIE_S = 0.06
@@ -43,7 +36,7 @@
         until: clock reading at which its client's time is up.
         start_s: from a place to the first token, as expected.
         run_s: from a place to its end, as expected.
-        came_back: it was refused before and has come back.
+        came_back: it was refused before; another refusal is its last.
     """
 
     priority: int
@@ -55,29 +48,6 @@
     came_back: bool = False
 
 
-class Luck:
-    """How those that came back have fared lately."""
-
-    def __init__(self) -> None:
-        self._chance = 1.0
-        self._at = 0.0
-
-    def ended(self, *, in_time: bool, now: float) -> None:
-        """One that came back got a place, in time or not, or none."""
-        chance = self.chance(now)
-        self._chance = chance + _ALPHA * (float(in_time) - chance)
-        self._at = now
-
-    def chance(self, now: float) -> float:
-        """The chance to be in time of one that comes back."""
-        age = min(1.0, max(0.0, now - self._at) / _FORGET_S)
-        return self._chance + (1.0 - self._chance) * age
-
-    def is_enough(self, now: float) -> bool:
-        """Whether it is fair to send somebody away to come back."""
-        return self.chance(now) >= _ENOUGH
-
-
 def is_hopeless(claim: Claim, now: float) -> bool:
     """Whether it can't begin or can't end within its time any more."""
     return (
@@ -152,14 +122,13 @@
     return (ahead + 1) * run_s / running
 
 
-def should_come_back(claim: Claim, wait_s: float, now: float) -> bool:
-    """Whether it does better to be refused now than to wait.
+def is_known_hopeless(claim: Claim, wait_s: float, now: float) -> bool:
+    """Whether it would still wait when it can't begin or end any more.
 
-    One that would be late is refused at once, since what comes back and
-    is then answered in time counts for more; one that came back waits.
+    One that would only be late waits: its client gets an answer by it,
+    and none by a refusal.
     """
-    late = now + wait_s + claim.start_s > claim.target
-    return late and not claim.came_back
+    return is_hopeless(claim, now + wait_s)
 
 
 def come_back_s(
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -140,7 +140,7 @@
     if ended in (forwarding.Ended.NOT_SENT, forwarding.Ended.NOT_RUN):
         call.may_have_run = ran_before
     else:
-        call.runs += 1
+        call.ran_at.add(endpoint.id)
     return ended
 
 
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -71,10 +71,10 @@
         self.request_id = message.find(req.headers, headers.REQUEST_ID)
         self.budget = site.budget(service.name)
         self.tried: list[types.EndpointId] = []
-        # Sends that arrived, and those of them that an endpoint may have
-        # run: a rejected one uses up none of the route's attempts.
+        # Sends that arrived, and the endpoints that may have run one: those
+        # are the route's attempts, of which a rejected one uses up none.
         self.sent = 0
-        self.runs = 0
+        self.ran_at: set[types.EndpointId] = set()
         self.may_have_run = False
         self.failure: Failure | None = None
         # Called for each event that comes from an endpoint.
@@ -98,7 +98,7 @@
         return forwarding.Situation(
             repeatable=self.route.repeatable,
             may_have_run=self.may_have_run,
-            attempts_left=self.route.max_attempts - self.runs,
+            attempts_left=self.route.max_attempts - len(self.ran_at),
             budget=self.budget.allows(now, self.site.gateway_count),
             time_left_s=self.until - now,
         )
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -16,19 +16,20 @@
 from rackpost.gateway import place as place_mod
 from rackpost.gateway import prefill
 from rackpost.platform import headers
+from rackpost.routing import endpoints
 from rackpost.routing import model
 
-# A refusal within this part of the target is one at once: its client loses
-# little by it.
-_AT_ONCE_SHARE = 0.25
 # A refusal reaches its client so long before the client would leave, in
 # seconds.
 _BEFORE_LEAVING_S = 0.1
 # Of an answer's tokens, the part that a run takes room for on the average:
 # half of them would be there if nothing were kept for the rest.
 _KEPT_SHARE = 0.75
-# A prompt takes some time to read, also before any was seen, in seconds.
-_LEAST_READ_S = 0.001
+# A request whose connection broke goes on at the same endpoint so often; an
+# endpoint that breaks it again is not well.
+_KEPT_TRIES = 2
+# The pace of a stream is seen after so many events, until one has ended.
+_EVENTS_SEEN = 4
 
 
 class Generation:
@@ -45,12 +46,15 @@
         site = call.site
         book = site.refused
         self._key = book.key(call.route.name, part, call.req.body)
+        # Its time counts from its client's first try, so that one that was
+        # refused before is late.
         self._came_back = book.came_back(self._key, call.began)
-        # One that was given up late can't be in time any more.
-        self._was_given_up = site.given_up.came_back(self._key, call.began)
         self._read = prefill.Prefilled(call=call)
         # No prefill endpoint has read it: wait for a turn at a decode one.
         self._in_place = False
+        # Where its last run broke, and how often it went on there.
+        self._broke_at: endpoints.Endpoint | None = None
+        self._kept_tries = 0
         self._progress = self._new_progress()
 
     def _new_progress(self) -> kv_forecast.Progress:
@@ -67,7 +71,9 @@
         self._note_demand()
         while True:
             self._progress = self._new_progress()
-            place = await call.site.room.wait(self._wanted())
+            place = self._kept_place() or await call.site.room.wait(
+                self._wanted()
+            )
             if isinstance(place, place_mod.Full):
                 self._refuse_full(place)
                 return
@@ -79,16 +85,47 @@
             if ended is None or not forward.goes_on(call, ended):
                 self._read.release()
                 return
+            if ended is forwarding.Ended.BROKEN:
+                self._broke_at = place.endpoint
+
+    def _kept_place(self) -> place_mod.Place | None:
+        """The place of a run whose connection broke, if it may be kept.
+
+        An endpoint that is well still has the KV cache: going on there
+        reads nothing anew, where another endpoint reads the whole prompt.
+        """
+        endpoint, self._broke_at = self._broke_at, None
+        if endpoint is None or self._kept_tries >= _KEPT_TRIES:
+            return None
+        self._kept_tries += 1
+        place = self._call.site.room.again(self._wanted(), endpoint)
+        if place is not None:
+            self._call.log("Goes on where it broke.", endpoint=endpoint.id)
+        return place
 
     def _on_event(self, place: place_mod.Place) -> Callable[[], None]:
         progress = self._progress
+        site = self._call.site
+        began = 0.0
 
         def on_event() -> None:
+            nonlocal began
+            if progress.made == 0:
+                began = site.loop_time()
+                self._note_start(place)
             place.was_read()
+            if progress.made == _EVENTS_SEEN * self._engine.event_tokens:
+                site.pace.making(progress.made, site.loop_time() - began)
             progress.event()
 
         return on_event
 
+    def _note_start(self, place: place_mod.Place) -> None:
+        """The first event has come; learn from how long it took."""
+        if place.reader is not None:
+            site = self._call.site
+            site.pace.started(self._prompt, site.loop_time() - place.since)
+
     def _note_demand(self) -> None:
         """Count what this request asks of each role of endpoint."""
         site = self._call.site
@@ -100,9 +137,7 @@
             1.0 / max(1, self._engine.slots),
         )
         site.meter(self._call.service.name).add(
-            self._call.began,
-            prefill_s=max(_LEAST_READ_S, site.pace.expected_s(self._prompt)),
-            decode_s=share * site.pace.making_s(out),
+            self._call.began, prompt=self._prompt, out=out, share=share
         )
 
     def _wanted(self) -> place_mod.Wanted:
@@ -120,7 +155,7 @@
     def _claim(self) -> waiting.Claim:
         call = self._call
         pace = call.site.pace
-        start_s = pace.expected_s(self._prompt)
+        start_s = pace.start_s(self._prompt)
         return waiting.Claim(
             priority=call.route.priority,
             target=self._target(),
@@ -134,7 +169,7 @@
 
     def _target(self) -> float:
         call = self._call
-        if self._was_given_up:
+        if self._came_back:
             return call.began
         return call.began + call.route.target_s
 
@@ -183,19 +218,21 @@
         if self._read.is_fresh(self._engine):
             return True
         self._read.release()
-        if place.in_place or self._prompt == 0:
+        if place.reader is None or self._prompt == 0:
             return True
-        await self._prefill()
+        await self._prefill(place)
+        # The prefill endpoint's turn has ended, however it went.
+        place.was_read()
         return self._read.is_fresh(self._engine)
 
-    async def _prefill(self) -> None:
+    async def _prefill(self, place: place_mod.Place) -> None:
         call = self._call
         now = call.site.loop_time()
         first = not self._read.arrivals and not call.sent
         left = call.budget.left(now, call.site.gateway_count)
         # A second reading elsewhere is one more arrival than one in place.
         if first or left >= 2.0:
-            await prefill.prefill(call, self._prompt, self._read)
+            await prefill.prefill(call, place.reader, self._prompt, self._read)
 
     def _would_be_cut(self) -> bool:
         """Whether a planned stop leaves too little time for the answer."""
@@ -220,10 +257,7 @@
         if call.may_have_run:
             call.fail(call_mod.Reason.NO_ROOM, 502)
             return
-        now = call.site.loop_time()
-        at_once = now - call.began < _AT_ONCE_SHARE * call.route.target_s
-        book = call.site.refused if at_once else call.site.given_up
-        book.add(self._key, now)
+        call.site.refused.add(self._key, call.site.loop_time())
         call.refuse(call_mod.Reason.NO_ROOM, full.come_back_s)
 
 
--- a/rackpost/gateway/load_share.py
+++ b/rackpost/gateway/load_share.py
@@ -59,12 +59,10 @@
             msg.number,
             msg.uses,
             now,
-            waiting=msg.waiting,
             first=msg.first,
         )
         site.add_gateway(messages.GatewayAddress(vm=msg.vm, loads=msg.loads))
         site.refused.take(msg.refused, now)
-        site.given_up.take(msg.given_up, now)
         for endpoint in msg.full:
             site.health.told_full(endpoint, now)
         for endpoint in msg.broken:
@@ -102,10 +100,8 @@
             uses=site.loads.own,
             broken=site.health.broken(now),
             full=site.health.full(now),
-            waiting=site.room.count,
             first=site.room.first(now),
             refused=site.refused.recent(now),
-            given_up=site.given_up.recent(now),
         )
 
     @contextlib.asynccontextmanager
--- a/rackpost/gateway/place.py
+++ b/rackpost/gateway/place.py
@@ -40,24 +40,28 @@
 class Place:
     """Room at an endpoint, until released.
 
-    With `in_place` it is the endpoint's turn to read the prompt itself.
+    `reader` is the prefill endpoint that reads the prompt first; without
+    one it is the endpoint's own turn to read it.
     """
 
     def __init__(
         self,
         *,
         endpoint: endpoints.Endpoint,
-        in_place: bool,
+        reader: endpoints.Endpoint | None,
         free: Callable[[], None],
         end_turn: Callable[[], None],
         changed: Callable[[], None],
+        since: float,
     ) -> None:
-        """`free` gives the room back and `end_turn` the turn to read.
+        """`free` gives the room back and `end_turn` the reader's turn.
 
-        `changed` is called when there may be more room.
+        `changed` is called when there may be more room; `since` is the
+        clock reading at which the place was given.
         """
         self.endpoint = endpoint
-        self.in_place = in_place
+        self.since = since
+        self.reader = reader
         self._free = free
         self._end_turn = end_turn
         self._changed = changed
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -1,6 +1,7 @@
 """Having a prompt read by a prefill endpoint, for a decode elsewhere."""
 
 import asyncio
+import contextlib
 import enum
 
 from rackpost import exceptions
@@ -91,8 +92,16 @@
     NOT_SENT = "not-sent"
 
 
-async def prefill(call: call_mod.Call, prompt: int, read: Prefilled) -> None:
-    """Have the prompt read; where that fails, decode reads it itself."""
+async def prefill(
+    call: call_mod.Call,
+    reader: endpoints.Endpoint | None,
+    prompt: int,
+    read: Prefilled,
+) -> None:
+    """Have the prompt read; where that fails, decode reads it itself.
+
+    `reader` is tried first; its turn to read the prompt is held already.
+    """
     site = call.site
     tried: list[types.EndpointId] = []
     while len(tried) < _TRIES:
@@ -100,16 +109,19 @@
         if not call.budget.allows(now, site.gateway_count):
             call.log("Read in place.", reason="retry budget")
             return
-        endpoint = site.chooser.prefill(
-            call.service.name, prompt, but=tried, now=now
-        )
+        endpoint = reader
+        if tried or endpoint is None:
+            endpoint = site.chooser.prefill(
+                call.service.name, prompt, but=tried, now=now
+            )
         if endpoint is None:
             return
+        held = prompt if endpoint is reader else 0
         tried.append(endpoint.id)
         # Counted as a repeat until it is known to be none: of many that
         # are sent at once all may be rejected, and those count.
         call.budget.repeat(now)
-        ended = await _prefill_at(call, endpoint, prompt, read)
+        ended = await _prefill_at(call, endpoint, prompt, held, read)
         if _is_free(ended, read):
             call.budget.refund(now)
         if ended is _Ended.READ:
@@ -130,14 +142,16 @@
     call: call_mod.Call,
     endpoint: endpoints.Endpoint,
     prompt: int,
+    held: int,
     read: Prefilled,
 ) -> _Ended:
+    """Read a prompt there; `held` tokens of it are counted already."""
     site = call.site
     began = site.loop_time()
-    ahead = site.loads.total(endpoint.id).prompt
+    ahead = site.loads.total(endpoint.id).prompt - held
     patience = site.pace.patience_s(ahead + prompt)
     try:
-        with site.loads.held(endpoint.id, prompt=prompt):
+        with _counted(call, endpoint, prompt - held):
             async with asyncio.timeout(patience):
                 result = await _ask_prefill(call, endpoint)
     except (
@@ -163,6 +177,15 @@
     return _Ended.READ
 
 
+def _counted(
+    call: call_mod.Call, endpoint: endpoints.Endpoint, prompt: int
+) -> contextlib.AbstractContextManager[None]:
+    """Count a prompt at an endpoint, unless it is counted already."""
+    if prompt == 0:
+        return contextlib.nullcontext()
+    return call.site.loads.held(endpoint.id, prompt=prompt)
+
+
 def _broke(
     call: call_mod.Call,
     endpoint: endpoints.Endpoint,
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -71,7 +71,6 @@
         self.pace = pace_mod.Pace()
         self.lengths = answer_lengths.AnswerLengths()
         self.refused = refused_mod.RefusedBook()
-        self.given_up = refused_mod.RefusedBook()
         self.room = room_mod.Room(
             chooser=self.chooser,
             loads=self.loads,
@@ -156,13 +155,18 @@
 
     def meter(self, service: types.ServiceName) -> role_balance.DemandMeter:
         """What this gateway's clients ask of a model service."""
-        return self._meters.setdefault(service, role_balance.DemandMeter())
+        found = self._meters.get(service)
+        if found is None:
+            found = role_balance.DemandMeter(began=self.began)
+            self._meters[service] = found
+        return found
 
     def demands(self) -> tuple[role_balance.Demand, ...]:
         """What they have asked lately, for each model service."""
         now = self.loop_time()
         return tuple(
-            meter.rate(service, now) for service, meter in self._meters.items()
+            meter.rate(service, now, self.pace)
+            for service, meter in self._meters.items()
         )
 
     def connections_to(self, service: model.Service) -> int:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -358,6 +358,58 @@
     asyncio.run(main())
 
 
+def test_a_broken_stream_goes_on_where_its_kv_cache_is(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The prompt was read again, and moved, for each broken stream."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            broken: list[str] = []
+            for one in site.decode:
+                one.answer = breaks_off(one, broken)
+            got = await site.raw(generation("/res/x"))
+            assert got.endswith(b"0\r\n\r\n")
+            ran = [one.ident for one in site.decode for _ in one.seen]
+            assert ran == broken * 2
+            reads = [req for req in site.prefill.seen if req.method == b"POST"]
+            assert len(reads) == 1
+
+    asyncio.run(main())
+
+
+def test_a_broken_stream_goes_on_elsewhere_when_its_endpoint_leaves(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            broken: list[str] = []
+
+            def leaves(one: platform_site.Endpoint) -> platform_site.Answer:
+                breaks = breaks_off(one, broken)
+
+                async def stream(
+                    req: message.Request, responder: server.Responder
+                ) -> None:
+                    if message.find(req.headers, b"last-event-id") is None:
+                        assert await site.operator.leave(11, one) == 200
+                        await platform_site.until(
+                            lambda: one.ident
+                            not in site.gateway.site.table.alive
+                        )
+                    await breaks(req, responder)
+
+                return stream
+
+            for one in site.decode:
+                one.answer = leaves(one)
+            got = await site.raw(generation("/res/x"))
+            assert got.endswith(b"0\r\n\r\n")
+            assert [len(one.seen) for one in site.decode] == [1, 1]
+
+    asyncio.run(main())
+
+
 def test_nothing_is_sent_to_an_endpoint_that_leaves(
     tmp_path: pathlib.Path,
 ) -> None:
