--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -18,7 +18,7 @@
 from typing import NamedTuple
 
 from rackpost.consensus import messages as consensus
-from rackpost.consensus import raft
+from rackpost.consensus import output
 from rackpost.consensus import storage
 from rackpost.control import messages as control
 from rackpost.decide import book
@@ -416,7 +416,7 @@
     disk.load()
     times = []
     for index in range(1, 301):
-        out = raft.Output()
+        out = output.Output()
         out.append = [
             consensus.Entry(
                 index=consensus.Index(index),
--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -9,10 +9,10 @@
 import enum
 import random
 from typing import Collection
-from typing import NamedTuple
 
 from rackpost.consensus import log as log_mod
 from rackpost.consensus import messages as m
+from rackpost.consensus import output
 
 # In seconds by the replica's own clock.
 HEARTBEAT_S = 0.1
@@ -29,32 +29,6 @@
     LEADER = "leader"
 
 
-class Send(NamedTuple):
-    """A message for another replica."""
-
-    to: m.ReplicaId
-    msg: m.AnyMessage
-
-
-class Output:
-    """What the owner of the replica must do, in this order.
-
-    First `cut_from`, `append`, `hard` and `install` are written and
-    synced, then `sends` are sent, then `committed` is applied, then
-    `reads` are answered (True: confirmed).
-    """
-
-    def __init__(self) -> None:
-        self.hard: m.HardState | None = None
-        self.cut_from: m.Index | None = None
-        self.append: list[m.Entry] = []
-        self.install: m.Snapshot | None = None
-        self.sends: list[Send] = []
-        self.committed: list[m.Entry] = []
-        self.reads: list[tuple[int, bool]] = []
-        self.lost: bool = False
-
-
 class _Peer:
     """What a leader knows of another replica."""
 
@@ -97,7 +71,7 @@
         self.applied = log.snapshot.index
         self._voted_for = hard.voted_for
         self._rng = rng
-        self._out = Output()
+        self._out = output.Output()
         self._votes: set[m.ReplicaId] = set()
         self._pre = False
         self._peers: dict[m.ReplicaId, _Peer] = {}
@@ -124,10 +98,10 @@
         """What must never be forgotten besides the log."""
         return m.HardState(term=self.term, voted_for=self._voted_for)
 
-    def take(self) -> Output:
+    def take(self) -> output.Output:
         """What has to be done since the last call."""
         out = self._out
-        self._out = Output()
+        self._out = output.Output()
         return out
 
     def silence(self, peer: m.ReplicaId, now: float) -> float:
@@ -597,4 +571,4 @@
         )
 
     def _send(self, to: m.ReplicaId, msg: m.AnyMessage) -> None:
-        self._out.sends.append(Send(to, msg))
+        self._out.sends.append(output.Send(to, msg))
--- a/rackpost/consensus/storage.py
+++ b/rackpost/consensus/storage.py
@@ -19,7 +19,7 @@
 
 from rackpost.consensus import log as log_mod
 from rackpost.consensus import messages as m
-from rackpost.consensus import raft
+from rackpost.consensus import output
 from rackpost import exceptions
 from rackpost.link import codec
 
@@ -71,7 +71,7 @@
     """Where a replica keeps what it must not forget."""
 
     @abc.abstractmethod
-    async def save(self, out: raft.Output) -> None:
+    async def save(self, out: output.Output) -> None:
         """Make an output durable; returns once it is synced."""
 
     @abc.abstractmethod
@@ -81,7 +81,7 @@
         """Put a snapshot, and the records after it, in place of all."""
 
 
-def batch_of(out: raft.Output) -> Batch | None:
+def batch_of(out: output.Output) -> Batch | None:
     """What of an output goes into the log; None if nothing does."""
     if out.hard is None and not out.append and out.cut_from is None:
         return None
@@ -289,7 +289,7 @@
         self._size = good
         _sync_dir(self._folder)
 
-    async def save(self, out: raft.Output) -> None:
+    async def save(self, out: output.Output) -> None:
         """Write and sync an output, off the event loop."""
         batch = batch_of(out)
         if batch is not None:
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from rackpost.consensus import messages as consensus
+from rackpost.consensus import output
 from rackpost.consensus import raft
 from rackpost.consensus import storage
 from rackpost.control import messages
@@ -381,7 +382,7 @@
             await self._carry_out(self._raft.take())
             self._tell_heard()
 
-    async def _carry_out(self, out: raft.Output) -> None:
+    async def _carry_out(self, out: output.Output) -> None:
         if out.install is not None:
             await self._install(out)
         await self._disk.save(out)
@@ -402,7 +403,7 @@
             records > 0 and self._log_bytes >= COMPACT_BYTES
         )
 
-    async def _install(self, out: raft.Output) -> None:
+    async def _install(self, out: output.Output) -> None:
         snapshot = out.install
         assert snapshot is not None
         await self._disk.compact(snapshot, self._raft.hard, self._raft.log)
--- a/rackpost/coordinator/disk.py
+++ b/rackpost/coordinator/disk.py
@@ -9,7 +9,7 @@
 
 from rackpost.consensus import log as log_mod
 from rackpost.consensus import messages as consensus
-from rackpost.consensus import raft
+from rackpost.consensus import output
 from rackpost.consensus import storage
 from rackpost import exceptions
 from rackpost import logs
@@ -31,7 +31,7 @@
         self._disk = disk
         self._well = True
 
-    async def save(self, out: raft.Output) -> None:
+    async def save(self, out: output.Output) -> None:
         """Make an output durable, however long it takes."""
         await self._until_done(
             lambda: self._disk.save(out), exceptions.StorageError
--- a/rackpost/decide/role_balance.py
+++ b/rackpost/decide/role_balance.py
@@ -16,8 +16,8 @@
 # A role is changed only where the fuller pool is this full.
 _FULL = 0.6
 # Prompts come in bursts and wait for each other, and a result that waits
-# lapses: a pool that prefills counts as full at this part of its time (five
-# endpoints, two of which prefill, did worse with one: trials of scale-1).
+# lapses: a pool that prefills counts as full at this part of its time (of
+# five endpoints, two of which prefilled, more were late with one).
 _PREFILL_PART = 0.7
 # Without a pool that prefills, prompts are read where tokens are made, at
 # half the pace; and those too long for one allowed pause hold up all that
@@ -25,8 +25,8 @@
 _IN_PLACE_X = 2.0
 _IN_PLACE_PAUSES_X = 1.5
 # Of so many that decode one is spared to prefill at any load: its seconds
-# away cost less than a day of pauses (trouble-3 of pentagrama: 0.33 of the
-# generations' worth with three that read in place, 0.48 with one apart).
+# away cost less than lasting pauses (under load three that read in place
+# served 0.33 of what generations were worth, two with one apart 0.48).
 _ENOUGH = 3
 # The fuller pool must get less full by a factor.  A change takes one
 # endpoint away for seconds.  Where the pool that gives it has room to spare
--- a/rackpost/testing/cluster.py
+++ b/rackpost/testing/cluster.py
@@ -7,7 +7,7 @@
 
 from rackpost.consensus import log as log_mod
 from rackpost.consensus import messages as consensus
-from rackpost.consensus import raft
+from rackpost.consensus import output
 from rackpost.consensus import storage
 from rackpost.control import client as client_mod
 from rackpost.control import node as node_mod
@@ -50,7 +50,7 @@
             storage.replay(log, batch)
         return storage.Loaded(identity=self._identity, hard=hard, log=log)
 
-    async def save(self, out: raft.Output) -> None:
+    async def save(self, out: output.Output) -> None:
         """Sync an output; one that a crash cuts short is lost."""
         batch = storage.batch_of(out)
         if batch is None:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -9,7 +9,7 @@
 
 from rackpost.consensus import log as log_mod
 from rackpost.consensus import messages as m
-from rackpost.consensus import raft
+from rackpost.consensus import output
 from rackpost.consensus import storage
 from rackpost.coordinator import disk as coordinator_disk
 from rackpost import exceptions
@@ -17,8 +17,8 @@
 CONFIG = m.Config(voters=(m.ReplicaId("c0"),))
 
 
-def output(index: int, term: int = 1, data: bytes = b"x") -> raft.Output:
-    out = raft.Output()
+def one_record(index: int, term: int = 1, data: bytes = b"x") -> output.Output:
+    out = output.Output()
     out.hard = m.HardState(term=m.Term(term))
     out.append = [m.Entry(index=m.Index(index), term=m.Term(term), data=data)]
     return out
@@ -31,7 +31,7 @@
 
     async def main() -> None:
         for index in range(1, count + 1):
-            await disk.save(output(index))
+            await disk.save(one_record(index))
 
     asyncio.run(main())
     disk.close()
@@ -144,7 +144,7 @@
     fill(tmp_path, 4)
     disk = storage.FileDisk(folder=tmp_path)
     disk.load()
-    out = output(3, term=2, data=b"new")
+    out = one_record(3, term=2, data=b"new")
     out.cut_from = m.Index(3)
 
     async def main() -> None:
@@ -159,7 +159,7 @@
 
 def test_a_log_with_a_hole_is_refused() -> None:
     log = log_mod.Log()
-    batch = storage.Batch(entries=tuple(output(2).append))
+    batch = storage.Batch(entries=tuple(one_record(2).append))
     with pytest.raises(exceptions.StorageError):
         storage.replay(log, batch)
 
@@ -179,14 +179,14 @@
         raise OSError(errno.ENOSPC, "no space left on device")
 
     async def main() -> None:
-        await disk.save(output(1))
+        await disk.save(one_record(1))
         monkeypatch.setattr(os, "write", full)
         for _ in range(2):
             with pytest.raises(exceptions.StorageError):
-                await disk.save(output(2))
+                await disk.save(one_record(2))
         monkeypatch.setattr(os, "write", write)
-        await disk.save(output(2))
-        await disk.save(output(3))
+        await disk.save(one_record(2))
+        await disk.save(one_record(3))
 
     asyncio.run(main())
     disk.close()
@@ -202,7 +202,7 @@
     disk = storage.FileDisk(folder=tmp_path)
     log = disk.load().log
     for index in (1, 2, 3):
-        log.append(output(index).append)
+        log.append(one_record(index).append)
     snapshot = m.Snapshot(index=m.Index(2), term=m.Term(1), config=CONFIG)
     hard = m.HardState(term=m.Term(1))
     sync = os.fsync
@@ -217,7 +217,7 @@
 
     async def main() -> None:
         for index in (1, 2, 3):
-            await disk.save(output(index))
+            await disk.save(one_record(index))
         monkeypatch.setattr(os, "fsync", failing)
         for allowed in (0, 1, 2, 3):
             left[0] = allowed
@@ -226,7 +226,7 @@
             assert not list(tmp_path.glob("*.part"))
         monkeypatch.setattr(os, "fsync", sync)
         await disk.compact(snapshot, hard, log)
-        await disk.save(output(4))
+        await disk.save(one_record(4))
 
     asyncio.run(main())
     disk.close()
@@ -253,7 +253,7 @@
 
     async def main() -> None:
         monkeypatch.setattr(os, "fdatasync", failing)
-        await patient.save(output(1))
+        await patient.save(one_record(1))
 
     asyncio.run(main())
     disk.close()
