An endpoint is given to another role freely only by a pool that can spare it

Cause: an order was free where the fullest pool got no fuller meanwhile, be the pool that gives too full without the endpoint: one of two that prefilled was sent to decode, and the other, 1.1 times full alone, made a burst late. Change: free only where the pool that gives is at most full meanwhile; else the change must pay as any other.

--- a/rackpost/decide/role_balance.py
+++ b/rackpost/decide/role_balance.py
@@ -30,8 +30,9 @@
 _ENOUGH = 3
 # The fuller pool must get less full by a factor.  A change takes one
 # endpoint away for seconds.  Where the pool that gives it has room to spare
-# that costs nothing, and this factor is enough; else a change must pay, by
-# 1 and this share for each endpoint: the more the fewer there are.
+# meanwhile that costs nothing, and this factor is enough (given by a pool
+# that was then 1.1 times full it cost 0.28 of a day's worth); else a change
+# must pay, by 1 and this share for each endpoint: the more the fewer.
 _GAIN_FREE = 1.2
 _GAIN_OF_ONE = 2.5
 
@@ -127,10 +128,20 @@
     return Pools(prefill=pools.prefill, decode=pools.decode - 1)
 
 
+def _giver(pools: Pools, demand: Demand, new_role: types.Role) -> float:
+    """How full the pool is that gives an endpoint to a role."""
+    if new_role is types.Role.DECODE:
+        return _fullness(demand.prefill / _PREFILL_PART, pools.prefill)
+    return _fullness(demand.decode, pools.decode)
+
+
 def _gain_wanted(pools: Pools, demand: Demand, new_role: types.Role) -> float:
     """The factor by which a change must make the fuller pool less full."""
-    during = fullest(_without_one(pools, new_role), demand)
-    if during <= fullest(pools, demand):
+    left = _without_one(pools, new_role)
+    during = fullest(left, demand)
+    if _giver(left, demand, new_role) <= 1.0 and during <= fullest(
+        pools, demand
+    ):
         return _GAIN_FREE
     return 1.0 + _GAIN_OF_ONE / (pools.prefill + pools.decode)
 
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -33,6 +33,8 @@
     assert role(2, 3, (0.9, 3.9)) is None
     # The pool that gives one has room to spare: half as much again is won.
     assert role(2, 2, (0.64, 4.09)) is types.Role.DECODE
+    # The pool that gives one would be too full meanwhile, if by less.
+    assert role(2, 2, (0.76, 3.97)) is None
     # The other way a full pool would lack one for seconds.
     assert role(2, 2, (1.3, 1.2)) is None
     assert role(1, 1, (0.5, 5.0)) is None
