Sight: why a link has ended, each document asked for and come

Cause: logs could not tell whether documents were asked for again and again, how many bytes came, or what ended a link (an exception was swallowed). Change: three log lines' worth of facts; no logic.

--- a/rackpost/coordinator/links.py
+++ b/rackpost/coordinator/links.py
@@ -92,7 +92,7 @@
             await conn.ended()
         finally:
             self.up.discard(host)
-            logs.say(self._part, "Link is lost.", peer=host)
+            logs.say(self._part, "Link is lost.", peer=host, why=conn.why)
 
     def close(self) -> None:
         """End all links."""
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -131,11 +131,25 @@
             return
         holders = [conn for conn, at in self._holders.items() if at == newest]
         self._fetch_until = now + _FETCH_AGAIN_S
+        logs.say(
+            logs.Part.GATEWAY,
+            "Routing document asked for.",
+            version=newest,
+            before=self._site.version,
+            holders=len(holders),
+        )
         self._site.rng.choice(holders).send(messages.Fetch())
         self._loop.call_later(_FETCH_AGAIN_S, self._fetch)
 
     def _on_document(self, msg: messages.Document) -> None:
         self._fetch_until = 0.0
+        logs.say(
+            logs.Part.GATEWAY,
+            "Routing document came.",
+            version=msg.version,
+            before=self._site.version,
+            bytes=len(msg.source),
+        )
         try:
             doc = documents.decode(msg.source)
         except exceptions.RoutingError as exc:
--- a/rackpost/link/websocket.py
+++ b/rackpost/link/websocket.py
@@ -67,6 +67,8 @@
         self._size = 0
         self._open = True
         self.bad_frames = 0
+        # Why the link has ended, for the log.
+        self.why = "closed here"
         self._ended = asyncio.Event()
 
     def send(self, msg: msgspec.Struct) -> None:
@@ -76,6 +78,7 @@
         data = codec.encode(msg)
         self._size += len(data)
         if self._size > MAX_WAITING:
+            self.why = f"{self._size} bytes wait for the peer"
             self.close()
             return
         self._waiting.put_nowait(data)
@@ -109,11 +112,13 @@
                 if not isinstance(data, bytes):
                     raise exceptions.CodecError("a frame of text")
                 self._deliver(self._decoder.decode(data))
-        except exceptions.CodecError:
+        except exceptions.CodecError as exc:
             # A peer that does not speak the protocol is not listened to.
             self.bad_frames += 1
-        except websockets.exceptions.ConnectionClosed:
-            pass
+            self.why = str(exc)
+        except websockets.exceptions.ConnectionClosed as exc:
+            if self._open:
+                self.why = str(exc)
 
     async def _write(self) -> None:
         while True:
