--- /dev/null
+++ b/tests/slow_link.py
@@ -0,0 +1,181 @@
+"""One gateway's slow link to several coordinators, in virtual time.
+
+Connections take turns on the link, a packet each; within a connection
+everything, keepalives too, waits behind what was sent before it.
+"""
+
+import asyncio
+import collections
+from typing import Any
+from typing import Callable
+
+import msgspec
+
+from rackpost.coordinator import links
+from rackpost.coordinator import messages
+from rackpost.coordinator import process
+from rackpost.gateway import control_links
+from rackpost.gateway import site as site_mod
+from rackpost.link import channel
+from rackpost.link import codec
+from rackpost.platform import settings
+from rackpost.state import commands
+
+# Bytes of one packet, and of a keepalive.
+_PACKET = 1460
+_PING = 6
+# One way, in seconds; towards coordinators the link is never full.
+_DELAY_S = 0.001
+# A connection that was lost is up again after this, in seconds.
+_AGAIN_S = 0.2
+
+
+class _End(channel.Channel):
+    """One end of a connection; `put` takes what is sent."""
+
+    def __init__(self, *, put: Callable[[Any], None]) -> None:
+        super().__init__()
+        self._put = put
+        self.open = True
+        self.why = ""
+
+    def send(self, msg: msgspec.Struct) -> None:
+        if self.open:
+            self._put(msg)
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self._end()
+
+    def deliver(self, msg: msgspec.Struct) -> None:
+        if self.open:
+            self._deliver(msg)
+
+    async def run(self) -> None:
+        """Messages move by themselves."""
+
+
+class _Connection:
+    """A link between the gateway and one coordinator."""
+
+    def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self.near = _End(put=self._up)
+        self.far = _End(put=self._down)
+        # What is on its way down: what is left of it in bytes, and what.
+        self.queue: collections.deque[list] = collections.deque()
+        self.answered = 0
+        self._decoder = codec.Decoder(kinds=messages.ToGateway)
+
+    @property
+    def open(self) -> bool:
+        return self.near.open and self.far.open
+
+    def _up(self, msg: msgspec.Struct) -> None:
+        self._loop.call_later(_DELAY_S, self.far.deliver, msg)
+
+    def _down(self, msg: msgspec.Struct) -> None:
+        data = codec.encode(msg)
+        self.queue.append([len(data), data])
+
+    def ping(self, sent_at: float) -> None:
+        self.queue.append([_PING, sent_at])
+
+    def close(self) -> None:
+        self.queue.clear()
+        self.near.close()
+        self.far.close()
+
+
+class SlowLink:
+    """A gateway, coordinators, and the link of the gateway between them."""
+
+    def __init__(
+        self, *, edge: settings.HostSettings, bytes_per_s: float
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._rate = bytes_per_s
+        self.site = site_mod.Site(host=edge)
+        self.links = control_links.ControlLinks(site=self.site)
+        self._conns: dict[process.Coordinator, _Connection] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        # What the gateway has been sent, in bytes, and the longest that a
+        # keepalive took, in seconds.
+        self.bytes_down = 0
+        self.longest_ping_s = 0.0
+        self.lost = 0
+
+    def start(self, coordinators: list[process.Coordinator]) -> None:
+        """Link the gateway to these, and keep it linked."""
+        self._tasks.append(self._loop.create_task(self._move()))
+        for one in coordinators:
+            self._tasks.append(self._loop.create_task(self._keep(one)))
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.links.close()
+        for conn in self._conns.values():
+            conn.close()
+
+    async def _keep(self, one: process.Coordinator) -> None:
+        while True:
+            conn = _Connection(loop=self._loop)
+            self._conns[one] = conn
+            await one._accept(conn.far)
+            await self.links._use(f"peer-{id(one)}", conn.near)
+            await self._while_answered(conn)
+            self.lost += 1
+            conn.close()
+            await asyncio.sleep(_AGAIN_S)
+
+    async def _while_answered(self, conn: _Connection) -> None:
+        """Ping as links do; returns when a ping has no answer in time."""
+        patience = links.PATIENCE
+        while True:
+            await asyncio.sleep(patience.ping_s)
+            conn.ping(self._loop.time())
+            before = conn.answered
+            await asyncio.sleep(patience.ping_timeout_s)
+            if conn.answered == before:
+                return
+
+    async def _move(self) -> None:
+        """Packets of all connections in turn, at the rate of the link."""
+        while True:
+            busy = [conn for conn in self._conns.values() if conn.queue]
+            if not busy:
+                await asyncio.sleep(_DELAY_S)
+            for conn in busy:
+                await self._packet(conn)
+
+    async def _packet(self, conn: _Connection) -> None:
+        if not conn.queue:
+            return
+        item = conn.queue[0]
+        size = min(_PACKET, item[0])
+        item[0] -= size
+        self.bytes_down += size
+        await asyncio.sleep(size / self._rate)
+        if item[0] > 0 or not conn.queue:
+            return
+        conn.queue.popleft()
+        if isinstance(item[1], bytes):
+            conn.near.deliver(conn._decoder.decode(item[1]))
+        else:
+            conn.answered += 1
+            waited = self._loop.time() - item[1]
+            self.longest_ping_s = max(self.longest_ping_s, waited)
+
+
+def put_in_force(
+    coordinators: list[process.Coordinator], version: int, source: bytes
+) -> None:
+    """A document is committed and applied at all coordinators."""
+    cmd = commands.SetRouting(version=version, source=source)
+    for one in coordinators:
+        before = one.node.machine.revision
+        one.node.machine.apply(cmd)
+        one._on_changes(one.node.machine.changes_after(before))
