A leader sends large records a megabyte at a time

All records that a replica had missed went in one frame: up to the 8 MB that a log holds, which is as much as a link takes, with heartbeats waiting behind it. Change: the records of one message hold a megabyte at most, or are one.

--- a/rackpost/consensus/log.py
+++ b/rackpost/consensus/log.py
@@ -38,10 +38,22 @@
             return self._entries[at].term
         return None
 
-    def after(self, index: int, limit: int) -> tuple[m.Entry, ...]:
-        """At most `limit` records that follow `index`."""
+    def after(
+        self, index: int, limit: int, max_bytes: int | None = None
+    ) -> tuple[m.Entry, ...]:
+        """At most `limit` records that follow `index`.
+
+        With `max_bytes` the commands of all but the first are within it.
+        """
         at = index - self.snapshot.index
-        return tuple(self._entries[at : at + limit])
+        found = self._entries[at : at + limit]
+        if max_bytes is not None:
+            size = 0
+            for idx, entry in enumerate(found):
+                size += len(entry.data)
+                if idx and size > max_bytes:
+                    return tuple(found[:idx])
+        return tuple(found)
 
     def upto(self, low: int, high: int) -> tuple[m.Entry, ...]:
         """The records from after `low` up to and with `high`."""
--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -19,6 +19,10 @@
 ELECTION_S = 0.6
 _SOON_S = 0.2
 _MAX_BATCH = 512
+# Records of one message hold at most so many bytes, but for a single one
+# that is larger: a frame of all that a replica may have missed (8 MB) is
+# more than a link takes, and heartbeats wait behind it.
+_MAX_BATCH_BYTES = 1 << 20
 
 
 class Role(enum.Enum):
@@ -382,7 +386,7 @@
         if prev < self.log.snapshot.index or term is None:
             self._send_snapshot(peer, known, now)
             return
-        entries = self.log.after(prev, _MAX_BATCH)
+        entries = self.log.after(prev, _MAX_BATCH, _MAX_BATCH_BYTES)
         # Records are sent on without waiting for the reply to the last.
         known.next = prev + len(entries) + 1
         self._send(
--- /dev/null
+++ b/tests/test_large_records.py
@@ -0,0 +1,75 @@
+"""Large records of the log reach replicas that are far behind.
+
+A routing document is one record.  A leader sent a replica that had missed
+some all of them in one frame, whatever their size.  A log holds some 8 MB
+before it is compacted, which is as much as a link takes in one frame; one
+that is larger ends the link, and would be sent again over the next.
+Found by reading, after gateways had met the same with whole documents.
+"""
+
+import random
+
+from rackpost.consensus import log as log_mod
+from rackpost.consensus import messages as m
+from rackpost.consensus import raft
+from rackpost.link import codec
+
+ME, OTHER, THIRD = (m.ReplicaId(name) for name in "abc")
+CONFIG = m.Config(voters=(ME, OTHER, THIRD))
+RECORD = bytes(700_000)
+
+
+def log(records: int) -> log_mod.Log:
+    """A log of large records."""
+    found = log_mod.Log(
+        m.Snapshot(index=m.Index(0), term=m.Term(0), config=CONFIG)
+    )
+    found.append(
+        [
+            m.Entry(index=m.Index(at), term=m.Term(1), data=RECORD)
+            for at in range(1, records + 1)
+        ]
+    )
+    return found
+
+
+def replica(me: m.ReplicaId, records: int) -> raft.Replica:
+    return raft.Replica(
+        me=me,
+        hard=m.HardState(term=m.Term(1)),
+        log=log(records),
+        rng=random.Random(1),
+        now=0.0,
+    )
+
+
+def test_a_replica_that_missed_many_large_records_catches_up() -> None:
+    leader, follower = replica(ME, 40), replica(OTHER, 0)
+    leader.tick(10.0)
+    now = 10.0
+    sizes = []
+    for _ in range(400):
+        sends = leader.take().sends + follower.take().sends
+        if not sends:
+            now += 0.01
+            leader.tick(now)
+        for send in sends:
+            sizes.append(len(codec.encode(send.msg)))
+            if send.to == ME:
+                leader.receive(send.msg, now)
+            elif send.to == OTHER:
+                follower.receive(send.msg, now)
+    assert leader.role is raft.Role.LEADER
+    assert follower.log.last_index == leader.log.last_index
+    assert max(sizes) <= codec.MAX_FRAME // 4
+
+
+def test_small_records_are_still_sent_together() -> None:
+    found = log_mod.Log()
+    found.append(
+        [
+            m.Entry(index=m.Index(at), term=m.Term(1), data=b"x" * 100)
+            for at in range(1, 101)
+        ]
+    )
+    assert len(found.after(0, 512)) == 100
