--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -10,6 +10,7 @@
 import random
 from typing import Collection
 
+from rackpost.consensus import followers
 from rackpost.consensus import log as log_mod
 from rackpost.consensus import messages as m
 from rackpost.consensus import output
@@ -33,17 +34,6 @@
     LEADER = "leader"
 
 
-class _Peer:
-    """What a leader knows of another replica."""
-
-    def __init__(self, *, next_index: int, now: float) -> None:
-        self.next = next_index
-        self.match = 0
-        self.number = 0
-        self.heard_at = now
-        self.sent_at = -1.0
-
-
 class Replica:
     """One replica.  `now` is a reading of its own clock, in seconds."""
 
@@ -78,7 +68,7 @@
         self._out = output.Output()
         self._votes: set[m.ReplicaId] = set()
         self._pre = False
-        self._peers: dict[m.ReplicaId, _Peer] = {}
+        self._followers = followers.Followers(me=me)
         self._number = 0
         self._reads: list[tuple[int, int]] = []
         self._heard_at = now
@@ -114,7 +104,7 @@
 
     def caught_up(self, peer: m.ReplicaId) -> bool:
         """Whether a replica has all that this leader has committed."""
-        known = self._peers.get(peer)
+        known = self._followers.find(peer)
         return known is not None and known.match >= self.commit
 
     def hears_quorum(self, now: float) -> bool:
@@ -167,6 +157,12 @@
         soon = now + _SOON_S * (0.2 + self._rng.random())
         self._deadline = min(self._deadline, soon)
 
+    def relinked(self, peer: m.ReplicaId) -> None:
+        """A new link to a replica is up; what was on the old one is lost."""
+        known = self._followers.find(peer)
+        if known is not None:
+            known.relinked()
+
     def propose(self, data: bytes, now: float) -> m.Index | None:
         """Append a command; its index, or None if this is no leader."""
         if self.role is not Role.LEADER:
@@ -182,7 +178,7 @@
             return False
         self._beat(now)
         self._reads.append((self._number, token))
-        self._confirm_reads(now)
+        self._confirm_reads()
         return True
 
     def change_config(self, new: m.Config, now: float) -> str | None:
@@ -200,7 +196,7 @@
         for peer in set(new.voters) - set(old.voters):
             if peer not in old.learners:
                 return f"{peer} must be a learner first"
-            if self._peers[peer].match < self.commit:
+            if not self.caught_up(peer):
                 return f"{peer} has not caught up"
         if not new.voters:
             return "there must be a voter"
@@ -343,7 +339,7 @@
     def _lead(self, now: float) -> None:
         self.role = Role.LEADER
         self.leader = self.me
-        self._peers = {}
+        self._followers = followers.Followers(me=self.me)
         self._reads = []
         self._append_own(b"", None, now)
 
@@ -365,12 +361,10 @@
         self._advance(now)
         return entry.index
 
-    def _peer(self, peer: m.ReplicaId, now: float) -> _Peer:
-        known = self._peers.get(peer)
-        if known is None:
-            known = _Peer(next_index=self.log.last_index, now=now)
-            self._peers[peer] = known
-        return known
+    def _peer(self, peer: m.ReplicaId, now: float) -> followers.Follower:
+        return self._followers.take(
+            peer, next_index=self.log.last_index, now=now
+        )
 
     def _beat(self, now: float) -> None:
         self._next_beat = now + HEARTBEAT_S
@@ -378,14 +372,37 @@
         for peer in self.config.everyone:
             if peer != self.me:
                 self._replicate(peer, now)
+                self._keep_hearing(peer, now)
+
+    def _needs_snapshot(self, known: followers.Follower) -> bool:
+        prev = known.next - 1
+        return prev < self.log.snapshot.index or self.log.term_at(prev) is None
+
+    def _keep_hearing(self, peer: m.ReplicaId, now: float) -> None:
+        """Tell who waits for a snapshot that there is a leader."""
+        if not self._needs_snapshot(self._peer(peer, now)):
+            return
+        snapshot = self.log.snapshot
+        self._send(
+            peer,
+            m.Append(
+                sender=self.me,
+                term=self.term,
+                prev_index=snapshot.index,
+                prev_term=snapshot.term,
+                commit=self.commit,
+                number=self._number,
+            ),
+        )
 
     def _replicate(self, peer: m.ReplicaId, now: float) -> None:
         known = self._peer(peer, now)
-        prev = known.next - 1
-        term = self.log.term_at(prev)
-        if prev < self.log.snapshot.index or term is None:
+        if self._needs_snapshot(known):
             self._send_snapshot(peer, known, now)
             return
+        prev = known.next - 1
+        term = self.log.term_at(prev)
+        assert term is not None
         entries = self.log.after(prev, _MAX_BATCH, _MAX_BATCH_BYTES)
         # Records are sent on without waiting for the reply to the last.
         known.next = prev + len(entries) + 1
@@ -403,11 +420,10 @@
         )
 
     def _send_snapshot(
-        self, peer: m.ReplicaId, known: _Peer, now: float
+        self, peer: m.ReplicaId, known: followers.Follower, now: float
     ) -> None:
-        if now - known.sent_at < ELECTION_S:
+        if not known.take_install(now):
             return
-        known.sent_at = now
         self._send(
             peer,
             m.Install(
@@ -422,31 +438,25 @@
         if self.role is not Role.LEADER or msg.term != self.term:
             return
         known = self._peer(msg.sender, now)
-        known.heard_at = now
-        known.number = max(known.number, msg.number)
+        known.heard(msg.number, now)
         if msg.ok:
-            known.match = max(known.match, msg.match)
-            known.next = max(known.next, known.match + 1)
+            known.matches(msg.match)
             self._advance(now)
             if known.next <= self.log.last_index:
                 self._replicate(msg.sender, now)
-        elif msg.match + 1 < known.next:
-            known.next = max(msg.match, known.match) + 1
+        elif known.differs(msg.match):
             self._replicate(msg.sender, now)
-        self._confirm_reads(now)
+        self._confirm_reads()
 
     def _advance(self, now: float) -> None:
         voters = self.config.voters
-        marks = sorted(
-            (
-                self.log.last_index
-                if peer == self.me
-                else self._peer(peer, now).match
-            )
-            for peer in voters
+        needed = max(self.config.quorum, self._copies)
+        index = self._followers.reached_by(
+            voters,
+            min(needed, len(voters)),
+            mine=self.log.last_index,
+            of=lambda known: known.match,
         )
-        needed = min(max(self.config.quorum, self._copies), len(marks))
-        index = marks[len(marks) - needed]
         # Only records of the own term are counted (Raft, section 5.4.2).
         if index > self.commit and self.log.term_at(index) == self.term:
             self._commit_to(index)
@@ -474,13 +484,13 @@
         )
         return heard >= self.config.quorum
 
-    def _confirm_reads(self, now: float) -> None:
-        voters = self.config.voters
-        marks = sorted(
-            self._number if peer == self.me else self._peer(peer, now).number
-            for peer in voters
+    def _confirm_reads(self) -> None:
+        number = self._followers.reached_by(
+            self.config.voters,
+            self.config.quorum,
+            mine=self._number,
+            of=lambda known: known.number,
         )
-        number = marks[len(marks) - self.config.quorum]
         done = [token for at, token in self._reads if at <= number]
         self._reads = [item for item in self._reads if item[0] > number]
         self._out.reads += [(token, True) for token in done]
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -156,6 +156,7 @@
             closed=lambda: self._on_closed(peer, conn),
         )
         self._raft.linked(self._peers, self._loop.time())
+        self._raft.relinked(peer)
 
     def accept(self, peer: consensus.ReplicaId, conn: channel.Channel) -> None:
         """Receive from a link that another replica made to send on."""
--- a/tests/test_large_records.py
+++ b/tests/test_large_records.py
@@ -73,3 +73,88 @@
         ]
     )
     assert len(found.after(0, 512)) == 100
+
+
+def compacted(records: int) -> raft.Replica:
+    """A leader whose log is a snapshot, and its term's first record."""
+    found = replica(ME, records)
+    found.tick(10.0)
+    for peer in (OTHER, THIRD):
+        for pre in (True, False):
+            found.receive(
+                m.VoteReply(
+                    sender=peer, term=m.Term(2), pre=pre, granted=True
+                ),
+                10.0,
+            )
+    reply = m.AppendReply(
+        sender=THIRD,
+        term=m.Term(2),
+        ok=True,
+        match=found.log.last_index,
+        number=1,
+    )
+    found.receive(reply, 10.0)
+    found.compact(found.applied, RECORD)
+    found.take()
+    return found
+
+
+def test_a_snapshot_that_takes_long_is_not_sent_again_and_again() -> None:
+    """A replica on a slow link was sent a copy every 0.6 s."""
+    leader = compacted(40)
+    assert leader.role is raft.Role.LEADER
+    behind = m.AppendReply(
+        sender=OTHER, term=m.Term(2), ok=False, match=m.Index(0), number=2
+    )
+    leader.receive(behind, 10.1)
+    installs = 0
+    heartbeats = 0
+    for step in range(100):
+        now = 10.1 + 0.1 * step
+        leader.receive(
+            m.AppendReply(
+                sender=THIRD,
+                term=m.Term(2),
+                ok=True,
+                match=leader.log.last_index,
+                number=2,
+            ),
+            now,
+        )
+        leader.tick(now)
+        sends = [s.msg for s in leader.take().sends if s.to == OTHER]
+        installs += sum(isinstance(msg, m.Install) for msg in sends)
+        heartbeats += any(isinstance(msg, m.Append) for msg in sends)
+    assert 1 <= installs <= 5
+    # Meanwhile it hears that there is a leader, and asks for no votes.
+    assert heartbeats > 80
+
+
+def test_a_replica_with_a_new_link_is_sent_the_snapshot_at_once() -> None:
+    leader = compacted(40)
+    behind = m.AppendReply(
+        sender=OTHER, term=m.Term(2), ok=False, match=m.Index(0), number=2
+    )
+    leader.receive(behind, 10.1)
+    assert any(isinstance(s.msg, m.Install) for s in leader.take().sends)
+    leader.relinked(OTHER)
+    leader.tick(10.3)
+    assert any(isinstance(s.msg, m.Install) for s in leader.take().sends)
+
+
+def test_a_replica_that_is_sent_a_snapshot_catches_up() -> None:
+    leader, follower = compacted(40), replica(OTHER, 0)
+    now = 10.2
+    for _ in range(200):
+        sends = leader.take().sends + follower.take().sends
+        if not sends:
+            now += 0.05
+            leader.tick(now)
+        for send in sends:
+            if send.to == ME:
+                leader.receive(send.msg, now)
+            elif send.to == OTHER:
+                follower.receive(send.msg, now)
+    assert follower.log.last_index == leader.log.last_index
+    assert follower.commit == leader.commit
