A process that is behind asks for changes once until it is answered

Entries and agents asked control for what is newer with each report of a peer that was ahead, many times a second; each answer holds all that they lack. Change: one question at a time over a link.

--- a/rackpost/control/client.py
+++ b/rackpost/control/client.py
@@ -109,6 +109,8 @@
         self._conn: channel.Channel | None = None
         self._ended = asyncio.Event()
         self._heard_at = 0.0
+        # A `Watch` was sent over this link that has had no answer.
+        self._watching = False
         self._number = 0
         self._asked: dict[int, asyncio.Future[commands.Result | None]] = {}
         rng.shuffle(self._addresses)
@@ -132,9 +134,7 @@
         self._ended.clear()
         self._conn = conn
         conn.attach(receive=self._on_message, closed=self._on_closed)
-        conn.send(
-            messages.Watch(name=self._name, revision=self.in_force.revision)
-        )
+        self._fetch()
         since = self._loop.time()
         joining = asyncio.create_task(self._stay_joined())
         try:
@@ -174,6 +174,7 @@
 
     def _drop_conn(self) -> None:
         self._conn = None
+        self._watching = False
         asked = self._asked
         self._asked = {}
         for fut in asked.values():
@@ -187,9 +188,11 @@
             if fut is not None and not fut.done():
                 fut.set_result(msg.result)
         elif isinstance(msg, messages.Whole):
+            self._watching = False
             if self.in_force.take_whole(msg.image):
                 self._is_in_force()
         elif isinstance(msg, messages.Feed):
+            self._watching = False
             self._on_feed(msg)
         elif isinstance(msg, messages.Alive):
             self._on_alive(msg)
@@ -215,12 +218,17 @@
         return True
 
     def _fetch(self) -> None:
-        if self._conn is not None:
-            self._conn.send(
-                messages.Watch(
-                    name=self._name, revision=self.in_force.revision
-                )
-            )
+        """Ask for what is newer, unless that is on its way.
+
+        Peers tell of newer states many times a second; an answer that
+        takes long must not be joined by copies of it.
+        """
+        if self._conn is None or self._watching:
+            return
+        self._watching = True
+        self._conn.send(
+            messages.Watch(name=self._name, revision=self.in_force.revision)
+        )
 
     def _is_in_force(self) -> None:
         self.ready.set()
