Gateways that come together are told of each other a few times

Change: changes within 0.1 s are told together; a newcomer is told at once. A refused peer and a failed first dial are logged with the reason.

--- a/rackpost/agent/process.py
+++ b/rackpost/agent/process.py
@@ -104,9 +104,9 @@
         if conn.bad_frames:
             self.metrics.count("dropped", types.Drop.BAD_FRAME)
 
-    def _refused(self) -> None:
+    def _refused(self, why: str) -> None:
         self.metrics.count("refused_peer", types.Refusal.NOT_OF_THE_SITE)
-        logs.say(logs.Part.AGENT, "Refused a peer without the key.")
+        logs.say(logs.Part.AGENT, "Refused a peer.", why=why)
 
     def _ready(self) -> tuple[int, str]:
         if self.client is not None and self.client.ready.is_set():
--- a/rackpost/control/process.py
+++ b/rackpost/control/process.py
@@ -95,9 +95,9 @@
         self.service.connect(conn)
         conn._deliver(msg)
 
-    def _refused(self) -> None:
+    def _refused(self, why: str) -> None:
         self.metrics.count("refused_peer", types.Refusal.NOT_OF_THE_SITE)
-        logs.say(logs.Part.CONTROL, "Refused a peer without the key.")
+        logs.say(logs.Part.CONTROL, "Refused a peer.", why=why)
 
     async def _link_to(self, peer: str, address: str) -> None:
         # Of two replicas the one with the lesser id makes the link.
--- a/rackpost/coordinator/links.py
+++ b/rackpost/coordinator/links.py
@@ -77,8 +77,12 @@
                 ) as conn:
                     open_s = _FIRST_OPEN_S
                     await self._while_up(host, conn)
-            except exceptions.LinkError:
-                # Told when it was lost; it is dialled until it is back.
+            except exceptions.LinkError as exc:
+                if open_s == _FIRST_OPEN_S:
+                    # Once; it is dialled until it is there.
+                    logs.say(
+                        self._part, "Link not made.", peer=host, why=str(exc)
+                    )
                 open_s = min(2.0 * open_s, PATIENCE.open_s)
             await asyncio.sleep(_REDIAL_S)
 
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -19,6 +19,7 @@
 from rackpost.coordinator import members
 from rackpost.coordinator import messages
 from rackpost.coordinator import overview
+from rackpost.coordinator import peers
 from rackpost.coordinator import roles
 from rackpost.coordinator import routing_feed
 from rackpost import exceptions
@@ -77,6 +78,10 @@
         self.feed = routing_feed.RoutingFeed()
         # What a snapshot held is in force at once.
         self._take_routing()
+        self._peers = peers.PeerNews(
+            directory=self.directory,
+            coordinators=lambda: self._members.hosts | {self._host.ip},
+        )
         self._port = host.internal_ports[0]
         self._dialler = links.Dialler(
             part=logs.Part.COORDINATOR,
@@ -98,7 +103,7 @@
             ip=host.ip,
             seeds=host.seeds,
             copies=copies,
-            changed=self._tell_peers,
+            changed=self._peers.tell_soon,
         )
 
     # Links.
@@ -151,13 +156,13 @@
         conn.send(messages.RoutingAt(version=self.feed.version))
         conn.send(self.directory.whole())
         conn.send(messages.Changing(ids=self._roles.changing))
-        self._tell_peers()
+        self._peers.tell_newcomer(conn)
 
     def _gateway_left(self, conn: channel.Channel) -> None:
         hello = self.directory.gateways.pop(conn, None)
         if hello is not None:
             logs.say(logs.Part.COORDINATOR, "Gateway lost.", peer=hello.vm)
-            self._tell_peers()
+            self._peers.tell_soon()
 
     def _on_gateway(self, conn: channel.Channel, msg: msgspec.Struct) -> None:
         if isinstance(msg, messages.Endpoints):
@@ -176,20 +181,6 @@
             messages.Changing(ids=self._roles.changing)
         )
 
-    def _tell_peers(self) -> None:
-        by_vm = {item.vm: item for item in self.directory.gateways.values()}
-        self.directory.tell_gateways(
-            messages.Peers(
-                coordinators=tuple(
-                    sorted(self._members.hosts | {self._host.ip})
-                ),
-                gateways=tuple(
-                    messages.GatewayAddress(vm=item.vm, loads=item.loads)
-                    for item in by_vm.values()
-                ),
-            )
-        )
-
     def _on_other(
         self, peer: consensus.ReplicaId, msg: msgspec.Struct
     ) -> None:
@@ -321,12 +312,13 @@
             try:
                 yield
             finally:
+                self._peers.close()
                 self._dialler.close()
                 await tasks.close()
 
 
-def _refused() -> None:
-    logs.say(logs.Part.COORDINATOR, "Refused a peer without the key.")
+def _refused(why: str) -> None:
+    logs.say(logs.Part.COORDINATOR, "Refused a peer.", why=why)
 
 
 def _failed(req: message.Request, exc: Exception) -> None:
--- a/rackpost/link/websocket.py
+++ b/rackpost/link/websocket.py
@@ -145,7 +145,8 @@
             answer = await _recv(conn, auth.Proof)
             auth.check(key, answer, side=other, mine=mine, theirs=theirs)
     except (TimeoutError, websockets.exceptions.ConnectionClosed) as exc:
-        raise exceptions.LinkError("the peer gave no proof") from exc
+        why = str(exc) or f"nothing for {_HANDSHAKE_S} s"
+        raise exceptions.LinkError(f"the peer gave no proof: {why}") from exc
 
 
 async def _recv(conn: _Conn, kind: type) -> Any:
@@ -212,22 +213,22 @@
     security: Security,
     kinds: Any,
     accept: Callable[[WebSocketChannel], Awaitable[None]],
-    refused: Callable[[], None],
+    refused: Callable[[str], None],
     pages: dict[str, Page] | None = None,
     patience: Patience = _USUAL,
 ) -> AsyncIterator[int]:
     """Serve links; yields the port.
 
     `accept` is run for each peer that has proved itself, until it ends;
-    `refused` is told of each that could not.  `pages` are plain GETs,
+    `refused` is told why of each that did not.  `pages` are plain GETs,
     such as /metrics: a status and a text each.
     """
 
     async def handle(conn: websockets.asyncio.server.ServerConnection) -> None:
         try:
             await _prove(conn, security.key, side="server", other="client")
-        except exceptions.LinkError:
-            refused()
+        except exceptions.LinkError as exc:
+            refused(str(exc))
             return
         await accept(
             WebSocketChannel(conn=conn, decoder=codec.Decoder(kinds=kinds))
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -58,7 +58,7 @@
         security=server,
         kinds=messages.FromEntry,
         accept=accept,
-        refused=lambda: None,
+        refused=lambda why: None,
     ) as port:
         async with websocket.connected(
             f"127.0.0.1:{port}", security=client, kinds=messages.FromAgent
