A document that is held already is acknowledged without the log

Change: a coordinator that has the version or a newer one committed says so at once; what is committed stays so, hence also without a quorum.

--- a/rackpost/coordinator/api.py
+++ b/rackpost/coordinator/api.py
@@ -97,6 +97,10 @@
             self._tell(None, 400, str(exc))
             _say(responder, 400, str(exc))
             return
+        if self._holds(doc):
+            self._tell(doc, 200, "held already")
+            _say(responder, 200)
+            return
         cmd = commands.SetRouting(version=doc.version, source=req.body)
         patience = _ANSWER_S
         if len(req.body) > _LONG_BODY:
@@ -115,6 +119,15 @@
         self._tell(doc, 200, "accepted")
         _say(responder, 200)
 
+    def _holds(self, doc: model.Document) -> bool:
+        """Whether this version or a newer one is committed.
+
+        Operators send again what had no clear answer, perhaps at once at
+        several nodes; it need not pass through the log again.
+        """
+        routing = self._node.machine.routing
+        return routing is not None and doc.version <= routing.version
+
     def _tell(self, doc: model.Document | None, status: int, why: str) -> None:
         logs.say(
             logs.Part.COORDINATOR,
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -241,3 +241,27 @@
             assert gateway.site.table.alive["i"].state.value == "draining"
 
     asyncio.run(main())
+
+
+def test_a_document_that_is_sent_again_is_not_committed_again(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Each resend put the whole into the log, and on all disks, once more."""
+
+    async def main() -> None:
+        async with group(tmp_path) as found:
+            doc = await found.put_version(11, 7)
+            one = found.up[13]
+            await platform_site.until(lambda: one.feed.version == 7)
+            mark = one.node.mark
+            for _ in range(5):
+                assert await found.operator.put(13, doc) == 200
+            assert one.node.mark == mark
+            # Without a quorum too: what is committed stays so.
+            for number in (11, 12, 14):
+                await found.stop(number)
+            assert await found.operator.put(13, doc) == 200
+            newer = platform_site.document(8)
+            assert await found.operator.put(13, newer) == 503
+
+    asyncio.run(main())
