--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 CODE := rackpost tests lab spec
 
 .PHONY: test demo format lint bench bench-quick model model-mutants \
-	history settings-page promises slopes control-load overhead drill drill-quick lock clean
+	history settings-page promises slopes documents control-load overhead \
+	drill drill-quick lock clean
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv .venv
@@ -47,6 +48,9 @@
 settings-page: $(STAMP)
 	$(PY) -m lab.settings_page
 
+documents: $(STAMP)
+	$(PY) -m lab.documents
+
 control-load: $(STAMP)
 	$(PY) -m lab.control_load
 
--- /dev/null
+++ b/lab/documents.py
@@ -0,0 +1,111 @@
+"""What large routing documents cost: python -m lab.documents.
+
+Prints bytes, and milliseconds of one whole core, for documents of several
+sizes: the document as operators send it, the whole and a change as gateways
+are sent them, and what coordinators and gateways take for them.  The names
+of routes are random, as operators' tools make them.
+"""
+
+import json
+import random
+import time
+from typing import Callable
+
+from rackpost.platform import documents
+from rackpost.routing import changes
+from rackpost.routing import match
+from rackpost.routing import model
+
+_SIZES = (1400, 2800, 4200)
+_ADDED = 1400
+_ROUNDS = 7
+_SERVICE = {"name": "plain", "maxConnections": 100}
+
+
+def _word(rng: random.Random) -> str:
+    return f"{rng.randrange(2**32):08x}"
+
+
+def _route(rng: random.Random) -> dict[str, object]:
+    return {
+        "name": f"r-{_word(rng)}",
+        "hostname": f"site-{rng.randrange(4)}.example",
+        "pathPrefix": f"/{_word(rng)}/",
+        "kind": "safe",
+        "timeoutMs": 1060,
+        "targetLatencyMs": 154,
+        "priority": 1,
+        "service": "plain",
+        "maxAttempts": 2,
+    }
+
+
+def source(version: int, routes: list[dict[str, object]]) -> bytes:
+    """A document as an operator sends it."""
+    doc = {
+        "version": version,
+        "routes": routes,
+        "services": [_SERVICE],
+        "limits": {},
+    }
+    return json.dumps(doc, separators=(",", ":")).encode()
+
+
+def best_ms(what: Callable[[], object]) -> float:
+    """The least time of some rounds, in milliseconds."""
+    took = []
+    for _ in range(_ROUNDS):
+        began = time.perf_counter()
+        what()
+        took.append(time.perf_counter() - began)
+    return min(took) * 1e3
+
+
+def _table(change: changes.Change) -> match.RouteTable:
+    found = match.RouteTable()
+    found.apply(change)
+    return found
+
+
+def _print_change(name: str, old: model.Document, new: model.Document) -> None:
+    change = changes.between(old, new)
+    data = changes.encode(change)
+    table = _table(changes.whole(old))
+    began = time.perf_counter()
+    table.apply(change)
+    took = (time.perf_counter() - began) * 1e3
+    print(
+        f"  {name}: {len(data)} B; coordinator: compare "
+        f"{best_ms(lambda: changes.between(old, new)):.2f} ms, encode "
+        f"{best_ms(lambda: changes.encode(change)):.2f}; gateway: decode "
+        f"{best_ms(lambda: changes.decode(data)):.2f}, apply {took:.2f}"
+    )
+
+
+def main() -> None:
+    """Measure and print."""
+    rng = random.Random(1)
+    routes = [_route(rng) for _ in range(max(_SIZES) + _ADDED)]
+    for size in _SIZES:
+        text = source(1, routes[:size])
+        doc = documents.decode(text)
+        whole = changes.whole(doc)
+        data = changes.encode(whole)
+        print(
+            f"{size} routes: {len(text)} B as sent; coordinator: decode "
+            f"{best_ms(lambda: documents.decode(text)):.1f} ms"
+        )
+        print(
+            f"  whole: {len(data)} B; encode "
+            f"{best_ms(lambda: changes.encode(whole)):.1f} ms; gateway: "
+            f"decode {best_ms(lambda: changes.decode(data)):.1f}, apply "
+            f"{best_ms(lambda: _table(whole)):.1f}"
+        )
+        one = documents.decode(source(2, routes[: size + 1]))
+        many = documents.decode(source(2, routes[: size + _ADDED]))
+        _print_change("one route more", doc, one)
+        _print_change(f"{_ADDED} routes more", doc, many)
+
+
+if __name__ == "__main__":
+    main()
