Seeded runs of documents through coordinators that lag and start again

Cause: the tests of transfers took one fault at a time. Change: 60 seeds of lagging, silent and restarted coordinators, lost links and late parts; a gateway's routes are compared with the document of its version at every change.

--- /dev/null
+++ b/tests/test_document_updates.py
@@ -0,0 +1,133 @@
+"""Changes through coordinators that lag, fall silent and start again.
+
+Whatever happens on the way, a gateway's routes are at each moment exactly
+those of one version, its version never goes back, and in the end it has the
+newest.
+"""
+
+import random
+
+import pytest
+
+from rackpost.coordinator import messages
+from rackpost.coordinator import routing_feed
+from rackpost import exceptions
+from rackpost.gateway import document_fetch
+from rackpost.routing import changes
+from rackpost.routing import match
+from rackpost.routing import model
+from tests import test_routing_changes
+
+# Small parts, so that each change takes several.
+PART_BYTES = 200
+NAMES = ("a", "b", "c")
+STEPS = 400
+
+
+class Run:
+    """Three coordinators and one gateway; each step is 50 ms."""
+
+    def __init__(self, *, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.docs: dict[int, model.Document] = {}
+        self.feeds = {name: routing_feed.RoutingFeed() for name in NAMES}
+        self.silent: set[str] = set()
+        self.fetch: document_fetch.DocumentFetch[str]
+        self.fetch = document_fetch.DocumentFetch(rng=self.rng)
+        self.table = match.RouteTable()
+        self.now = 0.0
+        # Answers on their way: when, of whom, and what.
+        self.way: list[tuple[float, str, messages.RoutingPart]] = []
+
+    def new_document(self) -> None:
+        """A version that follows the last, with some routes changed."""
+        version = max(self.docs, default=0) + self.rng.randint(1, 4)
+        routes = {
+            key: self.rng.randint(1, 2)
+            for key in range(60)
+            if self.rng.random() < 0.9
+        }
+        self.docs[version] = test_routing_changes.document(version, routes)
+
+    def catch_up(self, name: str) -> None:
+        """A coordinator applies some of what it lacks, at once."""
+        feed = self.feeds[name]
+        missing = [v for v in self.docs if v > feed.version]
+        if missing:
+            version = self.rng.choice(missing)
+            feed.put(self.docs[version])
+        self.fetch.told(name, feed.version)
+
+    def disturb(self) -> None:
+        """Something goes wrong with one coordinator."""
+        name = self.rng.choice(NAMES)
+        kind = self.rng.randrange(4)
+        if kind == 0:
+            self.silent ^= {name}
+        elif kind == 1:
+            self.fetch.lost(name)
+            self.way = [item for item in self.way if item[1] != name]
+        elif kind == 2:
+            # It has started again, and knows the newest alone.
+            feed = routing_feed.RoutingFeed()
+            if self.feeds[name].version:
+                feed.put(self.docs[self.feeds[name].version])
+            self.feeds[name] = feed
+            self.fetch.lost(name)
+            self.fetch.told(name, feed.version)
+        else:
+            self.catch_up(name)
+
+    def step(self) -> None:
+        """Time passes: answers come, and what is due is asked."""
+        self.now += 0.05
+        due = [item for item in self.way if item[0] <= self.now]
+        self.way = [item for item in self.way if item[0] > self.now]
+        for _, name, part in due:
+            arrived = self.fetch.take(name, part, self.now)
+            if arrived is not None:
+                self.use(arrived.data)
+        ask = self.fetch.next_ask(have=self.table.version, now=self.now)
+        if ask is None or ask.holder in self.silent:
+            return
+        answer = self.feeds[ask.holder].part(ask.msg)
+        if answer is not None:
+            late = self.rng.choice([0.01, 0.05, 0.2, 0.7])
+            self.way.append((self.now + late, ask.holder, answer))
+
+    def use(self, data: bytes) -> None:
+        """Put what has come in force, as a gateway does."""
+        before = self.table.version
+        change = changes.decode(data)
+        if change.version <= before:
+            return
+        try:
+            self.table.apply(change)
+        except exceptions.RoutingError:
+            self.fetch.failed(have=before, now=self.now)
+            return
+        assert self.table.version > before
+        doc = self.docs[self.table.version]
+        assert test_routing_changes.says(self.table, doc)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_a_gateway_has_one_version_whole_and_ends_with_the_newest(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(routing_feed, "PART_BYTES", PART_BYTES)
+    run = Run(seed=seed)
+    for _ in range(STEPS):
+        if run.rng.random() < 0.1:
+            run.new_document()
+        if run.rng.random() < 0.3:
+            run.disturb()
+        run.step()
+    run.silent.clear()
+    newest = max(run.docs)
+    for name in NAMES:
+        run.feeds[name].put(run.docs[newest])
+        run.fetch.told(name, newest)
+    for _ in range(STEPS):
+        run.step()
+    assert run.table.version == newest
