--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -14,16 +14,12 @@
 from rackpost.consensus import log as log_mod
 from rackpost.consensus import messages as m
 from rackpost.consensus import output
+from rackpost.consensus import replication
 
 # In seconds by the replica's own clock.
 HEARTBEAT_S = 0.1
 ELECTION_S = 0.6
 _SOON_S = 0.2
-_MAX_BATCH = 512
-# Records of one message hold at most so many bytes, but for a single one
-# that is larger: a frame of all that a replica may have missed (8 MB) is
-# more than a link takes, and heartbeats wait behind it.
-_MAX_BATCH_BYTES = 1 << 20
 
 
 class Role(enum.Enum):
@@ -372,67 +368,22 @@
         for peer in self.config.everyone:
             if peer != self.me:
                 self._replicate(peer, now)
-                self._keep_hearing(peer, now)
-
-    def _needs_snapshot(self, known: followers.Follower) -> bool:
-        prev = known.next - 1
-        return prev < self.log.snapshot.index or self.log.term_at(prev) is None
-
-    def _keep_hearing(self, peer: m.ReplicaId, now: float) -> None:
-        """Tell who waits for a snapshot that there is a leader."""
-        if not self._needs_snapshot(self._peer(peer, now)):
-            return
-        snapshot = self.log.snapshot
-        self._send(
-            peer,
-            m.Append(
-                sender=self.me,
-                term=self.term,
-                prev_index=snapshot.index,
-                prev_term=snapshot.term,
-                commit=self.commit,
-                number=self._number,
-            ),
+                if replication.needs_snapshot(self._peer(peer, now), self.log):
+                    self._send(
+                        peer, replication.heartbeat(self.log, self._leading())
+                    )
+
+    def _leading(self) -> replication.Leading:
+        return replication.Leading(
+            self.me, self.term, self.commit, self._number
         )
 
     def _replicate(self, peer: m.ReplicaId, now: float) -> None:
-        known = self._peer(peer, now)
-        if self._needs_snapshot(known):
-            self._send_snapshot(peer, known, now)
-            return
-        prev = known.next - 1
-        term = self.log.term_at(prev)
-        assert term is not None
-        entries = self.log.after(prev, _MAX_BATCH, _MAX_BATCH_BYTES)
-        # Records are sent on without waiting for the reply to the last.
-        known.next = prev + len(entries) + 1
-        self._send(
-            peer,
-            m.Append(
-                sender=self.me,
-                term=self.term,
-                prev_index=m.Index(prev),
-                prev_term=term,
-                commit=self.commit,
-                number=self._number,
-                entries=entries,
-            ),
-        )
-
-    def _send_snapshot(
-        self, peer: m.ReplicaId, known: followers.Follower, now: float
-    ) -> None:
-        if not known.take_install(now):
-            return
-        self._send(
-            peer,
-            m.Install(
-                sender=self.me,
-                term=self.term,
-                snapshot=self.log.snapshot,
-                number=self._number,
-            ),
+        msg = replication.next_message(
+            self._peer(peer, now), self.log, self._leading(), now
         )
+        if msg is not None:
+            self._send(peer, msg)
 
     def _on_append_reply(self, msg: m.AppendReply, now: float) -> None:
         if self.role is not Role.LEADER or msg.term != self.term:
