A change is joined and encoded once for all gateways that need it

Cause: found on the last read: the steps from a gateway's version were joined for each gateway before the encoded change was looked up, 3 ms for 1,400 routes, times the hundreds that ask at once. Change: looked up by the version asked from; cleared with each new document.

--- a/rackpost/coordinator/routing_feed.py
+++ b/rackpost/coordinator/routing_feed.py
@@ -25,17 +25,11 @@
 _MAX_KEPT = 8 << 20
 
 
-class _Span(NamedTuple):
-    """From which version to which a change leads."""
-
-    base: int
-    version: int
-
-
 class _Encoded(NamedTuple):
     """A change as it is sent; `digest` tells it from any other."""
 
-    span: _Span
+    base: int
+    version: int
     digest: int
     data: bytes
 
@@ -51,7 +45,8 @@
             collections.OrderedDict()
         )
         self._kept_bytes = 0
-        self._digests: dict[_Span, int] = {}
+        # What leads from these versions to the newest one.
+        self._digests: dict[int, int] = {}
 
     @property
     def version(self) -> int:
@@ -65,6 +60,7 @@
             self._steps.append(step)
             self._routes += step.size
         self._doc = doc
+        self._digests.clear()
         while self._routes > _MAX_ROUTES or len(self._steps) > _MAX_STEPS:
             self._routes -= self._steps.popleft().size
 
@@ -82,8 +78,8 @@
         offset = asked.offset if asked.digest == encoded.digest else 0
         self._kept.move_to_end(encoded.digest)
         return messages.RoutingPart(
-            base=encoded.span.base,
-            version=encoded.span.version,
+            base=encoded.base,
+            version=encoded.version,
             digest=encoded.digest,
             offset=offset,
             size=len(encoded.data),
@@ -92,15 +88,16 @@
 
     def _encoded(self, have: int, doc: model.Document) -> _Encoded:
         """The change from version `have` to the newest document."""
-        change = self._change(have, doc)
-        span = _Span(change.base, change.version)
-        digest = self._digests.get(span)
-        if digest is None:
-            data = changes.encode(change)
-            encoded = _Encoded(span, zlib.crc32(data), data)
-            self._keep(encoded)
-            return encoded
-        return self._kept[digest]
+        found = self._find(have)
+        if found is None:
+            change = self._change(have, doc)
+            found = self._find(change.base) or self._encode(change)
+            self._digests[have] = self._digests[change.base] = found.digest
+        return found
+
+    def _find(self, base: int) -> _Encoded | None:
+        digest = self._digests.get(base)
+        return None if digest is None else self._kept.get(digest)
 
     def _change(self, have: int, doc: model.Document) -> changes.Change:
         steps = list(self._steps)
@@ -113,11 +110,14 @@
             return changes.whole(doc)
         return change
 
-    def _keep(self, encoded: _Encoded) -> None:
-        self._kept[encoded.digest] = encoded
-        self._digests[encoded.span] = encoded.digest
-        self._kept_bytes += len(encoded.data)
+    def _encode(self, change: changes.Change) -> _Encoded:
+        data = changes.encode(change)
+        # 0 stands for no transfer.
+        digest = zlib.crc32(data) or 1
+        found = _Encoded(change.base, change.version, digest, data)
+        self._kept[digest] = found
+        self._kept_bytes += len(data)
         while self._kept_bytes > _MAX_KEPT and len(self._kept) > 1:
             _, oldest = self._kept.popitem(last=False)
-            self._digests.pop(oldest.span, None)
             self._kept_bytes -= len(oldest.data)
+        return found
--- a/tests/test_routing_changes.py
+++ b/tests/test_routing_changes.py
@@ -174,3 +174,24 @@
     found.put(document(40, {at: 39 * 7 + at % 991 for at in range(901)}))
     _, change = fetched(found, 39)
     assert (change.base, change.size) == (39, 1)
+
+
+def test_a_change_is_made_once_for_all_gateways_that_need_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Hundreds of gateways ask for the same within a few milliseconds."""
+    made = []
+    encode = changes.encode
+    joined = changes.joined
+    monkeypatch.setattr(
+        changes, "encode", lambda change: made.append("e") or encode(change)
+    )
+    monkeypatch.setattr(
+        changes, "joined", lambda steps: made.append("j") or joined(steps)
+    )
+    docs = [document(v, {at: 1 for at in range(40 + v)}) for v in (3, 5, 9)]
+    found = feed(*docs)
+    for have in (3, 5, 0, 4) * 20:
+        assert found.part(messages.Fetch(have=have)) is not None
+    # From 3, from 5, and the whole for who has none or an unknown one.
+    assert sorted(made) == ["e", "e", "e", "j", "j"]
