--- a/rackpost/gateway/document_fetch.py
+++ b/rackpost/gateway/document_fetch.py
@@ -1,6 +1,8 @@
 """When a gateway asks whom for which part of the routing document.  Pure.
 
-At most one part is asked for at a time, whatever is announced meanwhile.
+At most one part is asked for at a time, whatever is announced meanwhile:
+copies of what takes long would fill a gateway's slow link, keepalives would
+wait behind them, and the link would be given up with all that had come.
 What has come is kept: it counts whoever sends the rest.
 """
 
