A document without routes is a document

Cause: found on the last read: the table of routes had a length, so that one without routes counted as no table; the next change did not fit and the whole came a second later, and requests were answered as if there were no document. Change: its number of routes is a property.

--- a/rackpost/routing/match.py
+++ b/rackpost/routing/match.py
@@ -67,7 +67,9 @@
             _HostRoutes
         )
 
-    def __len__(self) -> int:
+    @property
+    def count(self) -> int:
+        """How many routes there are; a table may well have none."""
         return sum(len(routes) for routes in self._by_host.values())
 
     def apply(self, change: changes.Change) -> None:
@@ -100,7 +102,7 @@
         # One that came and went since `base` is named as removed, too.
         gone = sum(self._holds(key) for key in change.removed)
         new = sum(not self._holds(route.key) for route in change.put)
-        _check_count(change, len(self) - gone + new)
+        _check_count(change, self.count - gone + new)
         for key in change.removed:
             self._by_host[key.host].remove(key.prefix)
         for route in change.put:
--- a/tests/test_routing_changes.py
+++ b/tests/test_routing_changes.py
@@ -40,7 +40,7 @@
     routes = [found.find(route.host, route.prefix) for route in doc.routes]
     return (
         found.version == doc.version
-        and len(found) == len(doc.routes)
+        and found.count == len(doc.routes)
         and routes == list(doc.routes)
         and list(found.services.values()) == list(doc.services)
         and found.limits == doc.limits
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -165,6 +165,24 @@
     asyncio.run(main())
 
 
+def test_a_document_without_routes_is_one(tmp_path: pathlib.Path) -> None:
+    """It was taken for none: a change of it fitted nothing, for a second."""
+
+    async def main() -> None:
+        site = alone(tmp_path)
+        bare, full = (
+            documents.decode(
+                json.dumps(platform_site.document(at, **more)).encode()
+            )
+            for at, more in ((1, {"routes": []}), (2, {}))
+        )
+        assert site.apply_routing(changes.whole(bare))
+        assert site.apply_routing(changes.between(bare, full))
+        assert site.version == 2
+
+    asyncio.run(main())
+
+
 def test_who_asks_before_the_first_document_waits_for_it(
     tmp_path: pathlib.Path,
 ) -> None:
