Callers have keys: organisations in the routing document

Unknown or missing keys get 401 where the route is not public, after the route's own 404. Endpoints are told whose a request is and never the key. A key is looked up again before each attempt. An organisation's priority goes before the route's.

--- a/rackpost/coordinator/routing_feed.py
+++ b/rackpost/coordinator/routing_feed.py
@@ -106,7 +106,7 @@
         if not steps:
             return changes.whole(doc)
         change = changes.joined(steps)
-        if change.size >= len(doc.routes):
+        if change.size >= len(doc.routes) + len(doc.organisations):
             return changes.whole(doc)
         return change
 
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -38,7 +38,7 @@
         found.append((headers.RESUME_AFTER, b"%d" % call.last_event))
     found.append((headers.DEADLINE_MS, b"%d" % left_ms))
     found.append((headers.ENDPOINT_ID, endpoint.id.encode()))
-    found.append((headers.PRIORITY, b"%d" % min(9, call.route.priority)))
+    found.append((headers.PRIORITY, b"%d" % min(9, max(0, call.priority))))
     if call.req.has_body:
         found.append((b"content-length", b"%d" % len(call.req.body)))
     return found
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from rackpost.decide import forwarding
+from rackpost.gateway import callers
 from rackpost.gateway import site as site_mod
 from rackpost.gateway import stream_times
 from rackpost.http1 import message
@@ -25,6 +26,8 @@
     """Why a gateway gave an answer of its own."""
 
     NO_ROUTE = "no-route"
+    NO_KEY = "no-key"
+    KEY_REVOKED = "key-revoked"
     NO_DOCUMENT = "no-document"
     STOPPING = "stopping"
     NO_ENDPOINT = "no-endpoint"
@@ -58,6 +61,7 @@
         responder: server.Responder,
         route: model.Route,
         service: model.Service,
+        caller: callers.Caller,
         began: float,
         until: float,
     ) -> None:
@@ -66,6 +70,8 @@
         self.responder = responder
         self.route = route
         self.service = service
+        self.caller = caller
+        self.priority = caller.priority(route)
         self.began = began
         self.until = until
         self.request_id = message.find(req.headers, headers.REQUEST_ID)
@@ -82,11 +88,13 @@
         self.times = stream_times.StreamTimes(began=began)
         # The last event that the client was sent, to go on from.
         self.last_event: int | None = None
-        self.passed = [
-            item
-            for item in message.end_to_end(req.headers)
-            if item[0] not in headers.OURS
-        ]
+        self.passed = caller.passed_on(
+            [
+                item
+                for item in message.end_to_end(req.headers)
+                if item[0] not in headers.OURS
+            ]
+        )
 
     @property
     def is_head(self) -> bool:
@@ -111,6 +119,7 @@
             sentence,
             request=ident.decode("latin-1"),
             route=self.route.name,
+            organisation=self.caller.name,
             version=self.site.version,
             attempts=self.sent,
             **fields,
@@ -132,6 +141,18 @@
         )
         refuse(self.responder, come_back_s)
 
+    def end_if_revoked(self) -> bool:
+        """End it if its key has been taken away; whether it has."""
+        if not self.caller.is_revoked():
+            return False
+        if self.may_have_run:
+            self.fail(Reason.KEY_REVOKED, 502)
+        else:
+            self._count(Reason.KEY_REVOKED)
+            self.log("Key was revoked, not run.")
+            ask_for_key(self.responder)
+        return True
+
     def fail(self, reason: Reason, status: int) -> None:
         """Tell the client that it is not known whether its request ran."""
         self._count(reason)
@@ -179,6 +200,11 @@
     """Nobody follows the events."""
 
 
+def ask_for_key(responder: server.Responder) -> None:
+    """Answer that a request shows no key that is anybody's."""
+    responder.whole(401, [headers.ASK_FOR_KEY], b"")
+
+
 def refuse(responder: server.Responder, come_back_s: float) -> None:
     """Answer that a request has not run, and when to come back."""
     after = b"%.2f" % come_back_s
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -78,6 +78,9 @@
             if isinstance(place, place_mod.Full):
                 self._refuse_full(place)
                 return
+            if call.end_if_revoked():
+                place.release()
+                return
             call.on_event = self._on_event(place)
             try:
                 ended = await self._run_at(place)
@@ -158,7 +161,7 @@
         pace = call.site.pace
         start_s = pace.start_s(self._prompt)
         return waiting.Claim(
-            priority=call.route.priority,
+            priority=call.priority,
             target=self._target(),
             start_by=self._start_by(),
             # One that a planned stop would cut off is not begun.
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -4,6 +4,7 @@
 import math
 
 from rackpost.gateway import call as call_mod
+from rackpost.gateway import callers
 from rackpost.gateway import forward
 from rackpost.gateway import generate
 from rackpost.gateway import site as site_mod
@@ -50,9 +51,14 @@
             self._own(call_mod.Reason.NO_ROUTE, req)
             responder.whole(404, [], b"")
             return
+        caller = callers.Caller(routes=routes, req=req)
+        if not caller.may_use(route):
+            self._own(call_mod.Reason.NO_KEY, req)
+            call_mod.ask_for_key(responder)
+            return
         name = match.choose_service(route, self._site.rng)
         service = routes.services[name]
-        await self._route(req, responder, route, service, began)
+        await self._route(req, responder, route, service, caller, began)
 
     async def _first_routes(
         self, req: message.Request, now: float
@@ -89,6 +95,7 @@
         responder: server.Responder,
         route: model.Route,
         service: model.Service,
+        caller: callers.Caller,
         began: float,
     ) -> None:
         until = began + min(route.timeout_s, _client_s(req))
@@ -103,6 +110,7 @@
             responder=responder,
             route=route,
             service=service,
+            caller=caller,
             began=began,
             until=until,
         )
--- a/rackpost/platform/documents.py
+++ b/rackpost/platform/documents.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from rackpost import exceptions
+from rackpost.platform import keys as keys_mod
 from rackpost.routing import check
 from rackpost.routing import model
 from rackpost import types
@@ -38,6 +39,7 @@
     priority: int = 5
     max_attempts: int = 1
     resumable: bool = False
+    public: bool = False
     service: str | None = None
     traffic_split: list[_Target] | None = None
 
@@ -64,15 +66,32 @@
     idle_timeout_ms: float = 15000.0
 
 
+class _Organisation(msgspec.Struct, kw_only=True, rename="camel"):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: int = 1
+    # A second; 0 is no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Document(msgspec.Struct, kw_only=True):
     version: int
     routes: list[msgspec.Raw]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    organisations: list[msgspec.Raw] | None = msgspec.field(
+        default=None, name="tenants"
+    )
 
 
 _DECODER = msgspec.json.Decoder(_Document)
 _ROUTE_DECODER = msgspec.json.Decoder(_Route)
+_ORGANISATION_DECODER = msgspec.json.Decoder(_Organisation)
+# Quotas in this unit count a request by its tokens, others count requests.
+_TOKENS_UNIT = "token_stream"
 
 
 class Reader:
@@ -80,17 +99,23 @@
 
     A route that is written as in the last document is that document's own,
     so that reading costs what has changed: 2 ms of a whole core in place of
-    12 for 4,200 routes, besides the check of the whole.
+    12 for 4,200 routes, besides the check of the whole.  So is an
+    organisation.
     """
 
     def __init__(self) -> None:
         self._known: dict[bytes, model.Route] = {}
+        self._organisations: dict[bytes, model.Organisation] = {}
 
     def decode(self, text: bytes) -> model.Document:
         """A checked document; RoutingError says what is wrong with it."""
         try:
             wire = _DECODER.decode(text)
             routes = [self._decode_route(bytes(raw)) for raw in wire.routes]
+            callers = wire.organisations or []
+            organisations = [
+                self._decode_organisation(bytes(raw)) for raw in callers
+            ]
         except (msgspec.DecodeError, msgspec.ValidationError) as exc:
             raise exceptions.RoutingError(f"not a document: {exc}") from exc
         doc = model.Document(
@@ -103,9 +128,12 @@
                 header_s=wire.limits.header_timeout_ms / _MS,
                 idle_s=wire.limits.idle_timeout_ms / _MS,
             ),
+            keys_required=wire.organisations is not None,
+            organisations=tuple(organisations),
         )
         check.check(doc)
         self._known = dict(zip(map(bytes, wire.routes), routes))
+        self._organisations = dict(zip(map(bytes, callers), organisations))
         return doc
 
     def _decode_route(self, raw: bytes) -> model.Route:
@@ -114,6 +142,12 @@
             return known
         return _route(_ROUTE_DECODER.decode(raw))
 
+    def _decode_organisation(self, raw: bytes) -> model.Organisation:
+        known = self._organisations.get(raw)
+        if known is not None:
+            return known
+        return _organisation(_ORGANISATION_DECODER.decode(raw))
+
 
 def decode(text: bytes) -> model.Document:
     """A checked document; RoutingError says what is wrong with it."""
@@ -133,6 +167,7 @@
         priority=wire.priority,
         max_attempts=max(1, wire.max_attempts),
         resumable=wire.resumable,
+        public=wire.public,
         targets=_targets(wire),
     )
 
@@ -175,3 +210,25 @@
         max_connections=wire.max_connections,
         engine=engine,
     )
+
+
+def _organisation(wire: _Organisation) -> model.Organisation:
+    # What a key is must not stand in an error, so that the digest of an
+    # empty one is left to be refused by the check of the whole.
+    return model.Organisation(
+        name=types.OrganisationName(wire.name),
+        keys=tuple(keys_mod.digest(key.encode()) for key in wire.api_keys),
+        priority=wire.priority,
+        quota=_quota(wire),
+    )
+
+
+def _quota(wire: _Organisation) -> model.Quota | None:
+    if wire.rate_per_s == 0.0:
+        return None
+    return model.Quota(
+        rate_per_s=wire.rate_per_s,
+        burst=wire.burst,
+        by_tokens=wire.unit == _TOKENS_UNIT,
+        plain_units=wire.plain_tokens,
+    )
--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -7,6 +7,8 @@
 from typing import Sequence
 
 from rackpost.http1 import message
+from rackpost.platform import keys
+from rackpost import types
 
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -17,6 +19,10 @@
 KV_SOURCE = b"x-kv-source"
 PRIORITY = b"x-request-priority"
 RESUME_AFTER = b"last-event-id"
+# Whose request it is, where callers have keys.
+ORGANISATION = b"x-tenant-id"
+_KEY = b"authorization"
+_KEY_SCHEME = b"bearer"
 SIGNATURE = b"x-response-seal"
 NOT_RUN = b"x-not-executed"
 _TOKENS = b"x-token-usage"
@@ -44,6 +50,11 @@
     )
 )
 
+# Where callers have keys: the key itself, and whose it is.
+OF_CALLERS = frozenset((_KEY, ORGANISATION))
+# Asks a client that has shown no key, or an unknown one, for one.
+ASK_FOR_KEY = (b"www-authenticate", b"Bearer")
+
 
 class Tokens(NamedTuple):
     """Sizes of a request: its prompt, and its answer as far as told."""
@@ -76,3 +87,14 @@
     """Id of the prompt's last part, which is the request's own; or b""."""
     parts = message.find(headers, _PROMPT_PARTS) or b""
     return parts.rpartition(b",")[2].partition(b":")[0].strip()
+
+
+def key_digest(headers: Sequence[message.Header]) -> types.KeyDigest | None:
+    """What the one key that a request shows is known by; None without."""
+    shown = [value for name, value in headers if name == _KEY]
+    if len(shown) != 1:
+        return None
+    scheme, _, key = shown[0].strip().partition(b" ")
+    if scheme.lower() != _KEY_SCHEME:
+        return None
+    return keys.digest(key.strip()) or None
--- a/rackpost/routing/changes.py
+++ b/rackpost/routing/changes.py
@@ -4,14 +4,17 @@
 documents only where they have none or one that nobody remembers.
 """
 
+from typing import Hashable
 from typing import Iterable
 from typing import Sequence
+from typing import TypeVar
 import zlib
 
 import msgspec
 
 from rackpost import exceptions
 from rackpost.routing import model
+from rackpost import types
 
 # Documents compress to a tenth; the fastest level takes 4 ms of one core
 # for 4,200 routes.
@@ -20,11 +23,14 @@
 # bytes: some hundred thousand routes.
 _MAX_UNPACKED = 64 << 20
 
+_Key = TypeVar("_Key", bound=Hashable)
+_Item = TypeVar("_Item")
+
 
 class Change(msgspec.Struct, frozen=True, kw_only=True):
     """From the version `base` to `version`; a base of 0 is no document.
 
-    `routes` is how many routes the document has afterwards.
+    `routes` and `organisations` are how many the document has afterwards.
     """
 
     base: int
@@ -34,11 +40,17 @@
     services: tuple[model.Service, ...]
     limits: model.Limits
     routes: int
+    keys_required: bool = False
+    put_organisations: tuple[model.Organisation, ...] = ()
+    removed_organisations: tuple[types.OrganisationName, ...] = ()
+    organisations: int = 0
 
     @property
     def size(self) -> int:
-        """How many routes it names."""
-        return len(self.put) + len(self.removed)
+        """How many routes and organisations it names."""
+        routes = len(self.put) + len(self.removed)
+        put = len(self.put_organisations)
+        return routes + put + len(self.removed_organisations)
 
 
 def _by_key(
@@ -47,6 +59,12 @@
     return {route.key: route for route in routes}
 
 
+def _by_name(
+    organisations: Iterable[model.Organisation],
+) -> dict[types.OrganisationName, model.Organisation]:
+    return {item.name: item for item in organisations}
+
+
 def whole(doc: model.Document) -> Change:
     """From no document to this one."""
     return Change(
@@ -57,6 +75,9 @@
         services=doc.services,
         limits=doc.limits,
         routes=len(doc.routes),
+        keys_required=doc.keys_required,
+        put_organisations=doc.organisations,
+        organisations=len(doc.organisations),
     )
 
 
@@ -68,6 +89,8 @@
     before = _by_key(r for r in old.routes if id(r) not in kept)
     after = _by_key(r for r in new.routes if id(r) not in kept)
     put = tuple(r for key, r in after.items() if before.get(key) != r)
+    had = _by_name(old.organisations)
+    has = _by_name(new.organisations)
     return Change(
         base=old.version,
         version=new.version,
@@ -76,6 +99,12 @@
         services=new.services,
         limits=new.limits,
         routes=len(new.routes),
+        keys_required=new.keys_required,
+        put_organisations=tuple(
+            item for name, item in has.items() if had.get(name) != item
+        ),
+        removed_organisations=tuple(sorted(set(had).difference(has))),
+        organisations=len(has),
     )
 
 
@@ -83,12 +112,16 @@
     """One change in place of several, each of which follows the last."""
     put: dict[model.RouteKey, model.Route] = {}
     removed: set[model.RouteKey] = set()
+    put_organisations: dict[types.OrganisationName, model.Organisation] = {}
+    removed_organisations: set[types.OrganisationName] = set()
     for step in steps:
-        for key in step.removed:
-            put.pop(key, None)
-            removed.add(key)
-        put.update(_by_key(step.put))
-        removed.difference_update(route.key for route in step.put)
+        _join(put, removed, _by_key(step.put), step.removed)
+        _join(
+            put_organisations,
+            removed_organisations,
+            _by_name(step.put_organisations),
+            step.removed_organisations,
+        )
     last = steps[-1]
     return Change(
         base=steps[0].base,
@@ -98,9 +131,27 @@
         services=last.services,
         limits=last.limits,
         routes=last.routes,
+        keys_required=last.keys_required,
+        put_organisations=tuple(put_organisations.values()),
+        removed_organisations=tuple(sorted(removed_organisations)),
+        organisations=last.organisations,
     )
 
 
+def _join(
+    put: dict[_Key, _Item],
+    removed: set[_Key],
+    step_put: dict[_Key, _Item],
+    step_removed: Iterable[_Key],
+) -> None:
+    """Add a step's items to what is put and removed by those before it."""
+    for key in step_removed:
+        put.pop(key, None)
+        removed.add(key)
+    put.update(step_put)
+    removed.difference_update(step_put)
+
+
 _DECODER = msgspec.msgpack.Decoder(Change)
 
 
--- a/rackpost/routing/check.py
+++ b/rackpost/routing/check.py
@@ -1,7 +1,10 @@
 """Checks of a routing document before it is accepted.  Pure."""
 
+import math
+
 from rackpost import exceptions
 from rackpost.routing import model
+from rackpost import types
 
 
 def check(doc: model.Document) -> None:
@@ -18,6 +21,7 @@
             )
         keys.add(key)
         _check_route(route, known)
+    _check_organisations(doc)
 
 
 def _check_route(route: model.Route, known: set) -> None:
@@ -44,3 +48,37 @@
         raise exceptions.RoutingError(
             f"route {route.name}: the weights add up to 0"
         )
+
+
+def _check_organisations(doc: model.Document) -> None:
+    """Each name and each key belongs to one organisation."""
+    names = {item.name for item in doc.organisations}
+    if len(names) != len(doc.organisations):
+        raise exceptions.RoutingError("two organisations have the same name")
+    holders: dict[types.KeyDigest, types.OrganisationName] = {}
+    for item in doc.organisations:
+        for key in item.keys:
+            if not key:
+                raise exceptions.RoutingError(
+                    f"organisation {item.name}: a key is empty"
+                )
+            if key in holders:
+                raise exceptions.RoutingError(
+                    f"organisations {holders[key]} and {item.name}: "
+                    "a key stands twice"
+                )
+            holders[key] = item.name
+        _check_quota(item)
+
+
+def _check_quota(item: model.Organisation) -> None:
+    if not item.name:
+        raise exceptions.RoutingError("an organisation has no name")
+    quota = item.quota
+    if quota is None:
+        return
+    figures = (quota.rate_per_s, quota.burst, quota.plain_units)
+    if not all(math.isfinite(figure) and figure >= 0 for figure in figures):
+        raise exceptions.RoutingError(
+            f"organisation {item.name}: a limit is not a number from 0 on"
+        )
--- a/rackpost/routing/match.py
+++ b/rackpost/routing/match.py
@@ -6,6 +6,7 @@
 from rackpost import exceptions
 from rackpost.routing import changes
 from rackpost.routing import model
+from rackpost.routing import organisations
 from rackpost import types
 
 
@@ -63,6 +64,7 @@
         self.version = 0
         self.services: dict[types.ServiceName, model.Service] = {}
         self.limits = model.Limits()
+        self.organisations = organisations.OrganisationTable(organisations={})
         self._by_host: dict[str, _HostRoutes] = collections.defaultdict(
             _HostRoutes
         )
@@ -78,15 +80,17 @@
         Raises RoutingError, and changes nothing, where the change is not
         one of the version held, or does not make the routes it should.
         """
-        if change.base == 0:
-            self._replace(change)
-        elif change.base == self.version:
-            self._alter(change)
-        else:
+        if change.base not in (0, self.version):
             raise exceptions.RoutingError(
                 f"a change of version {change.base} does not fit "
                 f"{self.version}"
             )
+        callers = self.organisations.after(change)
+        if change.base == 0:
+            self._replace(change)
+        else:
+            self._alter(change)
+        self.organisations = callers
         self.services = {item.name: item for item in change.services}
         self.limits = change.limits
         self.version = change.version
--- a/rackpost/routing/model.py
+++ b/rackpost/routing/model.py
@@ -47,6 +47,7 @@
         priority: 0 goes first.
         max_attempts: endpoints that one request may be sent to.
         resumable: a broken stream may go on at another endpoint.
+        public: whoever has no key is served as well.
     """
 
     name: str
@@ -61,6 +62,7 @@
     priority: int = 5
     max_attempts: int = 1
     resumable: bool = False
+    public: bool = False
 
     @property
     def key(self) -> RouteKey:
@@ -108,10 +110,45 @@
     idle_s: float = 15.0
 
 
+class Quota(msgspec.Struct, frozen=True, kw_only=True):
+    """How much an organisation may ask for, over all gateways together.
+
+    Attributes:
+        rate_per_s: units a second, above 0.
+        burst: units on top of that.
+        by_tokens: a request counts its prompt and the most that it may
+            answer; otherwise, and where it names no sizes, `plain_units`.
+    """
+
+    rate_per_s: float
+    burst: float = 0.0
+    by_tokens: bool = False
+    plain_units: int = 1
+
+
+class Organisation(msgspec.Struct, frozen=True, kw_only=True):
+    """Who callers belong to, by the digests of its keys.
+
+    Attributes:
+        priority: goes before that of a route; None leaves it to the route.
+        quota: None is no limit.
+    """
+
+    name: types.OrganisationName
+    keys: tuple[types.KeyDigest, ...]
+    priority: int | None = None
+    quota: Quota | None = None
+
+
 class Document(msgspec.Struct, frozen=True, kw_only=True):
-    """One version of all routes."""
+    """One version of all routes, and of who may use them.
+
+    Without `keys_required` anybody may, and there are no organisations.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits
+    keys_required: bool = False
+    organisations: tuple[Organisation, ...] = ()
--- /dev/null
+++ b/tests/test_gateway_keys.py
@@ -0,0 +1,165 @@
+"""A gateway and its callers' keys: who is served, and what is passed on."""
+
+import asyncio
+import pathlib
+
+from rackpost.http1 import message
+from rackpost.http1 import server
+from tests import platform_site
+from tests import test_gateway
+from tests import test_keys
+
+_PUBLIC = "/public/x"
+
+
+def document(version: int, *held: dict) -> dict:
+    """The usual document with organisations and a public route."""
+    doc = platform_site.document(version)
+    public = dict(
+        doc["routes"][0], name="public", pathPrefix="/public/", public=True
+    )
+    doc["routes"].append(public)
+    doc["tenants"] = list(held)
+    return doc
+
+
+async def set_document(site: platform_site.Site, doc: dict) -> None:
+    await site.operator.put_until_taken(11, doc)
+    version = doc["version"]
+    await platform_site.until(lambda: site.gateway.site.version == version)
+
+
+def key(value: str) -> str:
+    return f"Authorization: Bearer {value}\r\n"
+
+
+def seen(site: platform_site.Site) -> list[message.Request]:
+    return [req for one in site.endpoints for req in one.seen]
+
+
+def test_only_known_keys_are_served_but_on_public_routes(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            doc = document(2, test_keys.organisation("nord", "k1", "k2"))
+            await set_document(site, doc)
+            for path, more, wanted in (
+                ("/safe/x", "", 401),
+                ("/safe/x", key("k3"), 401),
+                ("/safe/x", key("k1") + key("k2"), 401),
+                ("/nowhere/x", "", 404),
+            ):
+                got = await site.raw(test_gateway.request(path, more=more))
+                assert test_gateway.status(got) == wanted
+            assert not seen(site)
+            for path, more in (
+                ("/safe/x", key("k1")),
+                ("/gen/x", key("k2")),
+                (_PUBLIC, ""),
+                (_PUBLIC, key("k3")),
+            ):
+                got = await site.raw(test_gateway.request(path, more=more))
+                assert test_gateway.status(got) == 200
+
+    asyncio.run(main())
+
+
+def test_endpoints_are_told_whose_it_is_and_never_the_key(
+    tmp_path: pathlib.Path,
+) -> None:
+    """In plain requests, first readings and decodes, whoever says what."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            doc = document(2, test_keys.organisation("nord", "k1", priority=4))
+            await set_document(site, doc)
+            more = key("k1") + "X-Tenant-Id: other\r\n"
+            await site.raw(test_gateway.request("/safe/x", more=more))
+            await site.raw(test_gateway.generation(more=more))
+            assert len(seen(site)) == 3
+            for req in seen(site):
+                names = [item for item, _ in req.headers]
+                assert b"authorization" not in names
+                assert names.count(b"x-tenant-id") == 1
+                assert message.find(req.headers, b"x-tenant-id") == b"nord"
+                rank = message.find(req.headers, b"x-request-priority")
+                assert rank == b"4"
+            for one in site.endpoints:
+                one.seen.clear()
+            more = key("k3") + "X-Tenant-Id: other\r\n"
+            await site.raw(test_gateway.request(_PUBLIC, more=more))
+            (req,) = seen(site)
+            assert message.find(req.headers, b"x-tenant-id") is None
+            assert message.find(req.headers, b"authorization") is None
+
+    asyncio.run(main())
+
+
+def test_a_key_that_was_revoked_is_refused_on_an_open_connection(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            held = test_keys.organisation("nord", "k1", "k2")
+            await set_document(site, document(2, held))
+            reader, writer = await asyncio.open_connection(
+                *site.plan.front(31)
+            )
+            data = test_gateway.request("/safe/x", more=key("k1"))
+            data = data.replace(b"Connection: close\r\n", b"")
+            writer.write(data)
+            assert b" 200 " in await reader.readuntil(b"\r\n")
+            held = test_keys.organisation("nord", "k2")
+            await set_document(site, document(3, held))
+            await reader.readuntil(b"from ")
+            writer.write(data)
+            assert b" 401 " in await reader.readuntil(b"\r\n")
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_request_whose_key_is_revoked_is_not_tried_again(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Its first attempt was not run; the second would be on no key."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            held = test_keys.organisation("nord", "k1")
+            await set_document(site, document(2, held))
+            arrived = asyncio.Event()
+            go_on = asyncio.Event()
+
+            async def held_up(
+                req: message.Request, responder: server.Responder
+            ) -> None:
+                arrived.set()
+                await go_on.wait()
+                await test_gateway.shed(req, responder)
+
+            test_gateway.all_answer(site, held_up)
+            data = test_gateway.request("/unsafe/x", more=key("k1"))
+            asked = asyncio.create_task(site.raw(data))
+            await arrived.wait()
+            await set_document(site, document(3))
+            go_on.set()
+            assert test_gateway.status(await asked) == 401
+            assert len(seen(site)) == 1
+
+    asyncio.run(main())
+
+
+def test_without_organisations_headers_pass_as_before(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            more = key("k1") + "X-Tenant-Id: other\r\n"
+            await site.raw(test_gateway.request("/safe/x", more=more))
+            (req,) = seen(site)
+            assert message.find(req.headers, b"x-tenant-id") == b"other"
+            assert message.find(req.headers, b"authorization") == b"Bearer k1"
+
+    asyncio.run(main())
