Endpoints may start again under their id; what is no heartbeat names none

Cause: an endpoint reborn under its id tells its start in `born`, its sequence begins anew. It was dropped as late, one that had ended never returned, and what its earlier life held was still used. Heartbeats by other writers were filled with defaults (one slot, no data centre), unknown states drained, and one that named an address in use drove its endpoint out. Change: id and start together are one life; the later one holds in tables, ends, results of first readings, streams that go on where they broke, health and changes of role. A heartbeat that lacks a field or holds another type, an unknown state, role or service, or an address that is none is refused, with one log line in ten seconds a sender.

--- a/rackpost/coordinator/api.py
+++ b/rackpost/coordinator/api.py
@@ -24,6 +24,10 @@
 # A document of many routes may take longer; callers grant it.
 _LONG_BODY = 64 << 10
 _LONG_ANSWER_S = 3.0
+# The same sender's heartbeat is logged as refused once in this, in seconds.
+_REFUSAL_S = 10.0
+# Bytes of an unknown sender's name that are logged.
+_MAX_NAME = 64
 
 
 class Api:
@@ -37,7 +41,12 @@
         metrics: metrics_mod.Metrics,
         spread: Callable[[endpoints.Endpoint], None],
         reader: documents.Reader,
+        services: Callable[[], frozenset[types.ServiceName]],
     ) -> None:
+        """`services` are those of the document in force, if there is one."""
+        self._loop = asyncio.get_running_loop()
+        self._services = services
+        self._refusals = logs.Pauses(pause_s=_REFUSAL_S)
         self._node = node
         self._directory = directory
         self._metrics = metrics
@@ -62,30 +71,51 @@
         if name is None:
             _say(responder, 404, "no such path")
         elif req.method == b"PUT":
-            self._heartbeat(name, req, responder)
+            self._hear(name, heartbeats.decode, req, responder)
         elif req.method == b"DELETE":
-            self._take(heartbeats.gone(name))
-            _say(responder, 200)
+            self._hear(name, heartbeats.gone, req, responder)
         else:
             _say(responder, 405, "PUT or DELETE only")
 
-    def _heartbeat(
-        self, name: str, req: message.Request, responder: server.Responder
+    def _hear(
+        self,
+        name: str,
+        decode: Callable[[str, bytes], endpoints.Endpoint],
+        req: message.Request,
+        responder: server.Responder,
     ) -> None:
+        """An endpoint says that it lives, or that it ends."""
         try:
-            item = heartbeats.decode(name, req.body)
+            item = decode(name, req.body)
+            self._check_service(item)
         except exceptions.CodecError as exc:
-            logs.say(
-                logs.Part.COORDINATOR,
-                "Heartbeat refused.",
-                endpoint=name,
-                why=str(exc),
-            )
+            self._note_refused(name, str(exc))
             _say(responder, 400, str(exc))
             return
         self._take(item)
         _say(responder, 200)
 
+    def _check_service(self, item: endpoints.Endpoint) -> None:
+        """Raise CodecError where the document has no such service.
+
+        It would take the address of an endpoint that serves.
+        """
+        if item.state is endpoints.EndpointState.GONE:
+            return
+        known = self._services()
+        if known and item.service not in known:
+            raise exceptions.CodecError("heartbeat: a service not known")
+
+    def _note_refused(self, name: str, why: str) -> None:
+        """Log it; whoever sends one sends it again every second."""
+        if self._refusals.is_due(name, self._loop.time()):
+            logs.say(
+                logs.Part.COORDINATOR,
+                "Heartbeat refused.",
+                endpoint=name[:_MAX_NAME],
+                why=why,
+            )
+
     def _take(self, item: endpoints.Endpoint) -> None:
         if self._directory.take(item):
             self._spread(item)
--- a/rackpost/coordinator/directory.py
+++ b/rackpost/coordinator/directory.py
@@ -43,6 +43,7 @@
                 role=item.role.value,
                 address=item.address,
                 sequence=item.sequence,
+                born=item.born,
             )
             self.tell_gateways(news(item))
         return changed
@@ -83,7 +84,7 @@
 def news(item: endpoints.Endpoint) -> messages.Endpoints:
     """The message that tells of one endpoint."""
     if item.state is endpoints.EndpointState.GONE:
-        return messages.Endpoints(ended=(item.id,))
+        return messages.Endpoints(ended=(item.incarnation,))
     return messages.Endpoints(alive=(item,))
 
 
@@ -93,7 +94,9 @@
     """Put told news into a table; those that changed it."""
     told = list(msg.alive)
     told += [
-        endpoints.Endpoint(id=key, state=endpoints.EndpointState.GONE)
-        for key in msg.ended
+        endpoints.Endpoint(
+            id=life.id, born=life.born, state=endpoints.EndpointState.GONE
+        )
+        for life in msg.ended
     ]
     return [item for item in told if table.take(item, now)]
--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -57,10 +57,10 @@
 
 
 class Endpoints(_Message, frozen=True, tag="endpoints"):
-    """News of endpoints, and incarnations that have ended."""
+    """News of endpoints, and lives of endpoints that have ended."""
 
     alive: tuple[endpoints.Endpoint, ...] = ()
-    ended: tuple[types.EndpointId, ...] = ()
+    ended: tuple[endpoints.Incarnation, ...] = ()
 
 
 class Heard(_Message, frozen=True, tag="heard-endpoints"):
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -271,6 +271,7 @@
             metrics=self.metrics,
             spread=self._spread,
             reader=self._reader,
+            services=lambda: self.feed.services,
         )
         http = server.Server(
             handler=calls.handle,
--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -47,7 +47,7 @@
     """A change of role that is under way; it has failed after `until`."""
 
     service: types.ServiceName
-    endpoint: types.EndpointId
+    endpoint: endpoints.Endpoint
     role: types.Role
     until: float
 
@@ -220,16 +220,19 @@
         )
 
     def _end_change(self, change: _Change, now: float) -> None:
-        known = self._directory.table.alive.get(change.endpoint)
+        table = self._directory.table
+        known = table.alive.get(change.endpoint.id)
         if known is None:
             done = "endpoint is gone"
+        elif table.is_reborn(change.endpoint):
+            done = "endpoint has started again"
         elif known.role is change.role:
             done = "done"
         elif now >= change.until:
             done = "not done in time"
         else:
             return
-        del self._changes[change.endpoint]
+        del self._changes[change.endpoint.id]
         if not any(
             item.service == change.service for item in self._changes.values()
         ):
@@ -238,7 +241,7 @@
         logs.say(
             logs.Part.COORDINATOR,
             "Change of role has ended.",
-            endpoint=change.endpoint,
+            endpoint=change.endpoint.id,
             outcome=done,
         )
 
@@ -274,12 +277,12 @@
             prefill_demand=round(demand.prefill, 2),
             decode_demand=round(demand.decode, 2),
         )
-        self._note(service, endpoint.id, role, given)
+        self._note(service, endpoint, role, given)
 
     def _note(
         self,
         service: types.ServiceName,
-        endpoint: types.EndpointId,
+        endpoint: endpoints.Endpoint,
         role: types.Role,
         given: role_orders.Given,
     ) -> None:
@@ -293,7 +296,7 @@
             wait_s = _CHANGE_S
             if given is role_orders.Given.UNKNOWN:
                 wait_s = _UNANSWERED_S
-            self._changes[endpoint] = _Change(
+            self._changes[endpoint.id] = _Change(
                 service=service,
                 endpoint=endpoint,
                 role=role,
--- a/rackpost/coordinator/routing_feed.py
+++ b/rackpost/coordinator/routing_feed.py
@@ -12,6 +12,7 @@
 from rackpost.coordinator import messages
 from rackpost.routing import changes
 from rackpost.routing import model
+from rackpost import types
 
 # Bytes of one part: 26 ms of a gateway's link of 5 Mbit/s, for which
 # keepalives and requests wait behind it.
@@ -53,6 +54,13 @@
         """Version of the newest document, 0 if there is none."""
         return 0 if self._doc is None else self._doc.version
 
+    @property
+    def services(self) -> frozenset[types.ServiceName]:
+        """The services of the newest document; none without one."""
+        if self._doc is None:
+            return frozenset()
+        return frozenset(item.name for item in self._doc.services)
+
     def put(self, doc: model.Document) -> None:
         """A newer document is in force."""
         if self._doc is not None:
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -111,13 +111,17 @@
         ]
         return heard or well or ([] if well_only else found)
 
-    def still_takes(self, endpoint: types.EndpointId) -> bool:
-        """Whether an endpoint that had a request may be sent it again."""
-        item = self._table.alive.get(endpoint)
+    def still_takes(self, endpoint: endpoints.Endpoint) -> bool:
+        """Whether an endpoint that had a request may be sent it again.
+
+        Not one that has started again since: it holds nothing of it.
+        """
+        item = self._table.alive.get(endpoint.id)
         ready = (
             item is not None and item.state is endpoints.EndpointState.READY
         )
-        return ready and endpoint not in self._changing
+        same = self._table.is_current(endpoint)
+        return ready and same and endpoint.id not in self._changing
 
     def plain(
         self,
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -127,9 +127,15 @@
         conn: websocket.WebSocketChannel,
         msg: messages.Endpoints,
     ) -> None:
-        changed = directory.take_news(self._site.table, msg, self._loop.time())
+        table = self._site.table
+        before = {item.id: table.alive.get(item.id) for item in msg.alive}
+        changed = directory.take_news(table, msg, self._loop.time())
         for item in changed:
-            if item.state is endpoints.EndpointState.GONE:
+            old = before.get(item.id)
+            if item.state is endpoints.EndpointState.GONE or (
+                old is not None and table.is_reborn(old)
+            ):
+                # What it was like before says nothing of its next life.
                 self._site.health.forget(item.id)
             logs.say(
                 logs.Part.GATEWAY,
@@ -138,6 +144,7 @@
                 state=item.state.value,
                 role=item.role.value,
                 sequence=item.sequence,
+                born=item.born,
                 told_by=host,
             )
         if changed:
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -35,27 +35,32 @@
         self._call = call
         # Calls to read the prompt that an endpoint has, or may have, taken.
         self.arrivals = 0
-        self._address = ""
+        self._reader: endpoints.Endpoint | None = None
         self._read_at = 0.0
         self._result: wire.PrefillResult | None = None
 
-    def put(self, address: str, result: wire.PrefillResult) -> None:
+    def put(
+        self, reader: endpoints.Endpoint, result: wire.PrefillResult
+    ) -> None:
         """A prefill endpoint has read the prompt."""
-        self._address = address
+        self._reader = reader
         self._read_at = self._call.site.loop_time()
         self._result = result
 
     def is_fresh(self, engine: model.Engine) -> bool:
         """Whether the KV cache is there, and will be for a while."""
+        if self._reader is None or self._result is None:
+            return False
         age = self._call.site.loop_time() - self._read_at
         fresh = age < _FRESH_SHARE * engine.handle_ttl_s
-        return self._result is not None and fresh
+        # A reader that has started again since holds nothing of it.
+        return fresh and not self._call.site.table.is_reborn(self._reader)
 
     def headers(self) -> list[message.Header]:
         """What tells a decode endpoint where the KV cache is."""
-        if self._result is None:
+        if self._reader is None or self._result is None:
             return []
-        place = wire.source(self._address, self._result)
+        place = wire.source(self._reader.address, self._result)
         return [(headers.KV_SOURCE, place)]
 
     def taken(self) -> None:
@@ -64,9 +69,9 @@
 
     def release(self) -> None:
         """Free the KV cache, which no decode endpoint has taken."""
-        if self._result is not None:
+        if self._reader is not None and self._result is not None:
             self._call.site.spawn(
-                _delete(self._call, self._address, self._result)
+                _delete(self._call, self._reader.address, self._result)
             )
             self._result = None
 
@@ -185,7 +190,7 @@
     took = site.loop_time() - began
     site.pace.took(ahead + prompt, took)
     site.health.answered(endpoint.id, took)
-    read.put(endpoint.address, result)
+    read.put(endpoint, result)
     if call.sampled:
         call.log(
             "Prefilled.",
--- a/rackpost/gateway/room.py
+++ b/rackpost/gateway/room.py
@@ -140,7 +140,7 @@
         Nobody takes it in between, and where the endpoint has kept the KV
         cache there is nothing to read, so that no turn is needed.
         """
-        if not self._chooser.still_takes(endpoint.id):
+        if not self._chooser.still_takes(endpoint):
             return None
         return place_mod.Place(
             endpoint=endpoint,
--- a/rackpost/logs.py
+++ b/rackpost/logs.py
@@ -86,6 +86,31 @@
             self._rest = self._rest[done:]
 
 
+class Pauses:
+    """Lets a line on the same subject pass once in a while.
+
+    Whatever a peer sends again and again would else fill the log; at most
+    so many subjects are remembered, and of more than these none is logged.
+    """
+
+    def __init__(self, *, pause_s: float, most: int = 256) -> None:
+        """`pause_s` is how long one subject rests, in seconds."""
+        self._pause_s = pause_s
+        self._most = most
+        self._until: dict[str, float] = {}
+
+    def is_due(self, subject: str, now: float) -> bool:
+        """Whether a line on a subject may be logged now."""
+        for known, until in list(self._until.items()):
+            if until > now:
+                break
+            del self._until[known]
+        if subject in self._until or len(self._until) >= self._most:
+            return False
+        self._until[subject] = now + self._pause_s
+        return True
+
+
 def to_stream(stream: TextIO | None = None) -> None:
     """Write logs as lines of JSON, to standard error by default."""
     eliot.to_file(stream or sys.stderr)
--- a/rackpost/platform/stages.py
+++ b/rackpost/platform/stages.py
@@ -11,6 +11,11 @@
     return _ROLES.get(name, types.Role.PLAIN)
 
 
+def is_known(name: str) -> bool:
+    """Whether a stage is one of the platform's; plain endpoints have none."""
+    return not name or name in _ROLES
+
+
 def name_of(role: types.Role) -> str:
     """The stage of a role that has one: prefill or decode."""
     return _NAMES[role]
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -2,13 +2,14 @@
 
 import enum
 from typing import Iterable
+from typing import NamedTuple
 
 import msgspec
 
 from rackpost import types
 
 # Ended incarnations are remembered so that a late heartbeat does not
-# bring them back; an id is never used twice.
+# bring them back.
 _MAX_ENDED = 4096
 
 
@@ -27,11 +28,22 @@
 }
 
 
+class Incarnation(NamedTuple):
+    """One life of an endpoint, which may start again under its id.
+
+    `born` is its start in milliseconds, of which the later one holds; 0
+    where the endpoint does not tell it, and then its id is used once.
+    """
+
+    id: types.EndpointId
+    born: int = 0
+
+
 class Endpoint(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """One incarnation of an endpoint, as its latest heartbeat tells it.
 
     Attributes:
-        sequence: number of the heartbeat, to tell late ones.
+        sequence: number of the heartbeat within one life, to tell late ones.
         cold_s: how much longer it is slow from its start, in seconds.
     """
 
@@ -44,6 +56,12 @@
     state: EndpointState = EndpointState.READY
     sequence: int = 0
     cold_s: float = 0.0
+    born: int = 0
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Which life of the endpoint this is."""
+        return Incarnation(self.id, self.born)
 
 
 class EndpointTable:
@@ -52,53 +70,77 @@
     def __init__(self) -> None:
         self.alive: dict[types.EndpointId, Endpoint] = {}
         self.heard_at: dict[types.EndpointId, float] = {}
-        self._ended: dict[types.EndpointId, None] = {}
-        # Last heartbeat of those that something else has shown to be gone;
-        # a later heartbeat brings them back.
-        self._dropped: dict[types.EndpointId, int] = {}
+        # The life that has ended, of each endpoint.
+        self._ended: dict[types.EndpointId, int] = {}
+        # Last word of those that something else has shown to be gone; a
+        # later heartbeat brings them back.
+        self._dropped: dict[types.EndpointId, Endpoint] = {}
 
     def take(self, new: Endpoint, now: float) -> bool:
         """Take news of an endpoint; whether anything but its age changed.
 
-        News older than what is known is dropped, and an ended incarnation
-        stays ended.
+        News older than what is known is dropped, and an ended life stays
+        ended.  A later life knows nothing of the one before.
         """
-        if new.id in self._ended:
+        if self._has_ended(new):
             return False
         if new.state is EndpointState.GONE:
-            self._end(new.id)
-            return True
+            return self._end(new)
         old = self.alive.get(new.id)
         if old is None:
             return self._add(new, now)
-        if new.sequence <= old.sequence:
-            return False
-        if _ORDER[new.state] < _ORDER[old.state]:
+        if not _is_newer(old, new):
             return False
+        if old.address != new.address:
+            self._drop_others_at(new)
         self.alive[new.id] = new
         self.heard_at[new.id] = now
         return _differs(old, new)
 
+    def _has_ended(self, new: Endpoint) -> bool:
+        ended = self._ended.get(new.id)
+        return ended is not None and not _is_later(ended, new.born)
+
     def _add(self, new: Endpoint, now: float) -> bool:
-        if new.sequence <= self._dropped.get(new.id, -1):
+        dropped = self._dropped.get(new.id)
+        if dropped is not None and not _is_newer(dropped, new):
             return False
         self._dropped.pop(new.id, None)
-        # An address has one endpoint at a time: whoever was there before
-        # has ended without a word.
-        for other in list(self.alive.values()):
-            if other.address == new.address:
-                self.drop(other.id)
+        self._ended.pop(new.id, None)
+        self._drop_others_at(new)
         self.alive[new.id] = new
         self.heard_at[new.id] = now
         return True
 
+    def _drop_others_at(self, new: Endpoint) -> None:
+        """An address has one endpoint: who was there ended without a word."""
+        for other in list(self.alive.values()):
+            if other.address == new.address and other.id != new.id:
+                self.drop(other.id)
+
+    def is_current(self, endpoint: Endpoint) -> bool:
+        """Whether it is in the life in which it was chosen.
+
+        One that started again holds nothing of what it was sent before.
+        """
+        known = self.alive.get(endpoint.id)
+        return known is not None and known.born == endpoint.born
+
+    def is_reborn(self, endpoint: Endpoint) -> bool:
+        """Whether it has started again since it was chosen.
+
+        One that is only silent, or has said that it leaves, has not.
+        """
+        known = self.alive.get(endpoint.id)
+        return known is not None and _is_later(endpoint.born, known.born)
+
     def drop(self, key: types.EndpointId) -> bool:
         """Take an endpoint as gone until it is heard of again."""
         old = self.alive.pop(key, None)
         self.heard_at.pop(key, None)
         if old is None:
             return False
-        self._dropped[key] = old.sequence
+        self._dropped[key] = old
         while len(self._dropped) > _MAX_ENDED:
             del self._dropped[next(iter(self._dropped))]
         return True
@@ -127,24 +169,51 @@
             del self.heard_at[item.id]
         return silent
 
-    def ended(self) -> list[types.EndpointId]:
-        """Incarnations that have ended, as far as they are remembered."""
-        return list(self._ended)
+    def ended(self) -> list[Incarnation]:
+        """Lives that have ended, as far as they are remembered."""
+        return [Incarnation(key, born) for key, born in self._ended.items()]
 
-    def _end(self, key: types.EndpointId) -> None:
-        self.alive.pop(key, None)
-        self.heard_at.pop(key, None)
-        self._dropped.pop(key, None)
-        self._ended[key] = None
+    def _end(self, gone: Endpoint) -> bool:
+        """A life has ended; whether that is news."""
+        old = self.alive.get(gone.id)
+        if old is not None and _is_later(gone.born, old.born):
+            # It has started again since.
+            return False
+        # Who ends without telling its life ends the one that is known.
+        born = gone.born or (old.born if old is not None else 0)
+        self.alive.pop(gone.id, None)
+        self.heard_at.pop(gone.id, None)
+        self._dropped.pop(gone.id, None)
+        self._ended[gone.id] = born
         while len(self._ended) > _MAX_ENDED:
             del self._ended[next(iter(self._ended))]
+        return True
+
+
+def _is_later(born: int, other: int) -> bool:
+    """Whether `other` is a later life; not if one of both is not told."""
+    return 0 < born < other
+
+
+def _is_newer(old: Endpoint, new: Endpoint) -> bool:
+    """Whether news of an endpoint come after what it said before."""
+    if _is_later(old.born, new.born):
+        return True
+    if _is_later(new.born, old.born) or new.sequence <= old.sequence:
+        return False
+    return _ORDER[new.state] >= _ORDER[old.state]
 
 
 def _differs(old: Endpoint, new: Endpoint) -> bool:
-    return (old.state, old.role, old.address, old.slots, old.service) != (
-        new.state,
-        new.role,
-        new.address,
-        new.slots,
-        new.service,
+    return _facts(old) != _facts(new)
+
+
+def _facts(item: Endpoint) -> tuple[object, ...]:
+    return (
+        item.born,
+        item.state,
+        item.role,
+        item.address,
+        item.slots,
+        item.service,
     )
--- /dev/null
+++ b/tests/test_heartbeats.py
@@ -0,0 +1,196 @@
+"""Endpoints that start again under their id, and what is no heartbeat."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from rackpost import exceptions
+from rackpost.platform import heartbeats
+from rackpost.routing import endpoints
+from rackpost import types
+
+_ID = types.EndpointId("i-1")
+_GOOD = {
+    "service": "plain",
+    "address": "10.0.0.1:80",
+    "zone": "hall-nord",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 1,
+}
+
+
+def heartbeat(**more: object) -> endpoints.Endpoint:
+    text = json.dumps({**_GOOD, **more}).encode()
+    return heartbeats.decode(_ID, text)
+
+
+def gone(born: int) -> endpoints.Endpoint:
+    return heartbeats.gone(_ID, b'{"born": %d}' % born)
+
+
+def test_a_later_life_counts_anew() -> None:
+    """Its sequence begins again, and it may be ready after a drain."""
+    table = endpoints.EndpointTable()
+    table.take(heartbeat(sequence=90, born=1000, state="draining"), 1.0)
+    assert table.take(heartbeat(sequence=1, born=2000), 2.0)
+    assert table.alive[_ID].state is endpoints.EndpointState.READY
+    assert not table.take(heartbeat(sequence=2, born=2000), 3.0)
+
+
+def test_what_an_earlier_life_still_says_is_nothing() -> None:
+    table = endpoints.EndpointTable()
+    table.take(heartbeat(sequence=1, born=2000), 1.0)
+    late = heartbeat(sequence=90, born=1000, state="draining")
+    assert not table.take(late, 2.0)
+    assert not table.take(gone(1000), 3.0)
+    assert table.alive[_ID].born == 2000
+    assert table.alive[_ID].state is endpoints.EndpointState.READY
+
+
+def test_one_that_ended_returns_in_a_later_life_only() -> None:
+    table = endpoints.EndpointTable()
+    table.take(heartbeat(sequence=5, born=1000), 1.0)
+    # It does not say which of its lives ends.
+    assert table.take(heartbeats.gone(_ID), 2.0)
+    assert table.ended() == [endpoints.Incarnation(_ID, 1000)]
+    assert not table.take(heartbeat(sequence=9, born=1000), 3.0)
+    assert not table.take(heartbeat(sequence=9), 3.0)
+    assert table.take(heartbeat(sequence=1, born=1001), 4.0)
+    assert table.ended() == []
+
+
+def test_one_that_was_dropped_returns_in_a_later_life() -> None:
+    table = endpoints.EndpointTable()
+    table.take(heartbeat(sequence=50, born=1000), 1.0)
+    table.drop(_ID)
+    assert not table.take(heartbeat(sequence=50, born=1000), 2.0)
+    assert table.take(heartbeat(sequence=1, born=2000), 2.0)
+
+
+def test_a_life_is_told_from_the_one_in_which_it_was_chosen() -> None:
+    table = endpoints.EndpointTable()
+    old = heartbeat(born=1000)
+    table.take(old, 1.0)
+    assert table.is_current(old) and not table.is_reborn(old)
+    table.take(heartbeat(born=2000), 2.0)
+    assert not table.is_current(old) and table.is_reborn(old)
+
+
+LIVES = strategies.tuples(
+    strategies.integers(1, 3),
+    strategies.integers(0, 3),
+    strategies.sampled_from(["ready", "draining", "gone"]),
+)
+
+
+@hypothesis.given(strategies.permutations(range(6)), strategies.data())
+def test_the_last_life_holds_in_whatever_order_words_come(
+    order: list[int], data: strategies.DataObject
+) -> None:
+    words = [data.draw(LIVES) for _ in order]
+    table = endpoints.EndpointTable()
+    for at in order:
+        born, sequence, state = words[at]
+        if state == "gone":
+            table.take(gone(born), 1.0)
+        else:
+            item = heartbeat(born=born, sequence=sequence, state=state)
+            table.take(item, 1.0)
+    lives = [born for born, _, _ in words]
+    ended = {born for born, _, state in words if state == "gone"}
+    last = max(lives)
+    found = table.alive.get(_ID)
+    if last in ended:
+        assert found is None
+    else:
+        assert found is not None and found.born == last
+
+
+@pytest.mark.parametrize("name", list(_GOOD))
+@pytest.mark.parametrize("bad", [None, [], {}, True, "missing"])
+def test_what_lacks_a_field_or_holds_another_type_is_none(
+    name: str, bad: object
+) -> None:
+    text = dict(_GOOD)
+    if bad == "missing":
+        del text[name]
+    else:
+        text[name] = bad
+    with pytest.raises(exceptions.CodecError):
+        heartbeats.decode(_ID, json.dumps(text).encode())
+
+
+@pytest.mark.parametrize(
+    "more",
+    [
+        {"slots": -3},
+        {"slots": 0},
+        {"slots": 1.5},
+        {"slots": "6"},
+        {"state": "sleeping"},
+        {"state": ""},
+        {"service": ""},
+        {"stage": "train"},
+        {"stage": 3},
+        {"sequence": -1},
+        {"born": "1000"},
+        {"born": 1.5},
+        {"born": -1},
+        {"born": True},
+        {"address": ""},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:80:80"},
+        {"address": "10.0.0.999:80"},
+        {"address": "10.0.0.1:x"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:\u0663"},
+        {"address": "some-name:80"},
+    ],
+)
+def test_a_heartbeat_that_names_no_endpoint_to_use(more: dict) -> None:
+    with pytest.raises(exceptions.CodecError):
+        heartbeat(**more)
+
+
+@hypothesis.given(
+    strategies.binary() | strategies.text().map(lambda text: text.encode())
+)
+def test_bytes_are_a_heartbeat_or_an_error(text: bytes) -> None:
+    for decode in (heartbeats.decode, heartbeats.gone):
+        try:
+            decode(_ID, text)
+        except exceptions.CodecError:
+            continue
+        assert decode is heartbeats.gone
+
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: strategies.lists(inner, max_size=3)
+    | strategies.dictionaries(strategies.text(max_size=4), inner, max_size=3),
+    max_leaves=5,
+)
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from([*_GOOD, "stage", "born"]), JSON, max_size=3
+    )
+)
+def test_one_with_any_fields_is_usable_or_none(more: dict) -> None:
+    try:
+        item = heartbeat(**more)
+    except exceptions.CodecError:
+        return
+    assert item.slots >= 1 and item.service and item.sequence >= 0
+    assert item.state is not endpoints.EndpointState.GONE
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -119,8 +119,11 @@
     found = {
         "service": "plain",
         "address": "10.0.0.1:80",
+        "zone": "hall-nord",
+        "version": "v1",
         "slots": 6,
         "state": "ready",
+        "coldRemainingMs": 0,
         "sequence": 1,
     }
     ident = str(more.pop("ident", "i-1"))
