Quotas of organisations over all gateways, by buckets that all keep alike

Change: each gateway admits from its copy of a bucket for each organisation, which holds what a window's limit leaves beside the rate, and tells with its figures of load what it has sent; who starts takes the levels of who has run for longer; where some are not heard their part is left. Who is over gets 429 before anything is read or waits, with the time at which there is room, spread.

--- /dev/null
+++ b/lab/quota_ways.py
@@ -0,0 +1,203 @@
+"""Ways to keep quotas over all gateways, compared: python -m lab.quota_ways.
+
+Prints, for each way, load and fault, the largest part of the site's promise
+that passed in a window, how often it was broken, what passed of what was
+asked, and messages and bytes a second of a gateway.  The ways that are not
+built into gateways stand here.
+"""
+
+import random
+import statistics
+from typing import NamedTuple
+
+from lab import quota_windows
+from rackpost.decide import quota
+from rackpost.decide import quota_buckets
+from rackpost.routing import model
+from rackpost.testing import quota_world
+from rackpost import types
+
+_KINDS: dict[str, type[quota.Quotas]] = {
+    "parts": quota_windows.EvenParts,
+    "figures": quota_windows.ToldFigures,
+    "buckets": quota_buckets.SharedBuckets,
+}
+_SECONDS = 20.0
+_SEEDS = range(10)
+# Generations a second: half the rate, a little above it, six times of it.
+_LOADS = (1.1, 2.2, 12.0)
+_FAULTS = ("none", "lossy", "restarts", "cut", "all")
+_SIZES = (21, 70)
+# From the loss of all power to the first request that is served, in seconds.
+_DOWN_S = 0.6
+# What a lease holds at least: a request asks for itself and no more, since
+# what lies at gateways that are asked for nothing is lost to the others.
+_LEASE = 0
+
+# A question or an answer of a lease, as it would be encoded.
+_LEASE_BYTES = 30
+
+
+class Owner:
+    """Who gives one organisation's quota away: a bucket, and its leases."""
+
+    def __init__(self) -> None:
+        self.at = 0
+        self._level = 0.0
+        self._now = 0.0
+        self.began(-100.0)
+
+    def began(self, now: float) -> None:
+        """It has started, and does not know what was leased before."""
+        self._level = 0.0
+        self._now = now
+
+    def lease(self, wanted: int, now: float) -> int:
+        """So much, or nothing."""
+        limit = quota_world.QUOTA
+        terms = quota_world.TERMS
+        size = terms.bound(limit) - limit.rate_per_s * terms.window_s
+        self._level += limit.rate_per_s * max(0.0, now - self._now)
+        self._level = min(self._level, size)
+        self._now = max(now, self._now)
+        given = min(self._level, max(wanted, _LEASE))
+        if given < wanted:
+            return 0
+        self._level -= given
+        return int(given)
+
+
+class OwnedLeases(quota_windows.Windows):
+    """One gateway owns an organisation and leases parts of its quota.
+
+    What is leased counts as spent when it is given.  Without the owner a
+    gateway lives on what it holds.
+    """
+
+    def __init__(self, *, began: float, me: int, world: "Play") -> None:
+        super().__init__(
+            terms=quota_world.TERMS, began=began, limit_of=lambda name: None
+        )
+        self._me = me
+        self._world = world
+        self._held = 0
+
+    def check(
+        self, item: model.Organisation, wanted: int, now: float
+    ) -> quota.Refused | None:
+        """None where enough is held, or the owner has it."""
+        if self._held < wanted and self._world.reaches_owner(self._me):
+            self._world.lease_messages += 2
+            self._held += self._world.owner.lease(wanted, now)
+        if self._held < wanted:
+            return quota.Refused(1.0, 0.0, float(self._held))
+        return None
+
+    def admit(
+        self, name: types.OrganisationName, units: int, now: float
+    ) -> None:
+        """It is taken from the lease."""
+        self._held -= units
+
+
+class Play:
+    """One way under one load and fault."""
+
+    def __init__(self, *, way: str, gateways: int, seed: int) -> None:
+        self._way = way
+        self.owner = Owner()
+        self.lease_messages = 0
+        self.world: quota_world.World | None = None
+        self.world = quota_world.World(
+            make=self._make, rng=random.Random(seed), gateways=gateways
+        )
+
+    def _make(self, began: float, me: int) -> quota.Quotas:
+        if self._way == "leases":
+            if me == self.owner.at and began > 0.0:
+                self.owner.began(began)
+            return OwnedLeases(began=began, me=me, world=self)
+        return _KINDS[self._way](
+            terms=quota_world.TERMS,
+            began=began,
+            limit_of=lambda name: quota_world.QUOTA,
+        )
+
+    def reaches_owner(self, me: int) -> bool:
+        """Whether a gateway's word comes to the owner."""
+        world = self.world
+        return world is None or not world.are_apart(me, self.owner.at)
+
+    def run(self, *, load: float, fault: str) -> "Outcome":
+        """Play it to its end."""
+        world = self.world
+        assert world is not None
+        loss = 0.1 if fault == "lossy" else 0.01
+        count = len(world.all)
+        seconds = world.play(ask_per_s=load, seconds=_SECONDS, loss=loss)
+        for second in seconds:
+            if fault == "restarts":
+                world.restart(second % count)
+            elif fault == "all" and second == 9:
+                world.step(_DOWN_S)
+                world.restart(*range(count))
+            elif fault == "cut":
+                world.cut = 6 <= second < 14
+        passed = sum(units for _, units in world.passed)
+        messages = world.messages
+        size = world.bytes
+        if self._way == "leases":
+            messages = self.lease_messages
+            size = messages * _LEASE_BYTES
+        elif self._way == "parts":
+            messages = size = 0
+        return Outcome(
+            part=world.most_in_a_window() / quota_world.MOST,
+            passed=passed / world.now,
+            asked=world.asked / world.now,
+            messages=messages / world.now / count,
+            bytes=size / world.now / count,
+        )
+
+
+class Outcome(NamedTuple):
+    """What came of a play; all but `part` are a second."""
+
+    part: float
+    passed: float
+    asked: float
+    messages: float
+    bytes: float
+
+
+def _print(way: str, gateways: int, load: float, fault: str) -> None:
+    found = [
+        Play(way=way, gateways=gateways, seed=seed).run(load=load, fault=fault)
+        for seed in _SEEDS
+    ]
+    rate = quota_world.QUOTA.rate_per_s
+    broken = sum(item.part > 1.0 for item in found)
+    mean = [statistics.mean(column) for column in zip(*found)]
+    print(
+        f"| {way} | {gateways} | {mean[2] / rate:.2f} | {fault} "
+        f"| {mean[1] / rate:.2f} | {max(item.part for item in found):.2f} "
+        f"| {broken} of {len(found)} | {mean[3]:.1f} | {mean[4]:.0f} |"
+    )
+
+
+def main() -> None:
+    """Compare and print."""
+    print(
+        "| way | gateways | asked | fault | passed | most | broken "
+        "| messages | bytes |"
+    )
+    print("| --- " * 9 + "|")
+    for gateways in _SIZES:
+        for load in _LOADS:
+            for fault in _FAULTS:
+                for way in (*_KINDS, "leases"):
+                    _print(way, gateways, load, fault)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lab/quota_windows.py
@@ -0,0 +1,328 @@
+"""Ways to keep quotas by what was admitted in the window.
+
+Gateways are built with buckets (`rackpost.decide.quota_buckets`); these
+are what was compared with them.
+"""
+
+import collections
+from typing import NamedTuple
+
+from rackpost.decide import quota
+from rackpost.routing import model
+from rackpost import types
+
+# A gateway that has told nothing for this long may serve on where it is not
+# heard, in seconds: figures are told each second.
+_SILENT_S = 1.3
+# Everything is told again after this long, in seconds, so that a lost
+# datagram and what has left the window are made good.
+_WHOLE_S = 0.9
+# The part of what is not given out that those share who have just started.
+_FORGOTTEN_PART = 0.25
+
+
+class Told(quota.Told, frozen=True, array_like=True, kw_only=True):
+    """What a gateway tells others of what its clients have spent.
+
+    `spent` is within the window; `ended` the same of gateways that have
+    ended since, as it knows it.
+    """
+
+    ended: dict[types.OrganisationName, int] = {}
+
+
+class Spent:
+    """What one gateway has let pass, by organisation, over a window.
+
+    What is admitted counts from then on, and leaves the window a window
+    after it was last sent to an endpoint: while it waits it does not age.
+    """
+
+    def __init__(self, *, window_s: float) -> None:
+        self._window_s = window_s
+        self._sent: dict[types.OrganisationName, collections.deque[_Sent]] = {}
+        self._totals: collections.Counter[types.OrganisationName] = (
+            collections.Counter()
+        )
+
+    def reserve(self, name: types.OrganisationName, units: int) -> None:
+        """A request is admitted."""
+        self._totals[name] += units
+
+    def cancel(self, name: types.OrganisationName, units: int) -> None:
+        """A request that was admitted has not run and won't."""
+        self._take_off(name, units)
+
+    def sent(
+        self, name: types.OrganisationName, units: int, now: float
+    ) -> None:
+        """A request that was admitted is sent to an endpoint."""
+        found = self._sent.setdefault(name, collections.deque())
+        found.append(_Sent(now, units))
+
+    def not_run(
+        self, name: types.OrganisationName, units: int, at: float
+    ) -> None:
+        """What was sent at a reading has not run: it waits again."""
+        try:
+            self._sent[name].remove(_Sent(at, units))
+        except (KeyError, ValueError):
+            # It has left the window since.
+            self.reserve(name, units)
+
+    def recent(self, now: float) -> dict[types.OrganisationName, int]:
+        """What counts now, of each organisation that has spent any."""
+        self._expire(now)
+        return dict(self._totals)
+
+    def of(self, name: types.OrganisationName, now: float) -> int:
+        """What counts now of one organisation."""
+        self._expire(now)
+        return self._totals[name]
+
+    def _expire(self, now: float) -> None:
+        before = now - self._window_s
+        for name, found in list(self._sent.items()):
+            while found and found[0].at <= before:
+                self._take_off(name, found.popleft().units)
+            if not found:
+                del self._sent[name]
+
+    def _take_off(self, name: types.OrganisationName, units: int) -> None:
+        self._totals[name] -= units
+        if self._totals[name] <= 0:
+            del self._totals[name]
+
+
+class _Sent(NamedTuple):
+    """What was sent at a clock reading."""
+
+    at: float
+    units: int
+
+
+def against(
+    terms: quota.Terms, used: float, wanted: int, bound: float
+) -> quota.Refused | None:
+    """None where a request stays within a bound of what is used."""
+    over = used + wanted - bound
+    if over <= 0.0:
+        return None
+    # What was spent evenly leaves the window evenly.
+    part = min(1.0, over / used) if used > 0.0 else 1.0
+    return quota.Refused(part * terms.window_s, used, bound)
+
+
+class Windows(quota.Quotas):
+    """Counts what was admitted here over the window."""
+
+    def __init__(
+        self, *, terms: quota.Terms, began: float, limit_of: quota.LimitOf
+    ) -> None:
+        super().__init__(terms=terms, began=began, limit_of=limit_of)
+        self.own = Spent(window_s=terms.window_s)
+
+    def admit(
+        self, name: types.OrganisationName, units: int, now: float
+    ) -> None:
+        """A request is admitted here, and waits to be sent."""
+        self.own.reserve(name, units)
+
+    def sent(
+        self, name: types.OrganisationName, units: int, now: float
+    ) -> None:
+        """One that was admitted is sent to an endpoint."""
+        self.own.sent(name, units, now)
+
+    def not_run(
+        self, name: types.OrganisationName, units: int, at: float, now: float
+    ) -> None:
+        """What was sent at a reading has not run: it waits again."""
+        self.own.not_run(name, units, at)
+
+    def cancel(
+        self, name: types.OrganisationName, units: int, now: float
+    ) -> None:
+        """One that waits is not sent any more."""
+        self.own.cancel(name, units)
+
+
+class EvenParts(Windows):
+    """Each gateway admits its part of the limit, and asks nobody."""
+
+    def check(
+        self, item: model.Organisation, wanted: int, now: float
+    ) -> quota.Refused | None:
+        """None where this gateway's part has room."""
+        if item.quota is None:
+            return None
+        bound = self.terms.bound(item.quota) / max(1, self.gateways)
+        return against(self.terms, self.own.of(item.name, now), wanted, bound)
+
+
+class _Heard:
+    """What another gateway has told in its present life."""
+
+    def __init__(self, *, life: int) -> None:
+        self.life = life
+        self.at = 0.0
+        self.up_s = 0.0
+        self.spent: dict[types.OrganisationName, int] = {}
+        # Of gateways that have ended, as it knew it at a reading.
+        self.ended: dict[types.OrganisationName, int] = {}
+        self.ended_at = 0.0
+
+
+class _Past(NamedTuple):
+    """What a life that has ended had spent, when it was last heard of."""
+
+    at: float
+    spent: dict[types.OrganisationName, int]
+
+
+class ToldFigures(Windows):
+    """Judges by the sum of what all gateways tell.
+
+    - A gateway that has ended, or is silent, counts on: what it had spent
+      leaves the window by and by.  Who started since is told of it.
+    - Where some are not heard, only the part of the limit is admitted that
+      those have that are: halves that do not hear each other together stay
+      within it.
+    - One that has just started does not know what it had admitted before,
+      nor, after a restart of all, what anybody had: until it has run for a
+      window, those that are as new admit together no more than the rate
+      since its start and the reserve.
+    """
+
+    def __init__(
+        self, *, terms: quota.Terms, began: float, limit_of: quota.LimitOf
+    ) -> None:
+        super().__init__(terms=terms, began=began, limit_of=limit_of)
+        self._heard: dict[types.VmId, _Heard] = {}
+        self._past: list[_Past] = []
+        self._told: dict[types.OrganisationName, int] = {}
+        self._whole_at = began
+
+    def take(
+        self, sender: types.VmId, life: int, told: quota.Told, now: float
+    ) -> bool:
+        """Take another gateway's word; whether it has just begun to tell.
+
+        `life` differs after a restart.  A newcomer is told everything next.
+        """
+        heard = self._heard.get(sender)
+        is_new = heard is None or heard.life != life
+        if heard is None or is_new:
+            if heard is not None:
+                self._past.append(_Past(heard.at, heard.spent))
+            heard = self._heard[sender] = _Heard(life=life)
+            self._whole_at = now - _WHOLE_S
+        heard.at = now
+        heard.up_s = told.up_s
+        if isinstance(told, Told) and told.whole:
+            heard.spent = dict(told.spent)
+            heard.ended = dict(told.ended)
+            heard.ended_at = now
+        else:
+            heard.spent.update(told.spent)
+        return is_new
+
+    def tell(self, now: float) -> Told:
+        """What others should know: all, or what has grown since."""
+        recent = self.own.recent(now)
+        whole = now >= self._whole_at + _WHOLE_S
+        if whole:
+            self._whole_at = now
+            spent = recent
+        else:
+            spent = {
+                name: value
+                for name, value in recent.items()
+                if value > self._told.get(name, 0)
+            }
+        self._told = recent
+        return Told(
+            up_s=int(now - self.began),
+            whole=whole,
+            spent=spent,
+            ended=self._ended(now) if whole else {},
+        )
+
+    def _ended(self, now: float) -> dict[types.OrganisationName, int]:
+        """What gateways that have ended had spent, as seen here."""
+        found: collections.Counter[types.OrganisationName]
+        found = collections.Counter()
+        for past in self._past:
+            part = self._left(past.at, now)
+            for name, units in past.spent.items():
+                found[name] += int(units * part)
+        return {name: units for name, units in found.items() if units > 0}
+
+    def forget(self, now: float) -> None:
+        """Drop what has left the window."""
+        before = now - self.terms.window_s
+        self._past = [item for item in self._past if item.at > before]
+        for sender, heard in list(self._heard.items()):
+            if heard.at <= before:
+                del self._heard[sender]
+
+    def used(self, name: types.OrganisationName, now: float) -> float:
+        """What was spent at all gateways that are known."""
+        found = float(self.own.of(name, now))
+        ended = 0.0
+        for past in self._past:
+            ended += past.spent.get(name, 0) * self._left(past.at, now)
+        for heard in self._heard.values():
+            units = heard.spent.get(name, 0)
+            found += units * self._left(heard.at, now)
+            told = heard.ended.get(name, 0) * self._left(heard.ended_at, now)
+            # All tell of the same: who has run longest knows most.
+            ended = max(ended, told)
+        return found + ended
+
+    def _left(self, at: float, now: float) -> float:
+        """The part of what was told at a reading that counts still.
+
+        It may have been spent all at the end, or evenly: it counts in full
+        for half of the window, and then less and less.
+        """
+        left = 2.0 * (1.0 - (now - at) / self.terms.window_s)
+        return min(1.0, max(0.0, left))
+
+    def bound(self, quota_: model.Quota, now: float) -> float:
+        """The limit, or the part of those that are heard."""
+        heard = 1 + sum(
+            now - item.at <= _SILENT_S for item in self._heard.values()
+        )
+        return self.terms.bound(quota_) * min(1.0, heard / self.gateways)
+
+    def check(
+        self, item: model.Organisation, wanted: int, now: float
+    ) -> quota.Refused | None:
+        """The limit, and what a start does not remember is left free."""
+        if item.quota is None:
+            return None
+        used = self.used(item.name, now)
+        bound = self.bound(item.quota, now)
+        refused = against(self.terms, used, wanted, bound)
+        if refused is not None:
+            return refused
+        up_s = now - self.began
+        if up_s >= self.terms.window_s:
+            return None
+        spent = self._spent_by_new(item.name, now)
+        most = item.quota.rate_per_s * up_s
+        most += _FORGOTTEN_PART * self.terms.reserve
+        over = spent + wanted - most
+        if over <= 0.0:
+            return None
+        room_s = over / item.quota.rate_per_s
+        return quota.Refused(min(room_s, self.terms.window_s), spent, most)
+
+    def _spent_by_new(self, name: types.OrganisationName, now: float) -> float:
+        """What those have admitted that have not run for a window."""
+        found = float(self.own.of(name, now))
+        for heard in self._heard.values():
+            if heard.up_s + now - heard.at < self.terms.window_s:
+                found += heard.spent.get(name, 0)
+        return found
--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -7,6 +7,7 @@
 from rackpost.consensus import messages as consensus
 from rackpost.control import messages as control
 from rackpost.decide import endpoint_load
+from rackpost.decide import quota
 from rackpost.decide import role_balance
 from rackpost.decide import waiting as waiting_mod
 from rackpost.routing import endpoints
@@ -119,7 +120,8 @@
     `loads` is where the gateway takes such messages, as host:port.
     `broken` and `full` are endpoints that it has just seen fail or turn a
     request away, `first` the generations that wait for room and go first,
-    `refused` are keys of `RefusedBook`.
+    `refused` are keys of `RefusedBook`, `quotas` what organisations have
+    spent there.
     """
 
     vm: types.VmId
@@ -131,6 +133,7 @@
     full: tuple[types.EndpointId, ...] = ()
     first: tuple[waiting_mod.Left, ...] = ()
     refused: tuple[int, ...] = ()
+    quotas: quota.Told = quota.Told()
 
 
 FromGateway = Union[GatewayHello, Fetch, Demands, Endpoints, Heard]
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -128,6 +128,8 @@
     if call.sampled or call.tried:
         _log_choice(call, endpoint, began)
     ran_before = call.may_have_run
+    if call.charge is not None:
+        call.charge.sent(began)
     call.tried.append(endpoint.id)
     call.may_have_run = True
     try:
@@ -139,6 +141,8 @@
         call.sent += 1
     if ended in (forwarding.Ended.NOT_SENT, forwarding.Ended.NOT_RUN):
         call.may_have_run = ran_before
+        if call.charge is not None:
+            call.charge.not_run(call.site.loop_time())
     else:
         call.ran_at.add(endpoint.id)
     return ended
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -6,6 +6,7 @@
 
 from rackpost.decide import forwarding
 from rackpost.gateway import callers
+from rackpost.gateway import charge as charge_mod
 from rackpost.gateway import site as site_mod
 from rackpost.gateway import stream_times
 from rackpost.http1 import message
@@ -34,6 +35,7 @@
     NO_ROOM = "no-room"
     WOULD_BE_LATE = "would-be-late"
     REJECTED = "rejected"
+    OVER_QUOTA = "over-quota"
     TIME_UP = "time-up"
     BROKEN = "broken"
     BAD_REQUEST = "bad-request"
@@ -72,6 +74,8 @@
         self.service = service
         self.caller = caller
         self.priority = caller.priority(route)
+        # What it counts against a quota, if its organisation has one.
+        self.charge: charge_mod.Charge | None = None
         self.began = began
         self.until = until
         self.request_id = message.find(req.headers, headers.REQUEST_ID)
@@ -133,13 +137,18 @@
         """
         return sum(self.request_id or b"") % _SAMPLE == 0
 
-    def refuse(self, reason: Reason, come_back_s: float) -> None:
+    def refuse(
+        self, reason: Reason, come_back_s: float, status: int = 503
+    ) -> None:
         """Tell the client that its request has not run and won't."""
         self._count(reason)
         self.log(
-            "Refused, not run.", reason=reason.value, come_back_s=come_back_s
+            "Refused, not run.",
+            reason=reason.value,
+            status=status,
+            come_back_s=round(come_back_s, 3),
         )
-        refuse(self.responder, come_back_s)
+        refuse(self.responder, come_back_s, status)
 
     def end_if_revoked(self) -> bool:
         """End it if its key has been taken away; whether it has."""
@@ -205,7 +214,9 @@
     responder.whole(401, [headers.ASK_FOR_KEY], b"")
 
 
-def refuse(responder: server.Responder, come_back_s: float) -> None:
+def refuse(
+    responder: server.Responder, come_back_s: float, status: int = 503
+) -> None:
     """Answer that a request has not run, and when to come back."""
     after = b"%.2f" % come_back_s
-    responder.whole(503, [(b"retry-after", after)], b"")
+    responder.whole(status, [(b"retry-after", after)], b"")
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -5,6 +5,7 @@
 
 from rackpost.gateway import call as call_mod
 from rackpost.gateway import callers
+from rackpost.gateway import charge
 from rackpost.gateway import forward
 from rackpost.gateway import generate
 from rackpost.gateway import site as site_mod
@@ -26,6 +27,10 @@
 # What an answer needs to reach its client, in seconds: several times the
 # usual delay on the way (3 ms).
 _WAY_BACK_S = 0.03
+# Who was over a quota comes back when there is room, later by up to this
+# part so that they do not meet, and not at once, in seconds.
+_QUOTA_SPREAD = 0.5
+_QUOTA_SOONEST_S = 0.4
 
 
 class Handler:
@@ -115,7 +120,42 @@
             until=until,
         )
         call.budget.request(self._site.loop_time())
-        await self._answer_in_time(call)
+        if self._is_over_quota(call):
+            return
+        try:
+            await self._answer_in_time(call)
+        finally:
+            if call.charge is not None:
+                call.charge.end(self._site.loop_time())
+
+    def _is_over_quota(self, call: call_mod.Call) -> bool:
+        """Refuse what is over its organisation's quota; else charge it."""
+        item = call.caller.organisation
+        if item is None or item.quota is None:
+            return False
+        site = self._site
+        wanted = charge.units(item.quota, call.req)
+        refused = site.quotas.check(item, wanted, site.loop_time())
+        if refused is None:
+            call.charge = charge.Charge(
+                quotas=site.quotas,
+                organisation=item,
+                units=wanted,
+                now=site.loop_time(),
+            )
+            return False
+        call.log(
+            "Over quota.",
+            units=wanted,
+            used=round(refused.used),
+            bound=round(refused.bound),
+            gateways=site.gateway_count,
+            figures_s=round(site.loads.oldest_s(site.loop_time()), 2),
+        )
+        spread = 1.0 + _QUOTA_SPREAD * site.rng.random()
+        after_s = max(_QUOTA_SOONEST_S, refused.room_s) * spread
+        call.refuse(call_mod.Reason.OVER_QUOTA, after_s, status=429)
+        return True
 
     async def _answer_in_time(self, call: call_mod.Call) -> None:
         try:
--- a/rackpost/gateway/load_share.py
+++ b/rackpost/gateway/load_share.py
@@ -71,6 +71,9 @@
         )
         site.add_gateway(messages.GatewayAddress(vm=msg.vm, loads=msg.loads))
         site.refused.take(msg.refused, now)
+        if site.quotas.take(msg.vm, msg.life, msg.quotas, now):
+            # It should know soon what has been spent.
+            site.loads_changed.set()
         for endpoint in msg.full:
             site.health.told_full(endpoint, now)
         for endpoint in msg.broken:
@@ -109,6 +112,7 @@
             full=site.health.full(now),
             first=site.room.first(now),
             refused=site.refused.recent(now),
+            quotas=site.quotas.tell(now),
         )
 
     @contextlib.asynccontextmanager
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -84,6 +84,7 @@
             self.site.pool.sweep()
             self._links.tell_demands()
             self.site.loads.expire(self.site.loop_time())
+            self.site.quotas.forget(self.site.loop_time())
             self.site.drop_gateways()
             if self.site.routes is not None:
                 self._server.limits = self.site.routes.limits
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -13,6 +13,8 @@
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
 from rackpost.decide import pace as pace_mod
+from rackpost.decide import quota
+from rackpost.decide import quota_buckets
 from rackpost.decide import refused as refused_mod
 from rackpost.decide import retry_budget
 from rackpost.decide import role_balance
@@ -82,12 +84,23 @@
             waiters_changed=self.loads_changed.set,
             split=policy.split,
         )
+        self.quotas = quota_buckets.SharedBuckets(
+            terms=_quota_terms(host.bounds),
+            began=self.began,
+            limit_of=self._limit_of,
+        )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
         self.planned_stop = planned_stop.PlannedStop()
         self._told: set[types.VmId] = set()
         self._meters: dict[types.ServiceName, role_balance.DemandMeter] = {}
         self._budgets: dict[types.ServiceName, retry_budget.RetryBudget] = {}
 
+    def _limit_of(self, name: types.OrganisationName) -> model.Quota | None:
+        if self.routes is None:
+            return None
+        item = self.routes.organisations.named(name)
+        return None if item is None else item.quota
+
     def loop_time(self) -> float:
         """The loop's clock, which never goes back, in seconds."""
         return self._loop.time()
@@ -113,11 +126,16 @@
             self.add_gateway(item)
         self.drop_gateways()
 
+    def _note_gateways(self) -> None:
+        """So many gateways share the site's endpoints and quotas."""
+        self.chooser.set_gateways(self.gateway_count)
+        self.quotas.gateways = self.gateway_count
+
     def add_gateway(self, item: messages.GatewayAddress) -> None:
         """A gateway shares the site's budgets and endpoints."""
         if self.gateways.get(item.vm) != item:
             self.gateways[item.vm] = item
-            self.chooser.set_gateways(self.gateway_count)
+            self._note_gateways()
             # A newcomer knows nothing of what is under way.
             self.loads_changed.set()
 
@@ -130,7 +148,7 @@
         for vm in set(self.gateways) - self._told - {self.host.vm}:
             if not self.loads.heard_from(vm, since):
                 del self.gateways[vm]
-                self.chooser.set_gateways(self.gateway_count)
+                self._note_gateways()
                 self.loads.forget(vm)
 
     def apply_routing(self, change: changes.Change) -> bool:
@@ -178,3 +196,11 @@
     def connections_to(self, service: model.Service) -> int:
         """Connections that this gateway may have to one endpoint."""
         return max(2, service.max_connections * 9 // 10 // self.gateway_count)
+
+
+def _quota_terms(bounds: settings.Bounds) -> quota.Terms:
+    return quota.Terms(
+        window_s=bounds.quota_window_s,
+        overshoot=bounds.quota_overshoot,
+        slack=bounds.quota_slack,
+    )
--- a/rackpost/platform/settings.py
+++ b/rackpost/platform/settings.py
@@ -30,6 +30,9 @@
         "lease_ms": "leaseMs",
         "drain_ms": "drainMs",
         "in_force_ms": "configApplyMs",
+        "quota_window_s": "quotaWindowS",
+        "quota_overshoot": "quotaOvershoot",
+        "quota_slack": "quotaSlack",
     },
 ):
     """Figures that the deployment promises or asks for.
@@ -41,6 +44,8 @@
         lease_ms: orders of two holders are at least so far apart.
         drain_ms: an endpoint that said it leaves gets nothing new after.
         in_force_ms: from a change's acknowledgement to its effect.
+        quota_window_s, quota_overshoot, quota_slack: what organisations may
+            spend, in any window: their limit x (1 + overshoot) + slack.
     """
 
     retry_ratio: float = 0.1
@@ -50,6 +55,9 @@
     lease_ms: float = 3000.0
     drain_ms: float = 2000.0
     in_force_ms: float = 2000.0
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
 
 
 class VmLimits(msgspec.Struct, frozen=True, kw_only=True):
