Operators see quotas, and from a 401's or 429's id to its cause

Cause: a 429 or 401 told nobody whose limit it was and who had used it; each request with an unknown key was a log line that any client can bring about. Change: gateways tell coordinators once a second what the twenty organisations that used most, and the rest together, used and were refused within the window; `rackpost site quotas` prints it with the gateways where most was used. check-config tells organisations and keys. Unknown keys are logged once a second a gateway, with how many more there were, and all counted. A window after a restart of all a bucket has what it lacked at the start: until then forgotten spending may count.

--- a/rackpost/cmd_operator.py
+++ b/rackpost/cmd_operator.py
@@ -21,6 +21,7 @@
 from rackpost import operator_commands
 from rackpost.platform import documents
 from rackpost import program
+from rackpost.routing import model
 from rackpost import site_overview
 
 _TIMEOUT_S = 5.0
@@ -355,10 +356,17 @@
     doc = documents.decode(text)
     return (
         f"version {doc.version}: {len(doc.routes)} routes, "
-        f"{len(doc.services)} services, valid"
+        f"{len(doc.services)} services, {_callers(doc)}, valid"
     )
 
 
+def _callers(doc: model.Document) -> str:
+    if not doc.keys_required:
+        return "no keys"
+    keys = sum(len(item.keys) for item in doc.organisations)
+    return f"{len(doc.organisations)} organisations with {keys} keys"
+
+
 def _shown(
     asked: operator_commands.Coordinators,
     show: Callable[[overview.Overview], str],
@@ -382,6 +390,11 @@
     return _shown(asked, site_overview.endpoints)
 
 
+def site_quotas(asked: operator_commands.SiteQuotas) -> str:
+    """Organisations' quotas and their use."""
+    return _shown(asked, site_overview.quotas)
+
+
 _ACTIONS: dict[type, Callable[[Any], str]] = {
     operator_commands.Show: show,
     operator_commands.Set: change,
@@ -398,6 +411,7 @@
     operator_commands.Story: story,
     operator_commands.CheckConfig: check_config,
     operator_commands.SiteStatus: site_status,
+    operator_commands.SiteQuotas: site_quotas,
     operator_commands.SiteRoutes: site_routes,
     operator_commands.SiteEndpoints: site_endpoints,
 }
--- a/rackpost/coordinator/directory.py
+++ b/rackpost/coordinator/directory.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from rackpost.coordinator import messages
+from rackpost.decide import quota_use
 from rackpost.link import channel
 from rackpost import logs
 from rackpost.routing import endpoints
@@ -38,6 +39,8 @@
         self.table = endpoints.EndpointTable()
         self._fresh: set[types.EndpointId] = set()
         self.gateways: dict[channel.Channel, messages.GatewayHello] = {}
+        # What organisations use of their quotas, by gateway.
+        self.quotas: dict[types.VmId, tuple[quota_use.Use, ...]] = {}
 
     def take(self, item: endpoints.Endpoint) -> bool:
         """Take news of an endpoint and pass them on if they are any."""
--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -8,6 +8,7 @@
 from rackpost.control import messages as control
 from rackpost.decide import endpoint_load
 from rackpost.decide import quota
+from rackpost.decide import quota_use
 from rackpost.decide import role_balance
 from rackpost.decide import waiting as waiting_mod
 from rackpost.routing import endpoints
@@ -89,9 +90,13 @@
 
 
 class Demands(_Message, frozen=True, tag="demands"):
-    """What a gateway's clients ask of the model services."""
+    """What a gateway's clients ask of the model services.
+
+    `quotas` is what organisations have used of theirs there, for operators.
+    """
 
     items: tuple[role_balance.Demand, ...]
+    quotas: tuple[quota_use.Use, ...] = ()
 
 
 class GatewayAddress(_Message, frozen=True):
--- a/rackpost/coordinator/overview.py
+++ b/rackpost/coordinator/overview.py
@@ -8,6 +8,7 @@
 
 from rackpost.control import node as node_mod
 from rackpost.coordinator import directory as directory_mod
+from rackpost.decide import quota_use
 from rackpost import exceptions
 from rackpost import logs
 from rackpost.platform import documents
@@ -15,6 +16,9 @@
 from rackpost.routing import model
 from rackpost import types
 
+# Gateways that are named for each organisation.
+_MOST_GATEWAYS = 3
+
 
 class EndpointLine(msgspec.Struct, frozen=True, kw_only=True):
     """One endpoint; `silent_s` is since its last heartbeat, in seconds."""
@@ -44,6 +48,22 @@
     max_attempts: int
 
 
+class QuotaLine(msgspec.Struct, frozen=True, kw_only=True):
+    """An organisation's limit, and its use within the window.
+
+    Attributes:
+        rate_per_s: units a second; 0 is no limit.
+        gateways: those where it used most, with what it used there.
+    """
+
+    organisation: types.OrganisationName
+    rate_per_s: float
+    burst: float
+    units: int
+    refused: int
+    gateways: tuple[tuple[types.VmId, int], ...]
+
+
 class Overview(msgspec.Struct, frozen=True, kw_only=True):
     """The site, as one coordinator knows it.
 
@@ -63,6 +83,7 @@
     gateways: tuple[types.VmId, ...]
     routes: tuple[RouteLine, ...]
     endpoints: tuple[EndpointLine, ...]
+    quotas: tuple[QuotaLine, ...] = ()
 
 
 def overview(
@@ -75,6 +96,7 @@
 ) -> Overview:
     """What is known at a reading of the loop's clock."""
     routing = node.machine.routing
+    doc = None if routing is None else _read(routing.source)
     return Overview(
         vm=vm,
         replica=node.me,
@@ -87,14 +109,15 @@
         gateways=tuple(
             sorted({item.vm for item in directory.gateways.values()})
         ),
-        routes=() if routing is None else _routes(routing.source),
+        routes=() if doc is None else _routes(doc),
         endpoints=_endpoints(directory.table, changing, now),
+        quotas=() if doc is None else _quotas(doc, directory),
     )
 
 
-def _routes(source: bytes) -> tuple[RouteLine, ...]:
+def _read(source: bytes) -> model.Document | None:
     try:
-        doc = documents.decode(source)
+        return documents.decode(source)
     except exceptions.RoutingError as exc:
         # A newer software took it in; its version is shown all the same.
         logs.say(
@@ -102,7 +125,44 @@
             "Document can't be read for the overview.",
             why=str(exc),
         )
-        return ()
+        return None
+
+
+def _quotas(
+    doc: model.Document, directory: directory_mod.Directory
+) -> tuple[QuotaLine, ...]:
+    """Each organisation that used any, those that used most first."""
+    limits = {item.name: item.quota for item in doc.organisations}
+    uses = [item for told in directory.quotas.values() for item in told]
+    return tuple(
+        _quota_line(use, limits.get(use.organisation), directory)
+        for use in quota_use.largest(uses)
+    )
+
+
+def _quota_line(
+    use: quota_use.Use,
+    limit: model.Quota | None,
+    directory: directory_mod.Directory,
+) -> QuotaLine:
+    at = [
+        (vm, item.units)
+        for vm, told in directory.quotas.items()
+        for item in told
+        if item.organisation == use.organisation
+    ]
+    at.sort(key=lambda pair: -pair[1])
+    return QuotaLine(
+        organisation=use.organisation,
+        rate_per_s=0.0 if limit is None else limit.rate_per_s,
+        burst=0.0 if limit is None else limit.burst,
+        units=use.units,
+        refused=use.refused,
+        gateways=tuple(at[:_MOST_GATEWAYS]),
+    )
+
+
+def _routes(doc: model.Document) -> tuple[RouteLine, ...]:
     return tuple(
         RouteLine(
             name=item.name,
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -162,6 +162,7 @@
     def _gateway_left(self, conn: channel.Channel) -> None:
         hello = self.directory.gateways.pop(conn, None)
         if hello is not None:
+            self.directory.quotas.pop(hello.vm, None)
             logs.say(logs.Part.COORDINATOR, "Gateway lost.", peer=hello.vm)
             self._peers.tell_soon()
 
@@ -171,6 +172,7 @@
         elif isinstance(msg, messages.Demands):
             hello = self.directory.gateways[conn]
             self._roles.take_demand(hello.vm, msg.items)
+            self.directory.quotas[hello.vm] = msg.quotas
         elif isinstance(msg, messages.Heard):
             self.directory.table.hear(msg.ids, self._loop.time())
         elif isinstance(msg, messages.Fetch):
--- a/rackpost/decide/quota_buckets.py
+++ b/rackpost/decide/quota_buckets.py
@@ -53,7 +53,7 @@
       to the brim and no further.
     - One that has just started takes its buckets' levels from gateways that
       have run for longer; where all have just started they begin with next
-      to nothing.
+      to nothing, and have what is missing a window later.
     - Where some are not heard, size and rate are the part of those that are:
       halves that do not hear each other together stay within the limit.
     """
@@ -73,24 +73,30 @@
         self._whole_at = began
         # Levels were taken from one that has run for so long, in seconds.
         self._learned_s = 0.0
+        # Whether what was admitted before the start counts no more.
+        self._is_settled = False
 
     def size(self, limit: model.Quota) -> float:
         """What a full bucket holds."""
         filled = limit.rate_per_s * self.terms.window_s
         return self.terms.bound(limit) - filled
 
-    def _share(self, now: float) -> float:
-        """The part of all gateways that are heard, this one included."""
-        heard = 1 + sum(
+    def heard(self, now: float) -> int:
+        """How many gateways are heard, this one included."""
+        return 1 + sum(
             now - item.at <= _SILENT_S for item in self._heard.values()
         )
-        return min(1.0, heard / self.gateways)
+
+    def _share(self, now: float) -> float:
+        """The part of all gateways that are heard."""
+        return min(1.0, self.heard(now) / self.gateways)
 
     def _level(self, name: types.OrganisationName, now: float) -> float:
         """What a bucket holds now; it may be below 0."""
         limit = self.limit_of(name)
         if limit is None:
             return 0.0
+        self._end_start(now)
         known = self._levels.get(name) or self._first(limit)
         share = self._share(now)
         units = known.units
@@ -99,14 +105,27 @@
         self._levels[name] = _Level(units, now)
         return units
 
+    def _end_start(self, now: float) -> None:
+        """A window after the start nothing forgotten counts any more."""
+        if self._is_settled or now < self.began + self.terms.window_s:
+            return
+        self._is_settled = True
+        if self._learned_s > 0.0:
+            return
+        for name, known in self._levels.items():
+            limit = self.limit_of(name)
+            if limit is not None:
+                units = known.units + self.size(limit)
+                self._levels[name] = _Level(units, known.at)
+
     def _first(self, limit: model.Quota) -> _Level:
         """A bucket that nothing is known of.
 
         It would have been filled since the start; before that it may have
         been emptied by lives that are forgotten, unless somebody knows.
         """
-        if self._learned_s > 0.0:
-            # Somebody has told what is not full.
+        if self._is_settled or self._learned_s > 0.0:
+            # Nothing is known of it that is not full.
             return _Level(self.size(limit), self.began)
         return _Level(_FORGOTTEN_PART * self.terms.reserve, self.began)
 
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -63,7 +63,10 @@
 
     def tell_demands(self) -> None:
         """Tell all coordinators what this gateway's clients ask for."""
-        msg = messages.Demands(items=self._site.demands())
+        msg = messages.Demands(
+            items=self._site.demands(),
+            quotas=self._site.quota_use.recent(self._loop.time()),
+        )
         for conn in self._linked:
             conn.send(msg)
 
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 
+from rackpost.decide import quota
 from rackpost.gateway import call as call_mod
 from rackpost.gateway import callers
 from rackpost.gateway import charge
@@ -27,6 +28,8 @@
 # What an answer needs to reach its client, in seconds: several times the
 # usual delay on the way (3 ms).
 _WAY_BACK_S = 0.03
+# Of requests without a known key one is logged in this long, in seconds.
+_NO_KEY_S = 1.0
 # Who was over a quota comes back when there is room, later by up to this
 # part so that they do not meet, and not at once, in seconds.
 _QUOTA_SPREAD = 0.5
@@ -39,6 +42,7 @@
     def __init__(self, *, site: site_mod.Site) -> None:
         self._site = site
         self._waiting = 0
+        self._no_keys = logs.Storm(pause_s=_NO_KEY_S)
 
     async def handle(
         self, req: message.Request, responder: server.Responder
@@ -58,7 +62,7 @@
             return
         caller = callers.Caller(routes=routes, req=req)
         if not caller.may_use(route):
-            self._own(call_mod.Reason.NO_KEY, req)
+            self._note_no_key(req, route)
             call_mod.ask_for_key(responder)
             return
         name = match.choose_service(route, self._site.rng)
@@ -83,8 +87,21 @@
             self._waiting -= 1
         return site.routes
 
+    def _note_no_key(self, req: message.Request, route: model.Route) -> None:
+        """Count each; who tries keys does not fill the log."""
+        reason = call_mod.Reason.NO_KEY
+        self._site.metrics.count("own_answers", reason, route.name)
+        more = self._no_keys.passes(self._site.loop_time())
+        if more is not None:
+            self._say_own(reason, req, route=route.name, more=more)
+
     def _own(self, reason: call_mod.Reason, req: message.Request) -> None:
         self._site.metrics.count("own_answers", reason)
+        self._say_own(reason, req)
+
+    def _say_own(
+        self, reason: call_mod.Reason, req: message.Request, **fields: object
+    ) -> None:
         ident = message.find(req.headers, headers.REQUEST_ID) or b""
         logs.say(
             logs.Part.GATEWAY,
@@ -92,6 +109,7 @@
             request=ident.decode("latin-1"),
             reason=reason.value,
             version=self._site.version,
+            **fields,
         )
 
     async def _route(
@@ -134,28 +152,36 @@
         if item is None or item.quota is None:
             return False
         site = self._site
+        now = site.loop_time()
         wanted = charge.units(item.quota, call.req)
-        refused = site.quotas.check(item, wanted, site.loop_time())
-        if refused is None:
-            call.charge = charge.Charge(
-                quotas=site.quotas,
-                organisation=item,
-                units=wanted,
-                now=site.loop_time(),
-            )
-            return False
+        refused = site.quotas.check(item, wanted, now)
+        if refused is not None:
+            site.quota_use.refused(item.name, now)
+            self._refuse_over(call, wanted, refused)
+            return True
+        site.quota_use.admitted(item.name, wanted, now)
+        call.charge = charge.Charge(
+            quotas=site.quotas, organisation=item, units=wanted, now=now
+        )
+        return False
+
+    def _refuse_over(
+        self, call: call_mod.Call, wanted: int, refused: quota.Refused
+    ) -> None:
+        site = self._site
         call.log(
             "Over quota.",
             units=wanted,
             used=round(refused.used),
             bound=round(refused.bound),
+            room_s=round(refused.room_s, 2),
             gateways=site.gateway_count,
+            heard=site.quotas.heard(site.loop_time()),
             figures_s=round(site.loads.oldest_s(site.loop_time()), 2),
         )
         spread = 1.0 + _QUOTA_SPREAD * site.rng.random()
         after_s = max(_QUOTA_SOONEST_S, refused.room_s) * spread
         call.refuse(call_mod.Reason.OVER_QUOTA, after_s, status=429)
-        return True
 
     async def _answer_in_time(self, call: call_mod.Call) -> None:
         try:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -15,6 +15,7 @@
 from rackpost.decide import pace as pace_mod
 from rackpost.decide import quota
 from rackpost.decide import quota_buckets
+from rackpost.decide import quota_use
 from rackpost.decide import refused as refused_mod
 from rackpost.decide import retry_budget
 from rackpost.decide import role_balance
@@ -89,6 +90,7 @@
             began=self.began,
             limit_of=self._limit_of,
         )
+        self.quota_use = quota_use.UseBook(window_s=host.bounds.quota_window_s)
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
         self.planned_stop = planned_stop.PlannedStop()
         self._told: set[types.VmId] = set()
--- a/rackpost/logs.py
+++ b/rackpost/logs.py
@@ -111,6 +111,28 @@
         return True
 
 
+class Storm:
+    """Lets a line pass once in a while, and counts those that did not.
+
+    For lines that any client can bring about as often as it likes.
+    """
+
+    def __init__(self, *, pause_s: float) -> None:
+        """`pause_s` is between two lines, in seconds."""
+        self._pause_s = pause_s
+        self._until = -pause_s
+        self._more = 0
+
+    def passes(self, now: float) -> int | None:
+        """How many lines were left out before this; None to leave it out."""
+        if now < self._until:
+            self._more += 1
+            return None
+        self._until = now + self._pause_s
+        more, self._more = self._more, 0
+        return more
+
+
 def to_stream(stream: TextIO | None = None) -> None:
     """Write logs as lines of JSON, to standard error by default."""
     eliot.to_file(stream or sys.stderr)
--- a/rackpost/operator_commands.py
+++ b/rackpost/operator_commands.py
@@ -249,12 +249,20 @@
     """Show endpoints, their roles and states."""
 
 
+@cappa.command(name="quotas", help="Show organisations' quotas and use.")
+@dataclasses.dataclass(kw_only=True)
+class SiteQuotas(Coordinators):
+    """Show what organisations used of their quotas, and where."""
+
+
 @cappa.command(name="site", help="A site of gateways and coordinators.")
 @dataclasses.dataclass(kw_only=True)
 class SiteCommands:
     """A site of gateways and coordinators, as a coordinator knows it."""
 
-    what: cappa.Subcommands[SiteStatus | SiteRoutes | SiteEndpoints]
+    what: cappa.Subcommands[
+        SiteStatus | SiteRoutes | SiteEndpoints | SiteQuotas
+    ]
 
 
 @cappa.command(name="rackpost")
--- a/rackpost/site_overview.py
+++ b/rackpost/site_overview.py
@@ -118,6 +118,30 @@
     return _table(head, rows)
 
 
+def quotas(found: overview.Overview) -> str:
+    """What organisations used of their quotas in the last window."""
+    rows = [
+        (
+            item.organisation,
+            f"{item.rate_per_s:g}" if item.rate_per_s else "none",
+            f"{item.burst:g}",
+            str(item.units),
+            str(item.refused),
+            ", ".join(f"{vm}:{units}" for vm, units in item.gateways),
+        )
+        for item in found.quotas
+    ]
+    head = (
+        "organisation",
+        "a second",
+        "burst",
+        "used in window",
+        "refused",
+        "most at",
+    )
+    return _table(head, rows)
+
+
 def _table(head: tuple[str, ...], rows: Iterable[tuple[str, ...]]) -> str:
     lines = [head, *rows]
     widths = [max(len(line[at]) for line in lines) for at in range(len(head))]
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -3,8 +3,10 @@
 import asyncio
 import pathlib
 
+from rackpost.gateway import call
 from rackpost.http1 import message
 from rackpost.http1 import server
+from rackpost import logs
 from tests import platform_site
 from tests import test_gateway
 from tests import test_keys
@@ -163,3 +165,35 @@
             assert message.find(req.headers, b"authorization") == b"Bearer k1"
 
     asyncio.run(main())
+
+
+def test_a_storm_of_bad_keys_is_logged_once_a_second_and_counted() -> None:
+    storm = logs.Storm(pause_s=1.0)
+    passed = [storm.passes(0.001 * at) for at in range(3000)]
+    told = [more for more in passed if more is not None]
+    assert len(told) == 3
+    assert told[0] == 0
+    assert sum(told) + len(told) > 1990
+
+
+def test_who_tries_keys_keeps_its_connection_and_reaches_nobody(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            held = test_keys.organisation("nord", "k1")
+            await set_document(site, document(2, held))
+            reader, writer = await asyncio.open_connection(
+                *site.plan.front(31)
+            )
+            for number in range(50):
+                data = test_gateway.request("/safe/x", more=key(str(number)))
+                writer.write(data.replace(b"Connection: close\r\n", b""))
+                assert b" 401 " in await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            assert not seen(site)
+            reason = call.Reason.NO_KEY
+            metrics = site.gateway.site.metrics
+            assert metrics.counted("own_answers", reason) == 50
+
+    asyncio.run(main())
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -243,6 +243,18 @@
         assert passed * _STREAM <= 29_000 * now + 10_000
 
 
+def test_a_window_after_a_restart_of_all_a_burst_passes_again() -> None:
+    """Also where it is worth many seconds of the rate."""
+    slow = model.Quota(rate_per_s=10, burst=500)
+    found = quota_buckets.SharedBuckets(
+        terms=quota.Terms(window_s=8.0), began=0.0, limit_of=lambda name: slow
+    )
+    item = model.Organisation(name=_NORD, keys=(), quota=slow)
+    assert found.check(item, 200, 1.0) is not None
+    assert found.check(item, 200, 7.9) is not None
+    assert found.check(item, 400, 8.1) is None
+
+
 def test_a_usual_load_goes_on_after_a_restart_of_all() -> None:
     """Where the rate is 1.8 times what is usual nobody is refused."""
     found = buckets(began=0.0)
