--- a/rackpost/consensus/log.py
+++ b/rackpost/consensus/log.py
@@ -38,6 +38,22 @@
             return self._entries[at].term
         return None
 
+    def is_covered_by(self, term: m.Term, index: m.Index) -> bool:
+        """Whether a log that ends so holds all that this one may have."""
+        return (term, index) >= (self.last_term, self.last_index)
+
+    def before_term_of(self, index: int, *, down_to: int) -> int:
+        """Where another log may agree that differs at `index`.
+
+        A whole term is skipped at once, down to what is committed.
+        """
+        hint = min(self.last_index, index - 1)
+        term = self.term_at(index)
+        if term is not None:
+            while hint > down_to and self.term_at(hint) == term:
+                hint -= 1
+        return hint
+
     def after(
         self, index: int, limit: int, max_bytes: int | None = None
     ) -> tuple[m.Entry, ...]:
--- a/rackpost/consensus/membership.py
+++ b/rackpost/consensus/membership.py
@@ -5,6 +5,8 @@
 old id is gone for good.  One change is made at a time.
 """
 
+from typing import Collection
+
 import msgspec
 
 from rackpost.consensus import messages as m
@@ -53,6 +55,23 @@
     return 2 * copies - 1 if copies > 1 else _FEWEST_VOTERS
 
 
+def why_not(
+    old: m.Config, new: m.Config, caught_up: Collection[m.ReplicaId]
+) -> str | None:
+    """Why a config may not follow another; None if it may.
+
+    `caught_up` are replicas that hold all that is committed.
+    """
+    if len(set(old.voters) ^ set(new.voters)) > 1:
+        return "only one voter may come or go at a time"
+    for peer in set(new.voters) - set(old.voters):
+        if peer not in old.learners:
+            return f"{peer} must be a learner first"
+        if peer not in caught_up:
+            return f"{peer} has not caught up"
+    return None if new.voters else "there must be a voter"
+
+
 def next_config(view: View) -> m.Config | None:
     """The next config, or None if the present one is as it should be."""
     return _promote(view) or _remove_voter(view) or _learners(view)
--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -10,10 +10,13 @@
 import random
 from typing import Collection
 
+from rackpost.consensus import appending
 from rackpost.consensus import followers
 from rackpost.consensus import log as log_mod
+from rackpost.consensus import membership
 from rackpost.consensus import messages as m
 from rackpost.consensus import output
+from rackpost.consensus import reads
 from rackpost.consensus import replication
 
 # In seconds by the replica's own clock.
@@ -66,7 +69,7 @@
         self._pre = False
         self._followers = followers.Followers(me=me)
         self._number = 0
-        self._reads: list[tuple[int, int]] = []
+        self._reads = reads.PendingReads()
         self._heard_at = now
         self._next_beat = now
         self._deadline = now
@@ -173,7 +176,7 @@
         if self.role is not Role.LEADER or not self._committed_own_term():
             return False
         self._beat(now)
-        self._reads.append((self._number, token))
+        self._reads.add(self._number, token)
         self._confirm_reads()
         return True
 
@@ -186,18 +189,11 @@
             return "another change of the replicas is under way"
         if not self._committed_own_term():
             return "the leader is too new; try again"
-        changed = set(old.voters) ^ set(new.voters)
-        if len(changed) > 1:
-            return "only one voter may come or go at a time"
-        for peer in set(new.voters) - set(old.voters):
-            if peer not in old.learners:
-                return f"{peer} must be a learner first"
-            if not self.caught_up(peer):
-                return f"{peer} has not caught up"
-        if not new.voters:
-            return "there must be a voter"
-        self._append_own(b"", new, now)
-        return None
+        caught_up = {peer for peer in new.voters if self.caught_up(peer)}
+        why = membership.why_not(old, new, caught_up)
+        if why is None:
+            self._append_own(b"", new, now)
+        return why
 
     def compact(self, index: m.Index, data: bytes) -> m.Snapshot:
         """Put a snapshot of the state at `index` in place of the log."""
@@ -244,8 +240,8 @@
             self._save()
         if self.role is Role.LEADER:
             self._out.lost = True
-            self._out.reads += [(token, False) for _, token in self._reads]
-            self._reads = []
+            dropped = self._reads.drop()
+            self._out.reads += [(token, False) for token in dropped]
         self.role = Role.FOLLOWER
         self.leader = leader
         self._votes = set()
@@ -314,8 +310,7 @@
         )
 
     def _would_vote(self, msg: m.VoteRequest) -> bool:
-        mine = (self.log.last_term, self.log.last_index)
-        if (msg.last_term, msg.last_index) < mine:
+        if not self.log.is_covered_by(msg.last_term, msg.last_index):
             return False
         if msg.pre:
             return msg.term > self.term
@@ -336,7 +331,6 @@
         self.role = Role.LEADER
         self.leader = self.me
         self._followers = followers.Followers(me=self.me)
-        self._reads = []
         self._append_own(b"", None, now)
 
     def _committed_own_term(self) -> bool:
@@ -442,8 +436,7 @@
             mine=self._number,
             of=lambda known: known.number,
         )
-        done = [token for at, token in self._reads if at <= number]
-        self._reads = [item for item in self._reads if item[0] > number]
+        done = self._reads.confirmed(number)
         self._out.reads += [(token, True) for token in done]
 
     # Following.
@@ -461,7 +454,7 @@
         self._heard_leader(msg, now)
         if self._missing_before(msg):
             return
-        self._take_entries(msg)
+        appending.take(self.log, self._out, msg.entries, self.commit)
         match = msg.prev_index + len(msg.entries)
         self._reply(msg, ok=True, match=match)
         if min(msg.commit, match) > self.commit:
@@ -474,34 +467,10 @@
         term = self.log.term_at(msg.prev_index)
         if term == msg.prev_term:
             return False
-        hint = min(self.log.last_index, msg.prev_index - 1)
-        if term is not None:
-            # A whole term is skipped at once.
-            while hint > self.commit and self.log.term_at(hint) == term:
-                hint -= 1
+        hint = self.log.before_term_of(msg.prev_index, down_to=self.commit)
         self._reply(msg, ok=False, match=hint)
         return True
 
-    def _take_entries(self, msg: m.Append) -> None:
-        for at, entry in enumerate(msg.entries):
-            if entry.index <= self.commit:
-                continue
-            term = self.log.term_at(entry.index)
-            if term == entry.term:
-                continue
-            if term is not None:
-                self._cut(entry.index)
-            self.log.append(msg.entries[at:])
-            self._out.append += msg.entries[at:]
-            return
-
-    def _cut(self, index: m.Index) -> None:
-        self.log.cut(index)
-        out = self._out
-        out.append = [item for item in out.append if item.index < index]
-        if out.cut_from is None or index < out.cut_from:
-            out.cut_from = index
-
     def _on_install(self, msg: m.Install, now: float) -> None:
         if msg.term < self.term:
             self._reply(msg, ok=False, match=0)
@@ -509,14 +478,7 @@
         self._heard_leader(msg, now)
         snapshot = msg.snapshot
         if snapshot.index > self.commit:
-            self.log.compact(snapshot)
-            self._out.install = snapshot
-            self._out.append = [
-                item
-                for item in self._out.append
-                if item.index > snapshot.index
-            ]
-            self._out.committed = []
+            appending.install(self.log, self._out, snapshot)
             self.commit = snapshot.index
             self.applied = snapshot.index
         self._reply(msg, ok=True, match=snapshot.index)
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -7,6 +7,7 @@
 
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
+from rackpost.decide import fleet_size
 from rackpost.decide import kv_forecast
 from rackpost.routing import endpoints
 from rackpost import types
@@ -19,8 +20,6 @@
 # Choices that differ by less than this part are as good as equal; ties are
 # broken at random, so that gateways do not act alike.
 _JITTER = 0.02
-# With more gateways than this they spread their choices.
-_MANY = 8
 # Where each endpoint that is well has so many times what it works on at once,
 # those that have just failed are chosen from as well: many gateways see one
 # fail all the time that loses a part of its answers, and tell each other, so
@@ -201,7 +200,7 @@
         requests up to a second, would all take the least: of two at random
         each takes the lesser.
         """
-        if self._gateways > _MANY:
+        if self._gateways > fleet_size.RACING:
             self._rng.shuffle(found)
             del found[2:]
         best = min(found, key=lambda pair: pair[0], default=None)
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -10,18 +10,13 @@
 
 import msgspec
 
+from rackpost.decide import fleet_size
 from rackpost.decide import kv_forecast
 from rackpost.decide import waiting as waiting_mod
 from rackpost import types
 
 # Gateways tell their figures at least each second; three may be lost.
 KEEP_S = 3.5
-# With fewer other gateways than this, requests of plain services are told of
-# one by one as well.  Of more each has few: what is under way when it tells
-# its figures is a sample, and two messages a request to each of 68 were a
-# third of all that crossed between data centres.  Of twenty the messages are
-# few, and samples that are a second old say less than each request.
-_FEW = 32
 # Who waits at a gateway that has missed one telling is not waited for: it
 # may be gone, and nobody would take the place meanwhile; in seconds.
 _FIRST_S = 1.3
@@ -107,7 +102,7 @@
         return release
 
     def _note_change(self, is_told: bool) -> None:
-        if is_told or self.tellers < _FEW:
+        if is_told or self.gateways <= fleet_size.TOLD_SINGLY:
             self._changed()
 
     def take(
@@ -183,9 +178,9 @@
                 self.forget(sender)
 
     @property
-    def tellers(self) -> int:
-        """How many other gateways tell their figures."""
-        return len(self._others)
+    def gateways(self) -> int:
+        """How many gateways tell their figures, this one included."""
+        return len(self._others) + 1
 
     def oldest_s(self, now: float) -> float:
         """Age of the oldest figures that count, in seconds."""
--- a/rackpost/gateway/room.py
+++ b/rackpost/gateway/room.py
@@ -8,6 +8,7 @@
 
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_load
+from rackpost.decide import fleet_size
 from rackpost.decide import pace as pace_mod
 from rackpost.decide import waiting
 from rackpost.gateway import place as place_mod
@@ -21,9 +22,6 @@
 # gateways give away in one moment.  Room for answers that are longer than
 # guessed is kept by the forecast, where it depends on how many run.
 _FILL = 0.97
-# With fewer other gateways than this a race for a place is rare, and waiting
-# for each other's word would delay every start.
-_FEW = 8
 # So much may be read at a prefill endpoint before a prompt that is sent
 # there, in seconds: some two usual prompts, of which one that is half read
 # counts whole, so that the endpoint is kept busy while figures travel.  What
@@ -221,7 +219,9 @@
         ahead = self._loads.ahead(left, self._vm, now)
         # Two prompts read at one time at one endpoint make all that run
         # there late, so that even few gateways take turns.
-        if ahead == 0 or (way.in_place is None and self._loads.tellers < _FEW):
+        if ahead == 0 or (
+            way.in_place is None and self._loads.gateways <= fleet_size.RACING
+        ):
             return True
         places = self._chooser.places(
             wanted.service,
@@ -321,6 +321,6 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_LOOK_S if self._waiters else None):
                     await self._changed.wait()
-                await asyncio.sleep(_GATHER_EACH_S * self._loads.tellers)
+                await asyncio.sleep(_GATHER_EACH_S * self._loads.gateways)
             self._changed.clear()
             self._give()
