What no window can hold is refused; a service that has gone may be left

Cause: found by reading the change. One request that names more tokens than any window holds would have been admitted by a full bucket and kept its organisation out for as long as that is at its rate. An endpoint whose service has gone from the document was refused its word that it leaves. Gateways that are gone stayed in the book of who is heard. Change: such a request gets 429 at once and draws nothing; a known endpoint at its address may go on and leave; gateways silent for a window are dropped.

--- a/rackpost/coordinator/api.py
+++ b/rackpost/coordinator/api.py
@@ -98,12 +98,16 @@
     def _check_service(self, item: endpoints.Endpoint) -> None:
         """Raise CodecError where the document has no such service.
 
-        It would take the address of an endpoint that serves.
+        It would take the address of an endpoint that serves.  One that is
+        known already may go on and leave when its service has gone.
         """
         if item.state is endpoints.EndpointState.GONE:
             return
-        known = self._services()
-        if known and item.service not in known:
+        services = self._services()
+        if not services or item.service in services:
+            return
+        known = self._directory.table.alive.get(item.id)
+        if known is None or known.address != item.address:
             raise exceptions.CodecError("heartbeat: a service not known")
 
     def _note_refused(self, name: str, why: str) -> None:
--- a/rackpost/decide/quota_buckets.py
+++ b/rackpost/decide/quota_buckets.py
@@ -238,6 +238,16 @@
             waiting={k: units for k, units in self._waiting.items() if units},
         )
 
+    def forget(self, now: float) -> None:
+        """Drop gateways that have been silent for a window.
+
+        One that is heard again tells everything, as a newcomer does.
+        """
+        before = now - self.terms.window_s
+        for sender, heard in list(self._heard.items()):
+            if heard.at < before:
+                del self._heard[sender]
+
     def _below_full(self, now: float) -> dict[types.OrganisationName, int]:
         """What the buckets hold that are not full."""
         found = {}
@@ -259,6 +269,9 @@
         if limit is None:
             return None
         size = self.size(limit)
+        if wanted > self.terms.bound(limit):
+            # More than any window may hold, whenever it comes.
+            return quota.Refused(self.terms.window_s, wanted, size)
         share = self._share(now)
         # What those hold that are not heard is theirs.
         level = self._free(item.name, now) - size * (1.0 - share)
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -1,6 +1,8 @@
 """Endpoints that start again under their id, and what is no heartbeat."""
 
+import asyncio
 import json
+import pathlib
 
 import hypothesis
 from hypothesis import strategies
@@ -10,6 +12,7 @@
 from rackpost.platform import heartbeats
 from rackpost.routing import endpoints
 from rackpost import types
+from tests import platform_site
 
 _ID = types.EndpointId("i-1")
 _GOOD = {
@@ -194,3 +197,28 @@
         return
     assert item.slots >= 1 and item.service and item.sequence >= 0
     assert item.state is not endpoints.EndpointState.GONE
+
+
+def test_a_service_that_is_not_in_the_document_names_no_endpoint(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Nor does it drive out who serves at its address."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            other = platform_site.Endpoint(ident="other", service="nobody")
+            other.address = site.plain[0].address
+            assert await site.operator.beat(11, other) == 400
+            assert "p0" in site.coordinator.directory.table.alive
+            # Its service goes from the document: it may say that it leaves.
+            doc = platform_site.document(2)
+            doc["routes"] = doc["routes"][2:]
+            doc["services"] = doc["services"][1:]
+            await site.operator.put_until_taken(11, doc)
+            await platform_site.until(
+                lambda: site.coordinator.feed.version == 2
+            )
+            beat = site.operator.beat(11, site.plain[0], "draining")
+            assert await beat == 200
+
+    asyncio.run(main())
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -102,6 +102,26 @@
     assert admit(found, 20.0, large) is None
 
 
+def test_what_no_window_holds_is_refused_and_costs_nothing() -> None:
+    """Else one request would keep its organisation out for months."""
+    found = buckets()
+    assert admit(found, 0.0, 10**12) is not None
+    assert admit(found, 0.0) is None
+
+
+def test_gateways_that_are_gone_are_forgotten() -> None:
+    found = group(3)
+    assert found[0].heard(0.0) == 3
+    found[0].forget(20.0)
+    assert found[0].heard(20.0) == 1
+    # What one says that is heard again is no new spending.
+    for second in range(30):
+        admit(found[1], 20.0 + second, 14_000)
+    tell(found[1], "1", 1, found, 50.0)
+    found[0].gateways = 1
+    assert admit(found[0], 50.1) is None
+
+
 def tell(
     sender: quota.Quotas,
     name: str,
