--- a/lab/documents.py
+++ b/lab/documents.py
@@ -1,8 +1,9 @@
 """What large routing documents cost: python -m lab.documents.
 
 Prints bytes, and milliseconds of one whole core, for documents of several
-sizes: the document as operators send it, the whole and a change as gateways
-are sent them, and what coordinators and gateways take for them.  The names
+sizes, and for one key more of many organisations: the document as operators
+send it, the whole and a change as gateways are sent them, and what
+coordinators and gateways take for them.  The names
 of routes are random, as operators' tools make them.
 """
 
@@ -19,6 +20,9 @@
 _SIZES = (1400, 2800, 4200)
 _ADDED = 1400
 _ROUNDS = 7
+# The organisations of the size to come, with two keys each.
+_ORGANISATIONS = 630
+_KEYED_ROUTES = 40
 _SERVICE = {"name": "plain", "maxConnections": 100}
 
 
@@ -40,14 +44,32 @@
     }
 
 
-def source(version: int, routes: list[dict[str, object]]) -> bytes:
+def _organisation(rng: random.Random) -> dict[str, object]:
+    return {
+        "name": f"o-{_word(rng)}",
+        "apiKeys": [_word(rng) + _word(rng) for _ in range(2)],
+        "priority": 1,
+        "unit": "token_stream",
+        "plainTokens": 200,
+        "ratePerS": 29000,
+        "burst": 29000,
+    }
+
+
+def source(
+    version: int,
+    routes: list[dict[str, object]],
+    organisations: list[dict[str, object]] | None = None,
+) -> bytes:
     """A document as an operator sends it."""
-    doc = {
+    doc: dict[str, object] = {
         "version": version,
         "routes": routes,
         "services": [_SERVICE],
         "limits": {},
     }
+    if organisations is not None:
+        doc["tenants"] = organisations
     return json.dumps(doc, separators=(",", ":")).encode()
 
 
@@ -82,6 +104,26 @@
     )
 
 
+def _print_keys(rng: random.Random) -> None:
+    """What one key more of many organisations costs."""
+    routes = [_route(rng) for _ in range(_KEYED_ROUTES)]
+    held = [_organisation(rng) for _ in range(_ORGANISATIONS)]
+    reader = documents.Reader()
+    text = source(1, routes, held)
+    doc = reader.decode(text)
+    whole = len(changes.encode(changes.whole(doc)))
+    print(
+        f"{_ORGANISATIONS} organisations, {_KEYED_ROUTES} routes: "
+        f"{len(text)} B as sent, {whole} B whole; coordinator: decode "
+        f"{best_ms(lambda: documents.decode(text)):.1f} ms, after a like one "
+        f"{best_ms(lambda: reader.decode(text)):.1f}"
+    )
+    doc = reader.decode(text)
+    more = dict(held[9], apiKeys=[*held[9]["apiKeys"], _word(rng)])
+    one = reader.decode(source(2, routes, [*held[:9], more, *held[10:]]))
+    _print_change("one key more", doc, one)
+
+
 def main() -> None:
     """Measure and print."""
     rng = random.Random(1)
@@ -109,6 +151,7 @@
         many = reader.decode(source(2, routes[: size + _ADDED]))
         _print_change("one route more", doc, one)
         _print_change(f"{_ADDED} routes more", doc, many)
+    _print_keys(rng)
 
 
 if __name__ == "__main__":
