An end without its life ends the one that was heard, and no later one

Cause: found by reading. Who ends says no more than its id; told on as it was, it ended whatever life the other coordinators and gateways knew, also one that had begun since. Change: the coordinator that hears it adds the life that it knows. Measured: a test in tests/test_directory.py that needs the new call; tests of directory, heartbeats and coordinators passed.

--- a/rackpost/coordinator/api.py
+++ b/rackpost/coordinator/api.py
@@ -120,7 +120,8 @@
                 why=why,
             )
 
-    def _take(self, item: endpoints.Endpoint) -> None:
+    def _take(self, said: endpoints.Endpoint) -> None:
+        item = self._directory.with_life(said)
         if self._directory.take(item):
             self._spread(item)
 
--- a/rackpost/coordinator/directory.py
+++ b/rackpost/coordinator/directory.py
@@ -84,6 +84,17 @@
         for conn in self._rng.sample(list(self.gateways), count):
             conn.send(messages.Silent(ids=tuple(ids)))
 
+    def with_life(self, item: endpoints.Endpoint) -> endpoints.Endpoint:
+        """What an endpoint said, with its life as it is known here.
+
+        Who ends without telling its life ends the one that it was heard
+        in: others may know already that it has started again.
+        """
+        known = self.table.alive.get(item.id)
+        if item.born or known is None:
+            return item
+        return msgspec.structs.replace(item, born=known.born)
+
     def whole(self) -> messages.Endpoints:
         """All that is known, for a process that has just linked."""
         return messages.Endpoints(
--- a/rackpost/testing/quota_world.py
+++ b/rackpost/testing/quota_world.py
@@ -66,8 +66,8 @@
             self.tell(at)
         self.step(TOLD_S)
 
-    def _new(self, at: float, began: float) -> quota.Quotas:
-        found = self._make(began, int(at))
+    def _new(self, at: int, began: float) -> quota.Quotas:
+        found = self._make(began, at)
         found.gateways = len(self.lives)
         return found
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -100,3 +100,25 @@
             assert one.bytes < 8_000
 
     virtual.run(main())
+
+
+def test_an_end_ends_the_life_that_was_heard_and_no_later_one() -> None:
+    """It has started again, which its old coordinator does not know yet."""
+
+    async def main() -> None:
+        here, _ = linked(1)
+        there, _ = linked(1)
+        first = msgspec.structs.replace(endpoint(1), born=1000)
+        here.take(first)
+        there.take(first)
+        there.take(msgspec.structs.replace(endpoint(1), born=2000))
+        said = endpoints.Endpoint(
+            id=first.id, state=endpoints.EndpointState.GONE
+        )
+        told = directory.news(here.with_life(said))
+        directory.take_news(there.table, told, _now())
+        assert there.table.alive[first.id].born == 2000
+        directory.take_news(here.table, told, _now())
+        assert not here.table.alive
+
+    virtual.run(main())
