A few gateways tell an endpoint's news on; what goes to many is encoded once

Change: four gateways, by rendezvous hashing, tell an endpoint's news on; a message that can't be changed and goes to many peers in a row is encoded once. Measured: tests/test_relays.py: 4 or 5 of 21, 103 and 370 gateways tell each endpoint's news; 103 sends of one list are one encoding.

--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -7,6 +7,7 @@
 from rackpost.coordinator import directory
 from rackpost.coordinator import links
 from rackpost.coordinator import messages
+from rackpost.decide import relays
 from rackpost.gateway import routing_updates
 from rackpost.gateway import site as site_mod
 from rackpost.link import websocket
@@ -169,7 +170,10 @@
         changed: list[endpoints.Endpoint],
     ) -> None:
         """Tell news on to coordinators that may not reach each other."""
+        site = self._site
         for item in changed:
+            if not relays.is_relay(site.host.vm, site.gateways, item.id):
+                continue
             msg = directory.news(item)
             for conn in self._linked:
                 if conn is not source:
--- a/rackpost/link/codec.py
+++ b/rackpost/link/codec.py
@@ -11,9 +11,27 @@
 MAX_FRAME = 8 << 20
 
 
+class _Last:
+    """The message that was encoded last."""
+
+    msg: msgspec.Struct | None = None
+    data = b""
+
+
 def encode(msg: msgspec.Struct) -> bytes:
-    """The bytes of a message."""
-    return cbor2.dumps(msgspec.to_builtins(msg, builtin_types=(bytes,)))
+    """The bytes of a message.
+
+    One that goes to many peers in a row is encoded once: of 103 gateways
+    each was sent the same list of endpoints, twice a second.  Only messages
+    that can't be changed are known again.
+    """
+    if msg is _Last.msg:
+        return _Last.data
+    data = cbor2.dumps(msgspec.to_builtins(msg, builtin_types=(bytes,)))
+    if msg.__struct_config__.frozen:
+        _Last.msg = msg
+        _Last.data = data
+    return data
 
 
 class Decoder:
--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,63 @@
+"""News that gateways tell on, and messages that go to many."""
+
+import pytest
+
+from rackpost.coordinator import messages
+from rackpost.decide import relays
+from rackpost.link import codec
+from rackpost import types
+
+
+def vms(count: int) -> list[types.VmId]:
+    return [types.VmId(f"edge-hall-{at % 3}-{at}") for at in range(count)]
+
+
+def telling(count: int, subject: str) -> int:
+    """How many of some gateways tell a subject's news on."""
+    known = vms(count)
+    return sum(relays.is_relay(vm, known, subject) for vm in known)
+
+
+@pytest.mark.parametrize("count", [1, 2, 4])
+def test_few_gateways_all_tell(count: int) -> None:
+    assert telling(count, "i-1") == count
+
+
+@pytest.mark.parametrize("count", [21, 103, 370])
+def test_of_many_gateways_a_few_tell_whatever_their_number(
+    count: int,
+) -> None:
+    for number in range(50):
+        assert 4 <= telling(count, f"i-{number}") <= 5
+
+
+def test_endpoints_are_spread_over_the_gateways() -> None:
+    known = vms(103)
+    told = [
+        sum(relays.is_relay(vm, known, f"i-{at}") for at in range(1000))
+        for vm in known
+    ]
+    assert max(told) < 90
+
+
+def test_a_gateway_that_knows_nobody_tells() -> None:
+    assert relays.is_relay(types.VmId("a"), [], "i-1")
+    assert relays.is_relay(types.VmId("a"), [types.VmId("b")], "i-1")
+
+
+def test_what_goes_to_many_is_encoded_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    made = []
+    dumps = codec.cbor2.dumps
+    monkeypatch.setattr(
+        codec.cbor2, "dumps", lambda raw: made.append(1) or dumps(raw)
+    )
+    ids = tuple(types.EndpointId(f"i-{at}") for at in range(100))
+    msg = messages.Heard(ids=ids)
+    sent = {codec.encode(msg) for _ in range(103)}
+    assert len(sent) == 1 and len(made) == 1
+    other = messages.Heard(ids=ids[:3])
+    found = codec.Decoder(kinds=messages.ToGateway)
+    assert found.decode(codec.encode(other)) == other
+    assert found.decode(codec.encode(msg)) == msg
