Fixtures of heartbeats and open connections stand once; raft.py is smaller

Change: they share one; Log.compact_at. Measured: tests of heartbeats, routes, keys, storage, control, members, coordinators and histories passed; lint and types clean.

--- a/rackpost/consensus/log.py
+++ b/rackpost/consensus/log.py
@@ -92,6 +92,16 @@
         self.snapshot = snapshot
         self._entries = keep
 
+    def compact_at(self, index: m.Index, data: bytes) -> m.Snapshot:
+        """Put a snapshot of the state at a record it holds in place."""
+        term = self.term_at(index)
+        assert term is not None
+        snapshot = m.Snapshot(
+            index=index, term=term, config=self.config_at(index), data=data
+        )
+        self.compact(snapshot)
+        return snapshot
+
     def config(self) -> tuple[m.Config, m.Index]:
         """The latest config in the log, committed or not, and its index."""
         for entry in reversed(self._entries):
--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -197,16 +197,8 @@
 
     def compact(self, index: m.Index, data: bytes) -> m.Snapshot:
         """Put a snapshot of the state at `index` in place of the log."""
-        term = self.log.term_at(index)
-        assert term is not None and index <= self.applied
-        snapshot = m.Snapshot(
-            index=index,
-            term=term,
-            config=self.log.config_at(index),
-            data=data,
-        )
-        self.log.compact(snapshot)
-        return snapshot
+        assert index <= self.applied
+        return self.log.compact_at(index, data)
 
     def receive(self, msg: m.AnyMessage, now: float) -> None:
         """Take a message of another replica."""
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -140,6 +140,18 @@
         yield running
 
 
+# What endpoints always send in a heartbeat.
+HEARTBEAT = {
+    "service": "plain",
+    "address": "10.0.0.1:80",
+    "zone": DATA_CENTRE,
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 1,
+}
+
 Answer = Callable[[message.Request, server.Responder], Awaitable[None]]
 
 
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -35,6 +35,12 @@
     return f"Authorization: Bearer {value}\r\n"
 
 
+def kept_open(path: str, shown: str) -> bytes:
+    """A request with a key that leaves its connection open."""
+    data = test_gateway.request(path, more=key(shown))
+    return data.replace(b"Connection: close\r\n", b"")
+
+
 def seen(site: platform_site.Site) -> list[message.Request]:
     return [req for one in site.endpoints for req in one.seen]
 
@@ -108,8 +114,7 @@
             reader, writer = await asyncio.open_connection(
                 *site.plan.front(31)
             )
-            data = test_gateway.request("/safe/x", more=key("k1"))
-            data = data.replace(b"Connection: close\r\n", b"")
+            data = kept_open("/safe/x", "k1")
             writer.write(data)
             assert b" 200 " in await reader.readuntil(b"\r\n")
             held = test_keys.organisation("nord", "k2")
@@ -187,8 +192,7 @@
                 *site.plan.front(31)
             )
             for number in range(50):
-                data = test_gateway.request("/safe/x", more=key(str(number)))
-                writer.write(data.replace(b"Connection: close\r\n", b""))
+                writer.write(kept_open("/safe/x", str(number)))
                 assert b" 401 " in await reader.readuntil(b"\r\n\r\n")
             writer.close()
             assert not seen(site)
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -15,16 +15,7 @@
 from tests import platform_site
 
 _ID = types.EndpointId("i-1")
-_GOOD = {
-    "service": "plain",
-    "address": "10.0.0.1:80",
-    "zone": "hall-nord",
-    "version": "v1",
-    "slots": 6,
-    "state": "ready",
-    "coldRemainingMs": 0,
-    "sequence": 1,
-}
+_GOOD = platform_site.HEARTBEAT
 
 
 def heartbeat(**more: object) -> endpoints.Endpoint:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -116,16 +116,7 @@
 
 
 def _endpoint(**more: object) -> endpoints.Endpoint:
-    found = {
-        "service": "plain",
-        "address": "10.0.0.1:80",
-        "zone": "hall-nord",
-        "version": "v1",
-        "slots": 6,
-        "state": "ready",
-        "coldRemainingMs": 0,
-        "sequence": 1,
-    }
+    found = dict(platform_site.HEARTBEAT)
     ident = str(more.pop("ident", "i-1"))
     found.update(more)
     return heartbeats.decode(ident, json.dumps(found).encode())
