--- a/rackpost/coordinator/directory.py
+++ b/rackpost/coordinator/directory.py
@@ -21,7 +21,8 @@
 _SILENT_BEATS = 12
 # Gateways are asked of those that have missed this many heartbeats, a few of
 # them at a time.  Each told each coordinator all endpoints that it had heard
-# of, each second: 1.2 MB a second at 95 gateways and 1,002 endpoints.
+# of, each second: 1.2 MB a second at 95 gateways and 1,002 endpoints, by
+# their encoded size.
 _ASK_BEATS = 3
 _ASKED = 3
 # So many endpoints are asked of in one message.
--- a/rackpost/decide/groups.py
+++ b/rackpost/decide/groups.py
@@ -2,8 +2,8 @@
 
 Each gateway tells its figures to those that choose among the same
 endpoints.  With many gateways all endpoints told to all would cost each of
-them more the more there are: of 285 each sent and took 284 messages a second
-at least.  In groups it costs the same whatever their number is.
+them more the more there are: of 370 each would send and take 369 messages a
+second at least.  In groups it costs the same whatever their number is.
 
 Groups are found by rendezvous hashing, by each process alone: when their
 number changes by one, little moves.
@@ -16,7 +16,8 @@
 from rackpost import types
 
 # Up to this many gateways share all endpoints: places are given away best
-# where all are known, and 95 tell each other 107 KB a second at most.
+# where all are known, and 95 were served with 107 KB a second into and out of
+# each, requests included.
 _MOST_TOGETHER = 96
 # Gateways of a group, where there are groups.
 _SIZE = 64
--- a/rackpost/decide/relays.py
+++ b/rackpost/decide/relays.py
@@ -3,7 +3,7 @@
 Coordinators tell each other what they hear of endpoints; gateways tell it on
 for those that do not reach each other.  If all did, one endpoint's news would
 come to each coordinator from each gateway: with 103 gateways and a thousand
-endpoints 400,000 messages as a site starts.
+endpoints 400,000 messages as a site starts, by reckoning.
 """
 
 import hashlib
