Sight: what a broken request is known by, and how long it had run

Each try of a client has an id of its own, so that lines on a request that came again could not be told from lines on another. Broken attempts and prefills name a digest of organisation, method, path and body, the life of the endpoint, the time since the request was sent and how many others ran there. No decision uses it.

--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -114,7 +114,7 @@
 ) -> forwarding.Ended:
     """An endpoint takes no connection; the request was not sent."""
     call.tried.append(endpoint.id)
-    return _broke(call, endpoint, exc)
+    return _broke(call, endpoint, exc, began=None)
 
 
 async def run_on(
@@ -136,7 +136,7 @@
         reply = await send(call, endpoint, conn, extra)
         ended = await _take(call, endpoint, reply, began)
     except exceptions.ExchangeError as exc:
-        ended = _broke(call, endpoint, exc)
+        ended = _broke(call, endpoint, exc, began=began)
     if ended is not forwarding.Ended.NOT_SENT:
         call.sent += 1
     if ended in (forwarding.Ended.NOT_SENT, forwarding.Ended.NOT_RUN):
@@ -172,10 +172,23 @@
     call: call_mod.Call,
     endpoint: endpoints.Endpoint,
     exc: exceptions.ExchangeError,
+    *,
+    began: float | None,
 ) -> forwarding.Ended:
+    """Note that an attempt broke, sent at `began`; None if it was not."""
+    site = call.site
+    now = site.loop_time()
     if not isinstance(exc, exceptions.NoPlace):
-        call.site.health.broke(endpoint.id, call.site.loop_time())
-    call.log("Attempt broke.", endpoint=endpoint.id, why=str(exc))
+        site.health.broke(endpoint.id, now)
+    call.log(
+        "Attempt broke.",
+        endpoint=endpoint.id,
+        born=endpoint.born,
+        why=str(exc),
+        fingerprint=call.fingerprint.hex(),
+        sent_s=None if began is None else round(now - began, 3),
+        others=site.loads.total(endpoint.id).requests,
+    )
     if not exc.sent:
         return forwarding.Ended.NOT_SENT
     return forwarding.Ended.BROKEN
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -1,9 +1,11 @@
 """One client's request on its way through a gateway."""
 
 import enum
+import functools
 from typing import Callable
 from typing import NamedTuple
 
+from rackpost.decide import fingerprint
 from rackpost.decide import forwarding
 from rackpost.gateway import callers
 from rackpost.gateway import charge as charge_mod
@@ -105,6 +107,16 @@
         """Whether the client asks for headers alone."""
         return self.req.method == b"HEAD"
 
+    @functools.cached_property
+    def fingerprint(self) -> types.Fingerprint:
+        """What this request is known by, also when it comes again."""
+        return fingerprint.fingerprint(
+            organisation=types.OrganisationName(self.caller.name),
+            method=self.req.method,
+            target=self.req.target,
+            body=self.req.body,
+        )
+
     def situation(self, now: float) -> forwarding.Situation:
         """What decides on a further attempt."""
         return forwarding.Situation(
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -222,7 +222,9 @@
     call.log(
         "Prefill failed.",
         endpoint=endpoint.id,
+        born=endpoint.born,
         why=str(exc) or "slow",
+        fingerprint=call.fingerprint.hex(),
         patience_s=round(patience, 3),
     )
     if isinstance(exc, exceptions.ExchangeError) and not exc.sent:
--- a/rackpost/types.py
+++ b/rackpost/types.py
@@ -14,6 +14,8 @@
 OrganisationName = NewType("OrganisationName", str)
 # What a caller's key is known by; the key itself stays in the adapter.
 KeyDigest = NewType("KeyDigest", bytes)
+# What a request is known by under whatever id it comes.
+Fingerprint = NewType("Fingerprint", bytes)
 ServiceName = NewType("ServiceName", str)
 KindName = NewType("KindName", str)
 Revision = NewType("Revision", int)
