--- /dev/null
+++ b/tests/test_suspended.py
@@ -0,0 +1,64 @@
+"""A VM that is suspended for seconds, and wakes without having noticed.
+
+The steady clock stands still meanwhile, so that whatever it knew seems as
+fresh as before: leases that others have long taken over, a quorum last heard
+of, quotas' windows, the ages of figures.  All of them count by the clock of
+the event loop, which therefore has to count that time.
+"""
+
+import asyncio
+import os
+import pathlib
+import time
+
+import pytest
+
+from rackpost import logs
+from rackpost import program
+from rackpost.platform import settings
+from rackpost import site_program
+from tests import platform_site
+
+_SUSPENDED_S = 7.0
+
+
+class _Clocks:
+    """The host's clocks, of which one stands still while it is suspended."""
+
+    def __init__(self) -> None:
+        self._read = time.clock_gettime
+        self._suspended_s = 0.0
+        # What the loop's clock counted from before to after.
+        self.passed_s: list[float] = []
+
+    def clock_gettime(self, clock: int) -> float:
+        if clock == time.CLOCK_BOOTTIME:
+            return self._read(clock) + self._suspended_s
+        return self._read(clock)
+
+    async def main(self, *args: object) -> None:
+        """What a program does: it is suspended, and wakes."""
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        self._suspended_s += _SUSPENDED_S
+        self.passed_s.append(loop.time() - before)
+
+
+def test_the_clock_of_every_program_counts_the_time_of_a_suspended_vm(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
+) -> None:
+    clocks = _Clocks()
+    plan = platform_site.Plan(root=tmp_path)
+    host = plan.host(31, kind="edge")
+    output = logs.BoundedOutput(fd=os.open(os.devnull, os.O_WRONLY))
+    monkeypatch.setattr(time, "clock_gettime", clocks.clock_gettime)
+    monkeypatch.setattr(logs, "to_stream", lambda: None)
+    monkeypatch.setattr(logs, "to_stdout", lambda **common: output)
+    monkeypatch.setattr(settings, "load", lambda: host)
+    # A program of a site ends without waiting for its threads.
+    monkeypatch.setattr(os, "_exit", lambda code: None)
+    program.run(clocks.main)
+    site_program.run(logs.Part.GATEWAY, clocks.main)
+    assert len(clocks.passed_s) == 2
+    for passed_s in clocks.passed_s:
+        assert _SUSPENDED_S <= passed_s < _SUSPENDED_S + 1.0
