Requests under which endpoints end are held back at all gateways

Cause: a gateway knew the attempts of one call; a request that came again had another id and came to any gateway, so that it was sent as if for the first time, and ended one endpoint after the other with all that ran there.

A request is known by a digest of organisation, method, path and body. Each broken attempt names it, with the life of the endpoint; gateways tell all coordinators, which add up and tell all gateways of those with two or more. From the third different life on it is refused at once, for an hour, unless it was answered in full, the endpoints turn out to be alive, another request explains these ends, or an operator lets it go. Coordinators keep it on their disks, each by itself, so that it outlives all power and two disks.

--- a/rackpost/consensus/storage.py
+++ b/rackpost/consensus/storage.py
@@ -160,7 +160,8 @@
         os.close(handle)
 
 
-def _write_whole(path: pathlib.Path, data: bytes) -> None:
+def write_whole(path: pathlib.Path, data: bytes) -> None:
+    """Put a file in place, whole and synced, or leave the old one."""
     part = path.with_suffix(".part")
     try:
         with open(part, "wb") as file:
@@ -175,7 +176,16 @@
     _sync_dir(path.parent)
 
 
-def _read_one(path: pathlib.Path, kind: type) -> msgspec.Struct:
+def write_one(path: pathlib.Path, msg: msgspec.Struct) -> None:
+    """Put a file that holds one message in place; OSError if that fails."""
+    write_whole(path, frame(codec.encode(msg)))
+
+
+def read_one(path: pathlib.Path, kind: type) -> msgspec.Struct:
+    """The one message that a file holds.
+
+    Raises OSError, or StorageError or CodecError where it is damaged.
+    """
     frames, good = read_frames(path.read_bytes())
     if len(frames) != 1 or good != path.stat().st_size:
         raise exceptions.StorageError(f"{path.name} is damaged")
@@ -195,7 +205,7 @@
     if path.exists():
         raise exceptions.StorageError(f"{folder} has a replica already")
     identity = Identity(replica=replica, config=config)
-    _write_whole(path, frame(codec.encode(identity)))
+    write_whole(path, frame(codec.encode(identity)))
 
 
 class FileDisk(Disk):
@@ -242,7 +252,7 @@
         """
         path = self._folder / "committed"
         try:
-            mark = _read_one(path, Mark)
+            mark = read_one(path, Mark)
         except (OSError, exceptions.RackpostError):
             return log.snapshot.index
         assert isinstance(mark, Mark)
@@ -252,10 +262,9 @@
 
     async def note_committed(self, mark: Mark) -> None:
         """Keep a mark for the next start; StorageError if that fails."""
-        data = frame(codec.encode(mark))
         path = self._folder / "committed"
         try:
-            await asyncio.to_thread(_write_whole, path, data)
+            await asyncio.to_thread(write_one, path, mark)
         except OSError as exc:
             raise exceptions.StorageError(f"committed: {exc}") from exc
 
@@ -267,7 +276,7 @@
                 "'rackpost-control init', or, for one that lost its disk, "
                 "with 'rackpost-control init --join' under a new id"
             )
-        found = _read_one(path, Identity)
+        found = read_one(path, Identity)
         assert isinstance(found, Identity)
         return found
 
@@ -277,7 +286,7 @@
             return m.Snapshot(
                 index=m.Index(0), term=m.Term(0), config=identity.config
             )
-        found = _read_one(path, m.Snapshot)
+        found = read_one(path, m.Snapshot)
         assert isinstance(found, m.Snapshot)
         return found
 
@@ -324,9 +333,9 @@
         # A crash between the two leaves old records, which are skipped
         # as they lie below the snapshot.
         whole = frame(codec.encode(snapshot))
-        _write_whole(self._folder / "snapshot", whole)
+        write_whole(self._folder / "snapshot", whole)
         data = frame(codec.encode(rest))
-        _write_whole(self._log, data)
+        write_whole(self._log, data)
         # The old log stays open until the new one is, so that this can be
         # done again where the disk fails.
         old = self._handle
--- a/rackpost/coordinator/api.py
+++ b/rackpost/coordinator/api.py
@@ -5,6 +5,7 @@
 
 from rackpost.control import node as node_mod
 from rackpost.coordinator import directory as directory_mod
+from rackpost.coordinator import quarantine_keeper
 from rackpost import exceptions
 from rackpost.http1 import message
 from rackpost.http1 import server
@@ -26,6 +27,8 @@
 _LONG_ANSWER_S = 3.0
 # The same sender's heartbeat is logged as refused once in this, in seconds.
 _REFUSAL_S = 10.0
+# A request that is held back; `DELETE` lets it go.
+_HELD = b"/quarantine/"
 # Bytes of an unknown sender's name that are logged.
 _MAX_NAME = 64
 
@@ -42,10 +45,12 @@
         spread: Callable[[endpoints.Endpoint], None],
         reader: documents.Reader,
         services: Callable[[], frozenset[types.ServiceName]],
+        quarantine: quarantine_keeper.QuarantineKeeper,
     ) -> None:
         """`services` are those of the document in force, if there is one."""
         self._loop = asyncio.get_running_loop()
         self._services = services
+        self._quarantine = quarantine
         self._refusals = logs.Pauses(pause_s=_REFUSAL_S)
         self._node = node
         self._directory = directory
@@ -61,9 +66,24 @@
             await self._put(req, responder)
         elif req.path == paths.DOCUMENT and req.method == b"GET":
             await self._get(responder)
+        elif req.path.startswith(_HELD) and req.method == b"DELETE":
+            self._release(req.path[len(_HELD) :], responder)
         else:
             self._endpoint(req, responder)
 
+    def _release(self, name: bytes, responder: server.Responder) -> None:
+        """An operator lets a request go that was held back."""
+        request = quarantine_keeper.of_hex(name.decode("latin-1"))
+        if request is None or not self._quarantine.release(request):
+            _say(responder, 404, "not held back")
+            return
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Request released.",
+            fingerprint=request.hex(),
+        )
+        _say(responder, 200)
+
     def _endpoint(
         self, req: message.Request, responder: server.Responder
     ) -> None:
--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -7,6 +7,7 @@
 from rackpost.consensus import messages as consensus
 from rackpost.control import messages as control
 from rackpost.decide import endpoint_load
+from rackpost.decide import quarantine
 from rackpost.decide import quota
 from rackpost.decide import quota_use
 from rackpost.decide import role_balance
@@ -99,6 +100,16 @@
     quotas: tuple[quota_use.Use, ...] = ()
 
 
+class Suspicions(_Message, frozen=True, tag="suspicions"):
+    """What counts against requests under which endpoints ended.
+
+    A gateway tells what it saw; a coordinator, all that it knows of requests
+    that are or were held back.
+    """
+
+    items: tuple[quarantine.Suspicion, ...]
+
+
 class GatewayAddress(_Message, frozen=True):
     """Where a gateway takes `Loads`, as host:port."""
 
@@ -141,9 +152,16 @@
     quotas: quota.Told = quota.Told()
 
 
-FromGateway = Union[GatewayHello, Fetch, Demands, Endpoints, Heard]
+FromGateway = Union[GatewayHello, Fetch, Demands, Endpoints, Heard, Suspicions]
 ToGateway = Union[
-    RoutingAt, RoutingPart, Endpoints, Heard, Silent, Changing, Peers
+    RoutingAt,
+    RoutingPart,
+    Endpoints,
+    Heard,
+    Silent,
+    Changing,
+    Peers,
+    Suspicions,
 ]
-FromReplica = Union[control.FromReplica, Join, Endpoints, Heard]
+FromReplica = Union[control.FromReplica, Join, Endpoints, Heard, Suspicions]
 FromAny = Union[FromGateway, FromReplica]
--- a/rackpost/coordinator/overview.py
+++ b/rackpost/coordinator/overview.py
@@ -8,6 +8,7 @@
 
 from rackpost.control import node as node_mod
 from rackpost.coordinator import directory as directory_mod
+from rackpost.decide import quarantine as quarantine_mod
 from rackpost.decide import quota_use
 from rackpost import exceptions
 from rackpost import logs
@@ -64,6 +65,14 @@
     gateways: tuple[tuple[types.VmId, int], ...]
 
 
+class HeldLine(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that is held back, for `left_s` seconds more."""
+
+    fingerprint: str
+    endpoints: tuple[types.EndpointId, ...]
+    left_s: float
+
+
 class Overview(msgspec.Struct, frozen=True, kw_only=True):
     """The site, as one coordinator knows it.
 
@@ -84,6 +93,7 @@
     routes: tuple[RouteLine, ...]
     endpoints: tuple[EndpointLine, ...]
     quotas: tuple[QuotaLine, ...] = ()
+    held: tuple[HeldLine, ...] = ()
 
 
 def overview(
@@ -92,6 +102,7 @@
     node: node_mod.Node,
     directory: directory_mod.Directory,
     changing: tuple[types.EndpointId, ...],
+    quarantine: quarantine_mod.Quarantine,
     now: float,
 ) -> Overview:
     """What is known at a reading of the loop's clock."""
@@ -112,6 +123,7 @@
         routes=() if doc is None else _routes(doc),
         endpoints=_endpoints(directory.table, changing, now),
         quotas=() if doc is None else _quotas(doc, directory),
+        held=tuple(_held_line(item) for item in quarantine.held(now)),
     )
 
 
@@ -162,6 +174,14 @@
     )
 
 
+def _held_line(item: quarantine_mod.Held) -> HeldLine:
+    return HeldLine(
+        fingerprint=item.request.hex(),
+        endpoints=tuple(life.id for life in item.lives),
+        left_s=round(item.left_s),
+    )
+
+
 def _routes(doc: model.Document) -> tuple[RouteLine, ...]:
     return tuple(
         RouteLine(
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -20,6 +20,7 @@
 from rackpost.coordinator import messages
 from rackpost.coordinator import overview
 from rackpost.coordinator import peers
+from rackpost.coordinator import quarantine_keeper
 from rackpost.coordinator import roles
 from rackpost.coordinator import routing_feed
 from rackpost import exceptions
@@ -75,6 +76,13 @@
         self.directory = directory_mod.Directory(
             heartbeat_s=host.heartbeat_ms / 1000.0, rng=random.Random()
         )
+        self.quarantine = quarantine_keeper.QuarantineKeeper(
+            file=quarantine_keeper.QuarantineFile(
+                folder=pathlib.Path(host.data_dir)
+            ),
+            tell_gateways=self.directory.tell_gateways,
+            tell_replicas=self.node.tell_all,
+        )
         self.feed = routing_feed.RoutingFeed()
         self._reader = documents.Reader()
         # What a snapshot held is in force at once.
@@ -154,6 +162,10 @@
             closed=lambda: self._gateway_left(conn),
         )
         logs.say(logs.Part.COORDINATOR, "Gateway linked.", peer=hello.vm)
+        held = self.quarantine.for_newcomer()
+        if held is not None:
+            # Before the document, with which it begins to serve.
+            conn.send(held)
         conn.send(messages.RoutingAt(version=self.feed.version))
         conn.send(self.directory.whole())
         conn.send(messages.Changing(ids=self._roles.changing))
@@ -175,6 +187,8 @@
             self.directory.quotas[hello.vm] = msg.quotas
         elif isinstance(msg, messages.Heard):
             self.directory.table.hear(msg.ids, self._loop.time())
+        elif isinstance(msg, messages.Suspicions):
+            self.quarantine.take(msg)
         elif isinstance(msg, messages.Fetch):
             part = self.feed.part(msg)
             if part is not None:
@@ -194,6 +208,8 @@
             self.directory.table.hear(msg.ids, self._loop.time())
         elif isinstance(msg, messages.Endpoints):
             self._on_news(msg)
+        elif isinstance(msg, messages.Suspicions):
+            self.quarantine.take(msg)
 
     def _on_news(self, msg: messages.Endpoints) -> None:
         changed = directory_mod.take_news(
@@ -241,6 +257,7 @@
             node=self.node,
             directory=self.directory,
             changing=self._roles.changing,
+            quarantine=self.quarantine.book,
             now=self._loop.time(),
         )
         return 200, msgspec.json.encode(found).decode()
@@ -276,6 +293,7 @@
             spread=self._spread,
             reader=self._reader,
             services=lambda: self.feed.services,
+            quarantine=self.quarantine,
         )
         http = server.Server(
             handler=calls.handle,
@@ -313,6 +331,7 @@
             stack.enter_context(self.node.watched(self._on_changes))
             tasks.spawn(self.node.run())
             tasks.spawn(self.marks.run())
+            tasks.spawn(self.quarantine.run())
             tasks.spawn(self._members.run())
             tasks.spawn(self._forget())
             tasks.spawn(self._roles.run())
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -191,6 +191,10 @@
     )
     if not exc.sent:
         return forwarding.Ended.NOT_SENT
+    if began is not None:
+        site.suspects.ended(
+            call.fingerprint, endpoint, ran_s=now - began, now=now
+        )
     return forwarding.Ended.BROKEN
 
 
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -38,6 +38,7 @@
     WOULD_BE_LATE = "would-be-late"
     REJECTED = "rejected"
     OVER_QUOTA = "over-quota"
+    ENDS_ENDPOINTS = "ends-endpoints"
     TIME_UP = "time-up"
     BROKEN = "broken"
     BAD_REQUEST = "bad-request"
@@ -162,7 +163,38 @@
         )
         refuse(self.responder, come_back_s, status)
 
-    def end_if_revoked(self) -> bool:
+    def end_if_barred(self) -> bool:
+        """End it if it may not be sent to an endpoint; whether it may not.
+
+        Asked again before each attempt: both may have come meanwhile.
+        """
+        return self._end_if_revoked() or self._end_if_held()
+
+    def _end_if_held(self) -> bool:
+        """End it if it is held back, as endpoints ended under it.
+
+        Its caller is told the truth, and when it will be tried again.
+        """
+        suspects = self.site.suspects
+        if not suspects.book.holds_any():
+            # As a rule: no request is digested before it is sent.
+            return False
+        left_s = suspects.left_s(self.fingerprint, self.site.loop_time())
+        if left_s <= 0.0:
+            return False
+        self.log(
+            "Held back.",
+            fingerprint=self.fingerprint.hex(),
+            endpoints=suspects.book.open_lives(self.fingerprint),
+            left_s=round(left_s),
+        )
+        if self.may_have_run:
+            self.fail(Reason.ENDS_ENDPOINTS, 502)
+        else:
+            self.refuse(Reason.ENDS_ENDPOINTS, left_s)
+        return True
+
+    def _end_if_revoked(self) -> bool:
         """End it if its key has been taken away; whether it has."""
         if not self.caller.is_revoked():
             return False
@@ -188,7 +220,9 @@
 
     def delivered(self, endpoint: endpoints.Endpoint, status: int) -> None:
         """The client has the whole answer."""
-        took_s = self.site.loop_time() - self.began
+        now = self.site.loop_time()
+        took_s = now - self.began
+        self.site.suspects.served(self.fingerprint, now)
         self._time(took_s)
         late = self._is_late(took_s)
         if self.sampled or late or status >= 400:
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -7,6 +7,7 @@
 from rackpost.coordinator import directory
 from rackpost.coordinator import links
 from rackpost.coordinator import messages
+from rackpost.decide import quarantine
 from rackpost.decide import relays
 from rackpost.gateway import routing_updates
 from rackpost.gateway import site as site_mod
@@ -46,6 +47,7 @@
         self._updates = routing_updates.RoutingUpdates(site=site)
         # Links on which a coordinator has said what it holds.
         self._linked: set[websocket.WebSocketChannel] = set()
+        site.suspects.tell = self._tell_suspicions
         self.reload(self._host)
 
     def reload(self, host: settings.HostSettings) -> None:
@@ -71,6 +73,20 @@
         for conn in self._linked:
             conn.send(msg)
 
+    def _tell_suspicions(
+        self, items: tuple[quarantine.Suspicion, ...]
+    ) -> None:
+        """Tell all coordinators what counts against some requests."""
+        for conn in self._linked:
+            conn.send(messages.Suspicions(items=items))
+
+    def _on_linked(self, conn: websocket.WebSocketChannel) -> None:
+        """A coordinator is there: tell it what it may not know."""
+        self._linked.add(conn)
+        items = self._site.suspects.book.known(1)
+        if items:
+            conn.send(messages.Suspicions(items=items))
+
     def _latest(self) -> list[messages.Peers]:
         """What those say that are linked; else all that was ever said."""
         linked = [
@@ -107,7 +123,8 @@
         msg: msgspec.Struct,
     ) -> None:
         if isinstance(msg, messages.RoutingAt):
-            self._linked.add(conn)
+            if conn not in self._linked:
+                self._on_linked(conn)
             self._updates.told(conn, host, msg.version)
         elif isinstance(msg, messages.RoutingPart):
             self._updates.take(conn, msg)
@@ -117,6 +134,8 @@
             self._site.table.hear(msg.ids, self._loop.time())
         elif isinstance(msg, messages.Silent):
             self._on_silent(conn, msg)
+        elif isinstance(msg, messages.Suspicions):
+            self._site.suspects.take(msg.items, self._loop.time())
         elif isinstance(msg, messages.Changing):
             self._on_changing(host, msg)
         elif isinstance(msg, messages.Peers):
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -29,7 +29,7 @@
     """Answer a request for a plain service."""
     while True:
         endpoint = _choose(call) or await _first_endpoint(call)
-        if call.end_if_revoked():
+        if call.end_if_barred():
             return
         if endpoint is None:
             give_up(call, call_mod.Reason.NO_ENDPOINT)
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -78,7 +78,7 @@
             if isinstance(place, place_mod.Full):
                 self._refuse_full(place)
                 return
-            if call.end_if_revoked():
+            if call.end_if_barred():
                 place.release()
                 return
             call.on_event = self._on_event(place)
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -138,7 +138,7 @@
             until=until,
         )
         call.budget.request(self._site.loop_time())
-        if self._is_over_quota(call):
+        if call.end_if_barred() or self._is_over_quota(call):
             return
         try:
             await self._answer_in_time(call)
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -184,7 +184,7 @@
         exceptions.CodecError,
         TimeoutError,
     ) as exc:
-        return _broke(call, endpoint, exc, patience)
+        return _broke(call, endpoint, exc, patience=patience, began=began)
     if result is None:
         return _Ended.REJECTED
     took = site.loop_time() - began
@@ -215,10 +215,14 @@
     call: call_mod.Call,
     endpoint: endpoints.Endpoint,
     exc: Exception,
+    *,
     patience: float,
+    began: float,
 ) -> _Ended:
+    site = call.site
+    now = site.loop_time()
     if not isinstance(exc, exceptions.NoPlace):
-        call.site.health.broke(endpoint.id, call.site.loop_time())
+        site.health.broke(endpoint.id, now)
     call.log(
         "Prefill failed.",
         endpoint=endpoint.id,
@@ -227,8 +231,12 @@
         fingerprint=call.fingerprint.hex(),
         patience_s=round(patience, 3),
     )
-    if isinstance(exc, exceptions.ExchangeError) and not exc.sent:
-        return _Ended.NOT_SENT
+    if isinstance(exc, exceptions.ExchangeError):
+        if not exc.sent:
+            return _Ended.NOT_SENT
+        site.suspects.ended(
+            call.fingerprint, endpoint, ran_s=now - began, now=now
+        )
     return _Ended.BROKEN
 
 
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -23,6 +23,7 @@
 from rackpost.gateway import planned_stop
 from rackpost.gateway import policy as policy_mod
 from rackpost.gateway import room as room_mod
+from rackpost.gateway import suspects as suspects_mod
 from rackpost.http1 import pool as pool_mod
 from rackpost import metrics as metrics_mod
 from rackpost.platform import headers
@@ -60,6 +61,7 @@
         # Set once there are routes.
         self.routed = asyncio.Event()
         self.table = endpoints.EndpointTable()
+        self.suspects = suspects_mod.Suspects(table=self.table)
         self.loads_changed = asyncio.Event()
         self.loads = endpoint_load.LoadBook(changed=self.loads_changed.set)
         self.room_changed = asyncio.Event()
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -134,6 +134,13 @@
         known = self.alive.get(endpoint.id)
         return known is not None and _is_later(endpoint.born, known.born)
 
+    def has_left(self, endpoint: Endpoint) -> bool:
+        """Whether it said, in the life in which it was chosen, to leave."""
+        known = self.alive.get(endpoint.id)
+        if known is not None and known.born == endpoint.born:
+            return known.state is not EndpointState.READY
+        return self._ended.get(endpoint.id) == endpoint.born
+
     def drop(self, key: types.EndpointId) -> bool:
         """Take an endpoint as gone until it is heard of again."""
         old = self.alive.pop(key, None)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -48,6 +48,22 @@
     asyncio.run(main())
 
 
+def test_a_plain_request_that_ends_endpoints_is_sent_to_three(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Tried again inside, where its route allows it, or by its caller."""
+
+    async def main() -> None:
+        async with crashing_site.site(tmp_path) as site:
+            async with site.powered(first=True):
+                await _returns(site, "/safe/x", b"crash")
+                assert site.crashes == _MOST_CRASHES
+                other = await site.ask(31, "/safe/x", b"another")
+                assert b" 200 " in other
+
+    asyncio.run(main())
+
+
 def test_it_is_still_known_after_lost_disks_together_with_all_power(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -14,8 +14,8 @@
 import pytest
 
 from rackpost import logs
-from rackpost import program
 from rackpost.platform import settings
+from rackpost import program
 from rackpost import site_program
 from tests import platform_site
 
