The programs' clock counts the time of a suspended VM

Cause: all ages, leases and deadlines count by the event loop's clock, which was the steady one; it stands still while a VM is suspended, so that what was known seems as fresh as before. The loop's clock is the one that counts that time; programs say when they were suspended. A coordinator that confirmed its fence before it was suspended gives no order after.

--- a/rackpost/coordinator/role_orders.py
+++ b/rackpost/coordinator/role_orders.py
@@ -31,7 +31,7 @@
     UNKNOWN = "not answered"
 
 
-class _Answer(NamedTuple):
+class Answer(NamedTuple):
     """An endpoint's whole answer."""
 
     status: int
@@ -54,10 +54,14 @@
         endpoint: endpoints.Endpoint,
         role: types.Role,
         fence: types.Fence,
+        *,
+        until: float,
     ) -> Given:
         """Order an endpoint to take a role, unless it is changing already.
 
-        It takes no order whose fence is below that of an earlier one.
+        It takes no order whose fence is below that of an earlier one.  From
+        `until` on, by the loop's clock, another may give orders: a VM that
+        was suspended in between gives none when it wakes.
         """
         try:
             report = await self._report(endpoint)
@@ -77,6 +81,14 @@
             fence=fence,
             orders_taken=report.orders_taken,
         )
+        if asyncio.get_running_loop().time() >= until:
+            logs.say(
+                logs.Part.COORDINATOR,
+                "Order not given, too late.",
+                endpoint=endpoint.id,
+                fence=fence,
+            )
+            return Given.REFUSED
         return await self._send(endpoint, order)
 
     async def _report(
@@ -106,7 +118,7 @@
         method: bytes,
         path: bytes,
         body: bytes,
-    ) -> _Answer:
+    ) -> Answer:
         lines = [
             (b"host", endpoint.address.encode()),
             (headers.ENDPOINT_ID, endpoint.id.encode()),
@@ -125,6 +137,6 @@
                         request_id=None,
                     )
                     whole = await conn.read_whole(_MAX_BODY)
-                    return _Answer(status=head.status, body=whole)
+                    return Answer(status=head.status, body=whole)
         except TimeoutError as exc:
             raise exceptions.ExchangeError("no answer in time") from exc
--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -261,10 +261,14 @@
             ),
             key=lambda item: item.id,
         )
+        # Who follows waits for longer than a lease from here.
+        until = self._loop.time() + self._lease_s
         if not others or not await self._is_still_holder():
             return
         endpoint = others[0]
-        given = await self._orders.give(endpoint, role, self._fence)
+        given = await self._orders.give(
+            endpoint, role, self._fence, until=until
+        )
         logs.say(
             logs.Part.COORDINATOR,
             "Ordered a change of role.",
--- a/rackpost/program.py
+++ b/rackpost/program.py
@@ -12,8 +12,7 @@
 from typing import TypeVar
 
 import cappa
-import uvloop
-
+from rackpost import clock
 from rackpost import exceptions
 from rackpost import logs
 from rackpost.version import VERSION
@@ -33,7 +32,7 @@
     """Run a program to its end; a bad setting gives one clear line."""
     logs.to_stream()
     try:
-        uvloop.run(_as_coroutine(main))
+        clock.run(_as_coroutine(main))
     except exceptions.UserError as exc:
         die(str(exc))
     except exceptions.StorageError as exc:
--- a/rackpost/site_program.py
+++ b/rackpost/site_program.py
@@ -13,8 +13,7 @@
 from typing import Callable
 from typing import TypeVar
 
-import uvloop
-
+from rackpost import clock
 from rackpost import exceptions
 from rackpost import logs
 from rackpost.platform import settings
@@ -95,7 +94,9 @@
             seeds=list(host.seeds),
             first_start=host.first_start,
         )
+        watch = asyncio.create_task(clock.SuspendWatch(part=part).run())
         await main(host, Signals(part=part))
+        watch.cancel()
         logs.say(part, "Ended.", lines_dropped=output.dropped)
         output.flush()
         # All that must last is synced; a thread that hangs on a stalled
@@ -103,7 +104,7 @@
         os._exit(0)
 
     try:
-        uvloop.run(start())
+        clock.run(start())
     except (exceptions.RackpostError, OSError) as exc:
         logs.say(part, "Ended by an error.", why=str(exc))
         output.flush()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -191,3 +191,11 @@
         voters = tuple(m.ReplicaId(f"h{n}") for n in range(target))
         assert m.Config(voters=voters).quorum == copies
     assert membership.target_voters(1) == 3
+
+
+def test_a_leader_that_was_suspended_leads_no_more_at_its_first_look() -> None:
+    """Its clock has gone on; it has heard nothing that came meanwhile."""
+    leader = _leader(2, ("a", "b", "c"))
+    assert leader.role is raft.Role.LEADER
+    leader.tick(17.0)
+    assert leader.role is raft.Role.FOLLOWER
--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -13,10 +13,14 @@
 
 import pytest
 
+from rackpost import clock
+from rackpost.coordinator import role_orders
 from rackpost import logs
 from rackpost.platform import settings
 from rackpost import program
+from rackpost.routing import endpoints
 from rackpost import site_program
+from rackpost import types
 from tests import platform_site
 
 _SUSPENDED_S = 7.0
@@ -36,11 +40,14 @@
             return self._read(clock) + self._suspended_s
         return self._read(clock)
 
+    def suspend(self) -> None:
+        self._suspended_s += _SUSPENDED_S
+
     async def main(self, *args: object) -> None:
         """What a program does: it is suspended, and wakes."""
         loop = asyncio.get_running_loop()
         before = loop.time()
-        self._suspended_s += _SUSPENDED_S
+        self.suspend()
         self.passed_s.append(loop.time() - before)
 
 
@@ -62,3 +69,58 @@
     assert len(clocks.passed_s) == 2
     for passed_s in clocks.passed_s:
         assert _SUSPENDED_S <= passed_s < _SUSPENDED_S + 1.0
+
+
+class _SlowOrders(role_orders.OrderGiver):
+    """An endpoint's report comes just before the VM is suspended."""
+
+    def __init__(self, *, clocks: _Clocks) -> None:
+        super().__init__(holder=types.VmId("core-1"))
+        self._clocks = clocks
+        self.methods: list[bytes] = []
+
+    async def _call(
+        self,
+        endpoint: endpoints.Endpoint,
+        method: bytes,
+        path: bytes,
+        body: bytes,
+    ) -> role_orders.Answer:
+        self.methods.append(method)
+        self._clocks.suspend()
+        report = b'{"stage":"decode","busy":false,"sequence":0}'
+        return role_orders.Answer(status=200, body=report)
+
+
+def test_who_was_suspended_before_an_order_does_not_give_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Another leads by then, and its orders count."""
+    clocks = _Clocks()
+    monkeypatch.setattr(time, "clock_gettime", clocks.clock_gettime)
+    endpoint = endpoints.Endpoint(
+        id=types.EndpointId("e1"), address="127.0.0.1:9"
+    )
+
+    async def main() -> None:
+        giver = _SlowOrders(clocks=clocks)
+        until = asyncio.get_running_loop().time() + 3.0
+        given = await giver.give(
+            endpoint, types.Role.PREFILL, types.Fence(1), until=until
+        )
+        assert given is role_orders.Given.REFUSED
+        assert giver.methods == [b"GET"]
+
+    clock.run(main())
+
+
+def test_that_it_was_suspended_is_told_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clocks = _Clocks()
+    monkeypatch.setattr(time, "clock_gettime", clocks.clock_gettime)
+    watch = clock.SuspendWatch(part=logs.Part.GATEWAY)
+    assert watch.look() < 0.1
+    clocks.suspend()
+    assert abs(watch.look() - _SUSPENDED_S) < 0.1
+    assert watch.look() < 0.1
