One item that can't be taken ends no process that takes it

Found by looking for the class of the requests that end endpoints: a record that can't be applied ended the replica of every coordinator, again after each restart, and left a process that answered and neither voted nor applied; a message that met a fault ended its link, and came again with the next; a lasting task that met a fault was gone without a line.

A record that meets a fault is rejected by all alike; a message is left out; lasting tasks begin again; a failed replica ends its coordinator. Each with a line. Tests failed first: no answer in 10 s, the second message never came.

--- a/rackpost/cmd_coordinator.py
+++ b/rackpost/cmd_coordinator.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from rackpost.coordinator import process
+from rackpost import exceptions
 from rackpost import logs
 from rackpost.platform import settings
 from rackpost import site_program
@@ -15,9 +16,20 @@
     coordinator = process.Coordinator(host=host)
     async with coordinator.serving():
         watch = asyncio.create_task(signals.watch(coordinator.reload))
-        await signals.stop.wait()
+        await _first(signals.stop, coordinator.tasks.vital_failed)
         logs.say(logs.Part.COORDINATOR, "Stopping.")
         watch.cancel()
+        if coordinator.tasks.vital_failed.is_set():
+            # What it holds in memory is not known: its disk is.
+            raise exceptions.StorageError("the replica has failed")
+
+
+async def _first(*found: asyncio.Event) -> None:
+    """Wait until one of these is set."""
+    waits = [asyncio.create_task(event.wait()) for event in found]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
 
 
 def main() -> None:
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -17,6 +17,7 @@
 from rackpost import exceptions
 from rackpost.link import channel
 from rackpost.link import codec
+from rackpost import logs
 from rackpost.state import commands
 from rackpost.state import machine
 
@@ -425,7 +426,7 @@
             result: commands.Result | None = None
             self._log_bytes += len(entry.data)
             if entry.data:
-                result = self.machine.apply(_COMMANDS.decode(entry.data))
+                result = self._apply_one(entry)
             _settle(self._at_index.pop(entry.index, None), result)
         if self.machine.revision != before:
             changes = self.machine.changes_after(before)
@@ -441,6 +442,26 @@
             item for item in self._applied_waiters if item[0] > applied
         ]
 
+    def _apply_one(self, entry: consensus.Entry) -> commands.Result:
+        """Apply a record; one that can't be applied is rejected by all alike.
+
+        The same software finds the same fault in it, now and after each
+        restart.  One that can't be read is of a newer software, which does
+        apply it: then this replica must end, by CodecError.
+        """
+        cmd = _COMMANDS.decode(entry.data)
+        try:
+            return self.machine.apply(cmd)
+        except Exception as exc:
+            logs.say(
+                logs.Part.CONTROL,
+                "Record left out.",
+                index=entry.index,
+                kind=type(cmd).__name__,
+                why=repr(exc),
+            )
+            return commands.Rejected(why="it can't be applied")
+
     def _forget_asked(self) -> None:
         # Another leader may or may not commit them: nobody here knows.
         asked = self._at_index
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -55,6 +55,7 @@
         self._loop = asyncio.get_running_loop()
         self._host = host
         self.metrics = metrics_mod.Metrics()
+        self.tasks = links.Tasks(part=logs.Part.COORDINATOR)
         first = {links.host_of(item) for item in host.seeds}
         self._file_disk, loaded = disk_mod.open_disk(
             pathlib.Path(host.data_dir),
@@ -301,7 +302,7 @@
             limits=model.Limits(body_bytes=16 << 20, idle_s=30.0),
         )
         ip = self._host.ip
-        tasks = links.Tasks()
+        tasks = self.tasks
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._file_disk.close)
             await stack.enter_async_context(
@@ -329,12 +330,12 @@
             host, _, port = self._host.listen.control.rpartition(":")
             await stack.enter_async_context(http.serving(host, int(port)))
             stack.enter_context(self.node.watched(self._on_changes))
-            tasks.spawn(self.node.run())
-            tasks.spawn(self.marks.run())
-            tasks.spawn(self.quarantine.run())
-            tasks.spawn(self._members.run())
-            tasks.spawn(self._forget())
-            tasks.spawn(self._roles.run())
+            tasks.spawn(self.node.run(), vital=True)
+            tasks.keep(self.marks.run)
+            tasks.keep(self.quarantine.run)
+            tasks.keep(self._members.run)
+            tasks.keep(self._forget)
+            tasks.keep(self._roles.run)
             try:
                 yield
             finally:
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -105,8 +105,8 @@
             await stack.enter_async_context(
                 self._server.serving(at.host, at.port)
             )
-            self.site.spawn(self._sweep())
-            self.site.spawn(self.site.room.run())
+            self.site.tasks.keep(self._sweep)
+            self.site.tasks.keep(self.site.room.run)
             yield
 
     def _serving_ready(self) -> contextlib.AbstractAsyncContextManager:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -25,6 +25,7 @@
 from rackpost.gateway import room as room_mod
 from rackpost.gateway import suspects as suspects_mod
 from rackpost.http1 import pool as pool_mod
+from rackpost import logs
 from rackpost import metrics as metrics_mod
 from rackpost.platform import headers
 from rackpost.platform import settings
@@ -51,7 +52,7 @@
         policy: policy_mod.Policy = policy_mod.Policy(),
     ) -> None:
         self._loop = asyncio.get_running_loop()
-        self.tasks = links.Tasks()
+        self.tasks = links.Tasks(part=logs.Part.GATEWAY)
         self.host = host
         self.policy = policy
         self.rng = random.Random()
--- a/rackpost/link/websocket.py
+++ b/rackpost/link/websocket.py
@@ -23,10 +23,13 @@
 from rackpost.link import auth
 from rackpost.link import channel
 from rackpost.link import codec
+from rackpost import logs
 
 # A peer that takes nothing is cut off when this much waits for it.
 MAX_WAITING = 16 << 20
 _HANDSHAKE_S = 3.0
+# A kind of message that can't be taken is logged once in this, in seconds.
+_FAULT_S = 1.0
 
 _Conn = websockets.asyncio.connection.Connection
 
@@ -67,6 +70,9 @@
         self._size = 0
         self._open = True
         self.bad_frames = 0
+        self.left_out = 0
+        self._loop = asyncio.get_running_loop()
+        self._faults = logs.Pauses(pause_s=_FAULT_S)
         # Why the link has ended, for the log.
         self.why = "closed here"
         self._ended = asyncio.Event()
@@ -111,7 +117,7 @@
             async for data in self._conn:
                 if not isinstance(data, bytes):
                     raise exceptions.CodecError("a frame of text")
-                self._deliver(self._decoder.decode(data))
+                self._take(self._decoder.decode(data))
         except exceptions.CodecError as exc:
             # A peer that does not speak the protocol is not listened to.
             self.bad_frames += 1
@@ -120,6 +126,25 @@
             if self._open:
                 self.why = str(exc)
 
+    def _take(self, msg: msgspec.Struct) -> None:
+        """Hand a message on; one that can't be taken is left out.
+
+        The peer would send it again on the next link, and to every other
+        process: none of them would keep a link.
+        """
+        try:
+            self._deliver(msg)
+        except Exception as exc:
+            self.left_out += 1
+            if self._faults.is_due(type(msg).__name__, self._loop.time()):
+                logs.say(
+                    logs.Part.LINK,
+                    "Message left out.",
+                    kind=type(msg).__name__,
+                    why=repr(exc),
+                    left_out=self.left_out,
+                )
+
     async def _write(self) -> None:
         while True:
             data = await self._waiting.get()
--- a/rackpost/logs.py
+++ b/rackpost/logs.py
@@ -26,6 +26,7 @@
     CONTROL = "control"
     GATEWAY = "gateway"
     COORDINATOR = "coordinator"
+    LINK = "link"
 
 
 class BoundedOutput:
