Readers of a prompt that ends them are spared too; operators see and release

A prompt that ends those that read it was answered by one that read it itself, which cleared it, and was tried at two readers in a row: a request that broke on its way clears nothing, and is looked up before each reading.

--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -192,9 +192,7 @@
     if not exc.sent:
         return forwarding.Ended.NOT_SENT
     if began is not None:
-        site.suspects.ended(
-            call.fingerprint, endpoint, ran_s=now - began, now=now
-        )
+        call.note_broken(endpoint, began=began)
     return forwarding.Ended.BROKEN
 
 
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -90,6 +90,8 @@
         self.ran_at: set[types.EndpointId] = set()
         self.may_have_run = False
         self.failure: Failure | None = None
+        # A connection broke on which an endpoint had it.
+        self.broke = False
         # Called for each event that comes from an endpoint.
         self.on_event: Callable[[], None] = _nothing
         self.times = stream_times.StreamTimes(began=began)
@@ -103,6 +105,16 @@
             ]
         )
 
+    def note_broken(
+        self, endpoint: endpoints.Endpoint, *, began: float
+    ) -> None:
+        """A connection broke on which an endpoint had it since `began`."""
+        now = self.site.loop_time()
+        self.broke = True
+        self.site.suspects.ended(
+            self.fingerprint, endpoint, ran_s=now - began, now=now
+        )
+
     @property
     def is_head(self) -> bool:
         """Whether the client asks for headers alone."""
@@ -170,22 +182,26 @@
         """
         return self._end_if_revoked() or self._end_if_held()
 
+    def held_s(self) -> float:
+        """How much longer it is held back, in seconds; 0 if it is not."""
+        suspects = self.site.suspects
+        if not suspects.book.holds_any():
+            # As a rule: no request is digested before it is sent.
+            return 0.0
+        return suspects.left_s(self.fingerprint, self.site.loop_time())
+
     def _end_if_held(self) -> bool:
         """End it if it is held back, as endpoints ended under it.
 
         Its caller is told the truth, and when it will be tried again.
         """
-        suspects = self.site.suspects
-        if not suspects.book.holds_any():
-            # As a rule: no request is digested before it is sent.
-            return False
-        left_s = suspects.left_s(self.fingerprint, self.site.loop_time())
+        left_s = self.held_s()
         if left_s <= 0.0:
             return False
         self.log(
             "Held back.",
             fingerprint=self.fingerprint.hex(),
-            endpoints=suspects.book.open_lives(self.fingerprint),
+            endpoints=self.site.suspects.book.open_lives(self.fingerprint),
             left_s=round(left_s),
         )
         if self.may_have_run:
@@ -222,7 +238,9 @@
         """The client has the whole answer."""
         now = self.site.loop_time()
         took_s = now - self.began
-        self.site.suspects.served(self.fingerprint, now)
+        if not self.broke:
+            # Else it may end those that read it, and not those that run it.
+            self.site.suspects.served(self.fingerprint, now)
         self._time(took_s)
         late = self._is_late(took_s)
         if self.sampled or late or status >= 400:
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -120,6 +120,9 @@
         if not _may_read(call, read, now):
             call.log("Read in place.", reason="retry budget")
             return
+        if call.held_s() > 0.0:
+            call.log("Not read.", reason="endpoints ended under it")
+            return
         endpoint = reader
         if tried or endpoint is None:
             endpoint = site.chooser.prefill(
@@ -219,10 +222,8 @@
     patience: float,
     began: float,
 ) -> _Ended:
-    site = call.site
-    now = site.loop_time()
     if not isinstance(exc, exceptions.NoPlace):
-        site.health.broke(endpoint.id, now)
+        call.site.health.broke(endpoint.id, call.site.loop_time())
     call.log(
         "Prefill failed.",
         endpoint=endpoint.id,
@@ -234,9 +235,7 @@
     if isinstance(exc, exceptions.ExchangeError):
         if not exc.sent:
             return _Ended.NOT_SENT
-        site.suspects.ended(
-            call.fingerprint, endpoint, ran_s=now - began, now=now
-        )
+        call.note_broken(endpoint, began=began)
     return _Ended.BROKEN
 
 
--- a/tests/crashing_site.py
+++ b/tests/crashing_site.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import json
 import pathlib
 from typing import AsyncIterator
 
 import aiohttp
 
+from rackpost.coordinator import process as coordinator_process
+from rackpost.decide import quarantine
 from rackpost.gateway import process as gateway_process
 from rackpost.http1 import message
 from rackpost.http1 import server
@@ -16,7 +19,10 @@
 
 
 class Endpoint(platform_site.Endpoint):
-    """Ends, with all that it runs, when it begins a request to crash."""
+    """Ends, with all that it runs, when it begins a request to crash.
+
+    Under some it ends when it reads their prompts, and not when it runs them.
+    """
 
     def __init__(self, *, ident: str, service: str, stage: str = "") -> None:
         super().__init__(ident=ident, service=service, stage=stage)
@@ -26,16 +32,20 @@
         self.crashed: list[bytes] = []
         self.answer = self._run
 
+    @property
+    def running_now(self) -> int:
+        return len(self._running)
+
     async def _run(
         self, req: message.Request, responder: server.Responder
     ) -> None:
         is_read = message.find(req.headers, b"x-serving-stage") is not None
-        if req.body.startswith(b"crash") and not is_read:
+        if req.body.startswith(b"crash reader" if is_read else b"crash run"):
             self._crash(req, responder)
             return
         self._running.add(responder)
         try:
-            if req.body.startswith(b"slow"):
+            if req.body.startswith(b"slow") and not is_read:
                 await asyncio.sleep(platform_site.MOST_S)
             await self.usual(req, responder)
         finally:
@@ -53,7 +63,7 @@
 
 
 class Site:
-    """Some coordinators, two gateways, four model and two plain endpoints."""
+    """Some coordinators, two gateways, and endpoints of each role."""
 
     def __init__(
         self, *, plan: platform_site.Plan, core: tuple[int, ...], lost: int
@@ -64,17 +74,22 @@
         self.plain = [
             Endpoint(ident=f"p{n}", service="plain") for n in range(2)
         ]
+        self.prefill = [
+            Endpoint(ident=f"pre{n}", service="model", stage="prefill")
+            for n in range(2)
+        ]
         self.decode = [
             Endpoint(ident=f"dec{n}", service="model", stage="decode")
             for n in range(4)
         ]
         self.operator: platform_site.Operator
+        self.coordinators: list[coordinator_process.Coordinator] = []
         self.gateways: dict[int, gateway_process.Gateway] = {}
         self._asked = 0
 
     @property
     def endpoints(self) -> list[Endpoint]:
-        return [*self.plain, *self.decode]
+        return [*self.plain, *self.prefill, *self.decode]
 
     @property
     def crashes(self) -> int:
@@ -85,6 +100,7 @@
         """All coordinators and gateways, until power goes."""
         plan = self.plan
         async with contextlib.AsyncExitStack() as stack:
+            self.coordinators.clear()
             for number in self.core:
                 host = plan.host(
                     number,
@@ -94,7 +110,9 @@
                     first=first,
                 )
                 enter = stack.enter_async_context
-                await enter(platform_site.coordinator(host))
+                self.coordinators.append(
+                    await enter(platform_site.coordinator(host))
+                )
             await self.operator.put_until_taken(self.core[-1], _document())
             for number in GATEWAYS:
                 host = plan.host(number, kind="edge", seeds=self.core[:3])
@@ -117,7 +135,34 @@
                 and not site.health.broken(site.loop_time())
             )
 
-    async def ask(self, number: int, path: str, body: bytes) -> bytes:
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def core_books(self) -> list[quarantine.Quarantine]:
+        return [item.quarantine.book for item in self.coordinators]
+
+    async def runs(self, number: int) -> None:
+        """Wait until so many requests run at the endpoints."""
+        await platform_site.until(
+            lambda: sum(item.running_now for item in self.endpoints) == number
+        )
+
+    async def held(self) -> list[str]:
+        """What an operator is shown of requests that are held back."""
+        ip, port = self.plan.ip(self.core[0]), self.plan.base + 2
+        async with self.operator.http.get(f"http://{ip}:{port}/status") as got:
+            found = json.loads(await got.read())
+        return [item["fingerprint"] for item in found["held"]]
+
+    async def release(self, fingerprint: str) -> int:
+        url = self.plan.control_url(self.core[0])
+        url = f"{url}/quarantine/{fingerprint}"
+        async with self.operator.http.delete(url) as got:
+            return got.status
+
+    async def ask(
+        self, number: int, path: str, body: bytes, more: str = ""
+    ) -> bytes:
         """Send a request to a gateway, under an id that is new."""
         self._asked += 1
         reader, writer = await asyncio.open_connection(
@@ -127,7 +172,7 @@
             f"POST {path} HTTP/1.1\r\nHost: site.example\r\n"
             f"X-Request-Id: r{self._asked}\r\nX-Deadline-Ms: 3000\r\n"
             "X-Token-Usage: 100,50\r\nConnection: close\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
+            f"{more}Content-Length: {len(body)}\r\n\r\n"
         )
         writer.write(head.encode() + body)
         try:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -13,6 +13,7 @@
 import shutil
 
 from tests import crashing_site
+from tests import platform_site
 
 # Endpoints that may end under one request, and how often it comes.
 _MOST_CRASHES = 3
@@ -37,7 +38,7 @@
     async def main() -> None:
         async with crashing_site.site(tmp_path) as site:
             async with site.powered(first=True):
-                answers = await _returns(site, "/gen/x", b"crash")
+                answers = await _returns(site, "/gen/x", b"crash run")
                 assert site.crashes == _MOST_CRASHES
                 # At once, and truly: it has not run, and when to come back.
                 assert all(b" 503 " in one for one in answers[3:])
@@ -56,7 +57,7 @@
     async def main() -> None:
         async with crashing_site.site(tmp_path) as site:
             async with site.powered(first=True):
-                await _returns(site, "/safe/x", b"crash")
+                await _returns(site, "/safe/x", b"crash run")
                 assert site.crashes == _MOST_CRASHES
                 other = await site.ask(31, "/safe/x", b"another")
                 assert b" 200 " in other
@@ -64,6 +65,93 @@
     asyncio.run(main())
 
 
+def test_a_prompt_that_ends_its_readers_is_read_by_three(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Though it is answered, by endpoints that read it themselves."""
+
+    async def main() -> None:
+        async with crashing_site.site(tmp_path) as site:
+            async with site.powered(first=True):
+                answers = await _returns(site, "/gen/x", b"crash reader")
+                assert b" 200 " in answers[0]
+                assert site.crashes == _MOST_CRASHES
+
+    asyncio.run(main())
+
+
+def test_a_broken_stream_that_is_taken_up_is_the_same_request(
+    tmp_path: pathlib.Path,
+) -> None:
+    """It names the event to go on after, and comes on a repeatable route."""
+
+    async def main() -> None:
+        async with crashing_site.site(tmp_path) as site:
+            async with site.powered(first=True):
+                for number in range(_RETURNS):
+                    gateway = crashing_site.GATEWAYS[number % 2]
+                    more = f"Last-Event-Id: {number}\r\n"
+                    await site.ask(gateway, "/res/x", b"crash run", more)
+                    await site.is_known()
+                assert site.crashes == _MOST_CRASHES
+
+    asyncio.run(main())
+
+
+def test_who_ran_beside_it_is_served_when_it_comes_again(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with crashing_site.site(tmp_path) as site:
+            async with site.powered(first=True):
+                for number in range(_MOST_CRASHES):
+                    gateway = crashing_site.GATEWAYS[number % 2]
+                    beside = [
+                        asyncio.create_task(
+                            site.ask(gateway, "/gen/y", b"slow %d" % n)
+                        )
+                        for n in range(6)
+                    ]
+                    await site.runs(len(beside))
+                    await site.ask(gateway, "/gen/x", b"crash run")
+                    for task in beside:
+                        task.cancel()
+                    await site.runs(0)
+                    await site.is_known()
+                assert site.crashes == _MOST_CRASHES
+                held = [
+                    item.request
+                    for item in site.core_books()[0].held(site.now())
+                ]
+                assert len(held) == 1
+                refused = await site.ask(31, "/gen/x", b"crash run")
+                assert b" 503 " in refused
+
+    asyncio.run(main())
+
+
+def test_an_operator_sees_it_and_lets_it_go(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        async with crashing_site.site(tmp_path) as site:
+            async with site.powered(first=True):
+                await _returns(site, "/gen/x", b"crash run")
+                held = await site.held()
+                assert len(held) == 1
+                assert await site.release(held[0]) == 200
+                assert await site.held() == []
+                assert await site.release(held[0]) == 404
+                await platform_site.until(
+                    lambda: not any(
+                        item.site.suspects.book.held(site.now())
+                        for item in site.gateways.values()
+                    )
+                )
+                await site.ask(31, "/gen/x", b"crash run")
+                assert site.crashes == _MOST_CRASHES + 1
+
+    asyncio.run(main())
+
+
 def test_it_is_still_known_after_lost_disks_together_with_all_power(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -73,12 +161,12 @@
         core = (11, 12, 13, 14, 15)
         async with crashing_site.site(tmp_path, core=core, lost=2) as site:
             async with site.powered(first=True):
-                await _returns(site, "/gen/x", b"crash")
+                await _returns(site, "/gen/x", b"crash run")
                 before = site.crashes
             for number in core[:2]:
                 shutil.rmtree(site.plan.root / f"core-{number}")
             async with site.powered(first=False):
-                await _returns(site, "/gen/x", b"crash")
+                await _returns(site, "/gen/x", b"crash run")
             assert before == site.crashes == _MOST_CRASHES
 
     asyncio.run(main())
