--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -23,6 +23,7 @@
 from rackpost.entry import outcome
 from rackpost.entry import pool as pool_mod
 from rackpost.entry import request
+from rackpost.entry import suspects
 from rackpost.entry import trace as trace_mod
 from rackpost.link import channel
 from rackpost.link import messages
@@ -129,6 +130,7 @@
         self._open: dict[types.RequestId, _Open] = {}
         self._by_caller: dict[types.CallerId, int] = {}
         self._budgets: dict[types.ServiceName, retry.RetryBudget] = {}
+        self._suspects = suspects.Suspects()
         self._stopping = False
         self._idle = asyncio.Event()
         self._idle.set()
@@ -242,6 +244,8 @@
             return types.Refusal.ENTRY_FULL
         if self._by_caller.get(req.caller, 0) >= req.terms.max_open:
             return types.Refusal.CALLER_OPEN_LIMIT
+        if self._suspects.left_s(req, self._loop.time()) > 0.0:
+            return types.Refusal.ENDS_ENGINES
         return None
 
     @contextlib.contextmanager
@@ -374,6 +378,7 @@
     ) -> request.End | None:
         result = att.result
         if isinstance(result, outcome.Whole):
+            self._suspects.answered(item.req, self._loop.time())
             self.metrics.count(
                 "requests", types.Outcome.ANSWERED, item.req.kind
             )
@@ -393,6 +398,12 @@
         if broken.agent is not None and broken.reason in _AGENTS_FAULT:
             self.pool.health.of(broken.agent).failed(self._loop.time())
             att.excluded.add(broken.agent)
+        now = self._loop.time()
+        self._suspects.broke(item.req, broken, now)
+        if self._suspects.left_s(item.req, now) > 0.0:
+            return self._refuse(
+                item.req, types.Refusal.ENDS_ENGINES, types.Outcome.UNKNOWN
+            )
         stage = retry.Stage.NOTHING
         if item.delivered:
             stage = retry.Stage.STREAMING
@@ -458,6 +469,8 @@
 
     def _come_back(self, req: request.Request, reason: types.Refusal) -> float:
         now = self._loop.time()
+        if reason is types.Refusal.ENDS_ENGINES:
+            return self._suspects.left_s(req, now)
         backlogs = [
             view.backlog_s(now)
             for view in self.pool.views_of(req.service)
--- a/rackpost/types.py
+++ b/rackpost/types.py
@@ -71,6 +71,7 @@
     CALLER_OPEN_LIMIT = "caller-open-limit"
     ENTRY_STOPPING = "entry-stopping"
     ENTRY_FULL = "entry-full"
+    ENDS_ENGINES = "ends-engines"
     RETRY_BUDGET = "retry-budget"
     DEADLINE = "deadline"
     NO_REPLY = "no-reply"
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,7 +12,13 @@
 import pathlib
 import shutil
 
+import msgspec
+
+from rackpost import exceptions
+from rackpost.testing import virtual
+from rackpost import types
 from tests import crashing_site
+from tests import driver
 from tests import platform_site
 
 # Endpoints that may end under one request, and how often it comes.
@@ -170,3 +176,46 @@
             assert before == site.crashes == _MOST_CRASHES
 
     asyncio.run(main())
+
+
+def test_entries_hold_back_what_ends_engines_too() -> None:
+    """Without sockets: engines end when they begin it, and are back soon."""
+    ended: list[str] = []
+
+    def make_fatal(engine: object) -> None:
+        decode = engine.decode  # type: ignore[attr-defined]
+
+        async def fatal(**call: object) -> object:
+            if b"fatal" in call["body"]:  # type: ignore[operator]
+                ended.append("one")
+                engine.kill()  # type: ignore[attr-defined]
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.5, setattr, engine, "dead", False)
+                raise exceptions.EngineError("engine died", ran=True)
+            async for event in decode(**call):
+                yield event
+
+        engine.decode = fatal  # type: ignore[attr-defined]
+
+    async def main() -> None:
+        site = driver.small_site()
+        for name, engine in site.engines.items():
+            if name.startswith("t"):
+                make_fatal(engine)
+        entry = site.entries[0]
+        await asyncio.sleep(0.1)
+        for number in range(_RETURNS):
+            asked = driver.ask("fatal", words=50)
+            asked = msgspec.structs.replace(
+                asked, req=types.RequestId(f"r{number}")
+            )
+            got = await driver.take(entry, asked)
+            await asyncio.sleep(2.0)
+        assert len(ended) == _MOST_CRASHES
+        assert got.end.reason is types.Refusal.ENDS_ENGINES
+        assert got.end.outcome is types.Outcome.NOT_RUN
+        other = await driver.take(entry, driver.ask("other", words=50))
+        assert other.end.outcome is types.Outcome.ANSWERED
+        site.close()
+
+    virtual.run(main())
