--- a/rackpost/cmd_operator.py
+++ b/rackpost/cmd_operator.py
@@ -395,6 +395,11 @@
     return _shown(asked, site_overview.quotas)
 
 
+def site_held(asked: operator_commands.SiteHeld) -> str:
+    """Requests that are held back."""
+    return _shown(asked, site_overview.held)
+
+
 _ACTIONS: dict[type, Callable[[Any], str]] = {
     operator_commands.Show: show,
     operator_commands.Set: change,
@@ -412,6 +417,7 @@
     operator_commands.CheckConfig: check_config,
     operator_commands.SiteStatus: site_status,
     operator_commands.SiteQuotas: site_quotas,
+    operator_commands.SiteHeld: site_held,
     operator_commands.SiteRoutes: site_routes,
     operator_commands.SiteEndpoints: site_endpoints,
 }
--- a/rackpost/operator_commands.py
+++ b/rackpost/operator_commands.py
@@ -255,13 +255,19 @@
     """Show what organisations used of their quotas, and where."""
 
 
+@cappa.command(name="held", help="Show requests that are held back.")
+@dataclasses.dataclass(kw_only=True)
+class SiteHeld(Coordinators):
+    """Show requests under which endpoints ended, and for how much longer."""
+
+
 @cappa.command(name="site", help="A site of gateways and coordinators.")
 @dataclasses.dataclass(kw_only=True)
 class SiteCommands:
     """A site of gateways and coordinators, as a coordinator knows it."""
 
     what: cappa.Subcommands[
-        SiteStatus | SiteRoutes | SiteEndpoints | SiteQuotas
+        SiteStatus | SiteRoutes | SiteEndpoints | SiteQuotas | SiteHeld
     ]
 
 
--- a/rackpost/site_overview.py
+++ b/rackpost/site_overview.py
@@ -142,6 +142,15 @@
     return _table(head, rows)
 
 
+def held(found: overview.Overview) -> str:
+    """Requests under which endpoints ended, and for how much longer."""
+    rows = [
+        (item.fingerprint, ", ".join(item.endpoints), f"{item.left_s:g}")
+        for item in found.held
+    ]
+    return _table(("fingerprint", "ended under it", "held back s"), rows)
+
+
 def _table(head: tuple[str, ...], rows: Iterable[tuple[str, ...]]) -> str:
     lines = [head, *rows]
     widths = [max(len(line[at]) for line in lines) for at in range(len(head))]
--- a/tests/test_site_overview.py
+++ b/tests/test_site_overview.py
@@ -8,6 +8,9 @@
 
 from rackpost import cmd_operator
 from rackpost.coordinator import links
+from rackpost.coordinator import messages
+from rackpost.decide import quarantine
+from rackpost import types
 from tests import platform_site
 
 
@@ -47,6 +50,28 @@
     asyncio.run(main())
 
 
+def test_requests_that_are_held_back_are_shown(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            items = tuple(
+                quarantine.Suspicion(
+                    request=types.Fingerprint(b"\xab" * 16),
+                    endpoint=types.EndpointId(f"e{number}"),
+                )
+                for number in range(3)
+            )
+            site.coordinator.quarantine.take(messages.Suspicions(items=items))
+            args = ["site", "held", "--coordinators", _address(site)]
+            await asyncio.to_thread(cmd_operator.main, args)
+            row = capsys.readouterr().out.splitlines()[1]
+            assert row.split()[0] == "ab" * 16
+            assert "e0, e1, e2" in row and row.split()[-1] == "3600"
+
+    asyncio.run(main())
+
+
 def test_no_coordinator_is_one_clear_line(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
