An answer without a length clears no request; who ran beside is forgotten

Such an answer ends with its connection, as it does when its endpoint ends, so that it shows nothing. What never was held back is forgotten after an hour: gateways tell all that they know to each coordinator that they link to.

--- a/rackpost/decide/quarantine.py
+++ b/rackpost/decide/quarantine.py
@@ -35,8 +35,9 @@
 # How long a request is held back after the last end under it, in seconds.  A
 # release may have mended it: one endpoint an hour is no storm.
 HOLD_S = 3600.0
-# How long it is known after that, so that one more end holds it back again,
-# in seconds.
+# How long it is known, so that one more end holds it back again, in seconds.
+# What never was held back is forgotten after `HOLD_S`: who ran beside those
+# that end, a dozen each time, and one endpoint an hour is no storm.
 _KNOWN_S = 24 * HOLD_S
 # Requests that are known: four times a thousand that end endpoints at once,
 # some 2 MB.  The least suspected go first.
@@ -242,5 +243,6 @@
     def forget(self, now: float) -> None:
         """Forget requests under which nothing has ended for long."""
         for request, record in list(self._records.items()):
-            if now - record.at > _KNOWN_S:
+            known_s = _KNOWN_S if request in self._many else HOLD_S
+            if now - record.at > known_s:
                 self._drop(request)
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -213,7 +213,7 @@
     if answer_check.is_stream(head):
         call.site.health.answered(endpoint.id, call.site.loop_time() - began)
         await pass_on.relay(call, head, reply.conn)
-        call.delivered(endpoint, head.status)
+        call.delivered(endpoint, head)
         return None
     return await _take_whole(call, endpoint, reply, began)
 
@@ -249,5 +249,5 @@
     if call.route.kind is not model.RouteKind.STREAM:
         call.site.health.answered(endpoint.id, took)
     pass_on.pass_whole(call, head, body)
-    call.delivered(endpoint, head.status)
+    call.delivered(endpoint, head)
     return None
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -234,25 +234,34 @@
     def _count(self, reason: Reason) -> None:
         self.site.metrics.count("own_answers", reason, self.route.name)
 
-    def delivered(self, endpoint: endpoints.Endpoint, status: int) -> None:
+    def delivered(
+        self, endpoint: endpoints.Endpoint, head: message.Head
+    ) -> None:
         """The client has the whole answer."""
         now = self.site.loop_time()
         took_s = now - self.began
-        if not self.broke:
-            # Else it may end those that read it, and not those that run it.
-            self.site.suspects.served(self.fingerprint, now)
+        self._note_served(head, now)
         self._time(took_s)
         late = self._is_late(took_s)
-        if self.sampled or late or status >= 400:
+        if self.sampled or late or head.status >= 400:
             self.log(
                 "Answered.",
                 endpoint=endpoint.id,
-                status=status,
+                status=head.status,
                 late=late,
                 took_s=round(took_s, 4),
                 **self.times.facts(),
             )
 
+    def _note_served(self, head: message.Head, now: float) -> None:
+        """Note that it ends no endpoint, where its answer shows it.
+
+        One that broke on its way may end those that read it and not those
+        that run it; an answer without a length ends as its endpoint does.
+        """
+        if not self.broke and head.framing is not message.Framing.CLOSE:
+            self.site.suspects.served(self.fingerprint, now)
+
     def _is_late(self, took_s: float) -> bool:
         """Whether an answer, or an event of it, came after its target."""
         if self.times.first_s is not None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -13,8 +13,13 @@
 import shutil
 
 import msgspec
+import pytest
 
+from rackpost.decide import fingerprint
+from rackpost.decide import quarantine
 from rackpost import exceptions
+from rackpost.http1 import message
+from rackpost.http1 import server
 from rackpost.testing import virtual
 from rackpost import types
 from tests import crashing_site
@@ -136,6 +141,47 @@
     asyncio.run(main())
 
 
+async def _unframed(req: message.Request, responder: server.Responder) -> None:
+    """A sound answer, without a length, that ends with its connection."""
+    responder._conn.closing = True
+    responder.bare(200, platform_site.echoed(req))
+    responder._conn.write(b"whole, or not")
+
+
+@pytest.mark.parametrize("framed", [True, False])
+def test_an_answer_that_ends_with_its_connection_clears_nothing(
+    tmp_path: pathlib.Path, framed: bool
+) -> None:
+    """Without a length, the end of its endpoint looks like its own."""
+
+    async def main() -> None:
+        async with crashing_site.site(tmp_path) as site:
+            async with site.powered(first=True):
+                if not framed:
+                    for endpoint in site.plain:
+                        endpoint.answer = _unframed
+                assert b" 200 " in await site.ask(31, "/safe/x", b"asked")
+                known_by = fingerprint.fingerprint(
+                    organisation=types.OrganisationName(""),
+                    method=b"POST",
+                    target=b"/safe/x",
+                    body=b"asked",
+                )
+                suspects = site.gateways[31].site.suspects
+                told = [
+                    quarantine.Suspicion(
+                        request=known_by,
+                        endpoint=types.EndpointId(f"e{number}"),
+                    )
+                    for number in range(3)
+                ]
+                suspects.take(told, site.now())
+                is_held = suspects.left_s(known_by, site.now()) > 0.0
+                assert is_held is not framed
+
+    asyncio.run(main())
+
+
 def test_an_operator_sees_it_and_lets_it_go(tmp_path: pathlib.Path) -> None:
     async def main() -> None:
         async with crashing_site.site(tmp_path) as site:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -286,3 +286,13 @@
     # Of those that broke; they are one in twenty of all.
     assert asked > 30_000
     assert held / asked < 0.02
+
+
+def test_who_ran_beside_it_is_forgotten_after_an_hour() -> None:
+    book = _book(*(_ended(_BAD, number) for number in range(3)))
+    book.take([_ended(_INNOCENT, 1), _ended(_OTHER, 1)], 0.0)
+    book.take(book.cleared(_OTHER), 1.0)
+    book.forget(quarantine.HOLD_S + 1)
+    assert len(book) == 1
+    book.take([_ended(_BAD, 9)], quarantine.HOLD_S + 2)
+    assert book.is_held(_BAD, quarantine.HOLD_S + 3)
