--- a/rackpost/coordinator/quarantine_keeper.py
+++ b/rackpost/coordinator/quarantine_keeper.py
@@ -109,11 +109,7 @@
             logs.Part.COORDINATOR,
             "Endpoints ended under a request.",
             fingerprint=request.hex(),
-            endpoints=[
-                one.endpoint
-                for one in self.book.of(request)
-                if not one.cleared
-            ],
+            endpoints=self.book.ended(request),
             held_s=round(self.book.left_s(request, now)),
         )
 
--- a/rackpost/decide/quarantine.py
+++ b/rackpost/decide/quarantine.py
@@ -217,10 +217,10 @@
         record = self._records.get(request)
         return () if record is None else tuple(record.suspicions.values())
 
-    def open_lives(self, request: types.Fingerprint) -> int:
-        """How many lives count against a request."""
+    def ended(self, request: types.Fingerprint) -> list[types.EndpointId]:
+        """The endpoints whose lives count against a request."""
         record = self._records.get(request)
-        return 0 if record is None else len(record.open)
+        return [] if record is None else [one.endpoint for one in record.open]
 
     def known(self, least: int) -> tuple[Suspicion, ...]:
         """All of the requests against which at least so many lives count."""
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -201,7 +201,7 @@
         self.log(
             "Held back.",
             fingerprint=self.fingerprint.hex(),
-            endpoints=self.site.suspects.book.open_lives(self.fingerprint),
+            endpoints=self.site.suspects.book.ended(self.fingerprint),
             left_s=round(left_s),
         )
         if self.may_have_run:
--- a/rackpost/gateway/suspects.py
+++ b/rackpost/gateway/suspects.py
@@ -31,6 +31,10 @@
 # Broken connections that are watched; the oldest go first.
 _MOST_WATCHED = 4096
 
+# Why a request is cleared, for the log.
+_IN_FULL = "answered in full"
+_ALIVE = "endpoint is alive"
+
 Tell = Callable[[tuple[quarantine.Suspicion, ...]], None]
 
 
@@ -89,14 +93,14 @@
         self._served[request] = now
         while len(self._served) > _MOST_SERVED:
             del self._served[next(iter(self._served))]
-        self._clear(request, "answered in full", now)
+        self._clear(self.book.cleared(request), _IN_FULL, now)
 
     def take(self, items: Iterable[quarantine.Suspicion], now: float) -> None:
         """A coordinator tells what counts against some requests."""
         for request in self.book.take(items, now):
             served_at = self._served.get(request)
             if served_at is not None and now - served_at < _SERVED_S:
-                self._clear(request, "answered in full", now)
+                self._clear(self.book.cleared(request), _IN_FULL, now)
             elif self.book.is_held(request, now):
                 self._log_held(request, now)
 
@@ -128,21 +132,26 @@
         if heard_at < item.heard_at + _BETWEEN_BEATS_S:
             return item
         cleared = msgspec.structs.replace(item.suspicion, cleared=True)
-        self._add((cleared,), now)
+        self._clear((cleared,), _ALIVE, now)
         return None
 
-    def _clear(self, request: types.Fingerprint, why: str, now: float) -> None:
-        found = self.book.cleared(request)
-        if not found:
+    def _clear(
+        self,
+        items: tuple[quarantine.Suspicion, ...],
+        why: str,
+        now: float,
+    ) -> None:
+        """Take what clears a request, if anything counted against it."""
+        if not items:
             return
         logs.say(
             logs.Part.GATEWAY,
             "Request cleared.",
-            fingerprint=request.hex(),
+            fingerprint=items[0].request.hex(),
             why=why,
-            endpoints=[one.endpoint for one in found],
+            endpoints=[one.endpoint for one in items],
         )
-        self._add(found, now)
+        self._add(items, now)
 
     def _add(
         self, items: tuple[quarantine.Suspicion, ...], now: float
@@ -157,11 +166,7 @@
             logs.Part.GATEWAY,
             "Request is held back.",
             fingerprint=request.hex(),
-            endpoints=[
-                one.endpoint
-                for one in self.book.of(request)
-                if not one.cleared
-            ],
+            endpoints=self.book.ended(request),
             left_s=round(self.book.left_s(request, now)),
         )
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -92,8 +92,8 @@
             book.take([_ended(request, number)], number)
     assert book.is_held(_BAD, 20.0)
     assert book.is_held(_OTHER, 20.0)
-    assert book.open_lives(_BAD) <= 5
-    assert book.open_lives(_OTHER) <= 5
+    assert len(book.ended(_BAD)) <= 5
+    assert len(book.ended(_OTHER)) <= 5
 
 
 @hypothesis.given(strategies.data())
