--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -11,19 +11,18 @@
 
 import msgspec
 
-from rackpost.decide import come_back
 from rackpost.decide import demand
 from rackpost.decide import placement
-from rackpost.decide import retry
 from rackpost.decide import views
 from rackpost.entry import attempt as attempt_mod
 from rackpost.entry import claiming
 from rackpost.entry import claims as claims_mod
+from rackpost.entry import ends as ends_mod
 from rackpost.entry import offers
+from rackpost.entry import open_request
 from rackpost.entry import outcome
 from rackpost.entry import pool as pool_mod
 from rackpost.entry import request
-from rackpost.entry import suspects
 from rackpost.entry import trace as trace_mod
 from rackpost.link import channel
 from rackpost.link import messages
@@ -35,8 +34,6 @@
 # A KV cache that was not fetched is used by another decode endpoint if it
 # is not older than this; engines keep it for less than a second.
 _REUSE_S = 0.4
-# When a refused caller may come back, where nothing better is known.
-_COME_BACK_S = 1.0
 
 
 class InForce:
@@ -70,22 +67,6 @@
     max_open: int = MAX_OPEN
 
 
-class _Open:
-    """A request that is being served, with its present attempt."""
-
-    def __init__(self, *, req: request.Request, began: float) -> None:
-        self.req = req
-        self.began = began
-        self.attempt: attempt_mod.Attempt | None = None
-        self.number = 0
-        self.delivered = 0
-        self.handed_over = False
-        self.first_at: float | None = None
-        self.claimed: claims_mod.Holder | None = None
-        # The answer that the key was given before, for a resend.
-        self.held: list[request.Event] = []
-
-
 class Entry:
     """Serves requests over the agents that it is linked to.
 
@@ -125,12 +106,12 @@
         self._claiming: claiming.Claiming | None = None
         if claims is not None:
             self._claiming = claiming.Claiming(claims=claims, pool=self.pool)
-        self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._open: dict[types.RequestId, _Open] = {}
+        self._open: dict[types.RequestId, open_request.OpenRequest] = {}
         self._by_caller: dict[types.CallerId, int] = {}
-        self._budgets: dict[types.ServiceName, retry.RetryBudget] = {}
-        self._suspects = suspects.Suspects()
+        self._ends = ends_mod.Ends(
+            pool=self.pool, offers=self.offers, metrics=self.metrics, rng=rng
+        )
         self._stopping = False
         self._idle = asyncio.Event()
         self._idle.set()
@@ -229,7 +210,7 @@
         )
         reason = self._turn_away(req)
         if reason is not None:
-            yield self._refuse(req, reason)
+            yield self._ends.refuse(req, reason)
             return
         with self._opened(req) as item:
             async with contextlib.aclosing(self._serve(item)) as events:
@@ -244,13 +225,15 @@
             return types.Refusal.ENTRY_FULL
         if self._by_caller.get(req.caller, 0) >= req.terms.max_open:
             return types.Refusal.CALLER_OPEN_LIMIT
-        if self._suspects.left_s(req, self._loop.time()) > 0.0:
+        if self._ends.is_held(req):
             return types.Refusal.ENDS_ENGINES
         return None
 
     @contextlib.contextmanager
-    def _opened(self, req: request.Request) -> Iterator[_Open]:
-        item = _Open(req=req, began=self._loop.time())
+    def _opened(
+        self, req: request.Request
+    ) -> Iterator[open_request.OpenRequest]:
+        item = open_request.OpenRequest(req=req, began=self._loop.time())
         self._open[req.req] = item
         self._by_caller[req.caller] = self._by_caller.get(req.caller, 0) + 1
         self._idle.clear()
@@ -266,9 +249,11 @@
             if not self._open:
                 self._idle.set()
 
-    async def _serve(self, item: _Open) -> AsyncGenerator[request.Event, None]:
+    async def _serve(
+        self, item: open_request.OpenRequest
+    ) -> AsyncGenerator[request.Event, None]:
         req = item.req
-        self._budget(req.service).request(req.terms.retry_share)
+        self._ends.admitted(req)
         denser = self.offers.denser(req, self.pool.views_of(req.service))
         while True:
             att = self._new_attempt(item, denser)
@@ -280,7 +265,7 @@
                 for event in item.held:
                     yield event
                 if not item.held:
-                    yield self._refuse_reserved(item, reason)
+                    yield self._ends.refuse_reserved(item, reason)
                 return
             async with contextlib.aclosing(att.run()) as events:
                 async for event in events:
@@ -292,13 +277,13 @@
             if self._claiming is not None and item.claimed is not None:
                 await self._claiming.settle(req, item.claimed, att.result)
                 item.claimed = None
-            end = await self._after(item, att)
+            end = await self._ends.after(item, att)
             if end is not None:
                 yield end
                 return
 
     async def _claim(
-        self, item: _Open, att: attempt_mod.Attempt
+        self, item: open_request.OpenRequest, att: attempt_mod.Attempt
     ) -> types.Refusal | None:
         if item.req.claim is None or self._claiming is None:
             return None
@@ -312,7 +297,7 @@
         return None
 
     def _new_attempt(
-        self, item: _Open, denser: demand.Share
+        self, item: open_request.OpenRequest, denser: demand.Share
     ) -> attempt_mod.Attempt:
         req = item.req
         item.number += 1
@@ -346,7 +331,9 @@
             return None
         return kept
 
-    def _ask(self, item: _Open, denser: demand.Share) -> views.Ask:
+    def _ask(
+        self, item: open_request.OpenRequest, denser: demand.Share
+    ) -> views.Ask:
         req = item.req
         return views.Ask(
             service=req.service,
@@ -355,134 +342,14 @@
             max_tokens=req.max_tokens,
             blocks=req.blocks,
             kv_bytes=req.kv_bytes,
-            ttft_s=self._left_s(item),
+            ttft_s=item.left_s(self._loop.time()),
             tbt_s=req.terms.tbt_s,
             denser=denser,
         )
 
-    def _left_s(self, item: _Open) -> float:
-        past = self._loop.time() - item.began
-        if item.delivered:
-            # The first token was in time; a resumed stream has as long
-            # as a new request would.
-            return min(item.req.terms.ttft_s, item.req.terms.whole_s - past)
-        return item.req.terms.ttft_s - past
-
-    def _budget(self, service: types.ServiceName) -> retry.RetryBudget:
-        return self._budgets.setdefault(service, retry.RetryBudget())
-
-    # Ends.
-
-    async def _after(
-        self, item: _Open, att: attempt_mod.Attempt
-    ) -> request.End | None:
-        result = att.result
-        if isinstance(result, outcome.Whole):
-            self._suspects.answered(item.req, self._loop.time())
-            self.metrics.count(
-                "requests", types.Outcome.ANSWERED, item.req.kind
-            )
-            return request.End(
-                outcome=types.Outcome.ANSWERED, tokens=result.length
-            )
-        if isinstance(result, outcome.Refused):
-            return self._refuse_reserved(item, result.reason)
-        return await self._after_break(item, att, result)
-
-    async def _after_break(
-        self,
-        item: _Open,
-        att: attempt_mod.Attempt,
-        broken: outcome.Broken,
-    ) -> request.End | None:
-        if broken.agent is not None and broken.reason in _AGENTS_FAULT:
-            self.pool.health.of(broken.agent).failed(self._loop.time())
-            att.excluded.add(broken.agent)
-        now = self._loop.time()
-        self._suspects.broke(item.req, broken, now)
-        if self._suspects.left_s(item.req, now) > 0.0:
-            return self._refuse(
-                item.req, types.Refusal.ENDS_ENGINES, types.Outcome.UNKNOWN
-            )
-        stage = retry.Stage.NOTHING
-        if item.delivered:
-            stage = retry.Stage.STREAMING
-        elif item.handed_over:
-            stage = retry.Stage.HANDED_OVER
-        verdict = retry.after_failure(
-            reason=broken.reason,
-            ran=broken.ran,
-            stage=stage,
-            attempts=item.number,
-            repeat=item.req.terms.repeat,
-            left_s=self._left_s(item),
-            needed_s=self._needed_s(item, kept=broken.kept is not None),
-            budget=self._budget(item.req.service),
-            rng=self._rng,
-        )
-        if isinstance(verdict, retry.GiveUp):
-            self.metrics.count("broken", verdict.reason, item.req.kind)
-            self.metrics.count("requests", verdict.outcome, item.req.kind)
-            return request.End(
-                outcome=verdict.outcome,
-                reason=verdict.reason,
-                retry_in_s=_COME_BACK_S,
-                tokens=item.delivered,
-            )
-        self.metrics.count("retried", broken.reason, item.req.kind)
-        await asyncio.sleep(verdict.pause_s)
-        return None
-
-    def _needed_s(self, item: _Open, *, kept: bool) -> float:
-        views_ = self.pool.views_of(item.req.service)
-        if item.req.plain is not None or not views_:
-            return 0.0
-        if kept:
-            return 0.0
-        return min(
-            view.prefill_s(item.req.prompt_tokens, item.req.blocks)
-            for view in views_
-        )
-
-    def _refuse_reserved(
-        self, item: _Open, reason: types.Refusal
-    ) -> request.End:
-        outcome = types.Outcome.NOT_RUN
-        if item.handed_over or reason in _OTHERS_CLAIM:
-            # An earlier attempt may have run, whatever became of this.
-            outcome = types.Outcome.UNKNOWN
-        return self._refuse(item.req, reason, outcome)
-
-    def _refuse(
-        self,
-        req: request.Request,
-        reason: types.Refusal,
-        outcome: types.Outcome = types.Outcome.NOT_RUN,
-    ) -> request.End:
-        self.metrics.count("refused", reason, req.kind)
-        self.metrics.count("requests", outcome, req.kind)
-        return request.End(
-            outcome=outcome,
-            reason=reason,
-            retry_in_s=self._come_back(req, reason),
-        )
-
-    def _come_back(self, req: request.Request, reason: types.Refusal) -> float:
-        now = self._loop.time()
-        if reason is types.Refusal.ENDS_ENGINES:
-            return self._suspects.left_s(req, now)
-        backlogs = [
-            view.backlog_s(now)
-            for view in self.pool.views_of(req.service)
-            if view.load.role is types.Role.PREFILL
-        ]
-        return come_back.after(
-            reason,
-            backlog_s=min(backlogs, default=0.0),
-            denser=self.offers.last_denser(req.service),
-        )
-
-    def _observe(self, item: _Open, event: request.Event) -> None:
+    def _observe(
+        self, item: open_request.OpenRequest, event: request.Event
+    ) -> None:
         now = self._loop.time()
         kind = item.req.kind
         if isinstance(event, request.End):
@@ -495,26 +362,9 @@
             item.first_at = now
             self.metrics.time("first_token", kind, now - item.began)
 
-    def _observe_gaps(self, item: _Open, end: request.End, now: float) -> None:
+    def _observe_gaps(
+        self, item: open_request.OpenRequest, end: request.End, now: float
+    ) -> None:
         if item.first_at is not None and end.tokens > 1:
             gap = (now - item.first_at) / (end.tokens - 1)
             self.metrics.time("between_tokens", item.req.kind, gap)
-
-
-# The key's own request may have run, or runs, under another attempt.
-_OTHERS_CLAIM = frozenset(
-    {
-        types.Refusal.CLAIM_UNKNOWN,
-        types.Refusal.CLAIM_RUNNING,
-        types.Refusal.CLAIM_ANSWERED,
-    }
-)
-_AGENTS_FAULT = frozenset(
-    {
-        types.Failure.AGENT,
-        types.Failure.ENGINE,
-        types.Failure.ENGINE_STALLED,
-        types.Failure.TRANSFER,
-        types.Failure.LINK_LOST,
-    }
-)
