--- a/rackpost/coordinator/quarantine_keeper.py
+++ b/rackpost/coordinator/quarantine_keeper.py
@@ -20,11 +20,6 @@
 from rackpost import logs
 from rackpost import types
 
-# Told to all gateways, and kept on the disk, from this many ends on.  Who has
-# been told of two knows at once that the next is the third, before it repeats
-# the request itself; and a loss of all power costs one endpoint at most.
-# What broke once, by hundreds when many endpoints end, costs nothing.
-_LEAST_TOLD = 2
 # A full or faulty disk is tried again this often, in seconds.
 _AGAIN_S = 1.0
 # How often what has long been known is looked through, in seconds.
@@ -96,7 +91,7 @@
         """Take what a gateway or another coordinator tells."""
         for request in self.book.take(msg.items, self._loop.time()):
             known = self.book.of(request)
-            if len(known) < _LEAST_TOLD:
+            if len(known) < quarantine.LEAST_TOLD:
                 continue
             self._log(request)
             self._changed.set()
@@ -115,7 +110,7 @@
 
     def for_newcomer(self) -> messages.Suspicions | None:
         """What a gateway that has just linked has to know, if anything."""
-        items = self.book.known(_LEAST_TOLD)
+        items = self.book.known(quarantine.LEAST_TOLD)
         return messages.Suspicions(items=items) if items else None
 
     def release(self, request: types.Fingerprint) -> bool:
@@ -144,7 +139,7 @@
             await self._save()
 
     async def _save(self) -> None:
-        msg = messages.Suspicions(items=self.book.known(_LEAST_TOLD))
+        msg = messages.Suspicions(items=self.book.known(quarantine.LEAST_TOLD))
         try:
             await self._file.save(msg)
         except OSError as exc:
--- a/rackpost/decide/quarantine.py
+++ b/rackpost/decide/quarantine.py
@@ -32,6 +32,11 @@
 # endpoints may have met on one of them; whoever only ran beside one that is
 # held back shares all of its lives.
 _LEAST_OWN = 2
+# Coordinators tell all gateways, and keep on their disks, from this many
+# lives on.  Who has been told of two knows at once that the next is the third,
+# before it repeats the request itself; a loss of all power costs two endpoints
+# at most.  What broke once, by hundreds as many endpoints end, costs nothing.
+LEAST_TOLD = 2
 # How long a request is held back after the last end under it, in seconds.  A
 # release may have mended it: one endpoint an hour is no storm.
 HOLD_S = 3600.0
--- a/spec/check.py
+++ b/spec/check.py
@@ -14,9 +14,10 @@
 from spec import consensus
 from spec import durable
 from spec import membership
+from spec import quarantine
 from spec import settings
 
-MODELS = (consensus, membership, durable, claims, settings)
+MODELS = (consensus, membership, durable, claims, settings, quarantine)
 # More states than this are not explored; the run then fails.
 _MAX_STATES = 3_000_000
 
