A link that ends as it is told keeps nothing from the others

Found in the last read: three loops told all coordinators over the set that a link leaves when too much waits for its peer; the rest were not told, and the caller met a fault. The test failed first (Set changed size during iteration).

--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -70,15 +70,23 @@
             items=self._site.demands(),
             quotas=self._site.quota_use.recent(self._loop.time()),
         )
-        for conn in self._linked:
-            conn.send(msg)
+        self._tell_all(msg)
+
+    def _tell_all(
+        self,
+        msg: msgspec.Struct,
+        but: websocket.WebSocketChannel | None = None,
+    ) -> None:
+        """Tell all coordinators; a link may end as it is told too much."""
+        for conn in list(self._linked):
+            if conn is not but:
+                conn.send(msg)
 
     def _tell_suspicions(
         self, items: tuple[quarantine.Suspicion, ...]
     ) -> None:
         """Tell all coordinators what counts against some requests."""
-        for conn in self._linked:
-            conn.send(messages.Suspicions(items=items))
+        self._tell_all(messages.Suspicions(items=items))
 
     def _on_linked(self, conn: websocket.WebSocketChannel) -> None:
         """A coordinator is there: tell it what it may not know."""
@@ -193,10 +201,7 @@
         for item in changed:
             if not relays.is_relay(site.host.vm, site.gateways, item.id):
                 continue
-            msg = directory.news(item)
-            for conn in self._linked:
-                if conn is not source:
-                    conn.send(msg)
+            self._tell_all(directory.news(item), but=source)
 
     def _set_gateways(self) -> None:
         self._site.set_gateways(
--- a/tests/test_one_bad_item.py
+++ b/tests/test_one_bad_item.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import pathlib
+from typing import Callable
 
 import msgspec
 import pytest
@@ -19,6 +21,7 @@
 from rackpost.state import commands
 from rackpost.state import machine
 from rackpost.testing import cluster
+from tests import platform_site
 
 _SECURITY = websocket.Security(key=b"test")
 _MOST_S = 10.0
@@ -142,3 +145,31 @@
         await tasks.close()
 
     asyncio.run(main())
+
+
+class _FullLink:
+    """A link that ends as it is told, since too much waits for its peer."""
+
+    def __init__(self, *, ended: Callable[["_FullLink"], None]) -> None:
+        self._ended = ended
+        self.told: list[msgspec.Struct] = []
+
+    def send(self, msg: msgspec.Struct) -> None:
+        self.told.append(msg)
+        self._ended(self)
+
+
+def test_a_link_that_ends_as_it_is_told_keeps_nothing_from_the_others(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            found = site.gateway._links
+            linked: set = set()
+            full = [_FullLink(ended=linked.discard) for _ in range(4)]
+            linked.update(full)
+            found._linked = linked
+            found.tell_demands()
+            assert all(len(one.told) == 1 for one in full)
+
+    asyncio.run(main())
