--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -400,7 +400,7 @@
         now = self._loop.time()
         load = self.load()
         msg = messages.Summary(load=load)
-        for session in self._sessions:
+        for session in list(self._sessions):
             silent = now - session.spoke_at
             if silent < self.cfg.summary_s:
                 continue
@@ -412,7 +412,7 @@
         """Refuse new promises at once and tell every entry so."""
         self.book.leaving = True
         msg = messages.Summary(load=self.load())
-        for session in self._sessions:
+        for session in list(self._sessions):
             self.say(session, msg)
 
     async def drained(self) -> None:
--- a/rackpost/control/service.py
+++ b/rackpost/control/service.py
@@ -99,7 +99,11 @@
             msg: msgspec.Struct = messages.Whole(image=self._public_image())
         else:
             msg = messages.Feed(changes=tuple(changes))
-        for session in self._sessions:
+        self._tell_watching(msg)
+
+    def _tell_watching(self, msg: msgspec.Struct) -> None:
+        """Tell all that watch; a link may end as it is told too much."""
+        for session in list(self._sessions):
             if session.watching:
                 session.conn.send(msg)
 
@@ -123,9 +127,7 @@
                 session.conn.close()
             return
         msg = messages.Alive(revision=self._node.machine.revision)
-        for session in self._sessions:
-            if session.watching:
-                session.conn.send(msg)
+        self._tell_watching(msg)
 
     async def _remove_silent(self) -> None:
         now = self._loop.time()
