--- a/tests/crashing_site.py
+++ b/tests/crashing_site.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import pathlib
+import shutil
 from typing import AsyncIterator
 
 import aiohttp
@@ -83,8 +84,9 @@
             for n in range(4)
         ]
         self.operator: platform_site.Operator
-        self.coordinators: list[coordinator_process.Coordinator] = []
+        self.coordinators: dict[int, coordinator_process.Coordinator] = {}
         self.gateways: dict[int, gateway_process.Gateway] = {}
+        self._stacks: dict[int, contextlib.AsyncExitStack] = {}
         self._asked = 0
 
     @property
@@ -95,32 +97,62 @@
     def crashes(self) -> int:
         return sum(len(item.crashed) for item in self.endpoints)
 
+    def crashes_by(self, body: bytes) -> int:
+        """How many endpoints ended under one request."""
+        return sum(item.crashed.count(body) for item in self.endpoints)
+
+    async def start(self, number: int, *, first: bool = False) -> None:
+        """Start a coordinator or a gateway."""
+        is_core = number in self.core
+        host = self.plan.host(
+            number,
+            kind="core" if is_core else "edge",
+            seeds=self.core[:3],
+            lost=self.lost,
+            first=first,
+        )
+        stack = self._stacks[number] = contextlib.AsyncExitStack()
+        enter = stack.enter_async_context
+        if is_core:
+            running = await enter(platform_site.coordinator(host))
+            self.coordinators[number] = running
+        else:
+            self.gateways[number] = await enter(platform_site.gateway(host))
+
+    async def stop(self, number: int) -> None:
+        """End a process, in the middle of whatever it does."""
+        self.coordinators.pop(number, None)
+        self.gateways.pop(number, None)
+        await self._stacks.pop(number).aclose()
+
+    def wipe(self, number: int) -> None:
+        """A coordinator that is down loses its disk."""
+        shutil.rmtree(self.plan.root / f"core-{number}")
+
     @contextlib.asynccontextmanager
     async def powered(self, *, first: bool) -> AsyncIterator[None]:
         """All coordinators and gateways, until power goes."""
-        plan = self.plan
-        async with contextlib.AsyncExitStack() as stack:
-            self.coordinators.clear()
+        try:
             for number in self.core:
-                host = plan.host(
-                    number,
-                    kind="core",
-                    seeds=self.core[:3],
-                    lost=self.lost,
-                    first=first,
-                )
-                enter = stack.enter_async_context
-                self.coordinators.append(
-                    await enter(platform_site.coordinator(host))
-                )
+                await self.start(number, first=first)
             await self.operator.put_until_taken(self.core[-1], _document())
             for number in GATEWAYS:
-                host = plan.host(number, kind="edge", seeds=self.core[:3])
-                self.gateways[number] = await enter(
-                    platform_site.gateway(host)
-                )
+                await self.start(number)
             await self.is_known()
             yield
+        finally:
+            for number in list(self._stacks):
+                await self.stop(number)
+
+    async def all_vote(self) -> None:
+        """Wait until every coordinator votes, and knows it of all others."""
+        await platform_site.until(
+            lambda: all(
+                len(item.node.config.voters) == len(self.core)
+                and item.node.leader is not None
+                for item in self.coordinators.values()
+            )
+        )
 
     async def is_known(self) -> None:
         """Every endpoint, in its present life, at every gateway."""
@@ -139,7 +171,7 @@
         return asyncio.get_running_loop().time()
 
     def core_books(self) -> list[quarantine.Quarantine]:
-        return [item.quarantine.book for item in self.coordinators]
+        return [one.quarantine.book for one in self.coordinators.values()]
 
     async def runs(self, number: int) -> None:
         """Wait until so many requests run at the endpoints."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import pathlib
-import shutil
 
 import msgspec
 import pytest
@@ -216,7 +215,7 @@
                 await _returns(site, "/gen/x", b"crash run")
                 before = site.crashes
             for number in core[:2]:
-                shutil.rmtree(site.plan.root / f"core-{number}")
+                site.wipe(number)
             async with site.powered(first=False):
                 await _returns(site, "/gen/x", b"crash run")
             assert before == site.crashes == _MOST_CRASHES
