The soak waits until a lost disk's successor votes

Traced: the wait was content with five voters, two of them ids whose disks were lost, so that two further disks went before the first two counted as back, more than may be lost at once.

--- a/tests/crashing_site.py
+++ b/tests/crashing_site.py
@@ -145,13 +145,19 @@
                 await self.stop(number)
 
     async def all_vote(self) -> None:
-        """Wait until every coordinator votes, and knows it of all others."""
-        await platform_site.until(
-            lambda: all(
-                len(item.node.config.voters) == len(self.core)
-                and item.node.leader is not None
-                for item in self.coordinators.values()
-            )
+        """Wait until every coordinator votes, and knows it of all others.
+
+        Under the id that it has now: one that lost its disk has a new one,
+        and until that votes its disk counts as lost.
+        """
+        await platform_site.until(self._votes_are_known)
+
+    def _votes_are_known(self) -> bool:
+        nodes = [item.node for item in self.coordinators.values()]
+        present = {node.me for node in nodes}
+        return all(
+            set(node.config.voters) == present and node.leader is not None
+            for node in nodes
         )
 
     async def is_known(self) -> None:
