--- a/tests/crashing_site.py
+++ b/tests/crashing_site.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import pathlib
-import shutil
 from typing import AsyncIterator
 
 import aiohttp
@@ -87,6 +86,7 @@
         self.coordinators: dict[int, coordinator_process.Coordinator] = {}
         self.gateways: dict[int, gateway_process.Gateway] = {}
         self._stacks: dict[int, contextlib.AsyncExitStack] = {}
+        self._wiped = 0
         self._asked = 0
 
     @property
@@ -126,8 +126,14 @@
         await self._stacks.pop(number).aclose()
 
     def wipe(self, number: int) -> None:
-        """A coordinator that is down loses its disk."""
-        shutil.rmtree(self.plan.root / f"core-{number}")
+        """A coordinator that is down loses its disk.
+
+        Moved away in one step: a thread of the process that ended here, which
+        a kill would have ended too, may still put a file in place.
+        """
+        self._wiped += 1
+        folder = self.plan.root / f"core-{number}"
+        folder.rename(self.plan.root / f"lost-{self._wiped}")
 
     @contextlib.asynccontextmanager
     async def powered(self, *, first: bool) -> AsyncIterator[None]:
