--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from rackpost import background
 from rackpost.consensus import messages as consensus
 from rackpost.control import messages as control
 from rackpost.control import node as node_mod
@@ -55,7 +56,7 @@
         self._loop = asyncio.get_running_loop()
         self._host = host
         self.metrics = metrics_mod.Metrics()
-        self.tasks = links.Tasks(part=logs.Part.COORDINATOR)
+        self.tasks = background.Tasks(part=logs.Part.COORDINATOR)
         first = {links.host_of(item) for item in host.seeds}
         self._file_disk, loaded = disk_mod.open_disk(
             pathlib.Path(host.data_dir),
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -6,7 +6,7 @@
 from typing import Coroutine
 from typing import Sequence
 
-from rackpost.coordinator import links
+from rackpost import background
 from rackpost.coordinator import messages
 from rackpost.decide import answer_lengths
 from rackpost.decide import endpoint_choice
@@ -52,7 +52,7 @@
         policy: policy_mod.Policy = policy_mod.Policy(),
     ) -> None:
         self._loop = asyncio.get_running_loop()
-        self.tasks = links.Tasks(part=logs.Part.GATEWAY)
+        self.tasks = background.Tasks(part=logs.Part.GATEWAY)
         self.host = host
         self.policy = policy
         self.rng = random.Random()
--- a/tests/test_one_bad_item.py
+++ b/tests/test_one_bad_item.py
@@ -13,8 +13,8 @@
 import msgspec
 import pytest
 
+from rackpost import background
 from rackpost.control import messages as control
-from rackpost.coordinator import links
 from rackpost import exceptions
 from rackpost.link import websocket
 from rackpost import logs
@@ -105,7 +105,7 @@
     )
 
     async def main() -> None:
-        tasks = links.Tasks(part=logs.Part.GATEWAY)
+        tasks = background.Tasks(part=logs.Part.GATEWAY)
         runs = 0
         again = asyncio.Event()
 
@@ -134,7 +134,7 @@
     """It would answer, and neither vote nor apply anything."""
 
     async def main() -> None:
-        tasks = links.Tasks(part=logs.Part.COORDINATOR)
+        tasks = background.Tasks(part=logs.Part.COORDINATOR)
 
         async def replica() -> None:
             raise exceptions.StorageError("what it holds is not known")
