--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -222,7 +222,11 @@
     call: call_mod.Call, endpoint: endpoints.Endpoint, head: message.Head
 ) -> None:
     call.log(
-        "Endpoint did not run it.", endpoint=endpoint.id, status=head.status
+        "Endpoint did not run it.",
+        endpoint=endpoint.id,
+        status=head.status,
+        backoff_s=headers.backoff_s(head),
+        leaving=headers.says_leaving(head),
     )
     note_replaced(call, endpoint, head)
     if head.status == 503:
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -256,6 +256,8 @@
             "Prefill refused.",
             endpoint=endpoint.id,
             status=reply.head.status,
+            backoff_s=headers.backoff_s(reply.head),
+            leaving=headers.says_leaving(reply.head),
         )
         return None
     return wire.decode(body)
--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -3,6 +3,8 @@
 Headers that only we may set are dropped from what clients send.
 """
 
+from email import utils
+import math
 from typing import NamedTuple
 from typing import Sequence
 
@@ -25,6 +27,8 @@
 _KEY_SCHEME = b"bearer"
 SIGNATURE = b"x-response-seal"
 NOT_RUN = b"x-not-executed"
+_RETRY_AFTER = b"retry-after"
+_LEAVING = b"server-leaving"
 _TOKENS = b"x-token-usage"
 # ID:TOKENS of each part of the prompt, by commas.
 _PROMPT_PARTS = b"x-prompt-prefix"
@@ -32,6 +36,9 @@
 
 PREFILL = b"prefill"
 
+# Statuses with which an endpoint turns a request away.
+_TURNED_AWAY = (429, 503)
+
 # Set by us alone, whatever a client sent: all that tells an endpoint how
 # to run a request.  What a client pins or reserves there cannot give way,
 # so that endpoints hold less than the gateways' figures say.
@@ -83,6 +90,40 @@
     return Tokens(prompt=prompt, most_out=most, guess_out=guess or most)
 
 
+def backoff_s(head: message.Head) -> float | None:
+    """How long an endpoint that turns a request away wants no other.
+
+    In seconds, fractions included; None where it asks for nothing that can
+    be read.  A date is read by the answer's own: our clocks may be wrong.
+    """
+    if head.status not in _TURNED_AWAY:
+        return None
+    told = message.find(head.headers, _RETRY_AFTER)
+    if told is None:
+        return None
+    try:
+        seconds = float(told)
+    except ValueError:
+        seconds = _until_date_s(told, message.find(head.headers, b"date"))
+    return seconds if 0.0 < seconds < math.inf else None
+
+
+def _until_date_s(told: bytes, date: bytes | None) -> float:
+    """Seconds from an answer's date to another one; 0 if there is none."""
+    try:
+        at = utils.parsedate_to_datetime(told.decode("latin-1"))
+        now = utils.parsedate_to_datetime((date or b"").decode("latin-1"))
+        return (at - now).total_seconds()
+    except (ValueError, TypeError):
+        # Not a date, or one with a zone beside one without.
+        return 0.0
+
+
+def says_leaving(head: message.Head) -> bool:
+    """Whether an endpoint's answer says that it is leaving."""
+    return message.find(head.headers, _LEAVING) == b"1"
+
+
 def own_part(headers: Sequence[message.Header]) -> bytes:
     """Id of the prompt's last part, which is the request's own; or b""."""
     parts = message.find(headers, _PROMPT_PARTS) or b""
