--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -172,17 +172,22 @@
         self.seen: list[message.Request] = []
         self.address = ""
         self.answer: Answer = self.usual
+        # What it adds to the headers of its usual answers.
+        self.says: list[message.Header] = []
+
+    def _headers(self, req: message.Request) -> list[message.Header]:
+        return echoed(req) + self.says
 
     async def usual(
         self, req: message.Request, responder: server.Responder
     ) -> None:
         if message.find(req.headers, b"x-serving-stage") == b"prefill":
             body = b'{"kvHandle":"h1","tokens":10,"version":1}'
-            responder.whole(200, echoed(req), body)
+            responder.whole(200, self._headers(req), body)
         elif self.stage == "decode":
             await self.stream(req, responder, 1, 4)
         else:
-            responder.whole(200, echoed(req), b"from " + req.body)
+            responder.whole(200, self._headers(req), b"from " + req.body)
 
     async def stream(
         self,
@@ -192,7 +197,7 @@
         after: int,
     ) -> None:
         kind = [(b"content-type", b"text/event-stream")]
-        responder.start(200, echoed(req) + kind)
+        responder.start(200, self._headers(req) + kind)
         for number in range(first, after):
             await responder.part(b"id: %d\ndata: x%d\n\n" % (number, number))
         responder.finish()
--- /dev/null
+++ b/tests/test_backoff.py
@@ -0,0 +1,256 @@
+"""Endpoints that turn a gateway away and ask it for a time without requests.
+
+Seen: a plain endpoint that asked one gateway for 3 s got up to 30 requests
+from it in that time, and once each second request came there the budget of
+repeats was spent, so that callers were refused while two other endpoints had
+room.  An answer of 503 was taken as "not run" and nothing else: whoever turns
+away within a millisecond has the least under way and looked the best to the
+next request.  Shown by lines of the gateways: all 53 rejected attempts were
+at that endpoint, the last 4.8 s after the first, and 40 of them repeats.
+
+The times asked for are far longer than a test takes, so that it does not
+matter how long that is.
+"""
+
+import asyncio
+import pathlib
+from rackpost.http1 import message
+from rackpost.http1 import server
+from tests import platform_site
+from tests import test_gateway
+
+# What an endpoint asks for, in seconds.
+ASKED = b"30"
+# What an endpoint that leaves adds to its answers.
+LEAVING = [(b"server-leaving", b"1")]
+# More than may be on their way when an endpoint asks for a back-off.
+_MANY = 20
+
+
+async def asks(req: message.Request, responder: server.Responder) -> None:
+    """Turn a request away and ask for a time without any."""
+    told = [(b"x-not-executed", b"1"), (b"retry-after", ASKED)]
+    responder.whole(503, told, b"")
+
+
+async def ask(
+    site: platform_site.Site, path: str = "/safe/x", count: int = _MANY
+) -> list[bytes]:
+    """Send requests one after the other."""
+    make = test_gateway.request
+    if not path.startswith(("/safe", "/unsafe")):
+        make = test_gateway.generation
+    return [
+        await site.raw(make(path, ident=f"r{number}"))
+        for number in range(count)
+    ]
+
+
+def statuses(answers: list[bytes]) -> set[int]:
+    return {test_gateway.status(one) for one in answers}
+
+
+def come_back_s(answer: bytes) -> float:
+    """When a refused caller is told to come back, in seconds."""
+    head = answer.split(b"\r\n\r\n")[0]
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"retry-after":
+            return float(value)
+    raise AssertionError("no time to come back")
+
+
+def test_a_plain_endpoint_that_asks_gets_nothing_more(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            site.plain[0].answer = asks
+            assert statuses(await ask(site)) == {200}
+            assert len(site.plain[0].seen) <= 1
+            assert statuses(await ask(site, "/unsafe/x")) == {200}
+            assert len(site.plain[0].seen) <= 1
+
+    asyncio.run(main())
+
+
+def test_where_all_ask_callers_are_told_at_once_when_one_is_free(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Each was asked again by every caller, until repeats ran out."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            for endpoint in site.plain:
+                endpoint.answer = asks
+            answers = await ask(site)
+            assert statuses(answers) == {503}
+            assert [len(one.seen) for one in site.plain] == [1, 1]
+            assert all(come_back_s(one) > 25.0 for one in answers)
+
+    asyncio.run(main())
+
+
+def test_what_waits_for_a_connection_is_not_sent_there(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Chosen before the endpoint asked, and not yet written."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            go_on = asyncio.Event()
+
+            async def asks_later(
+                req: message.Request, responder: server.Responder
+            ) -> None:
+                await go_on.wait()
+                await asks(req, responder)
+
+            # All choose the one that is there; one connection is open.
+            site.plain[0].answer = asks_later
+            assert await site.operator.leave(11, site.plain[1]) == 200
+            table = site.gateway.site.table
+            await platform_site.until(lambda: len(table.alive) == 4)
+            site.gateway.site.connections_to = lambda service: 1
+            tasks = [
+                asyncio.create_task(site.raw(test_gateway.request("/safe/x")))
+                for _ in range(4)
+            ]
+            await platform_site.until(lambda: len(site.plain[0].seen) == 1)
+            loads = site.gateway.site.loads
+            key = site.plain[0].ident
+            await platform_site.until(
+                lambda: loads.total(key).requests == len(tasks)
+            )
+            go_on.set()
+            assert statuses(await asyncio.gather(*tasks)) == {503}
+            assert len(site.plain[0].seen) == 1
+
+    asyncio.run(main())
+
+
+def test_where_all_prefill_endpoints_ask_prompts_are_read_in_place(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            site.prefill.answer = asks
+            assert statuses(await ask(site, "/gen/x", 6)) == {200}
+            assert len(site.prefill.seen) == 1
+
+    asyncio.run(main())
+
+
+def test_where_all_decode_endpoints_ask_nobody_waits_for_nothing(
+    tmp_path: pathlib.Path,
+) -> None:
+    """They waited until nothing could be served, prompts were read."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            for endpoint in site.decode:
+                endpoint.answer = asks
+            answers = await ask(site, "/gen/x", 6)
+            assert statuses(answers) == {503}
+            assert [len(one.seen) for one in site.decode] == [1, 1]
+            reads = [
+                req
+                for req in site.prefill.seen
+                if message.find(req.headers, b"x-serving-stage")
+            ]
+            assert len(reads) <= 2
+            assert all(come_back_s(one) > 25.0 for one in answers)
+
+    asyncio.run(main())
+
+
+def test_nothing_that_was_read_is_freed_at_one_that_asks(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A result that no decode takes lapses by itself."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            read = site.prefill.usual
+
+            async def reads_once(
+                req: message.Request, responder: server.Responder
+            ) -> None:
+                site.prefill.answer = asks
+                await read(req, responder)
+
+            site.prefill.answer = reads_once
+            for endpoint in site.decode:
+                endpoint.answer = asks
+            both = await asyncio.gather(
+                site.raw(test_gateway.generation(ident="r1")),
+                site.raw(test_gateway.generation(ident="r2")),
+            )
+            assert statuses(list(both)) == {503}
+            # One read, one turned away; nothing else after that.
+            assert [req.method for req in site.prefill.seen] == [
+                b"POST",
+                b"POST",
+            ]
+
+    asyncio.run(main())
+
+
+def test_an_answer_that_says_leaving_is_the_last_word(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Heartbeats that still say ready, and come later, change nothing."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            for endpoint in (site.plain[0], site.decode[0]):
+                endpoint.says = LEAVING
+            for path, one in (
+                ("/safe/x", site.plain[0]),
+                ("/gen/x", site.decode[0]),
+            ):
+                while not one.seen:
+                    await ask(site, path, 1)
+                assert await site.operator.beat(11, one) == 200
+                table = site.gateway.site.table
+                heard = table.heard_at[one.ident]
+                await platform_site.until(
+                    lambda: table.heard_at[one.ident] > heard
+                )
+                seen = len(one.seen)
+                assert statuses(await ask(site, path)) == {200}
+                assert len(one.seen) == seen
+
+    asyncio.run(main())
+
+
+def test_a_prefill_endpoint_that_leaves_reads_nothing_more(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            site.prefill.says = LEAVING
+            assert statuses(await ask(site, "/gen/x", 4)) == {200}
+            assert len(site.prefill.seen) == 1
+
+    asyncio.run(main())
+
+
+def test_a_new_life_at_the_address_is_asked_again(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            one, other = site.plain
+            one.answer = asks
+            other.answer = asks
+            assert statuses(await ask(site, count=2)) == {503}
+            # It starts again: another id at the same address.
+            one.ident, one.sequence, one.answer = "p9", 0, one.usual
+            assert await site.operator.beat(11, one) == 200
+            table = site.gateway.site.table
+            await platform_site.until(lambda: "p9" in table.alive)
+            assert statuses(await ask(site, count=3)) == {200}
+            assert len(other.seen) == 1
+
+    asyncio.run(main())
