Nothing is sent to an endpoint in the time it asked for

Callers saw refusals within milliseconds while two of three endpoints had room: a third turned all away and asked for 3 s without requests, each caller was sent there all the same, and every such repeat came off the budget of repeats until there was none. The endpoint got up to 30 requests of one gateway in a time in which it wanted none.

Cause: an answer of 503 was "not run" and no more; what leaves an endpoint out was spread over the choice of endpoints, where all of it was given up when nothing else was left, and what had been chosen was sent whatever had become known since.

Why it holds: decide/eligibility.py says in one place what is never given up (gone, leaving, changing its role, asked for back-off); everything that a gateway sends goes through gateway/endpoint_calls.py, which asks it again just before anything is written. When the time is over one request goes first, two more for each that was taken, so that all that waited are not turned away together. Who can be served after it waits; who can't is refused at once with the time when an endpoint is free; with all prefill endpoints asking, prompts are read in place; an endpoint that asked uses up no attempt, three at most are asked for one request.

--- /dev/null
+++ b/rackpost/decide/eligibility.py
@@ -0,0 +1,80 @@
+"""Which endpoints may be sent anything at all.  Pure.
+
+Two kinds of rules leave an endpoint out.  What stands here is never given
+up, for no request and on no way: not for a first attempt or a repeat, not for
+a stream that goes on, not to read a prompt or to free what was read.  Whoever
+finds no endpoint that is left waits or is refused.
+
+Everything else is a preference and stands where endpoints are chosen
+(`endpoint_choice.py`): one that is silent, has just failed, has just been
+full or is slow is used last, and is used where nothing better is left.
+"""
+
+import enum
+import random
+from typing import Iterable
+
+from rackpost.decide import backoff
+from rackpost.routing import endpoints
+from rackpost import types
+
+
+class Bar(enum.Enum):
+    """Why nothing may be sent to an endpoint."""
+
+    GONE = "gone"
+    LEAVING = "leaving"
+    CHANGING_ROLE = "changing role"
+    BACKOFF = "asked for back-off"
+
+
+class Eligibility:
+    """Tells for one process which endpoints may be sent anything."""
+
+    def __init__(
+        self,
+        *,
+        table: endpoints.EndpointTable,
+        rng: random.Random,
+    ) -> None:
+        self._table = table
+        self.backoffs = backoff.BackoffBook(rng=rng)
+        self._changing: frozenset[types.EndpointId] = frozenset()
+
+    def set_changing(self, keys: Iterable[types.EndpointId]) -> None:
+        """These endpoints change their role and take nothing now."""
+        self._changing = frozenset(keys)
+
+    def bar(self, endpoint: endpoints.Endpoint, now: float) -> Bar | None:
+        """Why nothing may be sent there now; None if it may.
+
+        Asked when an endpoint is chosen, and again just before anything is
+        written to it: it may have changed while a connection was made.
+        """
+        known = self._table.alive.get(endpoint.id)
+        if known is None:
+            return Bar.GONE
+        if known.state is not endpoints.EndpointState.READY:
+            return Bar.LEAVING
+        if known.id in self._changing:
+            return Bar.CHANGING_ROLE
+        if self.backoffs.binds(known, now):
+            return Bar.BACKOFF
+        return None
+
+    def may_begin(self, endpoint: endpoints.Endpoint, now: float) -> bool:
+        """Whether a request may be meant for it now."""
+        return self.bar(endpoint, now) is None and self.backoffs.may_begin(
+            endpoint, now
+        )
+
+    def opens_at(
+        self, endpoint: endpoints.Endpoint, now: float
+    ) -> float | None:
+        """When a request may be meant for it, as far as that is known.
+
+        None where it is not: only a back-off says when it ends.
+        """
+        if self.bar(endpoint, now) not in (None, Bar.BACKOFF):
+            return None
+        return self.backoffs.opens_at(endpoint)
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -1,10 +1,10 @@
 """Which endpoint a gateway sends a request to.  Pure."""
 
 import random
-from typing import Iterable
 from typing import NamedTuple
 from typing import Sequence
 
+from rackpost.decide import eligibility
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
 from rackpost.decide import fleet_size
@@ -29,6 +29,9 @@
 # Plain endpoints where the wait is longer than the least by this factor are
 # not chosen by chance: they are slow, or lose answers.
 _ALIKE_X = 3.0
+# A prefill endpoint that may be sent prompts again so soon is waited for, in
+# seconds: read in place, a usual prompt takes longer than that.
+_SHORT_S = 0.2
 # Places at one endpoint that are counted; more make no difference to who
 # goes first.
 _MOST_PLACES = 3
@@ -51,6 +54,7 @@
         self,
         *,
         table: endpoints.EndpointTable,
+        eligible: eligibility.Eligibility,
         loads: endpoint_load.LoadBook,
         health: endpoint_health.HealthBook,
         data_centre: types.DataCentre,
@@ -64,12 +68,12 @@
         from.
         """
         self._table = table
+        self._eligible = eligible
         self._loads = loads
         self._health = health
         self._data_centre = data_centre
         self._silent_s = silent_s
         self._rng = rng
-        self._changing: frozenset[types.EndpointId] = frozenset()
         self._gateways = 1
         self._group = group or groups.Group(vm=types.VmId(""))
 
@@ -77,10 +81,6 @@
         """So many gateways choose among the same endpoints."""
         self._gateways = count
 
-    def set_changing(self, keys: Iterable[types.EndpointId]) -> None:
-        """These endpoints change their role and take nothing now."""
-        self._changing = frozenset(keys)
-
     def candidates(
         self,
         service: types.ServiceName,
@@ -91,7 +91,7 @@
         well_only: bool = False,
         failed_too: bool = False,
     ) -> list[endpoints.Endpoint]:
-        """Ready endpoints of a role.
+        """Endpoints of a role that a request may be meant for.
 
         Those that are silent only if there is no other, and those that
         have just failed neither then with `well_only`; with `failed_too`
@@ -99,11 +99,8 @@
         """
         ready = [
             item
-            for item in self._table.alive.values()
-            if item.service == service
-            and item.role is role
-            and item.state is endpoints.EndpointState.READY
-            and item.id not in self._changing
+            for item in self._members(service, role)
+            if self._eligible.may_begin(item, now)
         ]
         found = [
             item for item in self._group.part(ready) if item.id not in but
@@ -119,17 +116,50 @@
         ]
         return heard or well or ([] if well_only else found)
 
-    def still_takes(self, endpoint: endpoints.Endpoint) -> bool:
+    def _members(
+        self, service: types.ServiceName, role: types.Role
+    ) -> list[endpoints.Endpoint]:
+        return [
+            item
+            for item in self._table.alive.values()
+            if item.service == service and item.role is role
+        ]
+
+    def opens_s(
+        self,
+        service: types.ServiceName,
+        role: types.Role,
+        *,
+        but: Sequence[types.EndpointId] = (),
+        now: float,
+    ) -> float | None:
+        """How long until one of a role's endpoints may be chosen, in seconds.
+
+        0 where one may be now, or is being tried; None where nothing tells.
+        """
+        found = [
+            self._eligible.opens_at(item, now)
+            for item in self._members(service, role)
+            if item.id not in but
+        ]
+        known = [at for at in found if at is not None]
+        return max(0.0, min(known) - now) if known else None
+
+    def usual_s(self, service: types.ServiceName, role: types.Role) -> float:
+        """What an answer usually takes there, in seconds."""
+        return self._usual_s(self._members(service, role))
+
+    def chose(self, endpoint: endpoints.Endpoint, now: float) -> None:
+        """A request is meant for this endpoint."""
+        self._eligible.backoffs.begun(endpoint, now)
+
+    def still_takes(self, endpoint: endpoints.Endpoint, now: float) -> bool:
         """Whether an endpoint that had a request may be sent it again.
 
         Not one that has started again since: it holds nothing of it.
         """
-        item = self._table.alive.get(endpoint.id)
-        ready = (
-            item is not None and item.state is endpoints.EndpointState.READY
-        )
-        same = self._table.is_current(endpoint)
-        return ready and same and endpoint.id not in self._changing
+        may_send = self._eligible.bar(endpoint, now) is None
+        return may_send and self._table.is_current(endpoint)
 
     def plain(
         self,
@@ -305,8 +335,24 @@
         return _MOST_PLACES
 
     def reads_in_place(self, service: types.ServiceName, now: float) -> bool:
-        """Whether no endpoint prefills, so that decodes read themselves."""
-        return not self._prefilling(service, (), now)
+        """Whether no endpoint prefills, so that decodes read themselves.
+
+        One that asked for a short back-off is waited for.
+        """
+        if self._prefilling(service, (), now):
+            return False
+        soon = [
+            item
+            for item in self._members(service, types.Role.PREFILL)
+            if self._opens_before(item, now + _SHORT_S, now)
+        ]
+        return all(self._health.avoided(item.id, now) for item in soon)
+
+    def _opens_before(
+        self, item: endpoints.Endpoint, at: float, now: float
+    ) -> bool:
+        opens_at = self._eligible.opens_at(item, now)
+        return opens_at is not None and opens_at < at
 
     def takes_all_prompts(
         self, service: types.ServiceName, since: float, now: float
--- a/rackpost/exceptions.py
+++ b/rackpost/exceptions.py
@@ -73,6 +73,13 @@
         self.sent = sent
 
 
+class Barred(ExchangeError):
+    """Nothing may be sent to the endpoint now; the text says why."""
+
+    def __init__(self, why: str) -> None:
+        super().__init__(why, sent=False)
+
+
 class NoPlace(ExchangeError):
     """All connections that may be open to an endpoint were in use."""
 
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -1,13 +1,13 @@
 """One attempt: a request to one endpoint, and what comes of it."""
 
 import contextlib
-from typing import AsyncIterator
 from typing import NamedTuple
 
 from rackpost.decide import forwarding
 from rackpost import exceptions
 from rackpost.gateway import answer_check
 from rackpost.gateway import call as call_mod
+from rackpost.gateway import endpoint_calls
 from rackpost.gateway import pass_on
 from rackpost.http1 import client
 from rackpost.http1 import message
@@ -44,15 +44,11 @@
     return found
 
 
-@contextlib.asynccontextmanager
-async def connected(
+def connected(
     call: call_mod.Call, endpoint: endpoints.Endpoint
-) -> AsyncIterator[client.ClientConnection]:
+) -> contextlib.AbstractAsyncContextManager[client.ClientConnection]:
     """A connection to an endpoint; ExchangeError if there is none."""
-    most = call.site.connections_to(call.service)
-    pool = call.site.pool
-    async with pool.connection(endpoint.address, most=most) as conn:
-        yield conn
+    return endpoint_calls.connected(call.site, call.service, endpoint)
 
 
 async def send(
@@ -66,7 +62,10 @@
     Raises ExchangeError where there is no such answer.
     """
     lines = run_headers(call, endpoint, call.site.loop_time()) + extra
-    head = await conn.request(
+    head = await endpoint_calls.request(
+        call.site,
+        endpoint,
+        conn,
         head=message.request_head(call.req.method, call.req.target, lines),
         body=call.req.body,
         request_id=call.request_id,
@@ -113,10 +112,25 @@
     exc: exceptions.ExchangeError,
 ) -> forwarding.Ended:
     """An endpoint takes no connection; the request was not sent."""
+    if isinstance(exc, exceptions.Barred):
+        return _barred(call, endpoint, exc)
     call.tried.append(endpoint.id)
     return _broke(call, endpoint, exc, began=None)
 
 
+def _barred(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    exc: exceptions.Barred,
+) -> forwarding.Ended:
+    """Nothing may be sent there any more since it was chosen.
+
+    That says nothing against the endpoint and uses up no attempt.
+    """
+    call.log("Not sent.", endpoint=endpoint.id, why=str(exc))
+    return forwarding.Ended.NOT_SENT
+
+
 async def run_on(
     call: call_mod.Call,
     endpoint: endpoints.Endpoint,
@@ -135,6 +149,9 @@
     try:
         reply = await send(call, endpoint, conn, extra)
         ended = await _take(call, endpoint, reply, began)
+    except exceptions.Barred as exc:
+        call.tried.remove(endpoint.id)
+        ended = _barred(call, endpoint, exc)
     except exceptions.ExchangeError as exc:
         ended = _broke(call, endpoint, exc, began=began)
     if ended is not forwarding.Ended.NOT_SENT:
@@ -231,6 +248,8 @@
     note_replaced(call, endpoint, head)
     if head.status == 503:
         call.site.health.turned_away(endpoint.id, call.site.loop_time())
+    if headers.backoff_s(head) is not None:
+        call.asked_to_wait.append(endpoint.id)
 
 
 async def _take_whole(
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -21,6 +21,9 @@
 
 # Of answers in time, one in this many is logged; all others are.
 _SAMPLE = 16
+# Endpoints that may ask for a back-off before one request is refused: two say
+# little of a third, and more would be most of a service's repeats.
+_MOST_WAITS = 3
 # Other gateways take at once what one that stops does not begin; in seconds.
 ELSEWHERE_S = 0.05
 
@@ -84,6 +87,8 @@
         self.request_id = message.find(req.headers, headers.REQUEST_ID)
         self.budget = site.budget(service.name)
         self.tried: list[types.EndpointId] = []
+        # Endpoints that turned it away and asked for a back-off.
+        self.asked_to_wait: list[types.EndpointId] = []
         # Sends that arrived, and the endpoints that may have run one: those
         # are the route's attempts, of which a rejected one uses up none.
         self.sent = 0
@@ -115,6 +120,17 @@
             self.fingerprint, endpoint, ran_s=now - began, now=now
         )
 
+    @property
+    def not_again(self) -> list[types.EndpointId]:
+        """Endpoints that it is not sent to again.
+
+        One that asked for a back-off may be, once that is over; but not for
+        ever, since each that turns it away is one more repeat.
+        """
+        if len(self.asked_to_wait) >= _MOST_WAITS:
+            return self.tried
+        return [key for key in self.tried if key not in self.asked_to_wait]
+
     @property
     def is_head(self) -> bool:
         """Whether the client asks for headers alone."""
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -59,7 +59,7 @@
         # Only the leader has any; what a former one said is dropped with
         # its next word or its link.
         self._changing[host] = msg.ids
-        self._site.chooser.set_changing(
+        self._site.eligible.set_changing(
             key for ids in self._changing.values() for key in ids
         )
         self._site.room_changed.set()
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -8,6 +8,7 @@
 from rackpost.gateway import call as call_mod
 from rackpost.gateway import pass_on
 from rackpost.routing import endpoints
+from rackpost import types
 
 # Whoever was refused comes back after this long, in seconds, spread so
 # that a crowd does not come back at once.
@@ -21,14 +22,18 @@
 
 
 def come_back_s(call: call_mod.Call) -> float:
-    """When a refused client should come back, in seconds."""
-    return _COME_BACK_S + _COME_BACK_SPREAD_S * call.site.rng.random()
+    """When a refused client should come back, in seconds.
+
+    Not before an endpoint may be sent anything.
+    """
+    spread_s = _COME_BACK_SPREAD_S * call.site.rng.random()
+    return max(_COME_BACK_S, _opens_s(call) or 0.0) + spread_s
 
 
 async def forward(call: call_mod.Call) -> None:
     """Answer a request for a plain service."""
     while True:
-        endpoint = _choose(call) or await _first_endpoint(call)
+        endpoint = _choose(call) or await _wait_for_one(call)
         if call.end_if_barred():
             return
         if endpoint is None:
@@ -44,6 +49,7 @@
     """Send it there; whether the client has been answered."""
     site = call.site
     began = site.loop_time()
+    site.chooser.chose(endpoint, began)
     with site.loads.held(endpoint.id):
         ahead = site.loads.total(endpoint.id).requests
         ended = await attempt.run(call, endpoint)
@@ -87,7 +93,53 @@
     site = call.site
     now = site.loop_time()
     name = call.service.name
-    return site.chooser.plain(name, but=call.tried, now=now)
+    return site.chooser.plain(name, but=call.not_again, now=now)
+
+
+def _role(call: call_mod.Call) -> types.Role:
+    """The role of the endpoints that make its answer."""
+    if call.service.engine is None:
+        return types.Role.PLAIN
+    return types.Role.DECODE
+
+
+def _opens_s(call: call_mod.Call) -> float | None:
+    """How long all endpoints still want nothing, in seconds.
+
+    None where there is none, or they don't say.
+    """
+    site = call.site
+    return site.chooser.opens_s(
+        call.service.name,
+        _role(call),
+        but=call.not_again,
+        now=site.loop_time(),
+    )
+
+
+async def _wait_for_one(call: call_mod.Call) -> endpoints.Endpoint | None:
+    """An endpoint that can be had soon enough; None if there is none."""
+    return await _first_endpoint(call) or await _after_backoff(call)
+
+
+async def _after_backoff(call: call_mod.Call) -> endpoints.Endpoint | None:
+    """The first endpoint that takes requests again after a back-off.
+
+    Who can still be answered by it waits: a refusal would bring its caller
+    back to the same endpoints, with less time.  Who can't is told at once.
+    """
+    site = call.site
+    answer_s = site.chooser.usual_s(call.service.name, _role(call))
+    endpoint = None
+    while endpoint is None:
+        opens_s = _opens_s(call)
+        if opens_s is None:
+            return None
+        if site.loop_time() + opens_s + answer_s > call.until:
+            return None
+        await asyncio.sleep(_LOOK_S)
+        endpoint = _choose(call)
+    return endpoint
 
 
 async def _first_endpoint(
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -150,7 +150,7 @@
             service=call.service.name,
             capacity=self._engine.memory_tokens,
             run=self._progress.run,
-            but=call.tried,
+            but=call.not_again,
             event_s=call.site.pace.making_s(self._engine.event_tokens),
             in_place=self._in_place,
             claim=self._claim(),
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -8,6 +8,7 @@
 from rackpost.gateway import answer_check
 from rackpost.gateway import attempt
 from rackpost.gateway import call as call_mod
+from rackpost.gateway import endpoint_calls
 from rackpost.http1 import message
 from rackpost.platform import headers
 from rackpost.platform import prefill as wire
@@ -71,23 +72,24 @@
         """Free the KV cache, which no decode endpoint has taken."""
         if self._reader is not None and self._result is not None:
             self._call.site.spawn(
-                _delete(self._call, self._reader.address, self._result)
+                _delete(self._call, self._reader, self._result)
             )
             self._result = None
 
 
 async def _delete(
-    call: call_mod.Call, address: str, result: wire.PrefillResult
+    call: call_mod.Call,
+    reader: endpoints.Endpoint,
+    result: wire.PrefillResult,
 ) -> None:
-    most = call.site.connections_to(call.service)
     line = message.request_head(
         b"DELETE",
         wire.release_path(result),
-        [(b"host", address.encode())],
+        [(b"host", reader.address.encode())],
     )
     try:
-        async with call.site.pool.connection(address, most=most) as conn:
-            await conn.request(head=line, body=b"", request_id=None)
+        async with attempt.connected(call, reader) as conn:
+            await endpoint_calls.request(call.site, reader, conn, head=line)
             await conn.read_whole(_MAX_RESULT)
     except exceptions.ExchangeError as exc:
         # It lapses by itself soon.
@@ -222,7 +224,7 @@
     patience: float,
     began: float,
 ) -> _Ended:
-    if not isinstance(exc, exceptions.NoPlace):
+    if not isinstance(exc, (exceptions.NoPlace, exceptions.Barred)):
         call.site.health.broke(endpoint.id, call.site.loop_time())
     call.log(
         "Prefill failed.",
--- a/rackpost/gateway/room.py
+++ b/rackpost/gateway/room.py
@@ -138,7 +138,8 @@
         Nobody takes it in between, and where the endpoint has kept the KV
         cache there is nothing to read, so that no turn is needed.
         """
-        if not self._chooser.still_takes(endpoint):
+        now = self._loop.time()
+        if not self._chooser.still_takes(endpoint, now):
             return None
         return place_mod.Place(
             endpoint=endpoint,
@@ -146,7 +147,7 @@
             free=self._loads.hold(endpoint.id, run=wanted.run),
             end_turn=_nothing,
             changed=self._changed.set,
-            since=self._loop.time(),
+            since=now,
         )
 
     def _refuse_if_hopeless(self, waiter: _Waiter, now: float) -> None:
@@ -156,7 +157,19 @@
         if hopeless or len(self._waiters) > _MOST:
             self._settle(waiter, self._full(waiter.wanted, now))
 
+    def _opens_s(self, wanted: place_mod.Wanted, now: float) -> float:
+        """How long all decode endpoints still want nothing, in seconds."""
+        opens_s = self._chooser.opens_s(
+            wanted.service, types.Role.DECODE, but=wanted.but, now=now
+        )
+        return opens_s or 0.0
+
     def _expected_wait_s(self, wanted: place_mod.Wanted, now: float) -> float:
+        """How long until it is its turn, in seconds."""
+        opens_s = self._opens_s(wanted, now)
+        return opens_s + self._queue_s(wanted, now)
+
+    def _queue_s(self, wanted: place_mod.Wanted, now: float) -> float:
         """How long those that go before it will take, in seconds."""
         claim = wanted.claim
         mine = waiting.order(claim, now)
@@ -175,6 +188,8 @@
         wait_s = self._expected_wait_s(wanted, now)
         chance = self._rng.random()
         after = waiting.come_back_s(wanted.claim, wait_s, now, chance)
+        # Nobody is told to come back before anything may be sent.
+        after = max(after, self._opens_s(wanted, now))
         return place_mod.Full(come_back_s=after, expected_wait_s=wait_s)
 
     def _give_back(self, waiter: _Waiter) -> None:
@@ -207,7 +222,9 @@
 
     def _drop_hopeless(self, now: float) -> None:
         for waiter in list(self._waiters):
-            hopeless = waiting.is_hopeless(waiter.wanted.claim, now)
+            # Known as soon as the last endpoint has asked for a back-off.
+            opens = now + self._opens_s(waiter.wanted, now)
+            hopeless = waiting.is_hopeless(waiter.wanted.claim, opens)
             if hopeless and not waiter.found.done():
                 self._settle(waiter, self._full(waiter.wanted, now))
 
@@ -272,9 +289,11 @@
         if endpoint is None:
             return None
         free = self._loads.hold(endpoint.id, run=wanted.run)
+        self._chooser.chose(endpoint, now)
         if way.reader is None:
             end_turn = self._turn_to_read(endpoint, wanted.run.size)
         else:
+            self._chooser.chose(way.reader, now)
             end_turn = self._loads.hold(way.reader.id, prompt=wanted.run.size)
         return place_mod.Place(
             endpoint=endpoint,
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -9,6 +9,7 @@
 from rackpost import background
 from rackpost.coordinator import messages
 from rackpost.decide import answer_lengths
+from rackpost.decide import eligibility
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
@@ -69,8 +70,10 @@
         self.health = endpoint_health.HealthBook()
         self.pool = pool_mod.Pool(id_header=headers.REQUEST_ID)
         self.group = groups.Group(vm=host.vm)
+        self.eligible = eligibility.Eligibility(table=self.table, rng=self.rng)
         self.chooser = endpoint_choice.Chooser(
             table=self.table,
+            eligible=self.eligible,
             loads=self.loads,
             health=self.health,
             data_centre=host.data_centre,
--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -90,13 +90,18 @@
     return Tokens(prompt=prompt, most_out=most, guess_out=guess or most)
 
 
+def is_turned_away(head: message.Head) -> bool:
+    """Whether an endpoint did not take the request for want of room."""
+    return head.status in _TURNED_AWAY
+
+
 def backoff_s(head: message.Head) -> float | None:
     """How long an endpoint that turns a request away wants no other.
 
     In seconds, fractions included; None where it asks for nothing that can
     be read.  A date is read by the answer's own: our clocks may be wrong.
     """
-    if head.status not in _TURNED_AWAY:
+    if not is_turned_away(head):
         return None
     told = message.find(head.headers, _RETRY_AFTER)
     if told is None:
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from rackpost.decide import answer_lengths
+from rackpost.decide import eligibility
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
@@ -222,6 +223,9 @@
             table.take(item, 0.0)
         chooser = endpoint_choice.Chooser(
             table=table,
+            eligible=eligibility.Eligibility(
+                table=table, rng=random.Random(1)
+            ),
             loads=self.loads,
             health=self.health,
             data_centre=_HERE,
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -171,22 +171,35 @@
 
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
-            read = site.prefill.usual
+            has_asked = asyncio.Event()
 
             async def reads_once(
                 req: message.Request, responder: server.Responder
             ) -> None:
-                site.prefill.answer = asks
-                await read(req, responder)
+                site.prefill.answer = asks_and_tells
+                await site.prefill.usual(req, responder)
+
+            async def asks_and_tells(
+                req: message.Request, responder: server.Responder
+            ) -> None:
+                await asks(req, responder)
+                has_asked.set()
+
+            async def asks_after(
+                req: message.Request, responder: server.Responder
+            ) -> None:
+                await has_asked.wait()
+                await asks(req, responder)
 
             site.prefill.answer = reads_once
             for endpoint in site.decode:
-                endpoint.answer = asks
-            both = await asyncio.gather(
-                site.raw(test_gateway.generation(ident="r1")),
-                site.raw(test_gateway.generation(ident="r2")),
+                endpoint.answer = asks_after
+            first = asyncio.create_task(site.raw(test_gateway.generation()))
+            await platform_site.until(
+                lambda: any(one.seen for one in site.decode)
             )
-            assert statuses(list(both)) == {503}
+            second = await site.raw(test_gateway.generation(ident="r2"))
+            assert statuses([await first, second]) == {503}
             # One read, one turned away; nothing else after that.
             assert [req.method for req in site.prefill.seen] == [
                 b"POST",
@@ -254,3 +267,32 @@
             assert len(other.seen) == 1
 
     asyncio.run(main())
+
+
+def test_who_can_still_be_served_waits_for_the_end_of_a_backoff(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A refusal would bring its caller back to the same endpoints."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+
+            def asks_once(one: platform_site.Endpoint) -> platform_site.Answer:
+                async def answer(
+                    req: message.Request, responder: server.Responder
+                ) -> None:
+                    one.answer = one.usual
+                    told = [(b"x-not-executed", b"1"), (b"retry-after", b"1")]
+                    responder.whole(503, told, b"")
+
+                return answer
+
+            for endpoint in [*site.plain, *site.decode]:
+                endpoint.answer = asks_once(endpoint)
+            paths = ["/safe/x"] * 8 + ["/gen/x"] * 4
+            answers = await asyncio.gather(
+                *(ask(site, path, 1) for path in paths)
+            )
+            assert {test_gateway.status(one[0]) for one in answers} == {200}
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/test_eligibility.py
@@ -0,0 +1,225 @@
+"""What is never sent to, and what is only sent to last: without sockets."""
+
+import random
+
+import pytest
+
+from rackpost.decide import backoff
+from rackpost.decide import eligibility
+from rackpost.decide import endpoint_choice
+from rackpost.decide import endpoint_health
+from rackpost.decide import endpoint_load
+from rackpost.http1 import message
+from rackpost.platform import headers
+from rackpost.routing import endpoints
+from rackpost import types
+
+HERE = types.DataCentre("here")
+SERVICE = types.ServiceName("s")
+PLAIN = types.Role.PLAIN
+READ = types.Role.PREFILL
+# Long enough for whatever was asked, spread and trial to be over, in seconds.
+_LONG_S = 100.0
+
+
+def endpoint(
+    key: str, role: types.Role = PLAIN, **more: object
+) -> endpoints.Endpoint:
+    found: dict[str, object] = {
+        "id": types.EndpointId(key),
+        "service": SERVICE,
+        "address": f"{key}:1",
+        "data_centre": HERE,
+        "role": role,
+        "slots": 6,
+        "sequence": 1,
+    }
+    found.update(more)
+    return endpoints.Endpoint(**found)  # type: ignore[arg-type]
+
+
+class Known:
+    """What one gateway knows of two endpoints."""
+
+    def __init__(self, role: types.Role = PLAIN) -> None:
+        self.table = endpoints.EndpointTable()
+        self.health = endpoint_health.HealthBook()
+        self.eligible = eligibility.Eligibility(
+            table=self.table, rng=random.Random(1)
+        )
+        self.backoffs = self.eligible.backoffs
+        self.chooser = endpoint_choice.Chooser(
+            table=self.table,
+            eligible=self.eligible,
+            loads=endpoint_load.LoadBook(changed=lambda: None),
+            health=self.health,
+            data_centre=HERE,
+            silent_s=4.0,
+            rng=random.Random(1),
+        )
+        self.one, self.other = endpoint("a", role), endpoint("b", role)
+        for item in (self.one, self.other):
+            self.table.take(item, 0.0)
+
+    def chosen(self, now: float, role: types.Role = PLAIN) -> set[str]:
+        found = self.chooser.candidates(SERVICE, role, now=now)
+        return {item.id for item in found}
+
+
+def answer(status: int, *more: message.Header) -> message.Head:
+    return message.Head(status, list(more), message.Framing.LENGTH)
+
+
+@pytest.mark.parametrize(
+    ("told", "seconds"),
+    [
+        (b"3", 3.0),
+        (b" 0.25", 0.25),
+        (b"3600", 3600.0),
+        (b"0", None),
+        (b"-2", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"soon", None),
+        (b"", None),
+        (b"Thu, 03 Dec 2026 10:00:07 GMT", 7.0),
+        (b"Thu, 03 Dec 2026 09:00:00 GMT", None),
+    ],
+)
+def test_what_is_asked_for_is_read_in_each_form(
+    told: bytes, seconds: float | None
+) -> None:
+    date = (b"date", b"Thu, 03 Dec 2026 10:00:00 GMT")
+    head = answer(503, (b"retry-after", told), date)
+    assert headers.backoff_s(head) == seconds
+
+
+def test_a_date_without_the_answers_own_and_other_answers_say_nothing() -> (
+    None
+):
+    told = (b"retry-after", b"Thu, 03 Dec 2026 10:00:07 GMT")
+    assert headers.backoff_s(answer(503, told)) is None
+    assert headers.backoff_s(answer(503)) is None
+    assert headers.backoff_s(answer(200, (b"retry-after", b"3"))) is None
+    assert headers.backoff_s(answer(429, (b"retry-after", b"3"))) == 3.0
+
+
+def test_a_preference_is_given_up_and_a_bar_is_not() -> None:
+    known = Known()
+    for item in (known.one, known.other):
+        known.health.broke(item.id, 1.0)
+    # All have just failed: they are used all the same.
+    assert known.chosen(1.1) == {"a", "b"}
+    known.backoffs.asked(known.one, 3.0, 1.1)
+    assert known.chosen(1.2) == {"b"}
+    known.backoffs.asked(known.other, 2.0, 1.1)
+    assert known.chosen(1.2) == set()
+    bar = known.eligible.bar(known.one, 1.2)
+    assert bar is eligibility.Bar.BACKOFF
+    opens_s = known.chooser.opens_s(SERVICE, PLAIN, now=1.2)
+    assert opens_s is not None and 1.9 <= opens_s <= 2.2
+
+
+def test_each_bar_is_told_apart() -> None:
+    known = Known()
+    known.eligible.set_changing([known.one.id])
+    bar = known.eligible.bar(known.one, 0.0)
+    assert bar is eligibility.Bar.CHANGING_ROLE
+    known.table.take(
+        endpoint("a", sequence=2, state=endpoints.EndpointState.DRAINING), 0.0
+    )
+    bar = known.eligible.bar(known.one, 0.0)
+    assert bar is eligibility.Bar.LEAVING
+    known.table.drop(known.one.id)
+    assert known.eligible.bar(known.one, 0.0) is eligibility.Bar.GONE
+    # Of those that don't come back nobody knows when.
+    opens_s = known.chooser.opens_s(
+        SERVICE, PLAIN, but=[known.other.id], now=0.0
+    )
+    assert opens_s is None
+
+
+def test_of_two_times_that_were_asked_for_the_later_end_holds() -> None:
+    known = Known()
+    assert known.backoffs.asked(known.one, 3.0, 0.0)
+    assert not known.backoffs.asked(known.one, 0.5, 0.1)
+    assert known.backoffs.binds(known.one, 2.9)
+    assert known.backoffs.asked(known.one, 3.0, 2.0)
+    assert known.backoffs.binds(known.one, 4.9)
+    assert not known.backoffs.binds(known.one, 5.0)
+    assert known.chosen(5.0 + _LONG_S) == {"a", "b"}
+
+
+def test_a_new_life_has_asked_for_nothing() -> None:
+    known = Known()
+    first = endpoint("c", born=1000)
+    known.table.take(first, 0.0)
+    known.backoffs.asked(first, 3600.0, 0.0)
+    assert known.eligible.bar(first, 1.0) is eligibility.Bar.BACKOFF
+    known.table.take(endpoint("c", born=2000), 1.0)
+    assert known.eligible.bar(first, 1.0) is None
+    # A late answer of the life before binds nobody.
+    known.backoffs.asked(first, 3600.0, 1.1)
+    assert "c" in known.chosen(1.2)
+
+
+def test_when_a_backoff_is_over_one_is_sent_first() -> None:
+    """All that waited came in one moment, and were turned away together.
+
+    Of 20 that wait one goes, two more once it was taken, and all once the
+    endpoint has had a second to show that it takes them.
+    """
+    known = Known()
+    known.table.drop(known.other.id)
+    known.backoffs.asked(known.one, 1.0, 0.0)
+    opens = known.backoffs.opens_at(known.one)
+    assert 1.0 <= opens <= 1.1
+
+    def begin_all(now: float) -> int:
+        begun = 0
+        while begun < 20 and known.chosen(now):
+            known.chooser.chose(known.one, now)
+            begun += 1
+        return begun
+
+    assert begin_all(opens) == 1
+    assert begin_all(opens + 0.05) == 0
+    known.backoffs.taken(known.one, opens + 0.1)
+    assert begin_all(opens + 0.1) == 2
+    # One that turns them away again has not taken any.
+    known.backoffs.asked(known.one, 1.0, opens + 0.2)
+    assert begin_all(opens + 0.3) == 0
+    assert begin_all(opens + 0.2 + 1.1 + 1.0) == 20
+
+
+def test_many_that_were_asked_at_once_do_not_come_back_at_once() -> None:
+    starts = []
+    for number in range(20):
+        book = backoff.BackoffBook(rng=random.Random(number))
+        book.asked(endpoint("a"), 2.0, 0.0)
+        starts.append(book.opens_at(endpoint("a")))
+    assert min(starts) >= 2.0
+    assert max(starts) - min(starts) > 0.1
+    assert len({round(at, 3) for at in starts}) == 20
+
+
+def test_prompts_are_read_in_place_unless_a_reader_is_there_soon() -> None:
+    known = Known(READ)
+    assert not known.chooser.reads_in_place(SERVICE, 0.0)
+    for item in (known.one, known.other):
+        known.backoffs.asked(item, 3.0, 0.0)
+    assert known.chooser.reads_in_place(SERVICE, 0.1)
+    # The wait for one is shorter than to read it in place.
+    assert not known.chooser.reads_in_place(SERVICE, 2.95)
+    # One that refuses connections besides is not waited for.
+    for item in (known.one, known.other):
+        known.health.broke(item.id, 2.9)
+    assert known.chooser.reads_in_place(SERVICE, 2.95)
+
+
+def test_what_was_asked_for_is_forgotten() -> None:
+    book = backoff.BackoffBook(rng=random.Random(1))
+    for number in range(2000):
+        book.asked(endpoint(f"e{number}"), 0.5, number * 0.1)
+    assert len(book.bound(200.0)) <= 5
+    assert book.size < 300
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -8,6 +8,7 @@
 
 from rackpost.decide import admission
 from rackpost.decide import answer_lengths
+from rackpost.decide import eligibility
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
@@ -50,6 +51,9 @@
             )
         self.chooser = endpoint_choice.Chooser(
             table=self.table,
+            eligible=eligibility.Eligibility(
+                table=self.table, rng=random.Random(1)
+            ),
             loads=self.loads,
             health=self.health,
             data_centre=HERE,
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from rackpost.decide import eligibility
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
@@ -66,6 +67,7 @@
     group.set_gateways(gateways)
     return endpoint_choice.Chooser(
         table=table,
+        eligible=eligibility.Eligibility(table=table, rng=random.Random(1)),
         loads=endpoint_load.LoadBook(changed=lambda: None),
         health=endpoint_health.HealthBook(),
         data_centre=types.DataCentre("a"),
--- a/tests/test_plain_crowd.py
+++ b/tests/test_plain_crowd.py
@@ -15,6 +15,7 @@
 import random
 from typing import NamedTuple
 
+from rackpost.decide import eligibility
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
@@ -58,6 +59,9 @@
             )
         self.chooser = endpoint_choice.Chooser(
             table=table,
+            eligible=eligibility.Eligibility(
+                table=table, rng=random.Random(1)
+            ),
             loads=self.loads,
             health=self.health,
             data_centre=here,
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from rackpost.decide import eligibility
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
@@ -39,6 +40,9 @@
         self.room = room.Room(
             chooser=endpoint_choice.Chooser(
                 table=self.table,
+                eligible=eligibility.Eligibility(
+                    table=self.table, rng=random.Random(1)
+                ),
                 loads=self.loads,
                 health=self.health,
                 data_centre=types.DataCentre("here"),
