An endpoint whose answers say that it leaves is sent nothing more

Cause: the header was decoded nowhere; leaving was known from heartbeats alone, which take up to two of their intervals and come late.

Why it holds: the word is kept with the endpoint's life in the table of endpoints, so that heartbeats of that life which say ready, or come late, or come after it was forgotten, change nothing, and a later life begins anew.

--- a/rackpost/gateway/endpoint_calls.py
+++ b/rackpost/gateway/endpoint_calls.py
@@ -24,6 +24,7 @@
     """What endpoints ask for in their answers."""
 
     BACKOFF = "backoff"
+    LEAVING = "leaving"
 
 
 @contextlib.asynccontextmanager
@@ -80,6 +81,8 @@
     endpoint = _answerer(site, asked, head)
     if endpoint is None:
         return
+    if headers.says_leaving(head):
+        _note_leaving(site, endpoint, head.status)
     now = site.loop_time()
     backoff_s = headers.backoff_s(head)
     if backoff_s is not None:
@@ -117,3 +120,20 @@
     )
     # Those that wait may have to be refused now.
     site.room_changed.set()
+
+
+def _note_leaving(
+    site: site_mod.Site, endpoint: endpoints.Endpoint, status: int
+) -> None:
+    if not site.table.leaves(endpoint):
+        return
+    site.metrics.count("endpoints_ask", Asked.LEAVING, endpoint.service)
+    logs.say(
+        logs.Part.GATEWAY,
+        "Endpoint answers that it leaves.",
+        endpoint=endpoint.id,
+        born=endpoint.born,
+        status=status,
+    )
+    # Those that wait find room elsewhere, or none.
+    site.room_changed.set()
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -72,6 +72,10 @@
         self.heard_at: dict[types.EndpointId, float] = {}
         # The life that has ended, of each endpoint.
         self._ended: dict[types.EndpointId, int] = {}
+        # The life whose answers said that it leaves, of each endpoint: its
+        # heartbeats may say for a while yet, or come late and say again, that
+        # it is ready.
+        self._leaving: dict[types.EndpointId, int] = {}
         # Last word of those that something else has shown to be gone; a
         # later heartbeat brings them back.
         self._dropped: dict[types.EndpointId, Endpoint] = {}
@@ -86,6 +90,8 @@
             return False
         if new.state is EndpointState.GONE:
             return self._end(new)
+        if self._leaving.get(new.id) == new.born:
+            new = msgspec.structs.replace(new, state=EndpointState.DRAINING)
         old = self.alive.get(new.id)
         if old is None:
             return self._add(new, now)
@@ -101,6 +107,27 @@
         ended = self._ended.get(new.id)
         return ended is not None and not _is_later(ended, new.born)
 
+    def leaves(self, endpoint: Endpoint) -> bool:
+        """An answer of it says that it leaves; whether that is news.
+
+        That is its last word in this life, whatever comes later.
+        """
+        if self._has_ended(endpoint) or self.is_reborn(endpoint):
+            return False
+        if self._leaving.get(endpoint.id) == endpoint.born:
+            return False
+        self._leaving.pop(endpoint.id, None)
+        self._leaving[endpoint.id] = endpoint.born
+        while len(self._leaving) > _MAX_ENDED:
+            del self._leaving[next(iter(self._leaving))]
+        known = self.alive.get(endpoint.id)
+        if known is None:
+            return True
+        self.alive[endpoint.id] = msgspec.structs.replace(
+            known, state=EndpointState.DRAINING
+        )
+        return known.state is EndpointState.READY
+
     def _add(self, new: Endpoint, now: float) -> bool:
         dropped = self._dropped.get(new.id)
         if dropped is not None and not _is_newer(dropped, new):
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -223,3 +223,40 @@
         book.asked(endpoint(f"e{number}"), 0.5, number * 0.1)
     assert len(book.bound(200.0)) <= 5
     assert book.size < 300
+
+
+def test_leaving_is_the_last_word_of_a_life() -> None:
+    """Heartbeats that were sent before, or say ready still, change nothing."""
+    known = Known()
+    assert known.table.leaves(known.one)
+    assert not known.table.leaves(known.one)
+    assert known.eligible.bar(known.one, 0.0) is eligibility.Bar.LEAVING
+    known.table.take(endpoint("a", sequence=2), 1.0)
+    assert known.eligible.bar(known.one, 1.0) is eligibility.Bar.LEAVING
+    # It was silent, was forgotten, and is heard of again.
+    known.table.forget_silent(50.0)
+    known.table.take(endpoint("a", sequence=3), 60.0)
+    assert known.eligible.bar(known.one, 60.0) is eligibility.Bar.LEAVING
+    assert known.table.has_left(known.one)
+
+
+def test_a_new_life_under_the_id_begins_anew() -> None:
+    known = Known()
+    first, second = endpoint("c", born=1000), endpoint("c", born=2000)
+    known.table.take(first, 0.0)
+    known.table.leaves(first)
+    known.table.take(second, 1.0)
+    assert known.eligible.bar(second, 1.0) is None
+    # The last answer of the life before comes late.
+    assert not known.table.leaves(first)
+    assert known.eligible.bar(second, 1.0) is None
+    known.table.leaves(second)
+    known.table.take(endpoint("c", born=2000, sequence=5), 2.0)
+    assert known.eligible.bar(second, 2.0) is eligibility.Bar.LEAVING
+
+
+def test_one_that_ended_is_not_brought_back_by_its_last_answer() -> None:
+    known = Known()
+    known.table.take(endpoint("a", state=endpoints.EndpointState.GONE), 1.0)
+    assert not known.table.leaves(known.one)
+    assert known.eligible.bar(known.one, 1.0) is eligibility.Bar.GONE
