Failing test: a coordinator orders an endpoint that asked for a back-off

The leader asks the same endpoint for a report every 6 s, in whatever time it asked for, and changes no other meanwhile.

--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -13,6 +13,7 @@
 from rackpost.state import machine
 from rackpost import types
 from tests import platform_site
+from tests import test_backoff
 
 SERVICE = types.ServiceName("model")
 
@@ -273,3 +274,40 @@
     assert role(6, 10, (0.8, 4.0)) is None
     # Of five one is a large part, and a small gain does not pay.
     assert role(2, 3, (0.3, 1.5)) is None
+
+
+def test_an_endpoint_that_asks_for_time_is_given_no_order(
+    tmp_path: pathlib.Path,
+) -> None:
+    """It was asked for a report again and again, and no other was ordered."""
+
+    async def main() -> None:
+        plan = platform_site.Plan(root=tmp_path)
+        core = plan.host(11, kind="core", seeds=(11,), lost=0)
+        group = [
+            Ordered(ident="p0", stage="prefill"),
+            Ordered(ident="p1", stage="prefill"),
+            Ordered(ident="d0", stage="decode"),
+        ]
+        group[0].answer = test_backoff.asks
+        async with contextlib.AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            http = await enter(platform_site.aiohttp.ClientSession())
+            operator = platform_site.Operator(plan=plan, http=http)
+            running = await enter(platform_site.coordinator(core))
+            for one in group:
+                await enter(one.running())
+                assert await operator.beat(11, one) == 200
+            demand = role_balance.Demand(
+                service=SERVICE, prefill=0.4, decode=2.0
+            )
+            async with asyncio.timeout(platform_site.MOST_S):
+                while not group[1].orders:
+                    running._roles.take_demand(types.VmId("e"), (demand,))
+                    for one in group:
+                        await operator.beat(11, one)
+                    await asyncio.sleep(0.1)
+            assert len(group[0].seen) == 1
+            assert not group[0].orders
+
+    asyncio.run(main())
