Coordinators give no order in the time that an endpoint asked for

Operators saw no change of role while one endpoint asked for a back-off: the leader asked the same one for a report every 6 s. Same cause as in the gateways: the answer was a refusal and nothing else.

--- a/rackpost/coordinator/role_orders.py
+++ b/rackpost/coordinator/role_orders.py
@@ -4,6 +4,8 @@
 import enum
 from typing import NamedTuple
 
+from rackpost.decide import eligibility
+from rackpost import endpoint_notices
 from rackpost import exceptions
 from rackpost.http1 import message
 from rackpost.http1 import pool as pool_mod
@@ -28,6 +30,7 @@
     HOLDS = "holds already"
     REFUSED = "refused"
     FENCED = "fenced"
+    BARRED = "may get nothing now"
     UNKNOWN = "not answered"
 
 
@@ -41,8 +44,12 @@
 class OrderGiver:
     """Gives endpoints orders in the name of one holder."""
 
-    def __init__(self, *, holder: types.VmId) -> None:
+    def __init__(
+        self, *, holder: types.VmId, eligible: eligibility.Eligibility
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
         self._holder = holder
+        self._eligible = eligible
         self._pool = pool_mod.Pool(id_header=headers.REQUEST_ID)
 
     def sweep(self) -> None:
@@ -65,6 +72,8 @@
         """
         try:
             report = await self._report(endpoint)
+        except exceptions.Barred:
+            return Given.BARRED
         except (exceptions.ExchangeError, exceptions.CodecError) as exc:
             logs.say(
                 logs.Part.COORDINATOR,
@@ -74,14 +83,14 @@
             )
             return Given.REFUSED
         if report is None or report.changing:
-            return Given.REFUSED
+            return self._refused(endpoint)
         order = orders.change_role(
             role,
             holder=self._holder,
             fence=fence,
             orders_taken=report.orders_taken,
         )
-        if asyncio.get_running_loop().time() >= until:
+        if self._loop.time() >= until:
             logs.say(
                 logs.Part.COORDINATOR,
                 "Order not given, too late.",
@@ -105,12 +114,29 @@
                 endpoint, b"POST", orders.ORDER_PATH, order
             )
         except exceptions.ExchangeError as exc:
-            return Given.UNKNOWN if exc.sent else Given.REFUSED
+            return Given.UNKNOWN if exc.sent else self._refused(endpoint)
         if answer.status == 412:
             return Given.FENCED
         if answer.status == 202:
             return Given.TAKEN
-        return Given.HOLDS if answer.status == 200 else Given.REFUSED
+        if answer.status == 200:
+            return Given.HOLDS
+        return self._refused(endpoint)
+
+    def _refused(self, endpoint: endpoints.Endpoint) -> Given:
+        """It was refused: for now, or with the wish for a back-off."""
+        if self._eligible.bar(endpoint, self._loop.time()) is not None:
+            return Given.BARRED
+        return Given.REFUSED
+
+    def _note(self, endpoint: endpoints.Endpoint, head: message.Head) -> None:
+        endpoint_notices.note(
+            self._eligible,
+            endpoint,
+            head,
+            part=logs.Part.COORDINATOR,
+            now=self._loop.time(),
+        )
 
     async def _call(
         self,
@@ -131,11 +157,15 @@
                 async with self._pool.connection(
                     endpoint.address, most=_CONNECTIONS, fresh=True
                 ) as conn:
+                    endpoint_notices.check(
+                        self._eligible, endpoint, self._loop.time()
+                    )
                     head = await conn.request(
                         head=message.request_head(method, path, lines),
                         body=body,
                         request_id=None,
                     )
+                    self._note(endpoint, head)
                     whole = await conn.read_whole(_MAX_BODY)
                     return Answer(status=head.status, body=whole)
         except TimeoutError as exc:
--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+import random
 from typing import Callable
 from typing import NamedTuple
 
 from rackpost.control import node as node_mod
 from rackpost.coordinator import directory as directory_mod
 from rackpost.coordinator import role_orders
+from rackpost.decide import eligibility
 from rackpost.decide import role_balance
 from rackpost import logs
 from rackpost.routing import endpoints
@@ -80,7 +82,12 @@
         self._node = node
         self._directory = directory
         self._vm = vm
-        self._orders = role_orders.OrderGiver(holder=vm)
+        self._eligible = eligibility.Eligibility(
+            table=directory.table, rng=random.Random()
+        )
+        self._orders = role_orders.OrderGiver(
+            holder=vm, eligible=self._eligible
+        )
         self._lease_s = lease_s
         self._silent_s = silent_s
         self._changing = changing
@@ -257,7 +264,9 @@
             (
                 item
                 for item in members
-                if item.role is not role and item.id not in self._changes
+                if item.role is not role
+                and item.id not in self._changes
+                and self._eligible.bar(item, self._loop.time()) is None
             ),
             key=lambda item: item.id,
         )
@@ -294,6 +303,9 @@
         if given is role_orders.Given.FENCED:
             # Somebody else leads; this one learns it soon.
             self._may_order_at = now + _UNANSWERED_S
+        elif given is role_orders.Given.BARRED:
+            # The next round finds another one.
+            return
         elif given is role_orders.Given.REFUSED:
             self._not_before[service] = now + _PAUSE_S
         else:
--- a/rackpost/decide/eligibility.py
+++ b/rackpost/decide/eligibility.py
@@ -13,6 +13,7 @@
 import enum
 import random
 from typing import Iterable
+from typing import NamedTuple
 
 from rackpost.decide import backoff
 from rackpost.routing import endpoints
@@ -28,6 +29,18 @@
     BACKOFF = "asked for back-off"
 
 
+class Said(NamedTuple):
+    """What an endpoint's answer says of later requests.
+
+    `backoff_s` is how long it wants none, None where it asks for no time;
+    `turned_away` tells that it did not take this one for want of room.
+    """
+
+    backoff_s: float | None
+    leaving: bool
+    turned_away: bool
+
+
 class Eligibility:
     """Tells for one process which endpoints may be sent anything."""
 
@@ -45,6 +58,31 @@
         """These endpoints change their role and take nothing now."""
         self._changing = frozenset(keys)
 
+    def who_answered(
+        self, asked: endpoints.Endpoint, told: types.EndpointId | None
+    ) -> endpoints.Endpoint | None:
+        """Whose answer it is: another one may have come to the address.
+
+        None where it is of one that is not known.
+        """
+        if told is None or told == asked.id:
+            return asked
+        return self._table.alive.get(told)
+
+    def answered(
+        self, endpoint: endpoints.Endpoint, said: Said, now: float
+    ) -> frozenset[Bar]:
+        """Note what an answer says of later requests; which is news."""
+        news = set()
+        if said.leaving and self._table.leaves(endpoint):
+            news.add(Bar.LEAVING)
+        if said.backoff_s is not None:
+            if self.backoffs.asked(endpoint, said.backoff_s, now):
+                news.add(Bar.BACKOFF)
+        elif not said.turned_away:
+            self.backoffs.taken(endpoint, now)
+        return frozenset(news)
+
     def bar(self, endpoint: endpoints.Endpoint, now: float) -> Bar | None:
         """Why nothing may be sent there now; None if it may.
 
--- /dev/null
+++ b/rackpost/endpoint_notices.py
@@ -0,0 +1,62 @@
+"""What is asked before anything is sent to an endpoint, and noted after.
+
+Whoever speaks to endpoints passes each send and each answer's head through
+here, so that one place decodes what they say of later requests, one keeps it
+and one logs it.
+"""
+
+from rackpost.decide import eligibility
+from rackpost import exceptions
+from rackpost.http1 import message
+from rackpost import logs
+from rackpost.platform import headers
+from rackpost.routing import endpoints
+from rackpost import types
+
+
+def check(
+    eligible: eligibility.Eligibility,
+    endpoint: endpoints.Endpoint,
+    now: float,
+) -> None:
+    """Raise Barred if nothing may be sent to an endpoint now."""
+    bar = eligible.bar(endpoint, now)
+    if bar is not None:
+        raise exceptions.Barred(bar.value)
+
+
+def note(
+    eligible: eligibility.Eligibility,
+    asked: endpoints.Endpoint,
+    head: message.Head,
+    *,
+    part: logs.Part,
+    now: float,
+) -> frozenset[eligibility.Bar]:
+    """Note what an answer to a request for `asked` says; what is news."""
+    said = eligibility.Said(
+        backoff_s=headers.backoff_s(head),
+        leaving=headers.says_leaving(head),
+        turned_away=headers.is_turned_away(head),
+    )
+    endpoint = eligible.who_answered(asked, _answered_by(head))
+    if endpoint is None:
+        return frozenset()
+    news = eligible.answered(endpoint, said, now)
+    for bar in news:
+        logs.say(
+            part,
+            "Endpoint wants no more requests.",
+            endpoint=endpoint.id,
+            born=endpoint.born,
+            why=bar.value,
+            status=head.status,
+            backoff_s=said.backoff_s,
+        )
+    return news
+
+
+def _answered_by(head: message.Head) -> types.EndpointId | None:
+    """Who says to have answered, where that is said."""
+    told = message.find(head.headers, headers.ANSWERED_BY)
+    return None if told is None else types.EndpointId(told.decode("latin-1"))
