Agents ask nothing of an endpoint in the time that it asked for

Callers of an endpoint that asked for a back-off were promised a place there and turned away with each promise: the agent read a refusal and nothing else, as gateways did.

The agent's way to its endpoint sends nothing until the time is over, whatever was promised before, and its health of the endpoint says so to entries, which choose others; a back-off counts as no failure of the endpoint. How a Retry-After is read stands once (http1/retry_after.py).

--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -236,6 +236,9 @@
             # Of a long prefill, parts may have run before the one that
             # was turned away.
             ran = exc.ran or att.spent_s > 0.0
+            if exc.backoff_s > 0.0:
+                # Entries choose others until then, for what was promised too.
+                self.book.health.asked(exc.backoff_s, self._loop.time())
             self._fail(att, running_mod.failure_of(exc), ran=ran)
         except Exception as exc:
             # A fault of ours must not leave the attempt held for ever.
@@ -284,8 +287,9 @@
     def _fail(
         self, att: attempts.Attempt, reason: types.Failure, *, ran: bool
     ) -> None:
-        if reason in _ENDPOINTS_FAULT:
-            self.book.health.failed(self._loop.time())
+        now = self._loop.time()
+        if reason in _ENDPOINTS_FAULT and not self.book.health.asks(now):
+            self.book.health.failed(now)
         self.finish(att, whole=False)
         self.metrics.count("failed", reason, att.asked.kind)
         self.say(
--- a/rackpost/agent/engine_http.py
+++ b/rackpost/agent/engine_http.py
@@ -4,6 +4,7 @@
 `kv_transfer_params`, `priority`, and server-sent events with ids.
 """
 
+import asyncio
 import contextlib
 from typing import Any
 from typing import AsyncGenerator
@@ -15,6 +16,8 @@
 from rackpost.agent import engine
 from rackpost.decide import slots
 from rackpost import exceptions
+from rackpost.http1 import retry_after
+from rackpost import logs
 from rackpost import types
 
 # The agent's own watchdog is tighter; this only bounds a forgotten call.
@@ -35,6 +38,9 @@
         "host",
     }
 )
+# Statuses with which an endpoint turns a request away; with them it may ask
+# for a time without any.
+_TURNED_AWAY = (429, 503)
 _NOT_STARTED = (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError)
 
 
@@ -107,6 +113,9 @@
     def __init__(self, *, url: str) -> None:
         self._url = url.rstrip("/")
         self._events_after = 0
+        self._loop = asyncio.get_running_loop()
+        # Nothing is sent before this reading of the clock.
+        self._quiet_until = 0.0
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(
                 total=_TOTAL_S, sock_connect=_CONNECT_S
@@ -124,14 +133,37 @@
         self, method: str, path: str, **more: Any
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         url = self._url + path
+        self._check_quiet()
         try:
             async with self._session.request(method, url, **more) as resp:
+                self._note_quiet(resp)
                 yield resp
         except _NOT_STARTED as exc:
             raise exceptions.EngineError(str(exc), ran=False) from exc
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise exceptions.EngineError(str(exc)) from exc
 
+    def _check_quiet(self) -> None:
+        """Send nothing in a time that the endpoint asked for."""
+        left_s = self._quiet_until - self._loop.time()
+        if left_s > 0.0:
+            raise exceptions.EngineError(
+                "asked for back-off", ran=False, backoff_s=left_s
+            )
+
+    def _note_quiet(self, resp: aiohttp.ClientResponse) -> None:
+        asked_s = _backoff_s(resp)
+        if asked_s <= 0.0:
+            return
+        until = self._loop.time() + asked_s
+        self._quiet_until = max(self._quiet_until, until)
+        logs.say(
+            logs.Part.AGENT,
+            "Endpoint asks for back-off.",
+            status=resp.status,
+            backoff_s=round(asked_s, 3),
+        )
+
     async def prefill(
         self, *, key: slots.Key, body: bytes, priority: int
     ) -> engine.PrefillResult:
@@ -263,6 +295,15 @@
     )
 
 
+def _backoff_s(resp: aiohttp.ClientResponse) -> float:
+    """How long an endpoint asks for no more requests, in seconds."""
+    if resp.status not in _TURNED_AWAY:
+        return 0.0
+    told = resp.headers.get("Retry-After", "").encode()
+    date = resp.headers.get("Date", "").encode()
+    return retry_after.seconds(told, date) or 0.0
+
+
 async def _check(resp: aiohttp.ClientResponse) -> None:
     if resp.status == 200:
         return
@@ -274,7 +315,9 @@
     # An engine that says it is overloaded, or does not like the request,
     # has not started it.
     ran = resp.status not in (400, 404, 422, 429, 503)
-    raise exceptions.EngineError(f"{resp.status}: {text}", ran=ran)
+    raise exceptions.EngineError(
+        f"{resp.status}: {text}", ran=ran, backoff_s=_backoff_s(resp)
+    )
 
 
 async def _pieces(
--- a/rackpost/decide/health.py
+++ b/rackpost/decide/health.py
@@ -33,12 +33,24 @@
         self._until = 0.0
         self._pause_s = _FIRST_S
         self._ratio = 1.0
+        # Until then it wants no requests, as it said itself.
+        self._quiet_until = 0.0
+
+    def asked(self, backoff_s: float, now: float) -> None:
+        """It asked for so many seconds without requests."""
+        self._quiet_until = max(self._quiet_until, now + backoff_s)
+
+    def asks(self, now: float) -> bool:
+        """Whether it wants no requests now: no fault of its own."""
+        return now < self._quiet_until
 
     def state(self, now: float) -> State:
         """Whether the endpoint may be chosen.
 
         In TRIAL it may be given one request, which then decides.
         """
+        if self.asks(now):
+            return State.AVOIDED
         if self._state is State.AVOIDED and now >= self._until:
             return State.TRIAL
         return self._state
--- a/rackpost/exceptions.py
+++ b/rackpost/exceptions.py
@@ -46,12 +46,16 @@
     """The endpoint did not do what it was asked.
 
     `ran` is false only where it is certain that the endpoint has not
-    started, and will not start, the work.
+    started, and will not start, the work; `backoff_s` is how much longer it
+    asked for no more requests, in seconds.
     """
 
-    def __init__(self, detail: str, *, ran: bool = True):
+    def __init__(
+        self, detail: str, *, ran: bool = True, backoff_s: float = 0.0
+    ):
         super().__init__(detail)
         self.ran = ran
+        self.backoff_s = backoff_s
 
 
 class ControlError(RackpostError):
--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -3,12 +3,11 @@
 Headers that only we may set are dropped from what clients send.
 """
 
-from email import utils
-import math
 from typing import NamedTuple
 from typing import Sequence
 
 from rackpost.http1 import message
+from rackpost.http1 import retry_after
 from rackpost.platform import keys
 from rackpost import types
 
@@ -98,30 +97,14 @@
 def backoff_s(head: message.Head) -> float | None:
     """How long an endpoint that turns a request away wants no other.
 
-    In seconds, fractions included; None where it asks for nothing that can
-    be read.  A date is read by the answer's own: our clocks may be wrong.
+    In seconds; None where it asks for nothing that can be read.
     """
     if not is_turned_away(head):
         return None
-    told = message.find(head.headers, _RETRY_AFTER)
-    if told is None:
-        return None
-    try:
-        seconds = float(told)
-    except ValueError:
-        seconds = _until_date_s(told, message.find(head.headers, b"date"))
-    return seconds if 0.0 < seconds < math.inf else None
-
-
-def _until_date_s(told: bytes, date: bytes | None) -> float:
-    """Seconds from an answer's date to another one; 0 if there is none."""
-    try:
-        at = utils.parsedate_to_datetime(told.decode("latin-1"))
-        now = utils.parsedate_to_datetime((date or b"").decode("latin-1"))
-        return (at - now).total_seconds()
-    except (ValueError, TypeError):
-        # Not a date, or one with a zone beside one without.
-        return 0.0
+    return retry_after.seconds(
+        message.find(head.headers, _RETRY_AFTER),
+        message.find(head.headers, b"date"),
+    )
 
 
 def says_leaving(head: message.Head) -> bool:
