Gateways tell each other which endpoints asked them for a back-off

Each gateway found out by itself that an endpoint wants nothing, by a request that was turned away and came off the repeats that all may make; of a decode endpoint after a prompt had been read.

Told, it is a preference: who was not asked sends there where nobody else has room. What is not told again is forgotten after 1.5 s, so that a gateway that ends binds nobody.

--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -137,7 +137,8 @@
     `broken` and `full` are endpoints that it has just seen fail or turn a
     request away, `first` the generations that wait for room and go first,
     `refused` are keys of `RefusedBook`, `quotas` what organisations have
-    spent there.
+    spent there, `backoffs` how long it is to send nothing to some endpoints,
+    in seconds.
     """
 
     vm: types.VmId
@@ -150,6 +151,7 @@
     first: tuple[waiting_mod.Left, ...] = ()
     refused: tuple[int, ...] = ()
     quotas: quota.Told = quota.Told()
+    backoffs: dict[types.EndpointId, float] = {}
 
 
 FromGateway = Union[GatewayHello, Fetch, Demands, Endpoints, Heard, Suspicions]
--- a/rackpost/decide/backoff.py
+++ b/rackpost/decide/backoff.py
@@ -80,8 +80,7 @@
 
     def binds(self, endpoint: endpoints.Endpoint, now: float) -> bool:
         """Whether nothing may be sent there now."""
-        record = self._records.get(endpoint.incarnation)
-        return record is not None and now < record.until
+        return self.left_s(endpoint, now) > 0.0
 
     def may_begin(self, endpoint: endpoints.Endpoint, now: float) -> bool:
         """Whether one more request may be meant for it."""
@@ -109,11 +108,10 @@
         if record is not None and now >= record.opens:
             record.taken += 1
 
-    def bound(self, now: float) -> tuple[endpoints.Incarnation, ...]:
-        """Those that nothing may be sent to now."""
-        return tuple(
-            key for key, record in self._records.items() if now < record.until
-        )
+    def left_s(self, endpoint: endpoints.Endpoint, now: float) -> float:
+        """How much longer nothing may be sent there, in seconds."""
+        record = self._records.get(endpoint.incarnation)
+        return 0.0 if record is None else max(0.0, record.until - now)
 
     @property
     def size(self) -> int:
--- a/rackpost/decide/eligibility.py
+++ b/rackpost/decide/eligibility.py
@@ -100,6 +100,16 @@
             return Bar.BACKOFF
         return None
 
+    def backoffs_left(self, now: float) -> dict[types.EndpointId, float]:
+        """How long this process is still to send nothing, in seconds."""
+        if not self.backoffs.size:
+            return {}
+        found = {
+            item.id: self.backoffs.left_s(item, now)
+            for item in self._table.alive.values()
+        }
+        return {key: left_s for key, left_s in found.items() if left_s > 0.0}
+
     def may_begin(self, endpoint: endpoints.Endpoint, now: float) -> bool:
         """Whether a request may be meant for it now."""
         return self.bar(endpoint, now) is None and self.backoffs.may_begin(
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -195,7 +195,10 @@
         others' crowding in view 801.
         """
         return [
-            item for item in found if not self._health.is_full(item.id, now)
+            item
+            for item in found
+            if not self._health.is_full(item.id, now)
+            and not self._health.others_wait(item.id, now)
         ]
 
     def _is_crowded(self, item: endpoints.Endpoint) -> bool:
@@ -227,7 +230,7 @@
             ahead = self._loads.total(item.id).prompt
             wait = (ahead + prompt) * slow * self._far(item)
             free.append((wait, item))
-        return self._least(free)
+        return self._least(self._spared(free, now))
 
     def _prefilling(
         self,
@@ -284,7 +287,22 @@
             peak = self._peak_with(item, [run], capacity, in_place, now)
             if peak is not None:
                 fitting.append((peak * self._far(item), item))
-        return self._least(fitting)
+        return self._least(self._spared(fitting, now))
+
+    def _spared(
+        self, found: list[tuple[float, endpoints.Endpoint]], now: float
+    ) -> list[tuple[float, endpoints.Endpoint]]:
+        """Without those that other gateways are to leave alone.
+
+        They would ask this one for the same, after a prompt was read.  All
+        where there is no other.
+        """
+        rest = [
+            pair
+            for pair in found
+            if not self._health.others_wait(pair[1].id, now)
+        ]
+        return rest or found
 
     def _peak_with(
         self,
--- a/rackpost/decide/endpoint_health.py
+++ b/rackpost/decide/endpoint_health.py
@@ -11,6 +11,9 @@
 # some hundred ms pass between the ends of two runs there.
 _FULL_S = 0.25
 _MAX_FULL_S = 2.0
+# What another gateway tells of a back-off counts for this long: it tells it
+# again at least each second.
+_TOLD_S = 1.5
 # Weight of the newest answer in the running averages.
 _ALPHA = 0.15
 # An endpoint whose requests fail always counts as this many times slower.
@@ -28,6 +31,8 @@
         self.work_s = 0.0
         self.full_in_row = 0
         self.full_until = 0.0
+        # It has asked another gateway to wait until then.
+        self.others_wait_until = 0.0
         # When it turned a request away, here or at another gateway.
         self.full_at = -math.inf
 
@@ -94,6 +99,22 @@
         record.full_at = now
         record.full_until = max(record.full_until, now + _FULL_S)
 
+    def told_backoff(
+        self, endpoint: types.EndpointId, left_s: float, now: float
+    ) -> None:
+        """Another gateway was asked to send it nothing for so long.
+
+        This one was not, and may send where nobody else has room.  What is
+        not told again is soon forgotten.
+        """
+        record = self._record(endpoint)
+        record.others_wait_until = now + min(left_s, _TOLD_S)
+
+    def others_wait(self, endpoint: types.EndpointId, now: float) -> bool:
+        """Whether another gateway is to send it nothing."""
+        record = self._records.get(endpoint)
+        return record is not None and now < record.others_wait_until
+
     def is_full(self, endpoint: types.EndpointId, now: float) -> bool:
         """Whether it has just turned a request away."""
         record = self._records.get(endpoint)
--- a/rackpost/gateway/endpoint_calls.py
+++ b/rackpost/gateway/endpoint_calls.py
@@ -69,4 +69,6 @@
         site.metrics.count("endpoints_ask", bar, endpoint.service)
         # Those that wait find room elsewhere, or are refused now.
         site.room_changed.set()
+        # The others need not find it out by themselves.
+        site.loads_changed.set()
     return found
--- a/rackpost/gateway/load_share.py
+++ b/rackpost/gateway/load_share.py
@@ -78,6 +78,8 @@
             site.health.told_full(endpoint, now)
         for endpoint in msg.broken:
             site.health.told(endpoint, now)
+        for endpoint, left_s in msg.backoffs.items():
+            site.health.told_backoff(endpoint, left_s, now)
         site.room_changed.set()
 
     async def _tell(self) -> None:
@@ -122,6 +124,7 @@
             first=site.room.first(now),
             refused=site.refused.recent(now),
             quotas=site.quotas.tell(now),
+            backoffs=site.eligible.backoffs_left(now),
         )
 
     @contextlib.asynccontextmanager
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -16,6 +16,7 @@
 import pathlib
 from rackpost.http1 import message
 from rackpost.http1 import server
+from tests import crashing_site
 from tests import platform_site
 from tests import test_gateway
 
@@ -296,3 +297,31 @@
             assert {test_gateway.status(one[0]) for one in answers} == {200}
 
     asyncio.run(main())
+
+
+def test_other_gateways_are_told_and_prefer_others(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Each gateway found out by itself, with a repeat of its own."""
+
+    async def main() -> None:
+        async with crashing_site.site(tmp_path) as site:
+            async with site.powered(first=True):
+                here, there = crashing_site.GATEWAYS
+                one = site.plain[0]
+                one.answer = asks
+                while not one.seen:
+                    await site.ask(here, "/safe/x", b"")
+                other = site.gateways[there].site
+                await platform_site.until(
+                    lambda: other.health.others_wait(
+                        one.ident, other.loop_time()
+                    )
+                )
+                answers = [
+                    await site.ask(there, "/safe/x", b"") for _ in range(10)
+                ]
+                assert statuses(answers) == {200}
+                assert len(one.seen) == 1
+
+    asyncio.run(main())
