--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -4,7 +4,11 @@
 import contextlib
 import json
 import pathlib
+from typing import AsyncIterator
+from typing import Awaitable
+from typing import Callable
 
+from rackpost.coordinator import process as coordinator_process
 from rackpost.decide import pace
 from rackpost.decide import role_balance
 from rackpost.http1 import message
@@ -16,6 +20,9 @@
 from tests import test_backoff
 
 SERVICE = types.ServiceName("model")
+# An order is given within this, in seconds.
+_MOST_S = 20
+Beat = Callable[[], Awaitable[None]]
 
 
 def role(
@@ -177,35 +184,58 @@
         responder.whole(202, [], b"{}")
 
 
+DEMAND = role_balance.Demand(service=SERVICE, prefill=0.4, decode=2.0)
+
+
+@contextlib.asynccontextmanager
+async def ordering(
+    root: pathlib.Path, group: list[Ordered]
+) -> AsyncIterator[tuple[coordinator_process.Coordinator, Beat]]:
+    """A coordinator that leads, and endpoints that it hears of."""
+    plan = platform_site.Plan(root=root)
+    core = plan.host(11, kind="core", seeds=(11,), lost=0)
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        http = await enter(platform_site.aiohttp.ClientSession())
+        operator = platform_site.Operator(plan=plan, http=http)
+        running = await enter(platform_site.coordinator(core))
+
+        async def beat() -> None:
+            for one in group:
+                assert await operator.beat(11, one) == 200
+
+        for one in group:
+            await enter(one.running())
+        await beat()
+        yield running, beat
+
+
+async def ask_until(
+    ordered: Callable[[], bool],
+    running: coordinator_process.Coordinator,
+    beat: Beat,
+) -> None:
+    """Ask for more decode endpoints until something has been ordered."""
+    async with asyncio.timeout(_MOST_S):
+        while not ordered():
+            running._roles.take_demand(types.VmId("e"), (DEMAND,))
+            await beat()
+            await asyncio.sleep(0.1)
+
+
 def test_the_leader_orders_a_change_once_and_tells_gateways(
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        plan = platform_site.Plan(root=tmp_path)
-        core = plan.host(11, kind="core", seeds=(11,), lost=0)
         group = [
             Ordered(ident="p0", stage="prefill"),
             Ordered(ident="p1", stage="prefill"),
             Ordered(ident="d0", stage="decode"),
         ]
-        async with contextlib.AsyncExitStack() as stack:
-            enter = stack.enter_async_context
-            http = await enter(platform_site.aiohttp.ClientSession())
-            operator = platform_site.Operator(plan=plan, http=http)
-            running = await enter(platform_site.coordinator(core))
-            for one in group:
-                await enter(one.running())
-                assert await operator.beat(11, one) == 200
-            demand = role_balance.Demand(
-                service=SERVICE, prefill=0.4, decode=2.0
+        async with ordering(tmp_path, group) as (running, beat):
+            await ask_until(
+                lambda: any(one.orders for one in group), running, beat
             )
-            orders = [one.orders for one in group]
-            async with asyncio.timeout(20):
-                while not any(orders):
-                    running._roles.take_demand(types.VmId("e"), (demand,))
-                    for one in group:
-                        await operator.beat(11, one)
-                    await asyncio.sleep(0.1)
             given = [one for one in group if one.orders]
             assert [one.stage for one in given] == ["prefill"]
             assert running._roles.changing == (given[0].ident,)
@@ -223,7 +253,7 @@
             expected = message.find(seen.headers, b"x-expect-instance")
             assert expected == given[0].ident.encode()
             given[0].stage = "decode"
-            await operator.beat(11, given[0])
+            await beat()
             await platform_site.until(lambda: not running._roles.changing)
             assert sum(len(one.orders) for one in group) == 1
 
@@ -282,31 +312,14 @@
     """It was asked for a report again and again, and no other was ordered."""
 
     async def main() -> None:
-        plan = platform_site.Plan(root=tmp_path)
-        core = plan.host(11, kind="core", seeds=(11,), lost=0)
         group = [
             Ordered(ident="p0", stage="prefill"),
             Ordered(ident="p1", stage="prefill"),
             Ordered(ident="d0", stage="decode"),
         ]
         group[0].answer = test_backoff.asks
-        async with contextlib.AsyncExitStack() as stack:
-            enter = stack.enter_async_context
-            http = await enter(platform_site.aiohttp.ClientSession())
-            operator = platform_site.Operator(plan=plan, http=http)
-            running = await enter(platform_site.coordinator(core))
-            for one in group:
-                await enter(one.running())
-                assert await operator.beat(11, one) == 200
-            demand = role_balance.Demand(
-                service=SERVICE, prefill=0.4, decode=2.0
-            )
-            async with asyncio.timeout(platform_site.MOST_S):
-                while not group[1].orders:
-                    running._roles.take_demand(types.VmId("e"), (demand,))
-                    for one in group:
-                        await operator.beat(11, one)
-                    await asyncio.sleep(0.1)
+        async with ordering(tmp_path, group) as (running, beat):
+            await ask_until(lambda: bool(group[1].orders), running, beat)
             assert len(group[0].seen) == 1
             assert not group[0].orders
 
