Back-offs cost a choice nothing while nobody has asked for one

Each choice asked for each endpoint's life in the book, also where it is empty, as it is as a rule; the seconds after a back-off are named as the field does (slow start). No change of what is decided; tests green.

--- a/rackpost/decide/backoff.py
+++ b/rackpost/decide/backoff.py
@@ -25,11 +25,11 @@
 # not come back in one.
 _SPREAD = 0.1
 _MOST_SPREAD_S = 0.3
-# How long an endpoint is tried by few after its back-off, in seconds: some
-# usual answers.  One whose first answer is lost is not left out for ever.
-_TRIAL_S = 1.0
-# Requests that are begun during the trial: one, and so many for each that was
-# taken.
+# How long the slow start after a back-off lasts, in seconds: some usual
+# answers.  One whose first answer is lost is not left out for ever.
+_SLOW_START_S = 1.0
+# Requests that are begun during the slow start: one, and so many for each that
+# was taken.
 _FIRST = 1
 _EACH = 2
 # Records are looked through for those that are over from this many on.
@@ -84,8 +84,10 @@
 
     def may_begin(self, endpoint: endpoints.Endpoint, now: float) -> bool:
         """Whether one more request may be meant for it."""
+        if not self._records:
+            return True
         record = self._records.get(endpoint.incarnation)
-        if record is None or now >= record.opens + _TRIAL_S:
+        if record is None or now >= record.opens + _SLOW_START_S:
             return True
         if now < record.opens:
             return False
@@ -110,6 +112,9 @@
 
     def left_s(self, endpoint: endpoints.Endpoint, now: float) -> float:
         """How much longer nothing may be sent there, in seconds."""
+        if not self._records:
+            # As a rule; asked for each endpoint in each choice.
+            return 0.0
         record = self._records.get(endpoint.incarnation)
         return 0.0 if record is None else max(0.0, record.until - now)
 
@@ -122,5 +127,5 @@
         if len(self._records) < _MANY:
             return
         for key, record in list(self._records.items()):
-            if now >= record.opens + _TRIAL_S:
+            if now >= record.opens + _SLOW_START_S:
                 del self._records[key]
--- a/rackpost/decide/candidates.py
+++ b/rackpost/decide/candidates.py
@@ -92,7 +92,7 @@
     ) -> float | None:
         """How long until one of a role's endpoints may be chosen, in seconds.
 
-        0 where one may be now, or is being tried; None where nothing tells.
+        0 where one may be now, or starts slowly; None where nothing tells.
         """
         found = [
             self._eligible.opens_at(item, now)
