A soak of endpoints that ask for back-offs, leave and start again

Two gateways are asked all the time while endpoints ask for 0.2 to 3 s, say in answers that they leave, fail, are slow and start anew, and gateways and the coordinator are restarted; what arrives is counted at the endpoints.

--- /dev/null
+++ b/tests/test_backoff_soak.py
@@ -0,0 +1,259 @@
+"""Endpoints that ask for back-offs, leave and start again, under callers.
+
+Two gateways are asked all the time; endpoints turn requests away and ask for
+some time, say in answers that they leave while their heartbeats say ready,
+fail, answer slowly and start again under new ids, and meanwhile gateways and
+the coordinator are restarted.  What arrives at the endpoints is counted there:
+nothing comes in a time that was asked for, or from a gateway that was told
+that the endpoint leaves, but for what was on its way.
+
+    python -m tests.test_backoff_soak FIRST LAST
+
+plays the seeds from FIRST to LAST.
+"""
+
+import asyncio
+import collections
+import pathlib
+import random
+import sys
+import tempfile
+from typing import NamedTuple
+
+import pytest
+
+from rackpost.http1 import message
+from rackpost.http1 import server
+from tests import crashing_site
+
+_CORE = 11
+# What is on its way may arrive for so long, in seconds, and so many after it.
+_ON_ITS_WAY_S = 0.5
+_MOST_AFTER = 2
+_PATHS = ("/safe/x", "/unsafe/x", "/gen/x", "/res/x")
+# Callers ask and something changes after pauses of these means, in seconds.
+_ASK_S = 0.04
+_CHANGE_S = 0.15
+_BEAT_S = 0.3
+_SECONDS = 12.0
+_SECONDS_IN_CI = 5.0
+_VIA = b"x-via"
+
+
+class _Span(NamedTuple):
+    """A gateway was told to send nothing, from one time to another."""
+
+    life: str
+    gateway: bytes
+    since: float
+    until: float
+
+
+class _Arrivals:
+    """What was asked for, and what came all the same."""
+
+    def __init__(self) -> None:
+        self._spans: set[_Span] = set()
+        self._came: collections.Counter[_Span] = collections.Counter()
+        self.count = 0
+
+    def told(self, span: _Span) -> None:
+        self._spans.add(span)
+
+    def arrived(self, life: str, gateway: bytes, now: float) -> None:
+        self.count += 1
+        for span in self._spans:
+            if (span.life, span.gateway) != (life, gateway):
+                continue
+            if span.since + _ON_ITS_WAY_S <= now < span.until:
+                self._came[span] += 1
+
+    def forget(self, gateway: bytes) -> None:
+        """A gateway that starts again knows of nothing."""
+        self._spans = {one for one in self._spans if one.gateway != gateway}
+
+    @property
+    def worst(self) -> int:
+        return max(self._came.values(), default=0)
+
+
+class _Moody:
+    """An endpoint whose mood changes."""
+
+    def __init__(
+        self,
+        *,
+        endpoint: crashing_site.Endpoint,
+        arrivals: _Arrivals,
+        rng: random.Random,
+    ) -> None:
+        self.endpoint = endpoint
+        self._arrivals = arrivals
+        self._rng = rng
+        self._name = endpoint.ident
+        self._lives = 0
+        self._asks = 0.0
+        self._fails = 0.0
+        self._slow_s = 0.0
+        endpoint.answer = self._answer
+
+    def change(self) -> str:
+        """Another mood; what it is, for the story."""
+        mood = self._rng.choice(("well", "asks", "asks", "leaves", "anew"))
+        self._asks = 0.0
+        self._fails = self._rng.choice((0.0, 0.0, 0.2))
+        self._slow_s = self._rng.choice((0.0, 0.05, 0.2))
+        if mood == "asks":
+            self._asks = self._rng.choice((0.3, 1.0, 1.0))
+        elif mood == "leaves":
+            self.endpoint.says = [(b"server-leaving", b"1")]
+        elif mood == "anew":
+            self._lives += 1
+            self.endpoint.ident = f"{self._name}-{self._lives}"
+            self.endpoint.sequence = 0
+            self.endpoint.says = []
+        return f"{self.endpoint.ident} {mood}"
+
+    async def _answer(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        life = self.endpoint.ident
+        gateway = message.find(req.headers, _VIA)
+        if gateway is None:
+            # A handle is freed; nothing tells by whom.
+            await self.endpoint.usual(req, responder)
+            return
+        now = asyncio.get_running_loop().time()
+        self._arrivals.arrived(life, gateway, now)
+        if self._rng.random() < self._asks:
+            self._turn_away(responder, life, gateway)
+            return
+        if self._slow_s:
+            await asyncio.sleep(self._slow_s * self._rng.random())
+        if self.endpoint.says and life == self.endpoint.ident:
+            self._told(life, gateway, 1e9)
+        if self._rng.random() < self._fails:
+            responder.whole(500, self.endpoint.says, b"")
+            return
+        await self.endpoint.usual(req, responder)
+
+    def _turn_away(
+        self, responder: server.Responder, life: str, gateway: bytes
+    ) -> None:
+        asked_s = self._rng.choice((0.2, 0.8, 1.5, 3.0))
+        self._told(life, gateway, asked_s)
+        told = [
+            (b"x-not-executed", b"1"),
+            (b"retry-after", b"%.2f" % asked_s),
+        ]
+        responder.whole(503, told + self.endpoint.says, b"")
+        if self.endpoint.says:
+            self._told(life, gateway, 1e9)
+
+    def _told(self, life: str, gateway: bytes, for_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self._arrivals.told(_Span(life, gateway, now, now + for_s))
+
+
+class _Soak:
+    """One site under one seed."""
+
+    def __init__(self, *, site: crashing_site.Site, seed: int) -> None:
+        self._site = site
+        self._rng = random.Random(seed)
+        self.arrivals = _Arrivals()
+        self._moody = [
+            _Moody(endpoint=one, arrivals=self.arrivals, rng=self._rng)
+            for one in site.endpoints
+        ]
+        self.story: list[str] = []
+        self.answers: collections.Counter[bytes] = collections.Counter()
+        self._down: set[int] = set()
+
+    async def run(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        async with self._site.powered(first=True):
+            until = loop.time() + seconds
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._beat(until))
+                group.create_task(self._change(until))
+                for gateway in crashing_site.GATEWAYS:
+                    group.create_task(self._ask_all(group, gateway, until))
+        assert self.arrivals.worst <= _MOST_AFTER, self.story
+        # It was played: callers were served, and endpoints asked.
+        assert self.answers[b"200"] > 0, self.story
+
+    async def _beat(self, until: float) -> None:
+        while asyncio.get_running_loop().time() < until:
+            for one in self._site.endpoints:
+                if _CORE not in self._down:
+                    await self._site.operator.beat(_CORE, one)
+            await asyncio.sleep(_BEAT_S)
+
+    async def _change(self, until: float) -> None:
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(self._rng.expovariate(1.0 / _CHANGE_S))
+            if self._rng.random() < 0.06:
+                await self._restart(
+                    self._rng.choice([*crashing_site.GATEWAYS, _CORE])
+                )
+            else:
+                self.story.append(self._rng.choice(self._moody).change())
+
+    async def _restart(self, number: int) -> None:
+        self.story.append(f"{number} is restarted")
+        self._down.add(number)
+        await self._site.stop(number)
+        await self._site.start(number)
+        self.arrivals.forget(b"%d" % number)
+        self._down.discard(number)
+
+    async def _ask_all(
+        self, group: asyncio.TaskGroup, gateway: int, until: float
+    ) -> None:
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(self._rng.expovariate(1.0 / _ASK_S))
+            if gateway not in self._down:
+                group.create_task(self._ask(gateway))
+
+    async def _ask(self, gateway: int) -> None:
+        path = self._rng.choice(_PATHS)
+        more = f"{_VIA.decode()}: {gateway}\r\n"
+        try:
+            answer = await self._site.ask(gateway, path, b"body", more)
+        except OSError:
+            answer = b""
+        self.answers[answer[9:12]] += 1
+
+
+async def _play(root: pathlib.Path, seed: int, seconds: float) -> _Soak:
+    async with crashing_site.site(root) as site:
+        soak = _Soak(site=site, seed=seed)
+        await soak.run(seconds)
+        return soak
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_nothing_is_sent_that_endpoints_do_not_want(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    asyncio.run(_play(tmp_path, seed, _SECONDS_IN_CI))
+
+
+def _main(first: int, last: int) -> None:
+    for seed in range(first, last + 1):
+        with tempfile.TemporaryDirectory() as root:
+            soak = asyncio.run(_play(pathlib.Path(root), seed, _SECONDS))
+        told = ", ".join(
+            f"{status.decode() or 'cut'}: {count}"
+            for status, count in sorted(soak.answers.items())
+        )
+        print(
+            f"seed {seed}: well; {soak.arrivals.count} arrivals, at most "
+            f"{soak.arrivals.worst} unwanted; {told}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    _main(int(sys.argv[1]), int(sys.argv[2]))
