--- a/tests/test_backoff_soak.py
+++ b/tests/test_backoff_soak.py
@@ -41,7 +41,10 @@
 
 
 class _Span(NamedTuple):
-    """A gateway was told to send nothing, from one time to another."""
+    """A gateway was told to send nothing, from one time to another.
+
+    `gateway` is one life of it: who starts again knows of nothing.
+    """
 
     life: str
     gateway: bytes
@@ -60,17 +63,17 @@
     def told(self, span: _Span) -> None:
         self._spans.add(span)
 
-    def arrived(self, life: str, gateway: bytes, now: float) -> None:
+    def arrived(self, life: str, gateway: bytes, now: float) -> list[_Span]:
+        """A request has come; the spans in which it was not wanted."""
         self.count += 1
-        for span in self._spans:
-            if (span.life, span.gateway) != (life, gateway):
-                continue
-            if span.since + _ON_ITS_WAY_S <= now < span.until:
-                self._came[span] += 1
-
-    def forget(self, gateway: bytes) -> None:
-        """A gateway that starts again knows of nothing."""
-        self._spans = {one for one in self._spans if one.gateway != gateway}
+        unwanted = [
+            span
+            for span in self._spans
+            if (span.life, span.gateway) == (life, gateway)
+            and span.since + _ON_ITS_WAY_S <= now < span.until
+        ]
+        self._came.update(unwanted)
+        return unwanted
 
     @property
     def worst(self) -> int:
@@ -86,8 +89,10 @@
         endpoint: crashing_site.Endpoint,
         arrivals: _Arrivals,
         rng: random.Random,
+        story: list[str],
     ) -> None:
         self.endpoint = endpoint
+        self._story = story
         self._arrivals = arrivals
         self._rng = rng
         self._name = endpoint.ident
@@ -124,7 +129,9 @@
             await self.endpoint.usual(req, responder)
             return
         now = asyncio.get_running_loop().time()
-        self._arrivals.arrived(life, gateway, now)
+        for span in self._arrivals.arrived(life, gateway, now):
+            age_s = now - span.since
+            self._story.append(f"unwanted after {age_s:.2f} s: {span}")
         if self._rng.random() < self._asks:
             self._turn_away(responder, life, gateway)
             return
@@ -162,13 +169,19 @@
         self._site = site
         self._rng = random.Random(seed)
         self.arrivals = _Arrivals()
+        self.story: list[str] = []
         self._moody = [
-            _Moody(endpoint=one, arrivals=self.arrivals, rng=self._rng)
+            _Moody(
+                endpoint=one,
+                arrivals=self.arrivals,
+                rng=self._rng,
+                story=self.story,
+            )
             for one in site.endpoints
         ]
-        self.story: list[str] = []
         self.answers: collections.Counter[bytes] = collections.Counter()
         self._down: set[int] = set()
+        self._lives: collections.Counter[int] = collections.Counter()
 
     async def run(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
@@ -205,7 +218,7 @@
         self._down.add(number)
         await self._site.stop(number)
         await self._site.start(number)
-        self.arrivals.forget(b"%d" % number)
+        self._lives[number] += 1
         self._down.discard(number)
 
     async def _ask_all(
@@ -218,7 +231,8 @@
 
     async def _ask(self, gateway: int) -> None:
         path = self._rng.choice(_PATHS)
-        more = f"{_VIA.decode()}: {gateway}\r\n"
+        life = self._lives[gateway]
+        more = f"{_VIA.decode()}: {gateway}.{life}\r\n"
         try:
             answer = await self._site.ask(gateway, path, b"body", more)
         except OSError:
@@ -253,6 +267,9 @@
             f"{soak.arrivals.worst} unwanted; {told}",
             flush=True,
         )
+        for line in soak.story:
+            if line.startswith("unwanted"):
+                print(f"    {line}", flush=True)
 
 
 if __name__ == "__main__":
