Lines tell which rates endpoints name, and what a gateway believes

No line told that an answer named a rate, nor what it was when a request was sent there, so that the hypotheses of the incident could not be told apart. A change of what an endpoint names is a line with the rate before and after; one that can't be read is a line once for each life; "Sent." tells the rate that was known. Nothing is decided by it yet.

--- a/rackpost/decide/eligibility.py
+++ b/rackpost/decide/eligibility.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 from rackpost.decide import backoff
+from rackpost.decide import rates
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -52,6 +53,7 @@
     ) -> None:
         self._table = table
         self.backoffs = backoff.BackoffBook(rng=rng)
+        self.rates = rates.RateBook()
         self._changing: frozenset[types.EndpointId] = frozenset()
 
     def set_changing(self, keys: Iterable[types.EndpointId]) -> None:
--- /dev/null
+++ b/rackpost/decide/rates.py
@@ -0,0 +1,145 @@
+"""Which endpoints name a rate that they take from all gateways.  Pure.
+
+An endpoint in need says in its answers how many requests a second it takes
+from all gateways together, for as long as it says so.  What one life of an
+endpoint names binds that life: who starts again has named nothing.
+
+An answer tells what held when its head was written.  Heads are noted as they
+come, so that of two answers the later one holds; between gateways the age of
+what is told decides.
+
+One answer without a rate is not yet its end: an endpoint may name it in some
+answers and not in others.
+"""
+
+from typing import Collection
+from typing import NamedTuple
+
+import msgspec
+
+from rackpost.routing import endpoints
+
+# Answers in a row that name no rate and show that it has ended.
+_ENDS_AFTER = 3
+# One such answer shows it where nothing has named the rate for so long, in
+# seconds: at a low rate three answers would take as many times longer.
+_ENDS_AFTER_S = 4.0
+
+
+class Named(NamedTuple):
+    """What an answer says of a rate.
+
+    `per_s` is the rate in requests a second, None where it names none;
+    `unreadable` tells that it names one that can't be read.
+    """
+
+    per_s: float | None = None
+    unreadable: bool = False
+
+
+class Told(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What one process tells another of an endpoint's rate.
+
+    `per_s` is None where the rate has ended, `age_s` how long ago an answer
+    said so, in seconds.
+    """
+
+    per_s: float | None
+    age_s: float
+
+
+class _Record(msgspec.Struct, kw_only=True):
+    """What one life of an endpoint says.
+
+    Attributes:
+        per_s: the rate in requests a second; None where it has ended.
+        at: clock reading at which an answer last said so, here or elsewhere.
+        without: answers in a row since then that named none.
+    """
+
+    per_s: float | None
+    at: float
+    without: int = 0
+
+
+class RateBook:
+    """The rates that endpoints name, as one process knows them."""
+
+    def __init__(self) -> None:
+        self._records: dict[endpoints.Incarnation, _Record] = {}
+        # Lives that have named one that can't be read.
+        self._unreadable: set[endpoints.Incarnation] = set()
+
+    def per_s(self, endpoint: endpoints.Endpoint) -> float | None:
+        """The rate that holds now, in requests a second; None without."""
+        if not self._records:
+            # As a rule; asked for each endpoint in each choice.
+            return None
+        record = self._records.get(endpoint.incarnation)
+        return None if record is None else record.per_s
+
+    def is_first_unreadable(self, endpoint: endpoints.Endpoint) -> bool:
+        """Note one that can't be read; whether it is this life's first."""
+        is_first = endpoint.incarnation not in self._unreadable
+        self._unreadable.add(endpoint.incarnation)
+        return is_first
+
+    def answered(
+        self, endpoint: endpoints.Endpoint, named: Named, now: float
+    ) -> bool:
+        """Note what an answer's head names; whether the rate has changed.
+
+        What can't be read changes nothing.
+        """
+        if named.unreadable:
+            return False
+        record = self._records.get(endpoint.incarnation)
+        if named.per_s is None:
+            return record is not None and self._named_none(record, now)
+        before = None if record is None else record.per_s
+        self._records[endpoint.incarnation] = _Record(
+            per_s=named.per_s, at=now
+        )
+        return before != named.per_s
+
+    def _named_none(self, record: _Record, now: float) -> bool:
+        if record.per_s is None:
+            return False
+        record.without += 1
+        is_old = now - record.at >= _ENDS_AFTER_S
+        if record.without < _ENDS_AFTER and not is_old:
+            return False
+        record.per_s = None
+        record.at = now
+        return True
+
+    def told(self, key: endpoints.Incarnation, told: Told, now: float) -> bool:
+        """Take another process's word, if it is later; whether it is news."""
+        at = now - told.age_s
+        record = self._records.get(key)
+        if record is not None and record.at >= at:
+            return False
+        if record is None and told.per_s is None:
+            return False
+        before = None if record is None else record.per_s
+        self._records[key] = _Record(per_s=told.per_s, at=at)
+        return before != told.per_s
+
+    def tell(self, key: endpoints.Incarnation, now: float) -> Told | None:
+        """What others should know of one endpoint; None where nothing is."""
+        record = self._records.get(key)
+        if record is None:
+            return None
+        return Told(per_s=record.per_s, age_s=round(now - record.at, 3))
+
+    def keep(self, alive: Collection[endpoints.Incarnation]) -> None:
+        """Forget all lives of endpoints but these."""
+        for key in list(self._records):
+            if key not in alive:
+                del self._records[key]
+        self._unreadable.intersection_update(alive)
+
+    @property
+    def known(self) -> tuple[endpoints.Incarnation, ...]:
+        """The lives of endpoints that have named a rate."""
+        return tuple(self._records)
--- a/rackpost/endpoint_notices.py
+++ b/rackpost/endpoint_notices.py
@@ -6,6 +6,7 @@
 """
 
 from rackpost.decide import eligibility
+from rackpost.decide import rates
 from rackpost import exceptions
 from rackpost.http1 import message
 from rackpost import logs
@@ -42,6 +43,7 @@
     endpoint = eligible.who_answered(asked, _answered_by(head))
     if endpoint is None:
         return frozenset()
+    _note_rate(eligible.rates, endpoint, head, part=part, now=now)
     news = eligible.answered(endpoint, said, now)
     for bar in news:
         logs.say(
@@ -56,6 +58,38 @@
     return news
 
 
+def _note_rate(
+    book: rates.RateBook,
+    endpoint: endpoints.Endpoint,
+    head: message.Head,
+    *,
+    part: logs.Part,
+    now: float,
+) -> None:
+    """Note the rate that an answer names, or that it names none."""
+    named = headers.named_rate(head)
+    if named.unreadable and book.is_first_unreadable(endpoint):
+        logs.say(
+            part,
+            "Rate can't be read.",
+            endpoint=endpoint.id,
+            born=endpoint.born,
+            status=head.status,
+        )
+    before = book.per_s(endpoint)
+    if not book.answered(endpoint, named, now):
+        return
+    logs.say(
+        part,
+        "Endpoint's rate has changed.",
+        endpoint=endpoint.id,
+        born=endpoint.born,
+        status=head.status,
+        rate_per_s=book.per_s(endpoint),
+        before_per_s=before,
+    )
+
+
 def _answered_by(head: message.Head) -> types.EndpointId | None:
     """Who says to have answered, where that is said."""
     told = message.find(head.headers, headers.ANSWERED_BY)
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -179,6 +179,7 @@
         heard_s=round(now - heard_at, 2),
         under_way=use.requests,
         slots=endpoint.slots,
+        rate_per_s=site.eligible.rates.per_s(endpoint),
         gateways=site.gateway_count,
         figures_s=round(site.loads.oldest_s(now), 2),
         time_left_s=round(call.until - now, 3),
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -167,6 +167,11 @@
                 self._note_gateways()
                 self.loads.forget(vm)
 
+    def forget_rates(self) -> None:
+        """Forget what lives of endpoints that are gone have named."""
+        alive = {item.incarnation for item in self.table.alive.values()}
+        self.eligible.rates.keep(alive)
+
     def apply_routing(self, change: changes.Change) -> bool:
         """Put a version in force unless it or a newer one is.
 
--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -3,9 +3,11 @@
 Headers that only we may set are dropped from what clients send.
 """
 
+import re
 from typing import NamedTuple
 from typing import Sequence
 
+from rackpost.decide import rates
 from rackpost.http1 import message
 from rackpost.http1 import retry_after
 from rackpost.platform import keys
@@ -28,6 +30,9 @@
 NOT_RUN = b"x-not-executed"
 _RETRY_AFTER = b"retry-after"
 _LEAVING = b"server-leaving"
+# Requests a second that an endpoint takes from all gateways together.
+_RATE = b"server-limit"
+_DECIMAL = re.compile(rb"\d{1,12}(\.\d{1,12})?|\.\d{1,12}")
 _TOKENS = b"x-token-usage"
 # ID:TOKENS of each part of the prompt, by commas.
 _PROMPT_PARTS = b"x-prompt-prefix"
@@ -112,6 +117,17 @@
     return message.find(head.headers, _LEAVING) == b"1"
 
 
+def named_rate(head: message.Head) -> rates.Named:
+    """The rate of requests that an endpoint's answer names."""
+    told = [value for name, value in head.headers if name == _RATE]
+    if not told:
+        return rates.Named()
+    number = told[0].strip()
+    if len(told) > 1 or not _DECIMAL.fullmatch(number):
+        return rates.Named(unreadable=True)
+    return rates.Named(per_s=float(number))
+
+
 def own_part(headers: Sequence[message.Header]) -> bytes:
     """Id of the prompt's last part, which is the request's own; or b""."""
     parts = message.find(headers, _PROMPT_PARTS) or b""
