One rendezvous rank in place of three

Groups of gateways, entries' subsets and relays of news each hashed a name and a subject by themselves, in the same way. One module now; the ranks are the same, so that nothing moves.

--- a/rackpost/decide/groups.py
+++ b/rackpost/decide/groups.py
@@ -10,8 +10,8 @@
 """
 
 import functools
-import hashlib
 
+from rackpost.decide import rendezvous
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -38,12 +38,9 @@
     """The group of a gateway or an endpoint, from 0 on."""
     if groups <= 1:
         return 0
-    return max(range(groups), key=lambda number: _rank(name, number))
-
-
-def _rank(name: str, number: int) -> bytes:
-    text = f"{name}|{number}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
+    return max(
+        range(groups), key=lambda number: rendezvous.rank(name, str(number))
+    )
 
 
 class Group:
--- a/rackpost/decide/relays.py
+++ b/rackpost/decide/relays.py
@@ -6,10 +6,10 @@
 endpoints 400,000 messages as a site starts, by reckoning.
 """
 
-import hashlib
 import heapq
 from typing import Iterable
 
+from rackpost.decide import rendezvous
 from rackpost import types
 
 # So many gateways tell each endpoint's news on: one of them may be down, and
@@ -17,11 +17,6 @@
 _RELAYS = 4
 
 
-def _rank(vm: types.VmId, subject: str) -> bytes:
-    text = f"{vm}|{subject}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
-
-
 def is_relay(
     me: types.VmId, gateways: Iterable[types.VmId], subject: str
 ) -> bool:
@@ -33,5 +28,7 @@
     others = {vm for vm in gateways if vm != me}
     if len(others) < _RELAYS:
         return True
-    first = heapq.nsmallest(_RELAYS, (_rank(vm, subject) for vm in others))
-    return _rank(me, subject) < first[-1]
+    first = heapq.nsmallest(
+        _RELAYS, (rendezvous.rank(vm, subject) for vm in others)
+    )
+    return rendezvous.rank(me, subject) < first[-1]
--- a/rackpost/decide/subset.py
+++ b/rackpost/decide/subset.py
@@ -5,17 +5,12 @@
 goes.  Agents of the entry's own data centre come first.  Pure.
 """
 
-import hashlib
 from typing import Iterable
 
+from rackpost.decide import rendezvous
 from rackpost.state import commands
 
 
-def _rank(entry: str, agent: str) -> int:
-    text = f"{entry}|{agent}".encode()
-    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest())
-
-
 def choose(
     *,
     entry: str,
@@ -35,7 +30,7 @@
             pools.setdefault(key, []).append(member)
     chosen: set[str] = set()
     for pool in pools.values():
-        pool.sort(key=lambda item: _rank(entry, item.name))
+        pool.sort(key=lambda item: rendezvous.rank(entry, item.name))
         near = [item for item in pool if item.data_centre == data_centre]
         far = [item for item in pool if item.data_centre != data_centre]
         own = size - min(len(far), size // 4)
