A soak of endpoints that name rates, fail and start again

Two gateways under callers who keep coming, rates that rise, fall, end and come back, a tenth of the datagrams of grants lost, gateways and the coordinator restarted in series and overlapping; arrivals are counted at the endpoints as the users count them.

--- /dev/null
+++ b/tests/test_rate_soak.py
@@ -0,0 +1,253 @@
+"""Endpoints that name rates, fail and start again, under callers.
+
+Two gateways are asked all the time, by callers who keep coming; endpoints
+name rates that rise, fall, end and come back, answer slowly, fail and start
+again under new ids; datagrams between gateways are lost, and gateways and the
+coordinator are restarted, also while the other one is away.  What arrives at
+the endpoints is counted there, as the users count it.
+
+    python -m tests.test_rate_soak FIRST LAST
+
+plays the seeds from FIRST to LAST.
+"""
+
+import asyncio
+import collections
+import pathlib
+import random
+import sys
+import tempfile
+from typing import NamedTuple
+
+import pytest
+
+from rackpost.http1 import address
+from rackpost.http1 import message
+from rackpost.http1 import server
+from tests import crashing_site
+from tests import test_named_rates
+
+_CORE = 11
+# A gateway counts so long after it passed on an answer that names a rate, and
+# so long after its start, in seconds; an endpoint, after it first named one.
+_TOLD_S = 0.5
+_IN_TOUCH_S = 3.0
+_ALLOWED_X = 1.5
+_ALLOWED_MORE = 5
+_PATHS = ("/safe/x", "/unsafe/x", "/gen/x", "/res/x")
+# Callers ask and something changes after pauses of these means, in seconds.
+_ASK_S = 0.03
+_CHANGE_S = 1.2
+_BEAT_S = 0.3
+_LOSS = 0.1
+_SECONDS = 20.0
+_SECONDS_IN_CI = 8.0
+_VIA = b"x-via"
+
+
+class _Arrival(NamedTuple):
+    """A request that counts, and the rate that was named then."""
+
+    at: float
+    per_s: float
+
+
+class _Limited:
+    """An endpoint whose rate changes."""
+
+    def __init__(
+        self, *, endpoint: crashing_site.Endpoint, rng: random.Random
+    ) -> None:
+        self.endpoint = endpoint
+        self._rng = rng
+        self._name = endpoint.ident
+        self._lives = 0
+        self._per_s: float | None = None
+        self._fails = 0.0
+        self._slow_s = 0.0
+        self._begin_life()
+        self.count = 0
+        self.worst = -_ALLOWED_MORE * 1.0
+        endpoint.answer = self._answer
+
+    def _begin_life(self) -> None:
+        self._named_at: float | None = None
+        self._told: dict[bytes, float] = {}
+        self._came: collections.deque[_Arrival] = collections.deque()
+
+    def change(self) -> str:
+        """Another rate or another life; which, for the story."""
+        self._fails = self._rng.choice((0.0, 0.0, 0.2))
+        self._slow_s = self._rng.choice((0.0, 0.05, 0.2))
+        if self._rng.random() < 0.1:
+            self._lives += 1
+            self.endpoint.ident = f"{self._name}-{self._lives}"
+            self.endpoint.sequence = 0
+            self._begin_life()
+            return f"{self.endpoint.ident} anew"
+        self._per_s = self._rng.choice((None, None, 0.0, 1.0, 3.3, 12.0))
+        self._named_at = None
+        self._told.clear()
+        self._came.clear()
+        self.endpoint.says = []
+        if self._per_s is not None:
+            self.endpoint.says = [(b"server-limit", b"%.1f" % self._per_s)]
+        return f"{self.endpoint.ident} names {self._per_s}"
+
+    def _arrived(self, gateway: bytes, now: float) -> None:
+        self.count += 1
+        if self._per_s is None or self._named_at is None:
+            return
+        told_at = self._told.get(gateway)
+        if told_at is None or now < told_at + _TOLD_S:
+            return
+        if now < self._named_at + _IN_TOUCH_S:
+            return
+        window = test_named_rates.WINDOW_S
+        self._came.append(_Arrival(now, self._per_s))
+        while self._came[0].at <= now - window:
+            self._came.popleft()
+        allowed = _ALLOWED_X * window * self._per_s + _ALLOWED_MORE
+        self.worst = max(self.worst, len(self._came) - allowed)
+
+    async def _answer(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        life = self.endpoint.ident
+        gateway = message.find(req.headers, _VIA) or b""
+        loop = asyncio.get_running_loop()
+        self._arrived(gateway, loop.time())
+        if self._slow_s:
+            await asyncio.sleep(self._slow_s * self._rng.random())
+        if life == self.endpoint.ident and self._per_s is not None:
+            self._told.setdefault(gateway, loop.time())
+            if self._named_at is None:
+                self._named_at = loop.time()
+        if self._rng.random() < self._fails:
+            responder.whole(500, self.endpoint.says, b"")
+            return
+        await self.endpoint.usual(req, responder)
+
+
+class _Soak:
+    """One site under one seed."""
+
+    def __init__(self, *, site: crashing_site.Site, seed: int) -> None:
+        self._site = site
+        self._rng = random.Random(seed)
+        self.story: list[str] = []
+        self.limited = [
+            _Limited(endpoint=one, rng=self._rng) for one in site.endpoints
+        ]
+        self.answers: collections.Counter[bytes] = collections.Counter()
+        self._down: set[int] = set()
+        self._lives: collections.Counter[int] = collections.Counter()
+
+    @property
+    def worst(self) -> float:
+        return max(one.worst for one in self.limited)
+
+    async def run(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        async with self._site.powered(first=True):
+            for number in crashing_site.GATEWAYS:
+                self._lose_datagrams(number)
+            until = loop.time() + seconds
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._beat(until))
+                group.create_task(self._change(group, until))
+                for gateway in crashing_site.GATEWAYS:
+                    group.create_task(self._ask_all(group, gateway, until))
+        assert self.worst <= 0, self.story
+        # It was played: callers were served.
+        assert self.answers[b"200"] > 0, self.story
+
+    def _lose_datagrams(self, number: int) -> None:
+        grants = self._site.gateways[number].site.grants
+        send = grants.send
+
+        def lossy(data: bytes, addr: address.Address) -> None:
+            if self._rng.random() >= _LOSS:
+                send(data, addr)
+
+        grants.send = lossy
+
+    async def _beat(self, until: float) -> None:
+        while asyncio.get_running_loop().time() < until:
+            for one in self._site.endpoints:
+                if _CORE not in self._down:
+                    await self._site.operator.beat(_CORE, one)
+            await asyncio.sleep(_BEAT_S)
+
+    async def _change(self, group: asyncio.TaskGroup, until: float) -> None:
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(self._rng.expovariate(1.0 / _CHANGE_S))
+            number = self._rng.choice([*crashing_site.GATEWAYS, _CORE])
+            if self._rng.random() < 0.15 and number not in self._down:
+                # Others go on changing, and may be restarted meanwhile.
+                group.create_task(self._restart(number))
+            else:
+                self.story.append(self._rng.choice(self.limited).change())
+
+    async def _restart(self, number: int) -> None:
+        self.story.append(f"{number} is restarted")
+        self._down.add(number)
+        self._lives[number] += 1
+        await self._site.stop(number)
+        await asyncio.sleep(self._rng.choice((0.0, 0.5, 3.0)))
+        await self._site.start(number)
+        if number != _CORE:
+            self._lose_datagrams(number)
+        self._down.discard(number)
+
+    async def _ask_all(
+        self, group: asyncio.TaskGroup, gateway: int, until: float
+    ) -> None:
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(self._rng.expovariate(1.0 / _ASK_S))
+            if gateway not in self._down:
+                group.create_task(self._ask(gateway))
+
+    async def _ask(self, gateway: int) -> None:
+        path = self._rng.choice(_PATHS)
+        life = self._lives[gateway]
+        more = f"{_VIA.decode()}: {gateway}.{life}\r\n"
+        try:
+            answer = await self._site.ask(gateway, path, b"body", more)
+        except OSError:
+            answer = b""
+        self.answers[answer[9:12]] += 1
+
+
+async def _play(root: pathlib.Path, seed: int, seconds: float) -> _Soak:
+    async with crashing_site.site(root) as site:
+        soak = _Soak(site=site, seed=seed)
+        await soak.run(seconds)
+        return soak
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_no_endpoint_gets_more_than_it_names(
+    tmp_path: pathlib.Path, seed: int
+) -> None:
+    asyncio.run(_play(tmp_path, seed, _SECONDS_IN_CI))
+
+
+def _main(first: int, last: int) -> None:
+    for seed in range(first, last + 1):
+        with tempfile.TemporaryDirectory() as root:
+            soak = asyncio.run(_play(pathlib.Path(root), seed, _SECONDS))
+        told = ", ".join(
+            f"{status.decode() or 'cut'}: {count}"
+            for status, count in sorted(soak.answers.items())
+        )
+        arrivals = sum(one.count for one in soak.limited)
+        print(
+            f"seed {seed}: well; {arrivals} arrivals, worst window "
+            f"{soak.worst:+.1f} of what is allowed; {told}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    _main(int(sys.argv[1]), int(sys.argv[2]))
