--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -59,6 +59,33 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(("path", "deadly"), [("/gen/x", 1), ("/safe/x", 3)])
+def test_of_many_requests_those_that_end_endpoints_end_three_each(
+    tmp_path: pathlib.Path, path: str, deadly: int
+) -> None:
+    """All the others are served in between, at every gateway."""
+
+    async def main() -> None:
+        async with crashing_site.site(tmp_path) as site:
+            async with site.powered(first=True):
+                bodies = [b"crash run %d" % number for number in range(deadly)]
+                others = []
+                for number in range(_RETURNS):
+                    gateway = crashing_site.GATEWAYS[number % 2]
+                    for body in bodies:
+                        await site.ask(gateway, path, body)
+                        await site.is_known()
+                    others += [
+                        await site.ask(gateway, path, b"another %d" % each)
+                        for each in range(6)
+                    ]
+                ended = [site.crashes_by(body) for body in bodies]
+                assert ended == [_MOST_CRASHES] * deadly
+                assert all(b" 200 " in one for one in others)
+
+    asyncio.run(main())
+
+
 def test_a_plain_request_that_ends_endpoints_is_sent_to_three(
     tmp_path: pathlib.Path,
 ) -> None:
