One that waits holds up others only when it is its time to look

Found by reading; no caller was seen to be held up. Each now says when it looks, and whoever comes before that may look: at the moment when an endpoint opens the most urgent still goes first. The test of the order says so.

--- a/rackpost/decide/opening.py
+++ b/rackpost/decide/opening.py
@@ -12,10 +12,6 @@
 
 from rackpost.decide import backoff
 
-# One that has looked for an endpoint in vain holds up nobody behind it for
-# this long, in seconds: it may have tried those that are left.
-_LOOKED_S = 0.1
-
 
 def wait_s(
     *,
@@ -51,8 +47,9 @@
 
     def __init__(self, *, rank: Rank) -> None:
         self.rank = rank
-        # When it last looked for an endpoint in vain.
-        self.looked_at = -math.inf
+        # When it looks for an endpoint.  Others may look before: it may have
+        # tried those that they find.
+        self.looks_at = -math.inf
 
 
 class Line:
@@ -79,9 +76,7 @@
     def may_look(self, rank: Rank, now: float) -> bool:
         """Whether it is its turn to look for an endpoint."""
         return all(
-            item.looked_at >= now - _LOOKED_S
-            for item in self._waiters
-            if item.rank < rank
+            item.looks_at > now for item in self._waiters if item.rank < rank
         )
 
     def turn_s(self, opens_s: float, per_s: float, now: float) -> float:
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -60,14 +60,15 @@
     Raises Barred where there is none now.
     """
     site = call.site
-    alone = site.chooser.candidates.own_per_s(
+    per_s = site.chooser.candidates.own_per_s(
         endpoint.service,
         endpoint.role,
         but=call.not_again,
         now=site.loop_time(),
     )
+    # Where one takes what comes, it goes there rather than wait here.
     return site.grants.granted(
-        endpoint, priority=call.priority, waits=alone is not None
+        endpoint, priority=call.priority, waits=per_s is not None
     )
 
 
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -171,13 +171,12 @@
                 return None
             # A hundred that wait must not keep a small VM busy; one that
             # comes new meanwhile is found a little later.
-            await asyncio.sleep(min(max(opens_s, _LOOK_S), _LOOK_AGAIN_S))
-            if not line.may_look(waiter.rank, site.loop_time()):
-                continue
-            endpoint = _choose(call)
+            pause_s = min(max(opens_s, _LOOK_S), _LOOK_AGAIN_S)
+            waiter.looks_at = site.loop_time() + pause_s
+            await asyncio.sleep(pause_s)
+            endpoint = _choose_in_turn(call)
             if endpoint is not None:
                 return endpoint
-            waiter.looked_at = site.loop_time()
 
 
 def _is_too_late(call: call_mod.Call, opens_s: float) -> bool:
--- a/tests/test_opening.py
+++ b/tests/test_opening.py
@@ -51,10 +51,10 @@
         assert not line.may_look(late.rank, 1.0)
         # One that comes new goes by the same order.
         assert line.may_look(MORE_URGENT, 1.0)
-        # It found nothing that it may use: others may.
-        urgent.looked_at = 1.0
-        assert line.may_look(late.rank, 1.05)
-        assert not line.may_look(late.rank, 1.5)
+        # It has looked, and looks again later: others need not wait for it.
+        urgent.looks_at = 1.2
+        assert line.may_look(late.rank, 1.1)
+        assert not line.may_look(late.rank, 1.2)
     assert line.may_look(LATE, 1.5)
 
 
