--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -223,15 +223,20 @@
             await asyncio.sleep(0.1)
 
 
+def two_that_prefill() -> list[Ordered]:
+    """Three endpoints, of which one should decode in place of prefilling."""
+    return [
+        Ordered(ident="p0", stage="prefill"),
+        Ordered(ident="p1", stage="prefill"),
+        Ordered(ident="d0", stage="decode"),
+    ]
+
+
 def test_the_leader_orders_a_change_once_and_tells_gateways(
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        group = [
-            Ordered(ident="p0", stage="prefill"),
-            Ordered(ident="p1", stage="prefill"),
-            Ordered(ident="d0", stage="decode"),
-        ]
+        group = two_that_prefill()
         async with ordering(tmp_path, group) as (running, beat):
             await ask_until(
                 lambda: any(one.orders for one in group), running, beat
@@ -312,11 +317,7 @@
     """It was asked for a report again and again, and no other was ordered."""
 
     async def main() -> None:
-        group = [
-            Ordered(ident="p0", stage="prefill"),
-            Ordered(ident="p1", stage="prefill"),
-            Ordered(ident="d0", stage="decode"),
-        ]
+        group = two_that_prefill()
         group[0].answer = test_backoff.asks
         async with ordering(tmp_path, group) as (running, beat):
             await ask_until(lambda: bool(group[1].orders), running, beat)
