--- /dev/null
+++ b/rackpost/decide/features.py
@@ -0,0 +1,94 @@
+"""Decide which parts of load management a model service uses.
+
+A part is on where the routing document calls for it: the number of kinds of
+streams that share the service's endpoints, their priorities, and whether
+organisations with quotas compete.  Without these the service is served as
+before, whatever its load.
+
+Pure: no input or output.
+"""
+
+import collections
+import enum
+from typing import Collection
+from typing import Iterable
+
+import msgspec
+
+from rackpost.routing import model
+from rackpost import types
+
+# With two kinds of streams the pools follow their sum; from three on, the
+# mix of the kinds decides what each pool and each endpoint has to do.
+_MIN_KINDS_OF_A_MIX = 3
+
+
+class Feature(enum.Enum):
+    """A part of load management that can be on or off for a service."""
+
+    # Capacity is kept for urgent kinds, organisations share fairly.
+    CONTENTION_ORDER = "contention-order"
+    # Large requests reserve an endpoint; smaller ones backfill.
+    LARGE_RESERVATIONS = "large-reservations"
+    # One queue for the pool, at a coordinator.
+    POOL_SCHEDULER = "pool-scheduler"
+    # Each endpoint's own pace counts in choices and promises.
+    ENDPOINT_PACE = "endpoint-pace"
+    # Roles change on first evidence, several at once.
+    EARLY_ROLES = "early-roles"
+
+
+class ServiceProfile(msgspec.Struct, frozen=True, kw_only=True):
+    """What the routing document says of the use of one model service.
+
+    Attributes:
+        kinds: routes with streams that it serves.
+        priorities: the distinct priorities of these routes.
+        has_quotas: organisations with quotas may use it.
+    """
+
+    kinds: int
+    priorities: frozenset[int]
+    has_quotas: bool = False
+
+
+def profiles(
+    routes: Iterable[model.Route],
+    services: Iterable[model.Service],
+    organisations: Collection[model.Organisation] = (),
+) -> dict[types.ServiceName, ServiceProfile]:
+    """Return the profile of each model service in a routing document."""
+    kinds: dict[types.ServiceName, int] = collections.Counter()
+    priorities: dict[types.ServiceName, set[int]] = collections.defaultdict(
+        set
+    )
+    for route in routes:
+        if route.kind is not model.RouteKind.STREAM:
+            continue
+        for target in route.targets:
+            kinds[target.service] += 1
+            priorities[target.service].add(route.priority)
+    has_quotas = any(item.quota is not None for item in organisations)
+    return {
+        service.name: ServiceProfile(
+            kinds=kinds[service.name],
+            priorities=frozenset(priorities[service.name]),
+            has_quotas=has_quotas,
+        )
+        for service in services
+        if service.engine is not None
+    }
+
+
+def features_for(found: ServiceProfile) -> frozenset[Feature]:
+    """Return the parts that are on for a service with this profile."""
+    features = set()
+    if len(found.priorities) > 1:
+        features.add(Feature.CONTENTION_ORDER)
+        features.add(Feature.POOL_SCHEDULER)
+    if found.kinds >= _MIN_KINDS_OF_A_MIX:
+        features.add(Feature.LARGE_RESERVATIONS)
+        features.add(Feature.ENDPOINT_PACE)
+        features.add(Feature.EARLY_ROLES)
+        features.add(Feature.POOL_SCHEDULER)
+    return frozenset(features)
--- a/rackpost/decide/queue_order.py
+++ b/rackpost/decide/queue_order.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from rackpost import types
+
 # Retries are spread at random over up to this share of the expected wait, so
 # that refused clients do not all return at once.
 _JITTER_SHARE = 0.5
@@ -41,6 +43,9 @@
         generation_s: expected time from reservation to its end.
         refused_before: it was refused once; a second refusal is final.
         gateway_stopping: its gateway stops and would cut it at `deadline`.
+        organisation: whose request it is, None if callers have no keys.
+        arrived_at: clock reading at which it arrived at its gateway.
+        peak_tokens: the most KV memory that it is expected to use, in tokens.
     """
 
     priority: int
@@ -51,6 +56,9 @@
     generation_s: float
     refused_before: bool = False
     gateway_stopping: bool = False
+    organisation: types.OrganisationName | None = None
+    arrived_at: float = 0.0
+    peak_tokens: int = 0
 
 
 def is_infeasible(request: WaitingRequest, now: float) -> bool:
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -19,6 +19,7 @@
 from rackpost.platform import headers
 from rackpost.routing import endpoints
 from rackpost.routing import model
+from rackpost import types
 
 # A refusal is sent this long before the client would leave, in seconds.
 _REFUSAL_LEAD_S = 0.1
@@ -200,6 +201,9 @@
             start_s=start_s,
             generation_s=start_s
             + timing.decode_s(self._progress.run.remaining_tokens),
+            organisation=types.OrganisationName(call.caller.name) or None,
+            arrived_at=call.began,
+            peak_tokens=kv_forecast.peak_tokens([self._progress.run]),
         )
 
     def _target(self) -> float:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -14,6 +14,7 @@
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
+from rackpost.decide import features
 from rackpost.decide import gateway_groups
 from rackpost.decide import plain_queue
 from rackpost.decide import quota
@@ -123,6 +124,9 @@
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
         self.planned_stop = planned_stop.PlannedStop()
         self._listed_vms: set[types.VmId] = set()
+        self._features: dict[
+            types.ServiceName, frozenset[features.Feature]
+        ] = {}
         self._plain_queues: dict[types.ServiceName, plain_queue.PlainQueue] = (
             {}
         )
@@ -203,9 +207,40 @@
         routes = self.routes or match.RouteTable()
         routes.apply(change)
         self.routes = routes
+        self._update_features(routes)
         self.routes_loaded.set()
         return True
 
+    def _update_features(self, routes: match.RouteTable) -> None:
+        """Decide which parts of load management each service uses."""
+        profiles = features.profiles(
+            routes, routes.services.values(), routes.organisations.all()
+        )
+        found = {
+            service: features.features_for(item)
+            for service, item in profiles.items()
+        }
+        if found == self._features:
+            return
+        self._features = found
+        for service, item in profiles.items():
+            logs.say(
+                logs.Part.GATEWAY,
+                "Parts of load management.",
+                service=service,
+                parts=sorted(feature.value for feature in found[service]),
+                kinds=item.kinds,
+                priorities=sorted(item.priorities),
+                quotas=item.has_quotas,
+                version=routes.version,
+            )
+
+    def has_feature(
+        self, service: types.ServiceName, feature: features.Feature
+    ) -> bool:
+        """Whether a part of load management is on for a service."""
+        return feature in self._features.get(service, ())
+
     def retry_budget(
         self, service: types.ServiceName
     ) -> retry_budget.RetryBudget:
--- a/rackpost/routing/match.py
+++ b/rackpost/routing/match.py
@@ -5,6 +5,7 @@
 
 import collections
 import random
+from typing import Iterator
 
 from rackpost import exceptions
 from rackpost.routing import changes
@@ -27,6 +28,9 @@
     def __contains__(self, prefix: str) -> bool:
         return prefix in self._routes
 
+    def __iter__(self) -> Iterator[model.Route]:
+        return iter(self._routes.values())
+
     def put(self, route: model.Route) -> None:
         """Add a route, replacing the one with the same prefix."""
         self._routes[route.prefix] = route
@@ -72,6 +76,10 @@
         """Number of routes."""
         return sum(len(routes) for routes in self._by_host.values())
 
+    def __iter__(self) -> Iterator[model.Route]:
+        for routes in self._by_host.values():
+            yield from routes
+
     def apply(self, change: changes.Change) -> None:
         """Apply a change.
 
--- a/rackpost/routing/organisations.py
+++ b/rackpost/routing/organisations.py
@@ -3,6 +3,8 @@
 Pure: no input or output.
 """
 
+from typing import Collection
+
 from rackpost import exceptions
 from rackpost.routing import changes
 from rackpost.routing import model
@@ -59,6 +61,10 @@
         """Return the organisation of a key, if any."""
         return None if key is None else self._by_key.get(key)
 
+    def all(self) -> Collection[model.Organisation]:
+        """Return all organisations."""
+        return self._organisations.values()
+
     def by_name(
         self, name: types.OrganisationName
     ) -> model.Organisation | None:
--- /dev/null
+++ b/tests/test_features.py
@@ -0,0 +1,66 @@
+"""Which parts of load management a routing document calls for."""
+
+from rackpost.decide import features
+from rackpost.routing import model
+from rackpost import types
+
+_SERVICE = types.ServiceName("llm")
+
+
+def _stream(
+    name: str, priority: int = 1, *, service: str = _SERVICE
+) -> model.Route:
+    return model.Route(
+        name=name,
+        host="h",
+        prefix=f"/{name}/",
+        kind=model.RouteKind.STREAM,
+        timeout_s=14.0,
+        targets=(
+            model.Target(service=types.ServiceName(service), weight=1.0),
+        ),
+        priority=priority,
+    )
+
+
+def _features(*routes: model.Route) -> frozenset[features.Feature]:
+    engine = model.Engine(
+        slots=8, memory_tokens=1000, event_tokens=4, handle_ttl_s=0.5
+    )
+    services = [
+        model.Service(name=_SERVICE, max_connections=9, engine=engine),
+        model.Service(name=types.ServiceName("plain"), max_connections=9),
+    ]
+    found = features.profiles(routes, services)
+    assert list(found) == [_SERVICE]
+    return features.features_for(found[_SERVICE])
+
+
+def test_two_kinds_of_one_priority_are_served_as_before() -> None:
+    """Nothing is on, whatever other routes there are."""
+    plain = model.Route(
+        name="p",
+        host="h",
+        prefix="/p/",
+        kind=model.RouteKind.SAFE,
+        timeout_s=1.0,
+        targets=(model.Target(service=_SERVICE, weight=1.0),),
+        priority=0,
+    )
+    other = _stream("c", 0, service="other")
+    assert not _features(_stream("a"), _stream("b"), plain, other)
+
+
+def test_several_priorities_turn_the_contention_order_on() -> None:
+    """Two kinds suffice if one is more urgent."""
+    found = _features(_stream("a", 0), _stream("b", 1))
+    assert features.Feature.CONTENTION_ORDER in found
+    assert features.Feature.ENDPOINT_PACE not in found
+
+
+def test_a_mix_of_kinds_turns_the_uneven_parts_on() -> None:
+    """Three kinds of one priority compete, but none is more urgent."""
+    found = _features(_stream("a"), _stream("b"), _stream("c"))
+    assert features.Feature.LARGE_RESERVATIONS in found
+    assert features.Feature.EARLY_ROLES in found
+    assert features.Feature.CONTENTION_ORDER not in found
