Order waiting generations by urgency, share and deadline

Late urgent requests went behind every less urgent one that was in time, capacity was taken as it came free, and late requests took what arrivals of the next moments needed. Services with several priorities or three kinds now use a contention order: priority first, max-min shares of organisations, capacity kept for more urgent arrivals, refusal at once of what can't be served.

--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -14,6 +14,7 @@
 from rackpost.decide import quota_use
 from rackpost.decide import rate_grants
 from rackpost.decide import role_balance
+from rackpost.decide.waiting import contender
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -154,6 +155,8 @@
         quotas: what organisations have spent at the sender.
         backoffs: remaining back-off of endpoints, in seconds.
         named_rates: rates that endpoints named in their answers.
+        contention: arrivals, use and waiting generations of services with a
+            contention order.
     """
 
     vm: types.VmId
@@ -168,6 +171,7 @@
     quotas: quota.QuotaReport = quota.QuotaReport()
     backoffs: dict[types.EndpointId, float] = {}
     named_rates: tuple[endpoint_rates.RateUpdate, ...] = ()
+    contention: dict[types.ServiceName, contender.ContentionReport] = {}
 
 
 class GrantRequest(_Message, frozen=True, tag="ask-grant"):
--- a/rackpost/decide/features.py
+++ b/rackpost/decide/features.py
@@ -87,6 +87,7 @@
         features.add(Feature.CONTENTION_ORDER)
         features.add(Feature.POOL_SCHEDULER)
     if found.kinds >= _MIN_KINDS_OF_A_MIX:
+        features.add(Feature.CONTENTION_ORDER)
         features.add(Feature.LARGE_RESERVATIONS)
         features.add(Feature.ENDPOINT_PACE)
         features.add(Feature.EARLY_ROLES)
--- a/rackpost/decide/waiting/order.py
+++ b/rackpost/decide/waiting/order.py
@@ -8,9 +8,24 @@
 """
 
 import abc
+import enum
 from typing import Sequence
 
 from rackpost.decide import queue_order
+from rackpost.decide.waiting import contender
+from rackpost.decide.waiting import headroom
+from rackpost import types
+
+
+class Kept(enum.Enum):
+    """Why a request waits although an endpoint has capacity for it."""
+
+    # Capacity is kept for more urgent arrivals.
+    HEADROOM = "headroom"
+    # It is late, and capacity is kept for arrivals that can be in time.
+    LATE = "late"
+    # Organisations that use less of the pool go first.
+    SHARE = "share"
 
 
 class AdmissionOrder(abc.ABC):
@@ -23,15 +38,11 @@
         """Record a request that has arrived, whatever becomes of it."""
 
     @abc.abstractmethod
-    def record_admitted(
-        self, request: queue_order.WaitingRequest, now: float
-    ) -> None:
+    def record_admitted(self, request: queue_order.WaitingRequest) -> None:
         """Record that a request holds capacity from now on."""
 
     @abc.abstractmethod
-    def record_released(
-        self, request: queue_order.WaitingRequest, now: float
-    ) -> None:
+    def record_released(self, request: queue_order.WaitingRequest) -> None:
         """Record that an admitted request has released its capacity."""
 
     @abc.abstractmethod
@@ -41,16 +52,37 @@
         """Return the waiting requests, the first to be admitted first."""
 
     @abc.abstractmethod
-    def may_admit(
+    def yields_to_arrivals(
+        self, request: queue_order.WaitingRequest, now: float
+    ) -> bool:
+        """Whether capacity may be kept for others; `kept_for` decides."""
+
+    @abc.abstractmethod
+    def kept_for(
         self,
         request: queue_order.WaitingRequest,
-        capacity: int,
+        pool: headroom.PoolState,
         now: float,
-    ) -> bool:
-        """Whether enough capacity remains for more urgent arrivals.
+    ) -> Kept | None:
+        """Return for whom capacity is kept, None if it may be admitted."""
 
-        `capacity` is the number of requests like this one that the pool has
-        capacity for now.
+    @abc.abstractmethod
+    def ahead_elsewhere(
+        self, request: queue_order.WaitingRequest, now: float
+    ) -> int:
+        """Return how many requests at other gateways are ahead."""
+
+    @abc.abstractmethod
+    def expected_wait_s(
+        self,
+        request: queue_order.WaitingRequest,
+        ahead: int,
+        pool: headroom.PoolState,
+        now: float,
+    ) -> float:
+        """Return the expected wait behind `ahead` others, in seconds.
+
+        Infinite if it can't be foreseen.
         """
 
     @abc.abstractmethod
@@ -62,23 +94,46 @@
     ) -> bool:
         """Whether to refuse a request that is expected to wait `wait_s`."""
 
+    @abc.abstractmethod
+    def return_in_s(
+        self, wait_s: float, pool: headroom.PoolState, now: float
+    ) -> float:
+        """Take a place in the order of return; return when it is due.
+
+        In seconds; `wait_s` is the expected wait of the refused request.
+        """
+
+    def report(
+        self, waiting: Sequence[queue_order.WaitingRequest], now: float
+    ) -> contender.ContentionReport | None:
+        """Return what other gateways need to know; None for nothing."""
+        return None
+
+    def receive(
+        self,
+        sender: types.VmId,
+        report: contender.ContentionReport,
+        now: float,
+    ) -> None:
+        """Take in the report of another gateway."""
+
 
 class DeadlineOrder(AdmissionOrder):
-    """Urgent requests first, then the earliest deadline; keeps nothing."""
+    """Urgent requests first, then the earliest deadline; keeps nothing.
+
+    The waiting requests of other gateways are those of the load reports,
+    which count all services together.
+    """
 
     def record_arrival(
         self, request: queue_order.WaitingRequest, now: float
     ) -> None:
         """Record nothing."""
 
-    def record_admitted(
-        self, request: queue_order.WaitingRequest, now: float
-    ) -> None:
+    def record_admitted(self, request: queue_order.WaitingRequest) -> None:
         """Record nothing."""
 
-    def record_released(
-        self, request: queue_order.WaitingRequest, now: float
-    ) -> None:
+    def record_released(self, request: queue_order.WaitingRequest) -> None:
         """Record nothing."""
 
     def arrange(
@@ -87,14 +142,40 @@
         """Return the requests by rank."""
         return sorted(waiting, key=lambda item: queue_order.rank_of(item, now))
 
-    def may_admit(
+    def yields_to_arrivals(
+        self, request: queue_order.WaitingRequest, now: float
+    ) -> bool:
+        """Return False: no capacity is kept."""
+        return False
+
+    def kept_for(
         self,
         request: queue_order.WaitingRequest,
-        capacity: int,
+        pool: headroom.PoolState,
         now: float,
-    ) -> bool:
-        """Return True: no capacity is kept."""
-        return True
+    ) -> Kept | None:
+        """Return None: no capacity is kept."""
+        return None
+
+    def ahead_elsewhere(
+        self, request: queue_order.WaitingRequest, now: float
+    ) -> int:
+        """Return 0: the load reports hold them."""
+        return 0
+
+    def expected_wait_s(
+        self,
+        request: queue_order.WaitingRequest,
+        ahead: int,
+        pool: headroom.PoolState,
+        now: float,
+    ) -> float:
+        """Return the wait by Little's law, in seconds."""
+        return queue_order.expected_wait_s(
+            ahead=ahead,
+            running=len(pool.releases_s),
+            run_s=pool.generation_s,
+        )
 
     def is_hopeless(
         self,
@@ -104,3 +185,9 @@
     ) -> bool:
         """Whether the request can't be served in time after the wait."""
         return queue_order.will_be_infeasible(request, wait_s, now)
+
+    def return_in_s(
+        self, wait_s: float, pool: headroom.PoolState, now: float
+    ) -> float:
+        """Return the wait: refused requests have no order."""
+        return wait_s
--- a/rackpost/gateway/admission_queue.py
+++ b/rackpost/gateway/admission_queue.py
@@ -2,17 +2,26 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from typing import Callable
+from typing import Iterator
 from typing import NamedTuple
 
+import msgspec
+
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_load
 from rackpost.decide import fleet_size
 from rackpost.decide import plain_queue
 from rackpost.decide import queue_order
 from rackpost.decide import token_timing as token_timing_mod
+from rackpost.decide.waiting import contender
+from rackpost.decide.waiting import headroom
+from rackpost.decide.waiting import order as order_mod
+from rackpost.decide.waiting import orders as orders_mod
 from rackpost.gateway import reservation as reservation_mod
+from rackpost import metrics as metrics_mod
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -38,6 +47,11 @@
 # When nothing was admitted for this long, in seconds, one request that seems
 # infeasible is admitted: rejected requests never correct a wrong estimate.
 _PROBE_INTERVAL_S = 1.0
+# Interval at which waiting requests are checked for whether they will be
+# served, in seconds.
+_FORESIGHT_INTERVAL_S = 0.1
+# Bound of waits that can't be foreseen, in seconds, for logs and refusals.
+_MAX_WAIT_S = 60.0
 
 
 def _reservable_tokens(request: reservation_mod.ReservationRequest) -> int:
@@ -64,6 +78,8 @@
         self.result: asyncio.Future[
             reservation_mod.DecodeReservation | reservation_mod.NoCapacity
         ] = asyncio.get_running_loop().create_future()
+        # Why it was kept waiting while there was capacity.
+        self.kept: set[order_mod.Kept] = set()
 
 
 class AdmissionQueue:
@@ -80,12 +96,15 @@
         capacity_changed: asyncio.Event,
         on_waiters_changed: Callable[[], None],
         split: bool = True,
+        orders: orders_mod.Orders | None = None,
+        metrics: metrics_mod.Metrics | None = None,
     ) -> None:
         """`capacity_changed` is set when capacity may be available.
 
         `on_waiters_changed` is called when the waiting requests that are
         reported to other gateways have changed.  Without `split` all prompts
-        are prefilled in place.
+        are prefilled in place.  `orders` holds the order of each service;
+        by default all are served by deadline.
         """
         self._loop = asyncio.get_running_loop()
         self._chooser = chooser
@@ -95,10 +114,14 @@
         self._vm = vm
         self._on_waiters_changed = on_waiters_changed
         self._split = split
+        self._orders = orders or orders_mod.Orders(vm=vm)
+        self._metrics = metrics or metrics_mod.Metrics()
         self._capacity_changed = capacity_changed
         self._waiters: list[_Waiter] = []
         # Clock reading of the last reservation.
         self._last_reserved_at = self._loop.time()
+        # Clock reading of the last check by expected waits.
+        self._foreseen_at = self._loop.time()
 
     def most_urgent_waiters(
         self, now: float
@@ -108,10 +131,37 @@
             queue_order.summarize(waiter.request.waiting_request, now)
             for waiter in self._waiters
             if not waiter.result.done()
+            and not self._orders.contends(waiter.request.service)
         ]
         summaries.sort(key=lambda item: item.rank(0.0))
         return tuple(summaries[:_MAX_REPORTED])
 
+    def contention_reports(
+        self, now: float
+    ) -> dict[types.ServiceName, contender.ContentionReport]:
+        """Return what to report of services with a contention order."""
+        found = {}
+        for service in self._orders.services():
+            waiting = [
+                item.request.waiting_request for item in self._open(service)
+            ]
+            report = self._orders.order_for(service).report(waiting, now)
+            if report is not None:
+                found[service] = report
+        return found
+
+    def _open(self, service: types.ServiceName) -> list[_Waiter]:
+        return [
+            item
+            for item in self._waiters
+            if item.request.service == service and not item.result.done()
+        ]
+
+    def _order(
+        self, request: reservation_mod.ReservationRequest
+    ) -> order_mod.AdmissionOrder:
+        return self._orders.order_for(request.service)
+
     async def reserve(
         self, request: reservation_mod.ReservationRequest
     ) -> reservation_mod.DecodeReservation | reservation_mod.NoCapacity:
@@ -122,6 +172,7 @@
         now = self._loop.time()
         waiter = _Waiter(request=request)
         self._waiters.append(waiter)
+        self._order(request).record_arrival(request.waiting_request, now)
         self._admit()
         if not waiter.result.done():
             self._reject_if_infeasible(waiter, now)
@@ -156,20 +207,24 @@
         return reservation_mod.DecodeReservation(
             endpoint=endpoint,
             prefill_endpoint=None,
-            release_capacity=self._loads.add_request(
-                endpoint.id, run=request.run
-            ),
+            release_capacity=self._add_run(request, endpoint),
             release_prefill=_release_nothing,
             on_change=self._capacity_changed.set,
             reserved_at=now,
         )
 
     def _reject_if_infeasible(self, waiter: _Waiter, now: float) -> None:
-        claim = waiter.request.waiting_request
-        wait_s = self._expected_wait_s(waiter.request, now)
-        infeasible = queue_order.will_be_infeasible(claim, wait_s, now)
-        if infeasible or len(self._waiters) > _MAX_WAITING:
-            self._resolve(waiter, self._no_capacity(waiter.request, now))
+        request = waiter.request
+        wait_s = self._expected_wait_s(request, now)
+        if self._order(request).is_hopeless(
+            request.waiting_request, wait_s, now
+        ):
+            reason = reservation_mod.RefusalReason.HOPELESS
+        elif len(self._waiters) > _MAX_WAITING:
+            reason = reservation_mod.RefusalReason.QUEUE_FULL
+        else:
+            return
+        self._resolve(waiter, self._no_capacity(waiter, now, reason))
 
     def _available_in_s(
         self, request: reservation_mod.ReservationRequest, now: float
@@ -190,12 +245,7 @@
         self, request: reservation_mod.ReservationRequest, now: float
     ) -> float:
         """Return the expected time until a request is admitted."""
-        rank = queue_order.rank_of(request.waiting_request, now)
-        ahead = sum(
-            queue_order.rank_of(item.request.waiting_request, now) <= rank
-            for item in self._waiters
-            if item.request is not request
-        )
+        ahead = self._ahead_here(request, now)
         delay_s = self._availability_delay_s(request, ahead, now)
         if (
             delay_s > 0.0
@@ -205,6 +255,22 @@
             return delay_s
         return delay_s + self._queue_s(request, ahead, now)
 
+    def _ahead_here(
+        self, request: reservation_mod.ReservationRequest, now: float
+    ) -> int:
+        """Return how many requests in this queue have precedence."""
+        if self._orders.contends(request.service):
+            arranged = self._arranged(request.service, now)
+            found = [item.request for item in arranged]
+            return found.index(request) if request in found else len(found)
+        rank = queue_order.rank_of(request.waiting_request, now)
+        return sum(
+            queue_order.rank_of(item.request.waiting_request, now) <= rank
+            for item in self._waiters
+            if item.request is not request
+            and not self._orders.contends(item.request.service)
+        )
+
     def _availability_delay_s(
         self,
         request: reservation_mod.ReservationRequest,
@@ -238,25 +304,99 @@
         now: float,
     ) -> float:
         """Return how long the requests ahead will take, in seconds."""
-        summary = queue_order.summarize(request.waiting_request, now)
-        return queue_order.expected_wait_s(
-            ahead=ahead + self._loads.waiting_ahead(summary, self._vm, now),
-            running=self._chooser.running_generations(request.service, now),
-            run_s=self._token_timing.generation_s,
+        ahead += self._ahead_elsewhere(request, now)
+        if not self._orders.contends(request.service):
+            return queue_order.expected_wait_s(
+                ahead=ahead,
+                running=self._chooser.running_generations(
+                    request.service, now
+                ),
+                run_s=self._token_timing.generation_s,
+            )
+        return self._order(request).expected_wait_s(
+            request.waiting_request,
+            ahead,
+            self._pool_state(request, now),
+            now,
         )
 
-    def _no_capacity(
+    def _ahead_elsewhere(
         self, request: reservation_mod.ReservationRequest, now: float
+    ) -> int:
+        """Return how many requests at other gateways have precedence."""
+        claim = request.waiting_request
+        if self._orders.contends(request.service):
+            return self._order(request).ahead_elsewhere(claim, now)
+        summary = queue_order.summarize(claim, now)
+        return self._loads.waiting_ahead(summary, self._vm, now)
+
+    def _pool_state(
+        self, request: reservation_mod.ReservationRequest, now: float
+    ) -> headroom.PoolState:
+        """Return the decode capacity and the releases to come."""
+        candidates = self._chooser.candidates
+        in_place = self._in_place_terms(request, now)
+        found = candidates.available_by(
+            request.service, types.Role.DECODE, math.inf, now
+        )
+        runs = (
+            run for item in found for run in self._loads.total(item.id).runs
+        )
+        prefill_s = self._token_timing.prefill_s(request.run.held_tokens)
+        prefills = len(candidates.members(request.service, types.Role.PREFILL))
+        return headroom.PoolState(
+            capacity=self._decode_capacity(request, in_place, now),
+            endpoints=len(found),
+            releases_s=sorted(
+                self._token_timing.decode_s(run.remaining_tokens)
+                for run in runs
+            ),
+            generation_s=self._token_timing.generation_s,
+            prefills_per_s=(
+                prefills / prefill_s if in_place is None and prefill_s else 0.0
+            ),
+        )
+
+    def _decode_capacity(
+        self,
+        request: reservation_mod.ReservationRequest,
+        in_place: endpoint_choice.InPlacePrefill | None,
+        now: float,
+    ) -> int:
+        return self._chooser.decode_capacity(
+            request.service,
+            request.run,
+            _reservable_tokens(request),
+            in_place=in_place,
+            now=now,
+        )
+
+    def _no_capacity(
+        self,
+        waiter: _Waiter,
+        now: float,
+        reason: reservation_mod.RefusalReason,
     ) -> reservation_mod.NoCapacity:
+        request = waiter.request
         wait_s = self._expected_wait_s(request, now)
         jitter = self._rng.random()
+        return_in_s = wait_s
+        if self._orders.contends(request.service):
+            # Places in an order need no spread.
+            jitter = 0.0
+            return_in_s = self._order(request).return_in_s(
+                wait_s, self._pool_state(request, now), now
+            )
         retry_after_s = queue_order.retry_after_s(
-            request.waiting_request, wait_s, now, jitter
+            request.waiting_request, return_in_s, now, jitter
         )
         # A retry before an endpoint takes requests again would fail too.
         retry_after_s = max(retry_after_s, self._available_in_s(request, now))
         return reservation_mod.NoCapacity(
-            retry_after_s=retry_after_s, expected_wait_s=wait_s
+            retry_after_s=retry_after_s,
+            expected_wait_s=min(wait_s, _MAX_WAIT_S),
+            reason=reason,
+            kept=tuple(sorted(item.value for item in waiter.kept)),
         )
 
     def _release(self, waiter: _Waiter) -> None:
@@ -267,19 +407,70 @@
 
     def _admit(self) -> None:
         now = self._loop.time()
-        self._waiters.sort(
+        self._sort(now)
+        self._reject_infeasible(now)
+        for waiters in self._passes():
+            self._admit_in_order(waiters, now)
+
+    def _sort(self, now: float) -> None:
+        """Sort all waiting requests, those of each order together."""
+        arranged = [
+            item
+            for service in self._contending_services()
+            for item in self._arranged(service, now)
+        ]
+        self._waiters = sorted(
+            (
+                item
+                for item in self._waiters
+                if not self._orders.contends(item.request.service)
+            ),
             key=lambda item: queue_order.rank_of(
                 item.request.waiting_request, now
-            )
+            ),
         )
-        self._reject_infeasible(now)
+        self._waiters += arranged
+
+    def _contending_services(self) -> list[types.ServiceName]:
+        found = {item.request.service for item in self._waiters}
+        return sorted(item for item in found if self._orders.contends(item))
+
+    def _arranged(
+        self, service: types.ServiceName, now: float
+    ) -> list[_Waiter]:
+        """Return the waiters of a service in its contention order."""
+        waiters = [
+            item for item in self._waiters if item.request.service == service
+        ]
+        by_id = {id(item.request.waiting_request): item for item in waiters}
+        arranged = self._orders.order_for(service).arrange(
+            [item.request.waiting_request for item in waiters], now
+        )
+        return [by_id[id(item)] for item in arranged]
+
+    def _passes(self) -> Iterator[list[_Waiter]]:
+        """Yield the waiters of each order, the first to be admitted first."""
+        yield [
+            item
+            for item in self._waiters
+            if not self._orders.contends(item.request.service)
+        ]
+        for service in self._contending_services():
+            yield [
+                item
+                for item in self._waiters
+                if item.request.service == service
+            ]
+
+    def _admit_in_order(self, waiters: list[_Waiter], now: float) -> None:
         unplaced = 0
-        for waiter in list(self._waiters):
+        for waiter in waiters:
             if waiter.result.done():
                 continue
             plan = self._plan_prefill(waiter.request, now)
-            if plan is not None and not self._has_precedence(
-                waiter.request, plan, now
+            if plan is not None and (
+                not self._has_precedence(waiter.request, plan, now)
+                or self._is_kept_waiting(waiter, plan, now)
             ):
                 return
             reservation = plan and self._reserve(waiter.request, plan, now)
@@ -291,9 +482,35 @@
             if unplaced >= _MAX_UNPLACED:
                 return
 
+    def _is_kept_waiting(
+        self, waiter: _Waiter, plan: _PrefillPlan, now: float
+    ) -> bool:
+        """Whether the capacity is kept for others that are to come."""
+        request = waiter.request
+        claim = request.waiting_request
+        order = self._order(request)
+        if not order.yields_to_arrivals(claim, now):
+            return False
+        pool = self._pool_state(request, now)
+        ahead = self._ahead_elsewhere(request, now)
+        kept = order.kept_for(
+            claim,
+            msgspec.structs.replace(pool, capacity=pool.capacity - ahead),
+            now,
+        )
+        if kept is None or pool.capacity <= 0:
+            return False
+        if kept not in waiter.kept:
+            waiter.kept.add(kept)
+            self._metrics.count("kept_waiting", kept, request.service)
+        return True
+
     def _reject_infeasible(self, now: float) -> None:
         """Reject requests that will miss their deadline in the queue."""
         ahead = 0
+        foresees = now >= self._foreseen_at + _FORESIGHT_INTERVAL_S
+        if foresees:
+            self._foreseen_at = now
         for waiter in list(self._waiters):
             request = waiter.request
             available_at = now + self._availability_delay_s(
@@ -306,8 +523,14 @@
             ):
                 reservation = self._probe(request, now)
                 self._resolve(
-                    waiter, reservation or self._no_capacity(request, now)
+                    waiter,
+                    reservation
+                    or self._no_capacity(
+                        waiter, now, reservation_mod.RefusalReason.TOO_LATE
+                    ),
                 )
+            elif foresees and self._orders.contends(request.service):
+                self._reject_if_infeasible(waiter, now)
             else:
                 ahead += 1
 
@@ -337,8 +560,7 @@
         now: float,
     ) -> bool:
         """Whether capacity remains after more urgent requests elsewhere."""
-        summary = queue_order.summarize(request.waiting_request, now)
-        ahead = self._loads.waiting_ahead(summary, self._vm, now)
+        ahead = self._ahead_elsewhere(request, now)
         # Two prompts that one decode endpoint prefills at once delay all its
         # streams, so that prefills in place take turns even among few
         # gateways.
@@ -348,13 +570,7 @@
             <= fleet_size.MAX_GATEWAYS_WITHOUT_RACES
         ):
             return True
-        capacity = self._chooser.decode_capacity(
-            request.service,
-            request.run,
-            _reservable_tokens(request),
-            in_place=plan.in_place,
-            now=now,
-        )
+        capacity = self._decode_capacity(request, plan.in_place, now)
         if plan.in_place is None:
             capacity = min(capacity, self._prefill_capacity(request, now))
         return ahead < capacity
@@ -412,9 +628,7 @@
         if endpoint is None:
             return None
         self._last_reserved_at = now
-        release_capacity = self._loads.add_request(
-            endpoint.id, run=request.run
-        )
+        release_capacity = self._add_run(request, endpoint)
         self._chooser.candidates.record_selection(endpoint, now)
         if plan.prefill_endpoint is None:
             release_prefill = self._reserve_prefill_in_place(
@@ -436,6 +650,22 @@
             reserved_at=now,
         )
 
+    def _add_run(
+        self,
+        request: reservation_mod.ReservationRequest,
+        endpoint: endpoints.Endpoint,
+    ) -> Callable[[], None]:
+        """Count a run at an endpoint; return what releases it."""
+        release = self._loads.add_request(endpoint.id, run=request.run)
+        order = self._order(request)
+        order.record_admitted(request.waiting_request)
+
+        def release_capacity() -> None:
+            release()
+            order.record_released(request.waiting_request)
+
+        return release_capacity
+
     def _find_prefill_endpoint(
         self, request: reservation_mod.ReservationRequest, now: float
     ) -> endpoints.Endpoint | None:
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -319,6 +319,8 @@
             expected_out=self._progress.run.remaining_tokens,
             came_back=self._refused_before,
             waited_s=round(call.site.loop_time() - call.began, 3),
+            reason=no_capacity.reason.value,
+            kept=no_capacity.kept,
         )
         if call.may_have_run:
             call.fail(call_mod.Reason.NO_ROOM, 502)
--- a/rackpost/gateway/load_exchange.py
+++ b/rackpost/gateway/load_exchange.py
@@ -73,6 +73,7 @@
             now,
             waiting=msg.waiting,
         )
+        site.orders.receive(msg.vm, msg.contention, now)
         site.add_gateway(
             messages.GatewayAddress(vm=msg.vm, load_address=msg.load_address)
         )
@@ -134,6 +135,7 @@
             quotas=site.quotas.next_report(now),
             backoffs=site.eligibility.remaining_backoffs(now),
             named_rates=site.eligibility.rates.next_updates(now),
+            contention=site.admission_queue.contention_reports(now),
         )
 
     @contextlib.asynccontextmanager
--- a/rackpost/gateway/reservation.py
+++ b/rackpost/gateway/reservation.py
@@ -1,5 +1,6 @@
 """What a generation needs of a decode endpoint, and its reservation there."""
 
+import enum
 from typing import Callable
 from typing import Sequence
 
@@ -32,16 +33,30 @@
     in_place: bool = False
 
 
+class RefusalReason(enum.Enum):
+    """Why a generation gets no capacity."""
+
+    # The time that it needs is more than it has left.
+    TOO_LATE = "too-late"
+    # What will be released goes to requests ahead of it.
+    HOPELESS = "hopeless"
+    QUEUE_FULL = "queue-full"
+
+
 class NoCapacity(msgspec.Struct, frozen=True, kw_only=True):
     """No decode endpoint will have capacity in time.
 
     Attributes:
         retry_after_s: when the caller should retry, in seconds.
         expected_wait_s: how long the request would have waited.
+        reason: why it gets none.
+        kept: for whom capacity was kept while it waited.
     """
 
     retry_after_s: float
     expected_wait_s: float
+    reason: RefusalReason = RefusalReason.TOO_LATE
+    kept: tuple[str, ...] = ()
 
 
 class DecodeReservation:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -24,6 +24,7 @@
 from rackpost.decide import retry_budget
 from rackpost.decide import role_balance
 from rackpost.decide import token_timing as token_timing_mod
+from rackpost.decide.waiting import orders as orders_mod
 from rackpost.gateway import admission_queue as admission_queue_mod
 from rackpost.gateway import crash_tracker as crash_tracker_mod
 from rackpost.gateway import planned_stop
@@ -95,6 +96,13 @@
         self.token_timing = token_timing_mod.TokenTiming()
         self.answer_lengths = answer_lengths.AnswerLengths()
         self.refusals = recent_refusals_mod.RefusalTable()
+        self.orders = orders_mod.Orders(
+            vm=host.vm,
+            has_contention=lambda service: self.has_feature(
+                service, features.Feature.CONTENTION_ORDER
+            ),
+            weight_of=self._weight_of,
+        )
         self.admission_queue = admission_queue_mod.AdmissionQueue(
             chooser=self.chooser,
             loads=self.loads,
@@ -104,6 +112,8 @@
             vm=host.vm,
             on_waiters_changed=self.loads_changed.set,
             split=policy.split,
+            orders=self.orders,
+            metrics=self.metrics,
         )
         self.quotas = quota_buckets.SharedBuckets(
             settings=_quota_settings(host.bounds),
@@ -143,6 +153,14 @@
         item = self.routes.organisations.by_name(name)
         return None if item is None else item.quota
 
+    def _weight_of(self, name: types.OrganisationName | None) -> float | None:
+        """Return the weight of an organisation's share: its quota."""
+        found = None if name is None else self._quota_of(name)
+        # Quotas in requests and in tokens can't be compared.
+        if found is None or not found.by_tokens:
+            return None
+        return found.rate_per_s
+
     def loop_time(self) -> float:
         """Return the loop's monotonic clock, in seconds."""
         return self._loop.time()
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -23,6 +23,7 @@
 from rackpost.decide import kv_forecast
 from rackpost.decide import queue_order
 from rackpost.decide import token_timing as token_timing_mod
+from rackpost.decide.waiting import orders as orders_mod
 from rackpost.gateway import admission_queue as admission_queue_mod
 from rackpost.gateway import reservation as reservation_mod
 from rackpost.routing import endpoints
@@ -38,6 +39,21 @@
 _IN_PLACE_SLOWDOWN = 2.0
 
 
+class Kind(msgspec.Struct, frozen=True, kw_only=True):
+    """A kind of request; times in seconds.
+
+    Attributes:
+        weight: its share of all requests, against the other kinds.
+        surge_weight: the same during the surge; None if unchanged.
+    """
+
+    name: str
+    priority: int
+    target_s: float
+    weight: float
+    surge_weight: float | None = None
+
+
 class Spec(msgspec.Struct, frozen=True, kw_only=True):
     """A fleet and its load; times in seconds, sizes in tokens.
 
@@ -71,11 +87,43 @@
     max_pause_s: float = 0.3
     # Delay of other gateways' load reports.
     report_delay_s: float = 0.013
+    # With kinds, their targets and priorities replace `target_s` and 1.
+    kinds: tuple[Kind, ...] = ()
+    organisations: int = 1
+    # During the surge the first organisation sends this many times its usual.
+    hot_factor: float = 1.0
+    # How often a refused client comes back.
+    returns: int = 0
+    # Whether gateways use the contention order.
+    contention: bool = False
+
+
+class Tally(msgspec.Struct, kw_only=True):
+    """The number of requests of one kind or organisation by outcome."""
+
+    requests: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+
+    @property
+    def served(self) -> float:
+        """The share of the requests that was answered."""
+        return (self.in_time + self.late) / max(1, self.requests)
+
+    @property
+    def timely(self) -> float:
+        """The share of the requests that was answered in time."""
+        return self.in_time / max(1, self.requests)
 
 
 class Outcome(msgspec.Struct, kw_only=True):
     """The number of requests by outcome, and the cost of the run."""
 
+    # By name of the kind, and by number of the organisation.
+    by_kind: dict[str, Tally] = msgspec.field(default_factory=dict)
+    by_organisation: dict[str, Tally] = msgspec.field(default_factory=dict)
+
     requests: int = 0
     in_time: int = 0
     late_start: int = 0
@@ -111,6 +159,18 @@
         return self.prompt + int(self.generated)
 
 
+class _Caller:
+    """Who sent a request, and how often it was refused."""
+
+    def __init__(
+        self, *, kind: Kind, organisation: types.OrganisationName, began: float
+    ) -> None:
+        self.kind = kind
+        self.organisation = organisation
+        self.began = began
+        self.refusals = 0
+
+
 class _DecodeEngine:
     """A simulated decode endpoint."""
 
@@ -240,6 +300,9 @@
             rng=rng,
         )
         chooser.set_gateways(spec.gateways)
+        self.orders = orders_mod.Orders(
+            vm=self.vm, has_contention=lambda _: spec.contention
+        )
         self.admission_queue = admission_queue_mod.AdmissionQueue(
             chooser=chooser,
             loads=self.loads,
@@ -248,6 +311,7 @@
             vm=self.vm,
             capacity_changed=self.capacity_changed,
             on_waiters_changed=self.load_changed.set,
+            orders=self.orders,
         )
         # Timings of a gateway that has served for some time.
         self.token_timing.record_prefill(1000, 1000 * spec.prefill_token_s)
@@ -372,13 +436,51 @@
         now = self._loop.time()
         uses = gateway.reported_loads()
         first = gateway.admission_queue.most_urgent_waiters(now)
+        contention = gateway.admission_queue.contention_reports(now)
         for other in self._gateways:
             if other is not gateway:
                 other.loads.receive(
                     gateway.vm, 1, gateway.sequence, uses, now, waiting=first
                 )
+                other.orders.receive(gateway.vm, contention, now)
                 other.capacity_changed.set()
 
+    def _caller(self) -> _Caller:
+        """Return who sends the next request, and of which kind."""
+        spec = self._spec
+        since = self._loop.time() - spec.surge_at
+        surge = 0.0 <= since < spec.surge_s
+        kind = Kind(name="", priority=1, target_s=spec.target_s, weight=1.0)
+        if spec.kinds:
+            weights = [
+                (
+                    item.surge_weight
+                    if surge and item.surge_weight is not None
+                    else item.weight
+                )
+                for item in spec.kinds
+            ]
+            kind = self._rng.choices(spec.kinds, weights)[0]
+        organisation = 0
+        if spec.organisations > 1:
+            usual = [1.0] * (spec.organisations - 1)
+            hot = spec.hot_factor if surge else 1.0
+            organisation = self._rng.choices(
+                range(spec.organisations), [hot, *usual]
+            )[0]
+        return _Caller(
+            kind=kind,
+            organisation=types.OrganisationName(f"o{organisation}"),
+            began=self._loop.time(),
+        )
+
+    def _tallies(self, caller: _Caller) -> list[Tally]:
+        outcome = self.outcome
+        return [
+            outcome.by_kind.setdefault(caller.kind.name, Tally()),
+            outcome.by_organisation.setdefault(caller.organisation, Tally()),
+        ]
+
     async def _request(self) -> None:
         spec = self._spec
         rng = self._rng
@@ -391,9 +493,20 @@
         )
         off = rng.lognormvariate(0.0, spec.guess_spread)
         guess = min(spec.max_answer, int(answer * off))
-        began = self._loop.time()
-        while not await self._attempt(gateway, prompt, answer, guess, began):
-            self.outcome.rejected += 1
+        caller = self._caller()
+        for tally in self._tallies(caller):
+            tally.requests += 1
+        while True:
+            retry_after_s = await self._attempt(
+                gateway, prompt, answer, guess, caller
+            )
+            if retry_after_s is None:
+                return
+            if retry_after_s > 0.0:
+                await asyncio.sleep(retry_after_s)
+                gateway = rng.choice(self._gateways)
+            else:
+                self.outcome.rejected += 1
 
     async def _attempt(
         self,
@@ -401,9 +514,12 @@
         prompt: int,
         answer: int,
         guess: int,
-        began: float,
-    ) -> bool:
-        """Make one attempt; return False if the endpoint rejects it."""
+        caller: _Caller,
+    ) -> float | None:
+        """Make one attempt; return when to retry, None if it is over.
+
+        0 if the endpoint rejects it.
+        """
         spec = self._spec
         progress = kv_forecast.Progress(
             prompt=prompt,
@@ -414,12 +530,15 @@
         )
         reservation = await gateway.admission_queue.reserve(
             _reservation_request(
-                spec, gateway.token_timing, progress.run, began
+                spec,
+                gateway.token_timing,
+                progress.run,
+                caller,
+                self._loop.time(),
             )
         )
         if isinstance(reservation, reservation_mod.NoCapacity):
-            self.outcome.refused += 1
-            return True
+            return self._refused(caller, reservation)
         try:
             if reservation.prefill_endpoint is not None:
                 took = await self._prefill_engines[
@@ -434,17 +553,32 @@
                 gateway.health.record_rejection(
                     reservation.endpoint.id, reservation.reserved_at
                 )
-                return False
+                return 0.0
             await stream.ended.wait()
         finally:
             reservation.release()
         gateway.lengths.record_answer(guess=guess, actual=answer)
-        self._record_outcome(stream, began)
-        return True
-
-    def _record_outcome(self, stream: _Stream, began: float) -> None:
-        late = stream.first_at - began > self._spec.target_s
+        self._record_outcome(stream, caller)
+        return None
+
+    def _refused(
+        self, caller: _Caller, refusal: reservation_mod.NoCapacity
+    ) -> float | None:
+        """Return after how long the client comes back, None if never."""
+        if caller.refusals < self._spec.returns:
+            caller.refusals += 1
+            return max(0.001, refusal.retry_after_s)
+        self.outcome.refused += 1
+        for tally in self._tallies(caller):
+            tally.refused += 1
+        return None
+
+    def _record_outcome(self, stream: _Stream, caller: _Caller) -> None:
+        late = stream.first_at - caller.began > caller.kind.target_s
         paused = stream.longest_pause_s > self._spec.max_pause_s
+        for tally in self._tallies(caller):
+            tally.late += late or paused
+            tally.in_time += not (late or paused)
         self.outcome.late_start += late
         self.outcome.long_pause += paused
         self.outcome.in_time += not (late or paused)
@@ -454,8 +588,16 @@
     spec: Spec,
     pace: token_timing_mod.TokenTiming,
     run: kv_forecast.Run,
-    began: float,
+    caller: _Caller,
+    now: float,
 ) -> reservation_mod.ReservationRequest:
+    kind = caller.kind
+    began = caller.began
+    # As gateways do: a request that comes back is late, and has its client's
+    # patience again.
+    returned = caller.refusals > 0
+    target = now if returned else began + kind.target_s
+    start_by = now if returned else began
     start_s = pace.start_s(run.held_tokens)
     return reservation_mod.ReservationRequest(
         service=SERVICE,
@@ -464,9 +606,12 @@
         exclude=(),
         event_interval_s=pace.decode_s(spec.event_tokens),
         waiting_request=queue_order.WaitingRequest(
-            priority=1,
-            target=began + spec.target_s,
-            start_by=began + _PATIENCE_TARGETS * spec.target_s,
+            priority=kind.priority,
+            target=target,
+            start_by=start_by + _PATIENCE_TARGETS * kind.target_s,
+            refused_before=returned,
+            organisation=caller.organisation,
+            arrived_at=now,
             deadline=began + 14.0,
             start_s=start_s,
             generation_s=start_s + pace.decode_s(run.remaining_tokens),
--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -59,8 +59,8 @@
 
 
 def test_a_mix_of_kinds_turns_the_uneven_parts_on() -> None:
-    """Three kinds of one priority compete, but none is more urgent."""
+    """Three kinds of one priority share the overload of their pool."""
     found = _features(_stream("a"), _stream("b"), _stream("c"))
     assert features.Feature.LARGE_RESERVATIONS in found
     assert features.Feature.EARLY_ROLES in found
-    assert features.Feature.CONTENTION_ORDER not in found
+    assert features.Feature.CONTENTION_ORDER in found
