--- a/rackpost/decide/waiting/contention.py
+++ b/rackpost/decide/waiting/contention.py
@@ -326,8 +326,6 @@
         self, wait_s: float, pool: headroom.PoolState, now: float
     ) -> float:
         """Take a place in the order of return; return when it is due."""
-        if math.isinf(wait_s):
-            wait_s = pool.generation_s
         # All gateways give places of their own, so that each gives few.
         spacing_s = (
             pool.generation_s
--- a/rackpost/decide/waiting/headroom.py
+++ b/rackpost/decide/waiting/headroom.py
@@ -16,8 +16,9 @@
 # Share of the expected arrivals that surely come.  A request is refused only
 # if even these take what it waits for.
 _SURE_SHARE = 0.7
-# Waits are estimated over this many times the mean duration of a generation.
-_CYCLES = 3
+# How long arrivals are assumed to go on, in seconds: as long as they were
+# observed.
+_FORESEEN_S = 2.0
 
 
 class PoolState(msgspec.Struct, frozen=True, kw_only=True):
@@ -72,8 +73,7 @@
 ) -> float:
     """Return the expected wait for capacity, in seconds.
 
-    `ahead` requests and the arrivals at `rates` are served before.  Infinite
-    if these take all that becomes available in the next seconds.
+    `ahead` requests and the arrivals of the next seconds are served before.
     """
     per_s = _SURE_SHARE * sum(item.per_s for item in rates)
     return max(
@@ -88,19 +88,19 @@
     releases = pool.releases_s
     if not releases:
         return (ahead + 1) * pool.generation_s
-    needed = ahead + 1 - pool.capacity
-    period_s = max(pool.generation_s, releases[-1])
-    for cycle in range(_CYCLES):
-        for number, left_s in enumerate(releases, 1):
-            at = cycle * period_s + left_s
-            free = cycle * len(releases) + number
-            if free >= needed + per_s * at:
-                return at
-    return math.inf
+    needed = ahead + 1.0 - pool.capacity
+    for number, at in enumerate(releases, 1):
+        if number >= needed + per_s * min(at, _FORESEEN_S):
+            return at
+    # What is admitted meanwhile is released at the same rate.
+    needed += per_s * _FORESEEN_S
+    return max(pool.generation_s, releases[-1]) * needed / len(releases)
 
 
 def _prefill_wait_s(ahead: int, per_s: float, pool: PoolState) -> float:
     if pool.prefills_per_s <= 0.0 or ahead == 0:
         return 0.0
     spare_per_s = pool.prefills_per_s - per_s
-    return ahead / spare_per_s if spare_per_s > 0.0 else math.inf
+    if spare_per_s > 0.0 and ahead <= spare_per_s * _FORESEEN_S:
+        return ahead / spare_per_s
+    return (ahead + per_s * _FORESEEN_S) / pool.prefills_per_s
--- a/rackpost/decide/waiting/order.py
+++ b/rackpost/decide/waiting/order.py
@@ -80,10 +80,7 @@
         pool: headroom.PoolState,
         now: float,
     ) -> float:
-        """Return the expected wait behind `ahead` others, in seconds.
-
-        Infinite if it can't be foreseen.
-        """
+        """Return the expected wait behind `ahead` others, in seconds."""
 
     @abc.abstractmethod
     def is_hopeless(
--- a/rackpost/gateway/admission_queue.py
+++ b/rackpost/gateway/admission_queue.py
@@ -5,7 +5,6 @@
 import math
 import random
 from typing import Callable
-from typing import Iterator
 from typing import NamedTuple
 
 import msgspec
@@ -18,9 +17,9 @@
 from rackpost.decide import token_timing as token_timing_mod
 from rackpost.decide.waiting import contender
 from rackpost.decide.waiting import headroom
-from rackpost.decide.waiting import order as order_mod
 from rackpost.decide.waiting import orders as orders_mod
 from rackpost.gateway import reservation as reservation_mod
+from rackpost.gateway import waiters as waiters_mod
 from rackpost import metrics as metrics_mod
 from rackpost.routing import endpoints
 from rackpost import types
@@ -50,8 +49,6 @@
 # Interval at which waiting requests are checked for whether they will be
 # served, in seconds.
 _FORESIGHT_INTERVAL_S = 0.1
-# Bound of waits that can't be foreseen, in seconds, for logs and refusals.
-_MAX_WAIT_S = 60.0
 
 
 def _reservable_tokens(request: reservation_mod.ReservationRequest) -> int:
@@ -70,18 +67,6 @@
     in_place: endpoint_choice.InPlacePrefill | None
 
 
-class _Waiter:
-    """A waiting generation and the future of its result."""
-
-    def __init__(self, *, request: reservation_mod.ReservationRequest) -> None:
-        self.request = request
-        self.result: asyncio.Future[
-            reservation_mod.DecodeReservation | reservation_mod.NoCapacity
-        ] = asyncio.get_running_loop().create_future()
-        # Why it was kept waiting while there was capacity.
-        self.kept: set[order_mod.Kept] = set()
-
-
 class AdmissionQueue:
     """Reserves decode endpoints for waiting generations, by deadline."""
 
@@ -114,10 +99,12 @@
         self._vm = vm
         self._on_waiters_changed = on_waiters_changed
         self._split = split
-        self._orders = orders or orders_mod.Orders(vm=vm)
+        self._sorter = waiters_mod.WaiterOrders(
+            orders=orders or orders_mod.Orders(vm=vm)
+        )
         self._metrics = metrics or metrics_mod.Metrics()
         self._capacity_changed = capacity_changed
-        self._waiters: list[_Waiter] = []
+        self._waiters: list[waiters_mod.Waiter] = []
         # Clock reading of the last reservation.
         self._last_reserved_at = self._loop.time()
         # Clock reading of the last check by expected waits.
@@ -127,12 +114,7 @@
         self, now: float
     ) -> tuple[queue_order.WaitingSummary, ...]:
         """Return the waiting requests to report, most urgent first."""
-        summaries = [
-            queue_order.summarize(waiter.request.waiting_request, now)
-            for waiter in self._waiters
-            if not waiter.result.done()
-            and not self._orders.contends(waiter.request.service)
-        ]
+        summaries = self._sorter.by_deadline(self._waiters, now)
         summaries.sort(key=lambda item: item.rank(0.0))
         return tuple(summaries[:_MAX_REPORTED])
 
@@ -140,27 +122,7 @@
         self, now: float
     ) -> dict[types.ServiceName, contender.ContentionReport]:
         """Return what to report of services with a contention order."""
-        found = {}
-        for service in self._orders.services():
-            waiting = [
-                item.request.waiting_request for item in self._open(service)
-            ]
-            report = self._orders.order_for(service).report(waiting, now)
-            if report is not None:
-                found[service] = report
-        return found
-
-    def _open(self, service: types.ServiceName) -> list[_Waiter]:
-        return [
-            item
-            for item in self._waiters
-            if item.request.service == service and not item.result.done()
-        ]
-
-    def _order(
-        self, request: reservation_mod.ReservationRequest
-    ) -> order_mod.AdmissionOrder:
-        return self._orders.order_for(request.service)
+        return self._sorter.reports(self._waiters, now)
 
     async def reserve(
         self, request: reservation_mod.ReservationRequest
@@ -170,9 +132,11 @@
         Returns NoCapacity where the request can't be served in time.
         """
         now = self._loop.time()
-        waiter = _Waiter(request=request)
+        waiter = waiters_mod.Waiter(request=request)
         self._waiters.append(waiter)
-        self._order(request).record_arrival(request.waiting_request, now)
+        self._sorter.order_for(request).record_arrival(
+            request.waiting_request, now
+        )
         self._admit()
         if not waiter.result.done():
             self._reject_if_infeasible(waiter, now)
@@ -213,10 +177,12 @@
             reserved_at=now,
         )
 
-    def _reject_if_infeasible(self, waiter: _Waiter, now: float) -> None:
+    def _reject_if_infeasible(
+        self, waiter: waiters_mod.Waiter, now: float
+    ) -> None:
         request = waiter.request
         wait_s = self._expected_wait_s(request, now)
-        if self._order(request).is_hopeless(
+        if self._sorter.order_for(request).is_hopeless(
             request.waiting_request, wait_s, now
         ):
             reason = reservation_mod.RefusalReason.HOPELESS
@@ -245,7 +211,7 @@
         self, request: reservation_mod.ReservationRequest, now: float
     ) -> float:
         """Return the expected time until a request is admitted."""
-        ahead = self._ahead_here(request, now)
+        ahead = self._sorter.ahead(self._waiters, request, now)
         delay_s = self._availability_delay_s(request, ahead, now)
         if (
             delay_s > 0.0
@@ -255,22 +221,6 @@
             return delay_s
         return delay_s + self._queue_s(request, ahead, now)
 
-    def _ahead_here(
-        self, request: reservation_mod.ReservationRequest, now: float
-    ) -> int:
-        """Return how many requests in this queue have precedence."""
-        if self._orders.contends(request.service):
-            arranged = self._arranged(request.service, now)
-            found = [item.request for item in arranged]
-            return found.index(request) if request in found else len(found)
-        rank = queue_order.rank_of(request.waiting_request, now)
-        return sum(
-            queue_order.rank_of(item.request.waiting_request, now) <= rank
-            for item in self._waiters
-            if item.request is not request
-            and not self._orders.contends(item.request.service)
-        )
-
     def _availability_delay_s(
         self,
         request: reservation_mod.ReservationRequest,
@@ -305,7 +255,7 @@
     ) -> float:
         """Return how long the requests ahead will take, in seconds."""
         ahead += self._ahead_elsewhere(request, now)
-        if not self._orders.contends(request.service):
+        if not self._sorter.contends(request.service):
             return queue_order.expected_wait_s(
                 ahead=ahead,
                 running=self._chooser.running_generations(
@@ -313,7 +263,7 @@
                 ),
                 run_s=self._token_timing.generation_s,
             )
-        return self._order(request).expected_wait_s(
+        return self._sorter.order_for(request).expected_wait_s(
             request.waiting_request,
             ahead,
             self._pool_state(request, now),
@@ -325,8 +275,8 @@
     ) -> int:
         """Return how many requests at other gateways have precedence."""
         claim = request.waiting_request
-        if self._orders.contends(request.service):
-            return self._order(request).ahead_elsewhere(claim, now)
+        if self._sorter.contends(request.service):
+            return self._sorter.order_for(request).ahead_elsewhere(claim, now)
         summary = queue_order.summarize(claim, now)
         return self._loads.waiting_ahead(summary, self._vm, now)
 
@@ -373,7 +323,7 @@
 
     def _no_capacity(
         self,
-        waiter: _Waiter,
+        waiter: waiters_mod.Waiter,
         now: float,
         reason: reservation_mod.RefusalReason,
     ) -> reservation_mod.NoCapacity:
@@ -381,10 +331,10 @@
         wait_s = self._expected_wait_s(request, now)
         jitter = self._rng.random()
         return_in_s = wait_s
-        if self._orders.contends(request.service):
+        if self._sorter.contends(request.service):
             # Places in an order need no spread.
             jitter = 0.0
-            return_in_s = self._order(request).return_in_s(
+            return_in_s = self._sorter.order_for(request).return_in_s(
                 wait_s, self._pool_state(request, now), now
             )
         retry_after_s = queue_order.retry_after_s(
@@ -394,12 +344,12 @@
         retry_after_s = max(retry_after_s, self._available_in_s(request, now))
         return reservation_mod.NoCapacity(
             retry_after_s=retry_after_s,
-            expected_wait_s=min(wait_s, _MAX_WAIT_S),
+            expected_wait_s=wait_s,
             reason=reason,
             kept=tuple(sorted(item.value for item in waiter.kept)),
         )
 
-    def _release(self, waiter: _Waiter) -> None:
+    def _release(self, waiter: waiters_mod.Waiter) -> None:
         if waiter.result.done() and not waiter.result.cancelled():
             reservation = waiter.result.result()
             if isinstance(reservation, reservation_mod.DecodeReservation):
@@ -407,62 +357,14 @@
 
     def _admit(self) -> None:
         now = self._loop.time()
-        self._sort(now)
+        self._waiters = self._sorter.sort(self._waiters, now)
         self._reject_infeasible(now)
-        for waiters in self._passes():
+        for waiters in self._sorter.passes(self._waiters):
             self._admit_in_order(waiters, now)
 
-    def _sort(self, now: float) -> None:
-        """Sort all waiting requests, those of each order together."""
-        arranged = [
-            item
-            for service in self._contending_services()
-            for item in self._arranged(service, now)
-        ]
-        self._waiters = sorted(
-            (
-                item
-                for item in self._waiters
-                if not self._orders.contends(item.request.service)
-            ),
-            key=lambda item: queue_order.rank_of(
-                item.request.waiting_request, now
-            ),
-        )
-        self._waiters += arranged
-
-    def _contending_services(self) -> list[types.ServiceName]:
-        found = {item.request.service for item in self._waiters}
-        return sorted(item for item in found if self._orders.contends(item))
-
-    def _arranged(
-        self, service: types.ServiceName, now: float
-    ) -> list[_Waiter]:
-        """Return the waiters of a service in its contention order."""
-        waiters = [
-            item for item in self._waiters if item.request.service == service
-        ]
-        by_id = {id(item.request.waiting_request): item for item in waiters}
-        arranged = self._orders.order_for(service).arrange(
-            [item.request.waiting_request for item in waiters], now
-        )
-        return [by_id[id(item)] for item in arranged]
-
-    def _passes(self) -> Iterator[list[_Waiter]]:
-        """Yield the waiters of each order, the first to be admitted first."""
-        yield [
-            item
-            for item in self._waiters
-            if not self._orders.contends(item.request.service)
-        ]
-        for service in self._contending_services():
-            yield [
-                item
-                for item in self._waiters
-                if item.request.service == service
-            ]
-
-    def _admit_in_order(self, waiters: list[_Waiter], now: float) -> None:
+    def _admit_in_order(
+        self, waiters: list[waiters_mod.Waiter], now: float
+    ) -> None:
         unplaced = 0
         for waiter in waiters:
             if waiter.result.done():
@@ -483,12 +385,12 @@
                 return
 
     def _is_kept_waiting(
-        self, waiter: _Waiter, plan: _PrefillPlan, now: float
+        self, waiter: waiters_mod.Waiter, plan: _PrefillPlan, now: float
     ) -> bool:
         """Whether the capacity is kept for others that are to come."""
         request = waiter.request
         claim = request.waiting_request
-        order = self._order(request)
+        order = self._sorter.order_for(request)
         if not order.yields_to_arrivals(claim, now):
             return False
         pool = self._pool_state(request, now)
@@ -529,7 +431,7 @@
                         waiter, now, reservation_mod.RefusalReason.TOO_LATE
                     ),
                 )
-            elif foresees and self._orders.contends(request.service):
+            elif foresees and self._sorter.contends(request.service):
                 self._reject_if_infeasible(waiter, now)
             else:
                 ahead += 1
@@ -657,7 +559,7 @@
     ) -> Callable[[], None]:
         """Count a run at an endpoint; return what releases it."""
         release = self._loads.add_request(endpoint.id, run=request.run)
-        order = self._order(request)
+        order = self._sorter.order_for(request)
         order.record_admitted(request.waiting_request)
 
         def release_capacity() -> None:
@@ -693,7 +595,7 @@
 
     def _resolve(
         self,
-        waiter: _Waiter,
+        waiter: waiters_mod.Waiter,
         reservation: (
             reservation_mod.DecodeReservation | reservation_mod.NoCapacity
         ),
