--- a/rackpost/decide/waiting/contender.py
+++ b/rackpost/decide/waiting/contender.py
@@ -35,6 +35,7 @@
     `position` counts only over the share.  `at` is a time in seconds.
     """
 
+    is_late: bool
     priority: int
     lateness: Lateness
     over_share: bool
@@ -68,6 +69,7 @@
         slack_s = self.slack_s - age_s
         lateness = lateness_of(slack_s, self.margin_s)
         return ContenderRank(
+            is_late=lateness is Lateness.LATE,
             priority=self.priority,
             lateness=lateness,
             over_share=self.over_share,
@@ -131,6 +133,6 @@
     own_vm: types.VmId,
 ) -> bool:
     """Whether another gateway's request is ahead of this gateway's."""
-    if other[:5] == own[:5] and abs(other.at - own.at) < _TIE_S:
+    if other[:6] == own[:6] and abs(other.at - own.at) < _TIE_S:
         return other_vm < own_vm
     return other < own
--- a/rackpost/decide/waiting/contention.py
+++ b/rackpost/decide/waiting/contention.py
@@ -1,8 +1,9 @@
 """The order of services whose kinds or organisations compete.
 
-A more urgent request is always ahead of a less urgent one.  Among those of
-one priority, requests that can be in time are ahead of late ones, then
-organisations below their max-min share, then the earliest deadline.
+Requests that can be in time are ahead of late ones; among either, a more
+urgent request is always ahead of a less urgent one.  Among those of one
+priority organisations below their max-min share are first, then the earliest
+deadline.
 Capacity is kept for the more urgent arrivals of the next seconds, and for
 those of the same priority where a request is late.
 
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -105,6 +105,8 @@
     in_time: int = 0
     late: int = 0
     refused: int = 0
+    # Started within the target; a pause later does not count.
+    started: int = 0
 
     @property
     def served(self) -> float:
@@ -113,9 +115,14 @@
 
     @property
     def timely(self) -> float:
-        """The share of the requests that was answered in time."""
+        """The share of the requests without a late start or long pause."""
         return self.in_time / max(1, self.requests)
 
+    @property
+    def prompt(self) -> float:
+        """The share of the requests that started in time."""
+        return self.started / max(1, self.requests)
+
 
 class Outcome(msgspec.Struct, kw_only=True):
     """The number of requests by outcome, and the cost of the run."""
@@ -577,6 +584,7 @@
         late = stream.first_at - caller.began > caller.kind.target_s
         paused = stream.longest_pause_s > self._spec.max_pause_s
         for tally in self._tallies(caller):
+            tally.started += not late
             tally.late += late or paused
             tally.in_time += not (late or paused)
         self.outcome.late_start += late
