Claim endpoints for large requests and backfill the rest

A request that needs a quarter or more of an endpoint's KV memory started only when an endpoint happened to be empty: smaller ones took each part that was released. With the feature on, the first large request that waits claims the endpoint where it fits soonest, the claim is told in the load reports, and other requests start there only if they do not delay it. With the feature off nothing changes.

--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -14,6 +14,7 @@
 from rackpost.decide import quota_use
 from rackpost.decide import rate_grants
 from rackpost.decide import role_balance
+from rackpost.decide.waiting import backfill
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -150,6 +151,7 @@
         failed: endpoints that have just failed.
         rejecting: endpoints that have just rejected a request.
         waiting: waiting generations that have precedence.
+        claims: endpoints that are reserved for large generations.
         refused_keys: keys of requests that were refused.
         quotas: what organisations have spent at the sender.
         backoffs: remaining back-off of endpoints, in seconds.
@@ -168,6 +170,7 @@
     quotas: quota.QuotaReport = quota.QuotaReport()
     backoffs: dict[types.EndpointId, float] = {}
     named_rates: tuple[endpoint_rates.RateUpdate, ...] = ()
+    claims: tuple[backfill.Claim, ...] = ()
 
 
 class GrantRequest(_Message, frozen=True, tag="ask-grant"):
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from typing import Collection
 from typing import NamedTuple
 from typing import Sequence
 
@@ -10,6 +11,7 @@
 from rackpost.decide import endpoint_load
 from rackpost.decide import fleet_size
 from rackpost.decide import kv_forecast
+from rackpost.decide.waiting import backfill
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -45,6 +47,18 @@
     min_interval_s: float
 
 
+class LargeTerms(NamedTuple):
+    """What large requests ask of the choice for another request.
+
+    Attributes:
+        claims: claims that must not be delayed.
+        only: the only endpoint that the request may use, None for any.
+    """
+
+    claims: tuple[backfill.Claim, ...] = ()
+    only: types.EndpointId | None = None
+
+
 class Chooser:
     """Chooses among the endpoints known to one gateway."""
 
@@ -196,13 +210,15 @@
         capacity: int,
         *,
         in_place: InPlacePrefill | None = None,
+        large_terms: LargeTerms | None = None,
         exclude: Sequence[types.EndpointId] = (),
         now: float,
     ) -> endpoints.Endpoint | None:
         """Return the decode endpoint with the most free KV memory.
 
         None if none has capacity for `run`.  `capacity` is the KV memory of
-        each endpoint, in tokens.
+        each endpoint, in tokens.  `large_terms` leave out endpoints that are
+        needed for large requests.
         """
         found = self.candidates.find(
             service, types.Role.DECODE, exclude=exclude, now=now
@@ -212,8 +228,62 @@
             peak = self._peak_with(item, [run], capacity, in_place, now)
             if peak is not None:
                 fitting.append((peak * self._distance_factor(item), item))
+        if large_terms is not None:
+            fitting = [
+                pair
+                for pair in fitting
+                if self._may_use(pair[1], run, capacity, large_terms)
+            ]
         return self._pick_lowest(self._prefer_without_backoff(fitting, now))
 
+    def _may_use(
+        self,
+        item: endpoints.Endpoint,
+        run: kv_forecast.Run,
+        capacity: int,
+        terms: LargeTerms,
+    ) -> bool:
+        """Whether a run may start at an endpoint under claims."""
+        if terms.only not in (None, item.id):
+            return False
+        runs = self._loads.total(item.id).runs
+        return all(
+            backfill.may_backfill(runs, run, claim.run, capacity)
+            for claim in terms.claims
+            if claim.endpoint == item.id
+        )
+
+    def _claimable(self, item: endpoints.Endpoint) -> backfill.Candidate:
+        return backfill.Candidate(
+            endpoint=item.id, runs=self._loads.total(item.id).runs
+        )
+
+    def choose_claim(
+        self,
+        service: types.ServiceName,
+        run: kv_forecast.Run,
+        capacity: int,
+        *,
+        claimed: Collection[types.EndpointId],
+        present: types.EndpointId | None = None,
+        exclude: Sequence[types.EndpointId] = (),
+        now: float,
+    ) -> types.EndpointId | None:
+        """Return the decode endpoint to claim for a large run, None for none.
+
+        `claimed` are other gateways' claims, `present` the one of the run.
+        """
+        found = self.candidates.find(
+            service, types.Role.DECODE, exclude=exclude, now=now
+        )
+        return backfill.choose_claim(
+            [self._claimable(item) for item in found],
+            run,
+            capacity,
+            claimed=claimed,
+            present=present,
+        )
+
     def _prefer_without_backoff(
         self, found: list[tuple[float, endpoints.Endpoint]], now: float
     ) -> list[tuple[float, endpoints.Endpoint]]:
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -14,6 +14,7 @@
 from rackpost.decide import fleet_size
 from rackpost.decide import kv_forecast
 from rackpost.decide import queue_order
+from rackpost.decide.waiting import backfill
 from rackpost import types
 
 # Gateways report at least each second; up to three reports may be lost.
@@ -46,6 +47,7 @@
         self.received_at = 0.0
         self.loads: dict[types.EndpointId, EndpointLoad] = {}
         self.waiting: tuple[queue_order.WaitingSummary, ...] = ()
+        self.claims: tuple[backfill.Claim, ...] = ()
 
 
 class LoadTable:
@@ -126,11 +128,13 @@
         loads: dict[types.EndpointId, EndpointLoad],
         now: float,
         waiting: tuple[queue_order.WaitingSummary, ...] = (),
+        claims: tuple[backfill.Claim, ...] = (),
     ) -> None:
         """Take in another gateway's report, unless a newer one has arrived.
 
         `sequence` starts again with each incarnation of the gateway;
-        `waiting` are its most urgent waiting generations.
+        `waiting` are its most urgent waiting generations, and `claims` the
+        endpoints that it claims for large ones.
         """
         report = self._reports.setdefault(sender, _GatewayReport())
         if incarnation == report.incarnation and sequence <= report.sequence:
@@ -144,6 +148,7 @@
         for endpoint, load in loads.items():
             self._by_endpoint.setdefault(endpoint, {})[sender] = load
         report.waiting = waiting
+        report.claims = claims
 
     def _record_finished_prefills(
         self,
@@ -222,6 +227,16 @@
                     count += 1
         return count
 
+    def claims(
+        self, now: float
+    ) -> Iterator[tuple[types.VmId, float, backfill.Claim]]:
+        """Yield the other gateways' claims: gateway, age in seconds, claim."""
+        for sender, report in self._reports.items():
+            age_s = now - report.received_at
+            if age_s <= _WAITING_LIFETIME_S:
+                for claim in report.claims:
+                    yield sender, age_s, claim
+
     def total(self, endpoint: types.EndpointId) -> EndpointLoad:
         """Return the load of an endpoint from all gateways."""
         own = self.own.get(endpoint, EndpointLoad())
--- a/rackpost/gateway/admission_queue.py
+++ b/rackpost/gateway/admission_queue.py
@@ -12,6 +12,8 @@
 from rackpost.decide import plain_queue
 from rackpost.decide import queue_order
 from rackpost.decide import token_timing as token_timing_mod
+from rackpost.decide.waiting import backfill
+from rackpost.gateway import large_requests
 from rackpost.gateway import reservation as reservation_mod
 from rackpost.routing import endpoints
 from rackpost import types
@@ -96,6 +98,9 @@
         self._on_waiters_changed = on_waiters_changed
         self._split = split
         self._capacity_changed = capacity_changed
+        self._large = large_requests.LargeRequests(
+            chooser=chooser, loads=loads, vm=vm
+        )
         self._waiters: list[_Waiter] = []
         # Clock reading of the last reservation.
         self._last_reserved_at = self._loop.time()
@@ -112,6 +117,10 @@
         summaries.sort(key=lambda item: item.rank(0.0))
         return tuple(summaries[:_MAX_REPORTED])
 
+    def claims(self, now: float) -> tuple[backfill.Claim, ...]:
+        """Return the claims for large requests to report."""
+        return self._large.reported(now)
+
     async def reserve(
         self, request: reservation_mod.ReservationRequest
     ) -> reservation_mod.DecodeReservation | reservation_mod.NoCapacity:
@@ -138,6 +147,9 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
                 self._on_waiters_changed()
+            if self._large.forget(request):
+                self._capacity_changed.set()
+                self._on_waiters_changed()
 
     def reserve_at(
         self,
@@ -278,19 +290,36 @@
             if waiter.result.done():
                 continue
             plan = self._plan_prefill(waiter.request, now)
+            claimed_only = False
             if plan is not None and not self._has_precedence(
                 waiter.request, plan, now
             ):
-                return
-            reservation = plan and self._reserve(waiter.request, plan, now)
+                if not self._claim(waiter.request, now):
+                    return
+                claimed_only = True
+            reservation = plan and self._reserve(
+                waiter.request, plan, now, claimed_only=claimed_only
+            )
             if reservation is not None:
                 self._resolve(waiter, reservation)
                 continue
+            if plan is not None:
+                self._claim(waiter.request, now)
             # A smaller request behind it may fit.
             unplaced += 1
             if unplaced >= _MAX_UNPLACED:
                 return
 
+    def _claim(
+        self, request: reservation_mod.ReservationRequest, now: float
+    ) -> bool:
+        """Claim an endpoint for a large request; return whether it has one."""
+        if self._large.record_unplaced(
+            request, _reservable_tokens(request), now
+        ):
+            self._on_waiters_changed()
+        return self._large.has_claim(request)
+
     def _reject_infeasible(self, now: float) -> None:
         """Reject requests that will miss their deadline in the queue."""
         ahead = 0
@@ -400,12 +429,20 @@
         request: reservation_mod.ReservationRequest,
         plan: _PrefillPlan,
         now: float,
+        *,
+        claimed_only: bool = False,
     ) -> reservation_mod.DecodeReservation | None:
         endpoint = self._chooser.choose_decode(
             request.service,
             request.run,
             _reservable_tokens(request),
             in_place=plan.in_place,
+            large_terms=self._large.terms(
+                request,
+                _reservable_tokens(request),
+                now,
+                claimed_only=claimed_only,
+            ),
             exclude=request.exclude,
             now=now,
         )
--- a/rackpost/gateway/load_exchange.py
+++ b/rackpost/gateway/load_exchange.py
@@ -72,6 +72,7 @@
             msg.loads,
             now,
             waiting=msg.waiting,
+            claims=msg.claims,
         )
         site.add_gateway(
             messages.GatewayAddress(vm=msg.vm, load_address=msg.load_address)
@@ -130,6 +131,7 @@
             failed=site.health.failed_endpoints(now),
             rejecting=site.health.full_endpoints(now),
             waiting=site.admission_queue.most_urgent_waiters(now),
+            claims=site.admission_queue.claims(now),
             refused_keys=site.refusals.recent(now),
             quotas=site.quotas.next_report(now),
             backoffs=site.eligibility.remaining_backoffs(now),
--- a/rackpost/gateway/reservation.py
+++ b/rackpost/gateway/reservation.py
@@ -21,6 +21,9 @@
         waiting_request: the deadlines and the priority of the request.
         event_interval_s: expected time between two events of a stream.
         in_place: the prompt must be prefilled at the decode endpoint.
+        large_reservations: large requests claim endpoints, and claims of
+            others are respected.
+        request_id: the id of the request, for logs.
     """
 
     service: types.ServiceName
@@ -30,6 +33,8 @@
     waiting_request: queue_order.WaitingRequest
     event_interval_s: float = 0.0
     in_place: bool = False
+    large_reservations: bool = False
+    request_id: str = ""
 
 
 class NoCapacity(msgspec.Struct, frozen=True, kw_only=True):
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -71,6 +71,11 @@
     max_pause_s: float = 0.3
     # Delay of other gateways' load reports.
     report_delay_s: float = 0.013
+    # Prompts are at most this long.
+    max_prompt: float = math.inf
+    # From this length on a prompt counts among the large ones.
+    large_prompt: float = math.inf
+    large_reservations: bool = False
 
 
 class Outcome(msgspec.Struct, kw_only=True):
@@ -87,6 +92,10 @@
     wasted: int = 0
     # Load reports; each goes to all other gateways.
     messages: int = 0
+    # The same counts of the requests with large prompts alone.
+    large: int = 0
+    large_in_time: int = 0
+    large_refused: int = 0
 
 
 class _Stream:
@@ -372,10 +381,17 @@
         now = self._loop.time()
         uses = gateway.reported_loads()
         first = gateway.admission_queue.most_urgent_waiters(now)
+        claims = gateway.admission_queue.claims(now)
         for other in self._gateways:
             if other is not gateway:
                 other.loads.receive(
-                    gateway.vm, 1, gateway.sequence, uses, now, waiting=first
+                    gateway.vm,
+                    1,
+                    gateway.sequence,
+                    uses,
+                    now,
+                    waiting=first,
+                    claims=claims,
                 )
                 other.capacity_changed.set()
 
@@ -384,7 +400,10 @@
         rng = self._rng
         self.outcome.requests += 1
         gateway = rng.choice(self._gateways)
-        prompt = int(_size(rng, spec.prompt, spec.prompt_spread))
+        prompt = int(
+            min(spec.max_prompt, _size(rng, spec.prompt, spec.prompt_spread))
+        )
+        self.outcome.large += prompt >= spec.large_prompt
         answer = min(
             spec.max_answer,
             1 + int(_size(rng, spec.answer, spec.answer_spread)),
@@ -419,6 +438,7 @@
         )
         if isinstance(reservation, reservation_mod.NoCapacity):
             self.outcome.refused += 1
+            self.outcome.large_refused += prompt >= spec.large_prompt
             return True
         try:
             if reservation.prefill_endpoint is not None:
@@ -448,6 +468,8 @@
         self.outcome.late_start += late
         self.outcome.long_pause += paused
         self.outcome.in_time += not (late or paused)
+        if stream.prompt >= self._spec.large_prompt:
+            self.outcome.large_in_time += not (late or paused)
 
 
 def _reservation_request(
@@ -463,6 +485,7 @@
         run=run,
         exclude=(),
         event_interval_s=pace.decode_s(spec.event_tokens),
+        large_reservations=spec.large_reservations,
         waiting_request=queue_order.WaitingRequest(
             priority=1,
             target=began + spec.target_s,
