Count prompts prefilled in vain, and keep rejected ones

Nothing said why a prompt had been prefilled in vain. Each is now counted by reason and route, and logged with its request's id. With large reservations on, a prompt that a decode endpoint rejects is offered to one more while its result is fresh, and the result of a client that has left is freed at once.

--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -4,9 +4,11 @@
 only once a decode endpoint has capacity and a connection to it is open.
 """
 
+import asyncio
 import contextlib
 from typing import Callable
 
+from rackpost.decide import features
 from rackpost.decide import kv_forecast
 from rackpost.decide import queue_order
 from rackpost.decide import retry_decision
@@ -57,7 +59,9 @@
         self._refused_before = refusals.was_refused(
             self._refusal_key, call.began
         )
-        self._prefill_state = prefill.PrefillState(call=call)
+        self._prefill_state = prefill.PrefillState(
+            call=call, prompt=self._prompt_tokens
+        )
         # Whether prefill endpoints have failed: the prompt is to be prefilled
         # in place.
         self._in_place = False
@@ -80,8 +84,21 @@
 
     async def run(self) -> None:
         """Answer the request."""
-        call = self._call
         self._record_demand()
+        try:
+            await self._run()
+        except asyncio.CancelledError:
+            self._record_unused(prefill.VainReason.CLIENT_LEFT)
+            raise
+        self._record_unused(prefill.VainReason.NOT_DECODED)
+
+    def _record_unused(self, reason: prefill.VainReason) -> None:
+        self._prefill_state.record_unused(
+            reason, frees=self._reserves_for_large()
+        )
+
+    async def _run(self) -> None:
+        call = self._call
         while True:
             self._progress = self._new_progress()
             reservation = (
@@ -102,11 +119,17 @@
             finally:
                 reservation.release()
             if ended is None or not forward.retry_or_answer(call, ended):
-                self._prefill_state.release()
+                self._prefill_state.release(prefill.VainReason.NOT_DECODED)
                 return
             if ended is retry_decision.AttemptEnd.BROKEN:
                 self._broken_endpoint = reservation.endpoint
 
+    def _reserves_for_large(self) -> bool:
+        """Whether large requests of the service reserve endpoints."""
+        return self._call.site.has_feature(
+            self._call.service.name, features.Feature.LARGE_RESERVATIONS
+        )
+
     def _reserve_again(self) -> reservation_mod.DecodeReservation | None:
         """Reserve the endpoint whose connection broke, if it may be reused.
 
@@ -114,13 +137,17 @@
         whole prompt prefilled again.
         """
         endpoint, self._broken_endpoint = self._broken_endpoint, None
-        if endpoint is None or self._resumes >= _MAX_RESUMES:
+        if endpoint is None:
             return None
-        self._resumes += 1
-        reservation = self._call.site.admission_queue.reserve_at(
-            self._reservation_request(), endpoint
-        )
-        if reservation is not None:
+        reservation = None
+        if self._resumes < _MAX_RESUMES:
+            self._resumes += 1
+            reservation = self._call.site.admission_queue.reserve_at(
+                self._reservation_request(), endpoint
+            )
+        if reservation is None:
+            self._prefill_state.record_lost(endpoint)
+        else:
             self._call.log("Goes on where it broke.", endpoint=endpoint.id)
         return reservation
 
@@ -135,6 +162,7 @@
             nonlocal began
             if progress.generated_tokens == 0:
                 began = site.loop_time()
+                self._prefill_state.record_started()
                 self._record_start(reservation)
             reservation.record_prefilled()
             if (
@@ -183,6 +211,8 @@
                 self._engine.event_tokens
             ),
             in_place=self._in_place,
+            large_reservations=self._reserves_for_large(),
+            request_id=(call.request_id or b"").decode("latin-1"),
             waiting_request=self._waiting_request(),
         )
 
@@ -248,10 +278,22 @@
             return attempt.record_not_connected(call, decode, exc)
         if ended is None:
             self._record_answer(call.site.loop_time() - began)
-        elif ended is not retry_decision.AttemptEnd.NOT_SENT:
-            self._prefill_state.release()
+        else:
+            self._record_failed_attempt(ended)
         return ended
 
+    def _record_failed_attempt(self, ended: retry_decision.AttemptEnd) -> None:
+        """Keep or free the KV cache after an attempt without an answer."""
+        state = self._prefill_state
+        if ended is retry_decision.AttemptEnd.NOT_RUN:
+            state.record_rejected(keeps=self._reserves_for_large())
+        elif ended is retry_decision.AttemptEnd.BROKEN:
+            # The endpoint may have fetched it, and go on with it.
+            state.record_started()
+            state.release(prefill.VainReason.ENDPOINT_LOST)
+        elif ended is retry_decision.AttemptEnd.FAILED:
+            state.release(prefill.VainReason.DECODE_FAILED)
+
     def _record_answer(self, took_s: float) -> None:
         """Learn from a complete answer."""
         site = self._call.site
@@ -272,7 +314,7 @@
         """
         if self._prefill_state.is_fresh(self._engine):
             return True
-        self._prefill_state.release()
+        self._prefill_state.release_stale()
         if reservation.prefill_endpoint is None or self._prompt_tokens == 0:
             return True
         await self._prefill(reservation)
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -28,16 +28,61 @@
 _FETCHABLE_SHARE = 0.7
 
 
+class VainReason(enum.Enum):
+    """Why a prefilled prompt was of no use to a decode endpoint."""
+
+    # It was not fetched within the share of its lifetime that is safe.
+    HANDLE_LAPSED = "handle-lapsed"
+    # The endpoint took too long; it may have gone on with the prompt.
+    GIVEN_UP = "given-up"
+    # The client left, or its time ran out.
+    CLIENT_LEFT = "client-left"
+    # The endpoint that had the KV cache, or the connection to it, was lost.
+    ENDPOINT_LOST = "endpoint-lost"
+    # The decode endpoint did not run the request.
+    DECODE_REJECTED = "decode-rejected"
+    # The decode endpoint answered with a failure.
+    DECODE_FAILED = "decode-failed"
+    # No decode endpoint was tried, or none took the request in time.
+    NOT_DECODED = "not-decoded"
+
+
+def record_vain(
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    prompt: int,
+    reason: VainReason,
+) -> None:
+    """Count and log `prompt` tokens that were prefilled in vain."""
+    call.site.metrics.count("vain_prefills", reason, call.route.name)
+    call.site.metrics.count(
+        "vain_prefill_tokens", reason, call.route.name, prompt
+    )
+    call.log(
+        "Prefilled in vain.",
+        reason=reason.value,
+        endpoint=endpoint.id,
+        prompt=prompt,
+        after_s=round(call.site.loop_time() - call.began, 3),
+    )
+
+
 class PrefillState:
     """The result of a request's prefill, if there is one."""
 
-    def __init__(self, *, call: call_mod.Call) -> None:
+    def __init__(self, *, call: call_mod.Call, prompt: int) -> None:
+        """`prompt` is the length of the prompt, in tokens."""
         self._call = call
+        self._prompt = prompt
         # Prefill requests that an endpoint ran or may have run.
         self.arrivals = 0
         self._endpoint: endpoints.Endpoint | None = None
         self._prefilled_at = 0.0
         self._result: wire.PrefillResult | None = None
+        # Whether a decode endpoint has rejected the request since then.
+        self._was_rejected = False
+        # Whether a decode endpoint has sent an event, and so has the KV cache.
+        self._fetched = False
 
     def store(
         self, endpoint: endpoints.Endpoint, result: wire.PrefillResult
@@ -46,6 +91,8 @@
         self._endpoint = endpoint
         self._prefilled_at = self._call.site.loop_time()
         self._result = result
+        self._was_rejected = False
+        self._fetched = False
 
     def is_fresh(self, engine: model.Engine) -> bool:
         """Whether the KV cache is there, and will be for a while."""
@@ -65,18 +112,68 @@
         source = wire.source(self._endpoint.address, self._result)
         return [(headers.KV_SOURCE, source)]
 
-    def record_fetched(self) -> None:
+    def record_rejected(self, *, keeps: bool) -> None:
+        """Record that a decode endpoint did not run the request.
+
+        It has usually not fetched the KV cache, so that another endpoint can.
+        With `keeps` the result is kept for one more attempt; an endpoint also
+        rejects a request whose KV cache is gone.
+        """
+        if keeps and not self._was_rejected:
+            self._was_rejected = True
+        else:
+            self.release(VainReason.DECODE_REJECTED)
+
+    def record_started(self) -> None:
         """Record that a decode endpoint has fetched the KV cache."""
+        self._fetched = True
+
+    def record_fetched(self) -> None:
+        """Record that the KV cache has served its purpose."""
         self._result = None
 
-    def release(self) -> None:
-        """Free a KV cache that no decode endpoint has fetched."""
+    def release(self, reason: VainReason) -> None:
+        """Free a KV cache that no decode endpoint has used."""
         if self._endpoint is not None and self._result is not None:
+            if self._was_rejected:
+                reason = VainReason.DECODE_REJECTED
+            if not self._fetched:
+                record_vain(self._call, self._endpoint, self._prompt, reason)
             self._call.site.spawn(
                 _delete(self._call, self._endpoint, self._result)
             )
             self._result = None
 
+    def record_lost(self, endpoint: endpoints.Endpoint) -> None:
+        """Record that `endpoint` was lost with the KV cache that it had."""
+        if self._fetched:
+            self._fetched = False
+            record_vain(
+                self._call, endpoint, self._prompt, VainReason.ENDPOINT_LOST
+            )
+
+    def record_unused(self, reason: VainReason, *, frees: bool) -> None:
+        """Record that no decode endpoint will use the KV cache any more.
+
+        It is freed if `frees`, and otherwise expires.
+        """
+        if self._endpoint is None or self._result is None or self._fetched:
+            return
+        if frees:
+            self.release(reason)
+        else:
+            record_vain(self._call, self._endpoint, self._prompt, reason)
+            self._result = None
+
+    def release_stale(self) -> None:
+        """Free a KV cache that is no longer fresh."""
+        if self._endpoint is None:
+            return
+        restarted = self._call.site.table.has_restarted(self._endpoint)
+        self.release(
+            VainReason.ENDPOINT_LOST if restarted else VainReason.HANDLE_LAPSED
+        )
+
 
 async def _delete(
     call: call_mod.Call,
@@ -196,9 +293,17 @@
         exceptions.CodecError,
         TimeoutError,
     ) as exc:
-        return _record_broken(
+        ended = _record_broken(
             call, endpoint, exc, timeout_s=timeout_s, began=began
         )
+        if ended is _PrefillEnd.BROKEN:
+            slow = isinstance(exc, TimeoutError)
+            reason = VainReason.GIVEN_UP if slow else VainReason.ENDPOINT_LOST
+            record_vain(call, endpoint, prompt, reason)
+        return ended
+    except asyncio.CancelledError:
+        record_vain(call, endpoint, prompt, VainReason.CLIENT_LEFT)
+        raise
     if result is None:
         return _PrefillEnd.REJECTED
     took = site.loop_time() - began
--- a/tests/test_gateway_prompts.py
+++ b/tests/test_gateway_prompts.py
@@ -3,7 +3,11 @@
 import asyncio
 import pathlib
 
+import pytest
+
+from rackpost.decide import features
 from rackpost.http1 import message
+from rackpost.http1 import server
 from rackpost import types
 from tests import platform_site
 from tests import test_gateway
@@ -139,3 +143,167 @@
             assert site.prefill.requests == []
 
     asyncio.run(main())
+
+
+def _vain(site: platform_site.Site) -> dict[str, int]:
+    return site.gateway.site.metrics.totals("vain_prefills")
+
+
+def _prefills(site: platform_site.Site) -> int:
+    return sum(req.method == b"POST" for req in site.prefill.requests)
+
+
+def _decoded(site: platform_site.Site) -> int:
+    return sum(len(one.requests) for one in site.decode)
+
+
+def _reject_once(site: platform_site.Site) -> None:
+    """Let the first request at a decode endpoint be rejected."""
+    for one in site.decode:
+
+        async def answer(
+            req: message.Request,
+            responder: server.Responder,
+            one: platform_site.Endpoint = one,
+        ) -> None:
+            first = _decoded(site) == 1
+            await (
+                test_gateway.shed(req, responder)
+                if first
+                else one.default_answer(req, responder)
+            )
+
+        one.answer = answer
+
+
+def _reserve_for_large(site: platform_site.Site) -> None:
+    site.gateway.site.has_feature = (  # type: ignore[method-assign]
+        lambda service, feature: feature is features.Feature.LARGE_RESERVATIONS
+    )
+
+
+def test_a_served_prompt_is_not_counted_as_vain(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            got = await site.raw(test_gateway.generation())
+            assert test_gateway.status(got) == 200
+            assert _vain(site) == {}
+
+    asyncio.run(main())
+
+
+def test_a_prompt_rejected_by_a_decode_endpoint_is_counted(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Without large reservations it is prefilled again, as before."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            _reject_once(site)
+            got = await site.raw(test_gateway.generation())
+            assert test_gateway.status(got) == 200
+            assert _prefills(site) == 2
+            assert _vain(site) == {"decode-rejected": 1}
+            tokens = site.gateway.site.metrics.totals("vain_prefill_tokens")
+            assert tokens == {"decode-rejected": 100}
+
+    asyncio.run(main())
+
+
+def test_a_rejected_prompt_serves_at_another_decode_endpoint(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            _reserve_for_large(site)
+            _reject_once(site)
+            got = await site.raw(test_gateway.generation())
+            assert test_gateway.status(got) == 200
+            assert _prefills(site) == 1
+            assert _vain(site) == {}
+
+    asyncio.run(main())
+
+
+def test_a_prompt_is_not_kept_after_two_rejections(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A decode endpoint also rejects a request whose KV cache is gone."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            _reserve_for_large(site)
+            for one in site.decode:
+                one.answer = test_gateway.shed
+            await site.raw(test_gateway.generation())
+            assert _vain(site)["decode-rejected"] >= 1
+            assert _prefills(site) <= _decoded(site)
+
+    asyncio.run(main())
+
+
+def test_a_prompt_given_up_as_slow_is_counted(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            site.prefill.answer = test_gateway.answer_after(
+                asyncio.Event(), site.prefill
+            )
+            await site.raw(test_gateway.generation())
+            assert _vain(site)["given-up"] == 1
+
+    asyncio.run(main())
+
+
+def test_a_prompt_of_a_client_that_left_is_counted(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            site.prefill.answer = test_gateway.answer_after(
+                asyncio.Event(), site.prefill
+            )
+            _, writer = await asyncio.open_connection(*site.plan.front(31))
+            writer.write(test_gateway.generation())
+            await platform_site.until(lambda: _prefills(site) == 1)
+            writer.close()
+            await platform_site.until(lambda: bool(_vain(site)))
+            assert _vain(site) == {"client-left": 1}
+
+    asyncio.run(main())
+
+
+def _deletes(site: platform_site.Site) -> int:
+    return sum(req.method == b"DELETE" for req in site.prefill.requests)
+
+
+@pytest.mark.parametrize("on", [False, True])
+def test_the_prompt_of_a_client_that_left_is_freed(
+    tmp_path: pathlib.Path, on: bool
+) -> None:
+    """Without large reservations its KV cache expires, as before."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            if on:
+                _reserve_for_large(site)
+            for one in site.decode:
+                one.answer = test_gateway.answer_after(asyncio.Event(), one)
+            _, writer = await asyncio.open_connection(*site.plan.front(31))
+            writer.write(test_gateway.generation())
+            await platform_site.until(lambda: _decoded(site) == 1)
+            writer.close()
+            await platform_site.until(lambda: bool(_vain(site)))
+            assert _vain(site) == {"client-left": 1}
+            # Later requests show that the first one's task has ended.
+            got = await site.raw(test_gateway.request("/safe/x", ident="r2"))
+            assert test_gateway.status(got) == 200
+            if on:
+                await platform_site.until(lambda: _deletes(site) == 1)
+            else:
+                assert _deletes(site) == 0
+
+    asyncio.run(main())
