--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -96,6 +96,11 @@
     returns: int = 0
     # Whether gateways use the contention order.
     contention: bool = False
+    # Prompts are at most this long.
+    max_prompt: float = math.inf
+    # From this length on a prompt counts among the large ones.
+    large_prompt: float = math.inf
+    large_reservations: bool = False
 
 
 class Tally(msgspec.Struct, kw_only=True):
@@ -142,6 +147,10 @@
     wasted: int = 0
     # Load reports; each goes to all other gateways.
     messages: int = 0
+    # The same counts of the requests with large prompts alone.
+    large: int = 0
+    large_in_time: int = 0
+    large_refused: int = 0
 
 
 class _Stream:
@@ -444,10 +453,17 @@
         uses = gateway.reported_loads()
         first = gateway.admission_queue.most_urgent_waiters(now)
         contention = gateway.admission_queue.contention_reports(now)
+        claims = gateway.admission_queue.claims(now)
         for other in self._gateways:
             if other is not gateway:
                 other.loads.receive(
-                    gateway.vm, 1, gateway.sequence, uses, now, waiting=first
+                    gateway.vm,
+                    1,
+                    gateway.sequence,
+                    uses,
+                    now,
+                    waiting=first,
+                    claims=claims,
                 )
                 other.orders.receive(gateway.vm, contention, now)
                 other.capacity_changed.set()
@@ -493,7 +509,10 @@
         rng = self._rng
         self.outcome.requests += 1
         gateway = rng.choice(self._gateways)
-        prompt = int(_size(rng, spec.prompt, spec.prompt_spread))
+        prompt = int(
+            min(spec.max_prompt, _size(rng, spec.prompt, spec.prompt_spread))
+        )
+        self.outcome.large += prompt >= spec.large_prompt
         answer = min(
             spec.max_answer,
             1 + int(_size(rng, spec.answer, spec.answer_spread)),
@@ -545,7 +564,10 @@
             )
         )
         if isinstance(reservation, reservation_mod.NoCapacity):
-            return self._refused(caller, reservation)
+            delay_s = self._refused(caller, reservation)
+            if delay_s is None:
+                self.outcome.large_refused += prompt >= spec.large_prompt
+            return delay_s
         try:
             if reservation.prefill_endpoint is not None:
                 took = await self._prefill_engines[
@@ -590,6 +612,8 @@
         self.outcome.late_start += late
         self.outcome.long_pause += paused
         self.outcome.in_time += not (late or paused)
+        if stream.prompt >= self._spec.large_prompt:
+            self.outcome.large_in_time += not (late or paused)
 
 
 def _reservation_request(
@@ -613,6 +637,7 @@
         run=run,
         exclude=(),
         event_interval_s=pace.decode_s(spec.event_tokens),
+        large_reservations=spec.large_reservations,
         waiting_request=queue_order.WaitingRequest(
             priority=kind.priority,
             target=target,
