Log the likely cause of a stream's longest pause

No log line said why a stream paused. Answered now names the endpoint, how many runs were there, and the likely cause from what the gateway knows.

--- /dev/null
+++ b/rackpost/decide/pace/running_streams.py
@@ -0,0 +1,80 @@
+"""The streams that run at endpoints, and how long each has been silent.
+
+An event that is overdue shows that an endpoint is slow before the event
+arrives.
+
+Pure: times are readings of the gateway's clock, in seconds.
+"""
+
+import msgspec
+
+from rackpost import types
+
+# An open interval counts once it is this many times the usual one: events
+# that travel together arrive one interval late.
+_OVERDUE_FACTOR = 1.7
+# Longest usual interval that is taken as known, in seconds.
+_MIN_USUAL_S = 1e-4
+
+
+class RunningStream(msgspec.Struct, kw_only=True, eq=False):
+    """A stream, or a prefill, whose next event is awaited.
+
+    Attributes:
+        since: when the last event arrived.
+        usual_s: usual time from one event to the next.
+    """
+
+    endpoint: types.EndpointId
+    since: float
+    usual_s: float
+
+
+class Overdue(msgspec.Struct, frozen=True, kw_only=True):
+    """Sums over the overdue events of an endpoint, in seconds."""
+
+    seconds: float = 0.0
+    usual_s: float = 0.0
+
+
+class RunningStreams:
+    """This gateway's running streams, by endpoint."""
+
+    def __init__(self) -> None:
+        self._streams: dict[types.EndpointId, list[RunningStream]] = {}
+
+    def add(self, stream: RunningStream) -> None:
+        """Add a stream."""
+        self._streams.setdefault(stream.endpoint, []).append(stream)
+
+    def remove(self, stream: RunningStream) -> None:
+        """Remove a stream; ignores one that is not there."""
+        found = self._streams.get(stream.endpoint, [])
+        for index, item in enumerate(found):
+            if item is stream:
+                del found[index]
+                break
+        if not found:
+            self._streams.pop(stream.endpoint, None)
+
+    def others(self, stream: RunningStream) -> list[RunningStream]:
+        """Return the other streams at the same endpoint."""
+        found = self._streams.get(stream.endpoint, ())
+        return [item for item in found if item is not stream]
+
+    def overdue(self, endpoint: types.EndpointId, now: float) -> Overdue:
+        """Return how far the endpoint's events are overdue."""
+        seconds = usual_s = 0.0
+        for item in self._streams.get(endpoint, ()):
+            elapsed_s = now - item.since
+            if (
+                item.usual_s >= _MIN_USUAL_S
+                and elapsed_s >= _OVERDUE_FACTOR * item.usual_s
+            ):
+                seconds += elapsed_s
+                usual_s += item.usual_s
+        return Overdue(seconds=seconds, usual_s=usual_s)
+
+    def forget(self, endpoint: types.EndpointId) -> None:
+        """Drop the streams of an endpoint that has ended."""
+        self._streams.pop(endpoint, None)
--- a/rackpost/gateway/answer_relay.py
+++ b/rackpost/gateway/answer_relay.py
@@ -36,7 +36,9 @@
             if _is_new(call, event):
                 fresh.append(event.data)
             _record_event(call, event)
+        began = call.site.loop_time()
         await responder.send_chunk(b"".join(fresh))
+        call.times.client_s += call.site.loop_time() - began
     if splitter.rest:
         raise exceptions.ExchangeError("ended within an event")
     responder.finish()
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -301,6 +301,8 @@
         if self.times.first_s is not None:
             metrics.time("first_event", name, self.times.first_s)
             metrics.time("longest_pause", name, self.times.longest_pause_s)
+            if self.times.pause_cause is not None:
+                metrics.count("pauses", self.times.pause_cause, name)
 
 
 def _ignore_event() -> None:
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -16,6 +16,8 @@
 from rackpost.gateway import forward
 from rackpost.gateway import prefill
 from rackpost.gateway import reservation as reservation_mod
+from rackpost.gateway import stream_pace
+from rackpost.gateway import stream_times
 from rackpost.platform import headers
 from rackpost.routing import endpoints
 from rackpost.routing import model
@@ -96,10 +98,17 @@
             if call.end_if_blocked():
                 reservation.release()
                 return
-            call.on_event = self._on_event(reservation)
+            call.times.record_stage(
+                stream_times.Stage.RESERVED, call.site.loop_time()
+            )
+            pace = stream_pace.StreamPace(
+                call=call, engine=self._engine, endpoint=reservation.endpoint
+            )
+            call.on_event = self._on_event(reservation, pace)
             try:
                 ended = await self._run_at(reservation)
             finally:
+                pace.end()
                 reservation.release()
             if ended is None or not forward.retry_or_answer(call, ended):
                 self._prefill_state.release()
@@ -125,7 +134,9 @@
         return reservation
 
     def _on_event(
-        self, reservation: reservation_mod.DecodeReservation
+        self,
+        reservation: reservation_mod.DecodeReservation,
+        pace: stream_pace.StreamPace,
     ) -> Callable[[], None]:
         progress = self._progress
         site = self._call.site
@@ -145,6 +156,7 @@
                     progress.generated_tokens, site.loop_time() - began
                 )
             progress.record_event()
+            pace.record_event()
 
         return on_event
 
@@ -241,6 +253,7 @@
                     return retry_decision.AttemptEnd.NOT_SENT
                 self._in_place = False
                 began = call.site.loop_time()
+                call.times.record_stage(stream_times.Stage.PREFILLED, began)
                 ended = await attempt.run_on_connection(
                     call, decode, conn, self._prefill_state.headers(), grant
                 )
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -16,6 +16,9 @@
 from rackpost.decide import endpoint_load
 from rackpost.decide import features
 from rackpost.decide import gateway_groups
+from rackpost.decide.pace import batch_timing
+from rackpost.decide.pace import endpoint_pace
+from rackpost.decide.pace import running_streams
 from rackpost.decide import plain_queue
 from rackpost.decide import quota
 from rackpost.decide import quota_buckets
@@ -93,6 +96,9 @@
             rng=self.rng,
         )
         self.token_timing = token_timing_mod.TokenTiming()
+        self.batch_timing = batch_timing.BatchTiming()
+        self.running_streams = running_streams.RunningStreams()
+        self.pace: endpoint_pace.EndpointPace = endpoint_pace.EqualPace()
         self.answer_lengths = answer_lengths.AnswerLengths()
         self.refusals = recent_refusals_mod.RefusalTable()
         self.admission_queue = admission_queue_mod.AdmissionQueue(
