Count each endpoint's own pace in the choice of endpoints

A slow endpoint got as many generations as the others, and a mean answer time per endpoint told it apart only after whole answers. MeasuredPace sums the times of running streams' events, overdue ones included, against the usual interval at the same batch size, and tells other gateways of endpoints that differ.

--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -8,6 +8,7 @@
 from rackpost.control import messages as control
 from rackpost.decide import endpoint_load
 from rackpost.decide import endpoint_rates
+from rackpost.decide.pace import endpoint_pace
 from rackpost.decide import quarantine
 from rackpost.decide import queue_order as queue_order_mod
 from rackpost.decide import quota
@@ -154,6 +155,7 @@
         quotas: what organisations have spent at the sender.
         backoffs: remaining back-off of endpoints, in seconds.
         named_rates: rates that endpoints named in their answers.
+        paces: endpoints that are slower or faster than their pool.
     """
 
     vm: types.VmId
@@ -168,6 +170,7 @@
     quotas: quota.QuotaReport = quota.QuotaReport()
     backoffs: dict[types.EndpointId, float] = {}
     named_rates: tuple[endpoint_rates.RateUpdate, ...] = ()
+    paces: tuple[endpoint_pace.PaceReport, ...] = ()
 
 
 class GrantRequest(_Message, frozen=True, tag="ask-grant"):
--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from typing import Callable
 from typing import NamedTuple
 from typing import Sequence
 
@@ -10,6 +11,7 @@
 from rackpost.decide import endpoint_load
 from rackpost.decide import fleet_size
 from rackpost.decide import kv_forecast
+from rackpost.decide.pace import endpoint_pace
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -45,6 +47,10 @@
     min_interval_s: float
 
 
+def _equal_pace(_: types.ServiceName) -> endpoint_pace.EndpointPace:
+    return endpoint_pace.EqualPace()
+
+
 class Chooser:
     """Chooses among the endpoints known to one gateway."""
 
@@ -56,12 +62,17 @@
         health: endpoint_health.HealthTracker,
         data_centre: types.DataCentre,
         rng: random.Random,
+        pace_of: Callable[
+            [types.ServiceName], endpoint_pace.EndpointPace
+        ] = _equal_pace,
     ) -> None:
+        """`pace_of` returns the pace of a model service's endpoints."""
         self.candidates = candidates
         self._loads = loads
         self._health = health
         self._data_centre = data_centre
         self._rng = rng
+        self._pace_of = pace_of
         self._gateways = 1
 
     def set_gateways(self, count: int) -> None:
@@ -134,17 +145,38 @@
         slot and at most `max_ahead_tokens` to prefill before it.
         """
         found = self._prefill_endpoints(service, exclude, now)
+        pace = self._pace_of(service)
         median_s = self._median_answer_s(found)
+        if not isinstance(pace, endpoint_pace.EqualPace):
+            # The mean answer time depends on the prompts; the pace does not.
+            median_s = 0.0
         free = []
         for item in found:
             if not self._accepts_prompt(item, max_ahead_tokens, now):
                 continue
             slowness = self._health.slowness(item.id, median_s)
+            slowness *= pace.factor(item.id, now)
             ahead = self._loads.total(item.id).prompt_tokens
             wait = (ahead + prompt) * slowness * self._distance_factor(item)
             free.append((wait, item))
+        free = self._prefer_known_pace(free, pace, now)
         return self._pick_lowest(self._prefer_without_backoff(free, now))
 
+    def _prefer_known_pace(
+        self,
+        found: list[tuple[float, endpoints.Endpoint]],
+        pace: endpoint_pace.EndpointPace,
+        now: float,
+    ) -> list[tuple[float, endpoints.Endpoint]]:
+        """Drop endpoints on trial that have a request, unless all are."""
+        rest = [
+            pair
+            for pair in found
+            if not pace.is_on_trial(pair[1].id, now)
+            or self._loads.total(pair[1].id).requests == 0
+        ]
+        return rest or found
+
     def _prefill_endpoints(
         self,
         service: types.ServiceName,
@@ -207,11 +239,17 @@
         found = self.candidates.find(
             service, types.Role.DECODE, exclude=exclude, now=now
         )
+        pace = self._pace_of(service)
         fitting = []
         for item in found:
             peak = self._peak_with(item, [run], capacity, in_place, now)
             if peak is not None:
-                fitting.append((peak * self._distance_factor(item), item))
+                # A slow endpoint holds its memory for longer.
+                weight = self._distance_factor(item) * pace.factor(
+                    item.id, now
+                )
+                fitting.append((peak * weight, item))
+        fitting = self._prefer_known_pace(fitting, pace, now)
         return self._pick_lowest(self._prefer_without_backoff(fitting, now))
 
     def _prefer_without_backoff(
--- a/rackpost/decide/pace/endpoint_pace.py
+++ b/rackpost/decide/pace/endpoint_pace.py
@@ -55,8 +55,17 @@
         """Record a prefill that took `seconds` where `usual_s` is usual."""
 
     @abc.abstractmethod
-    def receive(self, reports: tuple[PaceReport, ...], now: float) -> None:
-        """Take in what another gateway reports."""
+    def receive(
+        self,
+        reports: tuple[PaceReport, ...],
+        now: float,
+        *,
+        sender: types.VmId,
+    ) -> None:
+        """Take in what the gateway `sender` reports.
+
+        A report replaces the sender's earlier one on the same endpoint.
+        """
 
     @abc.abstractmethod
     def reports(self, now: float) -> tuple[PaceReport, ...]:
@@ -66,6 +75,13 @@
     def factor(self, endpoint: types.EndpointId, now: float) -> float:
         """Return the endpoint's time per token over its pool's; 1 is usual."""
 
+    @abc.abstractmethod
+    def is_on_trial(self, endpoint: types.EndpointId, now: float) -> bool:
+        """Whether the endpoint was slow and has not been observed since.
+
+        It takes one request at a time until its pace is known again.
+        """
+
     @abc.abstractmethod
     def forget(self, endpoint: types.EndpointId) -> None:
         """Drop what is known of an endpoint that has ended or restarted."""
@@ -94,7 +110,13 @@
     ) -> None:
         """Record nothing."""
 
-    def receive(self, reports: tuple[PaceReport, ...], now: float) -> None:
+    def receive(
+        self,
+        reports: tuple[PaceReport, ...],
+        now: float,
+        *,
+        sender: types.VmId,
+    ) -> None:
         """Take in nothing."""
 
     def reports(self, now: float) -> tuple[PaceReport, ...]:
@@ -105,5 +127,9 @@
         """Return 1."""
         return 1.0
 
+    def is_on_trial(self, endpoint: types.EndpointId, now: float) -> bool:
+        """Return False."""
+        return False
+
     def forget(self, endpoint: types.EndpointId) -> None:
         """Drop nothing."""
--- a/rackpost/decide/pace/running_streams.py
+++ b/rackpost/decide/pace/running_streams.py
@@ -6,6 +6,9 @@
 Pure: times are readings of the gateway's clock, in seconds.
 """
 
+import contextlib
+from typing import Iterator
+
 import msgspec
 
 from rackpost import types
@@ -13,7 +16,7 @@
 # An open interval counts once it is this many times the usual one: events
 # that travel together arrive one interval late.
 _OVERDUE_FACTOR = 1.7
-# Longest usual interval that is taken as known, in seconds.
+# Usual intervals below this are not known, in seconds.
 _MIN_USUAL_S = 1e-4
 
 
@@ -57,6 +60,18 @@
         if not found:
             self._streams.pop(stream.endpoint, None)
 
+    @contextlib.contextmanager
+    def watched(
+        self, endpoint: types.EndpointId, usual_s: float, since: float
+    ) -> Iterator[None]:
+        """Await one result, such as a prefill's, while the block runs."""
+        stream = RunningStream(endpoint=endpoint, since=since, usual_s=usual_s)
+        self.add(stream)
+        try:
+            yield
+        finally:
+            self.remove(stream)
+
     def others(self, stream: RunningStream) -> list[RunningStream]:
         """Return the other streams at the same endpoint."""
         found = self._streams.get(stream.endpoint, ())
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -191,6 +191,7 @@
             ):
                 # The health of an earlier incarnation does not apply.
                 self._site.health.forget(item.id)
+                self._site.measured_pace.forget(item.id)
             logs.say(
                 logs.Part.GATEWAY,
                 "Endpoint changed.",
--- a/rackpost/gateway/load_exchange.py
+++ b/rackpost/gateway/load_exchange.py
@@ -88,6 +88,7 @@
             site.health.record_reported_backoff(endpoint, left_s, now)
         for update in msg.named_rates:
             site.rate_grants.receive_rate(update, now)
+        site.measured_pace.receive(msg.paces, now, sender=msg.vm)
         site.capacity_changed.set()
 
     async def _publish(self) -> None:
@@ -134,6 +135,7 @@
             quotas=site.quotas.next_report(now),
             backoffs=site.eligibility.remaining_backoffs(now),
             named_rates=site.eligibility.rates.next_updates(now),
+            paces=site.measured_pace.reports(now),
         )
 
     @contextlib.asynccontextmanager
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -186,9 +186,15 @@
     site = call.site
     began = site.loop_time()
     ahead = site.loads.total(endpoint.id).prompt_tokens - counted
-    timeout_s = site.token_timing.prefill_timeout_s(ahead + prompt)
+    pace = site.pace_of(call.service.name)
+    factor = max(1.0, pace.factor(endpoint.id, began))
+    timeout_s = factor * site.token_timing.prefill_timeout_s(ahead + prompt)
+    usual_s = site.token_timing.prefill_s(ahead + prompt)
     try:
-        with _counted_load(call, endpoint, prompt - counted):
+        with (
+            _counted_load(call, endpoint, prompt - counted),
+            site.running_streams.watched(endpoint.id, usual_s, began),
+        ):
             async with asyncio.timeout(timeout_s):
                 result = await _request_prefill(call, endpoint)
     except (
@@ -202,6 +208,9 @@
     if result is None:
         return _PrefillEnd.REJECTED
     took = site.loop_time() - began
+    pace.record_prefill(
+        endpoint.id, seconds=took, usual_s=usual_s, now=site.loop_time()
+    )
     site.token_timing.record_prefill(ahead + prompt, took)
     site.health.record_answer(endpoint.id, took)
     state.store(endpoint, result)
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -18,6 +18,7 @@
 from rackpost.decide import gateway_groups
 from rackpost.decide.pace import batch_timing
 from rackpost.decide.pace import endpoint_pace
+from rackpost.decide.pace import measured_pace
 from rackpost.decide.pace import running_streams
 from rackpost.decide import plain_queue
 from rackpost.decide import quota
@@ -94,11 +95,16 @@
             health=self.health,
             data_centre=host.data_centre,
             rng=self.rng,
+            pace_of=self.pace_of,
         )
         self.token_timing = token_timing_mod.TokenTiming()
         self.batch_timing = batch_timing.BatchTiming()
         self.running_streams = running_streams.RunningStreams()
-        self.pace: endpoint_pace.EndpointPace = endpoint_pace.EqualPace()
+        # The pace of endpoints whose service uses `ENDPOINT_PACE`.
+        self.measured_pace = measured_pace.MeasuredPace(
+            streams=self.running_streams
+        )
+        self._equal_pace = endpoint_pace.EqualPace()
         self.answer_lengths = answer_lengths.AnswerLengths()
         self.refusals = recent_refusals_mod.RefusalTable()
         self.admission_queue = admission_queue_mod.AdmissionQueue(
@@ -247,6 +253,14 @@
         """Whether a part of load management is on for a service."""
         return feature in self._features.get(service, ())
 
+    def pace_of(
+        self, service: types.ServiceName
+    ) -> endpoint_pace.EndpointPace:
+        """Return the pace of a service's endpoints."""
+        if self.has_feature(service, features.Feature.ENDPOINT_PACE):
+            return self.measured_pace
+        return self._equal_pace
+
     def retry_budget(
         self, service: types.ServiceName
     ) -> retry_budget.RetryBudget:
--- a/rackpost/gateway/stream_pace.py
+++ b/rackpost/gateway/stream_pace.py
@@ -37,7 +37,7 @@
         seconds = now - stream.since
         self._explain_pause(seconds, now)
         if stream.usual_s > 0.0:
-            site.pace.record_decode(
+            site.pace_of(self._call.service.name).record_decode(
                 self._endpoint.id,
                 seconds=seconds,
                 usual_s=stream.usual_s,
@@ -122,5 +122,7 @@
                 or item.since >= now - 0.05 * seconds
                 for item in others
             ),
-            factor=site.pace.factor(self._endpoint.id, now),
+            factor=site.pace_of(self._call.service.name).factor(
+                self._endpoint.id, now
+            ),
         )
