--- a/rackpost/decide/pace/pauses.py
+++ b/rackpost/decide/pace/pauses.py
@@ -11,8 +11,9 @@
 
 import msgspec
 
-# Share of the KV memory from which preemptions are likely.
-_FULL_SHARE = 0.93
+# Share of the KV memory from which preemptions are likely: cached parts and
+# half-used blocks take some more.
+_FULL_SHARE = 0.75
 # Share of a pause from which a single known delay explains it.
 _MAIN_SHARE = 0.5
 # Times per token over those of the pool from which an endpoint is slow.
@@ -28,7 +29,8 @@
     CLIENT = "client"
     # The endpoint prefilled a prompt itself.
     PREFILL_IN_PLACE = "prefill-in-place"
-    # KV memory ran out, so that the endpoint preempted runs.
+    # KV memory was short: the endpoint may have preempted a run of another
+    # gateway, whose prompt it then prefilled again.
     PREEMPTION = "preemption"
     # The interval between events at this batch size.
     CROWDED = "crowded"
@@ -36,7 +38,7 @@
     RUNS_JOINED = "runs-joined"
     # Other streams there paused as well, or the endpoint has been slow.
     SLOW_ENDPOINT = "slow-endpoint"
-    # Other streams there went on.
+    # Other streams there went on: this one was preempted, most likely.
     THIS_STREAM = "this-stream"
     UNKNOWN = "unknown"
 
@@ -73,13 +75,16 @@
 
 def likely_cause(facts: PauseFacts) -> PauseCause:
     """Return the most likely cause of a pause."""
-    cause = _cause_at_gateway(facts) or _cause_in_batch(facts)
+    cause = _cause_at_gateway(facts)
+    if cause is not None:
+        return cause
+    if facts.others and not facts.others_paused:
+        return PauseCause.THIS_STREAM
+    cause = _cause_in_batch(facts)
     if cause is not None:
         return cause
     if facts.others_paused or facts.factor >= _SLOW_FACTOR:
         return PauseCause.SLOW_ENDPOINT
-    if facts.others:
-        return PauseCause.THIS_STREAM
     return PauseCause.UNKNOWN
 
 
--- a/rackpost/decide/pace/running_streams.py
+++ b/rackpost/decide/pace/running_streams.py
@@ -26,11 +26,13 @@
     Attributes:
         since: when the last event arrived.
         usual_s: usual time from one event to the next.
+        last_s: time between the last two events.
     """
 
     endpoint: types.EndpointId
     since: float
     usual_s: float
+    last_s: float = 0.0
 
 
 class Overdue(msgspec.Struct, frozen=True, kw_only=True):
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -1,6 +1,7 @@
 """The state that a gateway's tasks share: routes, endpoints, loads."""
 
 import asyncio
+import collections
 import random
 from typing import Any
 from typing import Coroutine
@@ -98,7 +99,9 @@
             pace_of=self.pace_of,
         )
         self.token_timing = token_timing_mod.TokenTiming()
-        self.batch_timing = batch_timing.BatchTiming()
+        self._batch_timings: dict[
+            types.ServiceName, batch_timing.BatchTiming
+        ] = collections.defaultdict(batch_timing.BatchTiming)
         self.running_streams = running_streams.RunningStreams()
         # The pace of endpoints whose service uses `ENDPOINT_PACE`.
         self.measured_pace = measured_pace.MeasuredPace(
@@ -261,6 +264,12 @@
             return self.measured_pace
         return self._equal_pace
 
+    def batch_timing_of(
+        self, service: types.ServiceName
+    ) -> batch_timing.BatchTiming:
+        """Return the usual event intervals of a model service."""
+        return self._batch_timings[service]
+
     def retry_budget(
         self, service: types.ServiceName
     ) -> retry_budget.RetryBudget:
--- a/rackpost/gateway/stream_pace.py
+++ b/rackpost/gateway/stream_pace.py
@@ -2,6 +2,7 @@
 
 from rackpost.decide.pace import pauses
 from rackpost.decide.pace import running_streams
+from rackpost.decide.pace import stream_clock
 from rackpost.gateway import call as call_mod
 from rackpost.routing import endpoints
 from rackpost.routing import model
@@ -21,57 +22,35 @@
         self._engine = engine
         self._endpoint = endpoint
         self._resumed = call.last_event_id is not None
-        self._stream: running_streams.RunningStream | None = None
+        self._clock = stream_clock.StreamClock(
+            endpoint=endpoint.id,
+            pace=call.site.pace_of(call.service.name),
+            timing=call.site.batch_timing_of(call.service.name),
+            streams=call.site.running_streams,
+        )
         self._runs = 0
 
     def record_event(self) -> None:
         """Record an event of the endpoint's stream."""
         site = self._call.site
         now = site.loop_time()
-        load = site.loads.total(self._endpoint.id)
-        runs = max(1, len(load.runs))
-        stream = self._stream
-        if stream is None:
-            self._record_first(now, runs)
-            return
-        seconds = now - stream.since
-        self._explain_pause(seconds, now)
-        if stream.usual_s > 0.0:
-            site.pace_of(self._call.service.name).record_decode(
-                self._endpoint.id,
-                seconds=seconds,
-                usual_s=stream.usual_s,
-                now=now,
-            )
-        site.batch_timing.record_interval(runs, seconds)
-        stream.since = now
-        stream.usual_s = site.batch_timing.interval_s(runs)
+        runs = max(1, len(site.loads.total(self._endpoint.id).runs))
+        if self._clock.stream is not None or self._resumed:
+            self._explain_pause(now)
+        self._clock.record_event(runs, now)
         self._runs = runs
         self._resumed = False
         self._call.times.client_s = 0.0
 
-    def _record_first(self, now: float, runs: int) -> None:
-        site = self._call.site
-        if self._resumed:
-            self._explain_pause(now - self._call.times.last_at, now)
-            self._resumed = False
-        self._stream = running_streams.RunningStream(
-            endpoint=self._endpoint.id,
-            since=now,
-            usual_s=site.batch_timing.interval_s(runs),
-        )
-        site.running_streams.add(self._stream)
-        self._runs = runs
-
     def end(self) -> None:
         """Record that the generation has ended here."""
-        if self._stream is not None:
-            self._call.site.running_streams.remove(self._stream)
+        self._clock.end()
 
-    def _explain_pause(self, seconds: float, now: float) -> None:
+    def _explain_pause(self, now: float) -> None:
         """Keep the likely cause of a pause that exceeds the target."""
         call = self._call
         times = call.times
+        seconds = now - times.last_at
         if (
             not 0.0 < call.route.gap_s < seconds
             or seconds < times.longest_pause_s
@@ -98,10 +77,10 @@
         held = sum(run.held_tokens for run in load.runs)
         others: list[running_streams.RunningStream] = []
         usual_s = 0.0
-        if self._stream is not None:
-            others = site.running_streams.others(self._stream)
-            usual_s = self._stream.usual_s
-        began = now - seconds
+        stream = self._clock.stream
+        if stream is not None:
+            others = site.running_streams.others(stream)
+            usual_s = stream.usual_s
         in_place = load.prompt_tokens > 0 or site.loads.prefilled_within(
             self._endpoint.id, seconds, now
         )
@@ -115,11 +94,8 @@
             resumed=self._resumed,
             client_s=self._call.times.client_s,
             others=len(others),
-            # Another stream that paused has its last event at the beginning
-            # of this pause, or at its end.
             others_paused=sum(
-                item.since <= began + 0.25 * seconds
-                or item.since >= now - 0.05 * seconds
+                max(now - item.since, item.last_s) >= 0.5 * seconds
                 for item in others
             ),
             factor=site.pace_of(self._call.service.name).factor(
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -10,6 +10,7 @@
 import math
 import random
 from typing import AsyncIterator
+from typing import Callable
 from typing import Iterator
 
 import msgspec
@@ -21,11 +22,17 @@
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
 from rackpost.decide import kv_forecast
+from rackpost.decide.pace import batch_timing
+from rackpost.decide.pace import endpoint_pace
+from rackpost.decide.pace import measured_pace
+from rackpost.decide.pace import running_streams
+from rackpost.decide.pace import stream_clock
 from rackpost.decide import queue_order
 from rackpost.decide import token_timing as token_timing_mod
 from rackpost.gateway import admission_queue as admission_queue_mod
 from rackpost.gateway import reservation as reservation_mod
 from rackpost.routing import endpoints
+from rackpost.testing import uneven
 from rackpost import types
 
 SERVICE = types.ServiceName("model")
@@ -71,6 +78,11 @@
     max_pause_s: float = 0.3
     # Delay of other gateways' load reports.
     report_delay_s: float = 0.013
+    # Speeds of prefill and of decode endpoints, and whether gateways measure
+    # them.
+    prefill_speeds: uneven.Speeds = uneven.Speeds()
+    decode_speeds: uneven.Speeds = uneven.Speeds()
+    measures_pace: bool = False
 
 
 class Outcome(msgspec.Struct, kw_only=True):
@@ -104,6 +116,7 @@
         self.last_at = 0.0
         self.longest_pause_s = 0.0
         self.ended = asyncio.Event()
+        self.on_event: Callable[[], None] = progress.record_event
 
     @property
     def size(self) -> int:
@@ -114,9 +127,10 @@
 class _DecodeEngine:
     """A simulated decode endpoint."""
 
-    def __init__(self, *, spec: Spec, outcome: Outcome) -> None:
+    def __init__(self, *, spec: Spec, outcome: Outcome, number: int) -> None:
         self._spec = spec
         self._outcome = outcome
+        self._number = number
         self._loop = asyncio.get_running_loop()
         self._runs: list[_Stream] = []
         self._preempted: list[_Stream] = []
@@ -154,13 +168,16 @@
             return
         self._preempted.pop(0)
         self._runs.append(first)
-        took = first.size * self._spec.prefill_token_s * _IN_PLACE_SLOWDOWN
+        factor = self._spec.decode_speeds.factor(self._number, now)
+        token_s = self._spec.prefill_token_s * factor
+        took = first.size * token_s * _IN_PLACE_SLOWDOWN
         self._prefilling_until = now + took
 
     def _generate(self, now: float) -> None:
         spec = self._spec
         count = len(self._runs)
         token_s = spec.token_s + count * spec.token_each_s
+        token_s *= spec.decode_speeds.factor(self._number, now)
         for stream in list(self._runs):
             stream.generated += _STEP_S / token_s
             ended = stream.generated >= stream.answer
@@ -181,7 +198,7 @@
             stream.first_at = now
         stream.events += 1
         stream.last_at = now
-        stream.progress.record_event()
+        stream.on_event()
 
     def _preempt_until_fits(self) -> None:
         while self._used > self._spec.memory_tokens:
@@ -194,17 +211,18 @@
 class _PrefillEngine:
     """A simulated prefill endpoint, which prefills prompts in sequence."""
 
-    def __init__(self, *, spec: Spec) -> None:
+    def __init__(self, *, spec: Spec, number: int) -> None:
         self._spec = spec
+        self._number = number
         self._loop = asyncio.get_running_loop()
         self._free_at = 0.0
 
     async def prefill(self, prompt: int) -> float:
         """Prefill a prompt; return the seconds that this took."""
         now = self._loop.time()
-        self._free_at = (
-            max(now, self._free_at) + prompt * self._spec.prefill_token_s
-        )
+        factor = self._spec.prefill_speeds.factor(self._number, now)
+        took = prompt * self._spec.prefill_token_s * factor
+        self._free_at = max(now, self._free_at) + took
         await asyncio.sleep(self._free_at - now)
         return self._free_at - now
 
@@ -221,6 +239,13 @@
         self.token_timing = token_timing_mod.TokenTiming()
         self.lengths = answer_lengths.AnswerLengths()
         self.sequence = 0
+        self.batch_timing = batch_timing.BatchTiming()
+        self.running_streams = running_streams.RunningStreams()
+        self.pace: endpoint_pace.EndpointPace = endpoint_pace.EqualPace()
+        if spec.measures_pace:
+            self.pace = measured_pace.MeasuredPace(
+                streams=self.running_streams
+            )
         rng = random.Random(number)
         table = endpoints.EndpointTable()
         for item in _endpoints(spec):
@@ -238,6 +263,7 @@
             health=self.health,
             data_centre=_HERE,
             rng=rng,
+            pace_of=lambda _: self.pace,
         )
         chooser.set_gateways(spec.gateways)
         self.admission_queue = admission_queue_mod.AdmissionQueue(
@@ -312,12 +338,14 @@
             for number in range(spec.gateways)
         ]
         self._prefill_engines = {
-            item.id: _PrefillEngine(spec=spec)
+            item.id: _PrefillEngine(spec=spec, number=int(item.id[1:]))
             for item in _endpoints(spec)
             if item.role is types.Role.PREFILL
         }
         self._decode_engines = {
-            item.id: _DecodeEngine(spec=spec, outcome=self.outcome)
+            item.id: _DecodeEngine(
+                spec=spec, outcome=self.outcome, number=int(item.id[1:])
+            )
             for item in _endpoints(spec)
             if item.role is types.Role.DECODE
         }
@@ -372,11 +400,13 @@
         now = self._loop.time()
         uses = gateway.reported_loads()
         first = gateway.admission_queue.most_urgent_waiters(now)
+        paces = gateway.pace.reports(now)
         for other in self._gateways:
             if other is not gateway:
                 other.loads.receive(
                     gateway.vm, 1, gateway.sequence, uses, now, waiting=first
                 )
+                other.pace.receive(paces, now, sender=gateway.vm)
                 other.capacity_changed.set()
 
     async def _request(self) -> None:
@@ -422,12 +452,12 @@
             return True
         try:
             if reservation.prefill_endpoint is not None:
-                took = await self._prefill_engines[
-                    reservation.prefill_endpoint.id
-                ].prefill(prompt)
-                gateway.token_timing.record_prefill(prompt, took)
+                await self._prefill(
+                    gateway, reservation.prefill_endpoint.id, prompt
+                )
             reservation.record_prefilled()
             stream = _Stream(prompt=prompt, answer=answer, progress=progress)
+            clock = self._watch(gateway, reservation.endpoint.id, stream)
             engine = self._decode_engines[reservation.endpoint.id]
             if not engine.start(stream):
                 self.outcome.wasted += prompt
@@ -436,12 +466,47 @@
                 )
                 return False
             await stream.ended.wait()
+            clock.end()
         finally:
             reservation.release()
         gateway.lengths.record_answer(guess=guess, actual=answer)
         self._record_outcome(stream, began)
         return True
 
+    async def _prefill(
+        self, gateway: _Gateway, endpoint: types.EndpointId, prompt: int
+    ) -> None:
+        """Prefill a prompt, and let the gateway learn from it."""
+        load = gateway.loads.total(endpoint)
+        tokens = max(prompt, load.prompt_tokens)
+        usual_s = gateway.token_timing.prefill_s(tokens)
+        now = self._loop.time()
+        with gateway.running_streams.watched(endpoint, usual_s, now):
+            took = await self._prefill_engines[endpoint].prefill(prompt)
+        gateway.pace.record_prefill(
+            endpoint, seconds=took, usual_s=usual_s, now=self._loop.time()
+        )
+        gateway.token_timing.record_prefill(prompt, took)
+
+    def _watch(
+        self, gateway: _Gateway, endpoint: types.EndpointId, stream: _Stream
+    ) -> stream_clock.StreamClock:
+        """Let the gateway time the events of a stream."""
+        clock = stream_clock.StreamClock(
+            endpoint=endpoint,
+            pace=gateway.pace,
+            timing=gateway.batch_timing,
+            streams=gateway.running_streams,
+        )
+
+        def on_event() -> None:
+            stream.progress.record_event()
+            runs = max(1, len(gateway.loads.total(endpoint).runs))
+            clock.record_event(runs, self._loop.time())
+
+        stream.on_event = on_event
+        return clock
+
     def _record_outcome(self, stream: _Stream, began: float) -> None:
         late = stream.first_at - began > self._spec.target_s
         paused = stream.longest_pause_s > self._spec.max_pause_s
--- a/tests/test_stream_times.py
+++ b/tests/test_stream_times.py
@@ -38,3 +38,19 @@
     free = msgspec.structs.replace(ROUTE, target_s=0.0, gap_s=0.0)
     assert not stream_with_events(5.0, 9.0).is_late(free)
     assert not stream_with_events().is_late(ROUTE)
+
+
+def test_a_late_stream_says_when_each_stage_was_reached_and_why_it_paused() -> (
+    None
+):
+    found = stream_times.StreamTimes(began=1.0)
+    found.record_stage(stream_times.Stage.RESERVED, 1.25)
+    found.record_stage(stream_times.Stage.PREFILLED, 1.5)
+    assert not found.log_fields()
+    found.record_event(2.0)
+    # A stage after the first event is that of a resumed stream.
+    found.record_stage(stream_times.Stage.RESERVED, 3.0)
+    found.pause_fields = {"pause_cause": "preemption"}
+    fields = found.log_fields()
+    assert fields["reserved_s"] == 0.25 and fields["prefilled_s"] == 0.5
+    assert fields["pause_cause"] == "preemption"
