Send late reads of plain services to a second endpoint

A read at an endpoint that lost it waited until its deadline. A read later than the 95th percentile of its kind now goes to a second endpoint as well, within the retry budget and five in a hundred; the loser is cancelled.

--- a/rackpost/decide/features.py
+++ b/rackpost/decide/features.py
@@ -12,6 +12,7 @@
 import enum
 from typing import Collection
 from typing import Iterable
+from typing import Mapping
 
 import msgspec
 
@@ -36,6 +37,8 @@
     ENDPOINT_PACE = "endpoint-pace"
     # Roles change on first evidence, several at once.
     EARLY_ROLES = "early-roles"
+    # Late reads are sent to a second endpoint of a plain service.
+    SECOND_READS = "second-reads"
 
 
 class ServiceProfile(msgspec.Struct, frozen=True, kw_only=True):
@@ -92,3 +95,21 @@
         features.add(Feature.EARLY_ROLES)
         features.add(Feature.POOL_SCHEDULER)
     return frozenset(features)
+
+
+def features_of_plain(
+    found: Mapping[types.ServiceName, Collection[Feature]],
+    services: Iterable[model.Service],
+) -> dict[types.ServiceName, frozenset[Feature]]:
+    """Return the parts that are on for plain services.
+
+    `found` are the parts of the model services of the same document: plain
+    endpoints count as uneven where those of a model service do.
+    """
+    if not any(Feature.ENDPOINT_PACE in parts for parts in found.values()):
+        return {}
+    return {
+        service.name: frozenset((Feature.SECOND_READS,))
+        for service in services
+        if service.engine is None
+    }
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -276,6 +276,7 @@
     if why:
         raise exceptions.ExchangeError(why)
     if answer_check.is_stream(head):
+        call.on_answer()
         call.site.health.record_answer(
             endpoint.id, call.site.loop_time() - began
         )
@@ -323,6 +324,7 @@
     took = call.site.loop_time() - began
     if call.route.kind is not model.RouteKind.STREAM:
         call.site.health.record_answer(endpoint.id, took)
+    call.on_answer()
     answer_relay.relay_whole(call, head, body)
     call.record_delivered(endpoint, head)
     return None
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -100,7 +100,9 @@
         # Whether a connection broke while an endpoint had the request.
         self.connection_broke = False
         # Called for each event of the endpoint's stream.
-        self.on_event: Callable[[], None] = _ignore_event
+        self.on_event: Callable[[], None] = ignore
+        # Called once an endpoint's answer is about to be passed on.
+        self.on_answer: Callable[[], None] = ignore
         self.times = stream_times.StreamTimes(began=began)
         # Id of the last event sent to the client, for resuming the stream.
         self.last_event_id: int | None = None
@@ -305,8 +307,8 @@
                 metrics.count("pauses", self.times.pause_cause, name)
 
 
-def _ignore_event() -> None:
-    """Ignore an event."""
+def ignore() -> None:
+    """Ignore an event or an answer."""
 
 
 def require_key(responder: server.Responder) -> None:
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -8,6 +8,7 @@
 from rackpost.gateway import answer_relay
 from rackpost.gateway import attempt
 from rackpost.gateway import call as call_mod
+from rackpost.gateway import second_read
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -62,9 +63,13 @@
     site = call.site
     began = site.loop_time()
     site.chooser.candidates.record_selection(endpoint, began)
-    with site.loads.request_added(endpoint.id):
-        ahead = site.loads.total(endpoint.id).requests
-        ended = await attempt.run(call, endpoint)
+    if second_read.applies(call):
+        ahead = site.loads.total(endpoint.id).requests + 1
+        ended = await second_read.run(call, endpoint)
+    else:
+        with site.loads.request_added(endpoint.id):
+            ahead = site.loads.total(endpoint.id).requests
+            ended = await attempt.run(call, endpoint)
     if ended is not None:
         return not retry_or_answer(call, ended)
     took = site.loop_time() - began
@@ -237,6 +242,9 @@
         if ended is not retry_decision.AttemptEnd.NOT_SENT:
             call.retry_budget.record_retry(now)
             call.site.metrics.count("repeats", ended, call.route.name)
+            call.site.second_reads_of(call.service.name).record_failure_retry(
+                now
+            )
             call.log(
                 "Tried again.",
                 after=ended.value,
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -21,6 +21,7 @@
 from rackpost.decide.pace import endpoint_pace
 from rackpost.decide.pace import measured_pace
 from rackpost.decide.pace import running_streams
+from rackpost.decide.pace import second_reads
 from rackpost.decide import plain_queue
 from rackpost.decide import quota
 from rackpost.decide import quota_buckets
@@ -142,6 +143,9 @@
         self._features: dict[
             types.ServiceName, frozenset[features.Feature]
         ] = {}
+        self._second_reads: dict[
+            types.ServiceName, second_reads.SecondReads
+        ] = {}
         self._plain_queues: dict[types.ServiceName, plain_queue.PlainQueue] = (
             {}
         )
@@ -235,6 +239,7 @@
             service: features.features_for(item)
             for service, item in profiles.items()
         }
+        found |= features.features_of_plain(found, routes.services.values())
         if found == self._features:
             return
         self._features = found
@@ -285,6 +290,16 @@
             self._retry_budgets[service] = found
         return found
 
+    def second_reads_of(
+        self, service: types.ServiceName
+    ) -> second_reads.SecondReads:
+        """Return the second reads of a plain service."""
+        found = self._second_reads.get(service)
+        if found is None:
+            found = second_reads.SecondReads(phase=self.rng.random())
+            self._second_reads[service] = found
+        return found
+
     def plain_queue(
         self, service: types.ServiceName
     ) -> plain_queue.PlainQueue:
--- a/tests/test_stream_times.py
+++ b/tests/test_stream_times.py
@@ -40,7 +40,7 @@
     assert not stream_with_events().is_late(ROUTE)
 
 
-def test_a_late_stream_says_when_each_stage_was_reached_and_why_it_paused() -> (
+def test_a_late_stream_says_when_stages_were_reached_and_why_it_paused() -> (
     None
 ):
     found = stream_times.StreamTimes(began=1.0)
