--- a/rackpost/decide/pace/running_streams.py
+++ b/rackpost/decide/pace/running_streams.py
@@ -16,6 +16,8 @@
 # An open interval counts once it is this many times the usual one: events
 # that travel together arrive one interval late.
 _OVERDUE_FACTOR = 1.7
+# Share of a pause's length from which another pause is similar.
+_SIMILAR_SHARE = 0.5
 # Usual intervals below this are not known, in seconds.
 _MIN_USUAL_S = 1e-4
 
@@ -79,17 +81,43 @@
         found = self._streams.get(stream.endpoint, ())
         return [item for item in found if item is not stream]
 
+    def paused_with(
+        self, stream: RunningStream, seconds: float, now: float
+    ) -> int:
+        """Return how many other streams there had a similar pause.
+
+        `stream` has just ended a pause of `seconds`.
+        """
+        return sum(
+            max(now - item.since, item.last_s) >= _SIMILAR_SHARE * seconds
+            for item in self.others(stream)
+        )
+
+    def was_preempted(
+        self, stream: RunningStream, seconds: float, now: float
+    ) -> bool:
+        """Whether a pause was most likely that of this stream alone."""
+        return (
+            seconds >= _OVERDUE_FACTOR * stream.usual_s
+            and bool(self.others(stream))
+            and not self.paused_with(stream, seconds, now)
+        )
+
     def overdue(self, endpoint: types.EndpointId, now: float) -> Overdue:
-        """Return how far the endpoint's events are overdue."""
+        """Return how far the endpoint's events are overdue.
+
+        Not at all while one of several streams goes on: a stream that is
+        silent beside it was preempted.
+        """
         seconds = usual_s = 0.0
         for item in self._streams.get(endpoint, ()):
             elapsed_s = now - item.since
-            if (
-                item.usual_s >= _MIN_USUAL_S
-                and elapsed_s >= _OVERDUE_FACTOR * item.usual_s
-            ):
-                seconds += elapsed_s
-                usual_s += item.usual_s
+            if item.usual_s < _MIN_USUAL_S:
+                continue
+            if elapsed_s < _OVERDUE_FACTOR * item.usual_s:
+                return Overdue()
+            seconds += elapsed_s
+            usual_s += item.usual_s
         return Overdue(seconds=seconds, usual_s=usual_s)
 
     def forget(self, endpoint: types.EndpointId) -> None:
--- a/rackpost/decide/pace/stream_clock.py
+++ b/rackpost/decide/pace/stream_clock.py
@@ -40,10 +40,14 @@
             self._streams.add(self.stream)
             return
         seconds = now - stream.since
-        self._pace.record_decode(
-            self._endpoint, seconds=seconds, usual_s=stream.usual_s, now=now
-        )
-        self._timing.record_interval(runs, seconds)
+        if not self._streams.was_preempted(stream, seconds, now):
+            self._pace.record_decode(
+                self._endpoint,
+                seconds=seconds,
+                usual_s=stream.usual_s,
+                now=now,
+            )
+            self._timing.record_interval(runs, seconds)
         stream.since = now
         stream.last_s = seconds
         stream.usual_s = self._timing.interval_s(runs)
--- a/rackpost/gateway/stream_pace.py
+++ b/rackpost/gateway/stream_pace.py
@@ -76,10 +76,14 @@
         load = site.loads.total(self._endpoint.id)
         held = sum(run.held_tokens for run in load.runs)
         others: list[running_streams.RunningStream] = []
+        others_paused = 0
         usual_s = 0.0
         stream = self._clock.stream
         if stream is not None:
             others = site.running_streams.others(stream)
+            others_paused = site.running_streams.paused_with(
+                stream, seconds, now
+            )
             usual_s = stream.usual_s
         in_place = load.prompt_tokens > 0 or site.loads.prefilled_within(
             self._endpoint.id, seconds, now
@@ -94,10 +98,7 @@
             resumed=self._resumed,
             client_s=self._call.times.client_s,
             others=len(others),
-            others_paused=sum(
-                max(now - item.since, item.last_s) >= 0.5 * seconds
-                for item in others
-            ),
+            others_paused=others_paused,
             factor=site.pace_of(self._call.service.name).factor(
                 self._endpoint.id, now
             ),
--- a/tests/test_endpoint_pace.py
+++ b/tests/test_endpoint_pace.py
@@ -12,6 +12,7 @@
 from rackpost.decide.pace import endpoint_pace
 from rackpost.decide.pace import measured_pace
 from rackpost.decide.pace import running_streams
+from rackpost.decide.pace import stream_clock
 from rackpost.routing import endpoints
 from rackpost import types
 
@@ -81,6 +82,28 @@
     assert pace.factor(SLOW, 1.4) == 1.0
 
 
+def test_a_preempted_stream_does_not_make_its_endpoint_slow() -> None:
+    """One of two streams pauses for 0.8 s, the other one goes on."""
+    streams = running_streams.RunningStreams()
+    pace = measured_pace.MeasuredPace(streams=streams)
+    timing = batch_timing.BatchTiming()
+    clocks = [
+        stream_clock.StreamClock(
+            endpoint=SLOW, pace=pace, timing=timing, streams=streams
+        )
+        for _ in range(2)
+    ]
+    for step in range(1, 60):
+        now = EVENT_S * step
+        is_paused = 20 <= step < 36
+        for clock in clocks[: 1 if is_paused else 2]:
+            clock.record_event(2, now)
+        assert pace.factor(SLOW, now + 0.001) < 1.1
+    for clock in clocks:
+        clock.end()
+    assert streams.overdue(SLOW, 99.0).usual_s == 0.0
+
+
 def test_other_gateways_learn_of_a_slow_endpoint() -> None:
     here, there = measure(), measure()
     record(here, SLOW, factor=3.0, until=1.0)
