--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -242,9 +242,7 @@
         if ended is not retry_decision.AttemptEnd.NOT_SENT:
             call.retry_budget.record_retry(now)
             call.site.metrics.count("repeats", ended, call.route.name)
-            call.site.second_reads_of(call.service.name).record_failure_retry(
-                now
-            )
+            second_read.record_retry(call, now)
             call.log(
                 "Tried again.",
                 after=ended.value,
--- a/rackpost/gateway/second_read.py
+++ b/rackpost/gateway/second_read.py
@@ -38,6 +38,13 @@
     )
 
 
+def record_retry(call: call_mod.Call, now: float) -> None:
+    """Record a retry after a failure, which the retry budget must cover."""
+    if call.site.has_feature(call.service.name, features.Feature.SECOND_READS):
+        reads = call.site.second_reads_of(call.service.name)
+        reads.record_failure_retry(now)
+
+
 async def run(
     call: call_mod.Call, endpoint: endpoints.Endpoint
 ) -> retry_decision.AttemptEnd | None:
