--- a/rackpost/gateway/stream_pace.py
+++ b/rackpost/gateway/stream_pace.py
@@ -61,6 +61,7 @@
         times.pause_fields = {
             "pause_cause": cause.value,
             "pause_at": self._endpoint.id,
+            "pause_end_s": round(now - call.began, 3),
             "pause_usual_s": round(facts.usual_s, 4),
             "pause_runs": facts.runs,
             "pause_joined": facts.joined,
