--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -8,6 +8,7 @@
 from rackpost.control import messages as control
 from rackpost.decide import endpoint_load
 from rackpost.decide import endpoint_rates
+from rackpost.decide.pace import endpoint_pace
 from rackpost.decide import quarantine
 from rackpost.decide import queue_order as queue_order_mod
 from rackpost.decide import quota
@@ -159,6 +160,7 @@
         named_rates: rates that endpoints named in their answers.
         contention: arrivals, use and waiting generations of services with a
             contention order.
+        paces: endpoints that are slower or faster than their pool.
     """
 
     vm: types.VmId
@@ -175,6 +177,7 @@
     named_rates: tuple[endpoint_rates.RateUpdate, ...] = ()
     contention: dict[types.ServiceName, contender.ContentionReport] = {}
     claims: tuple[backfill.Claim, ...] = ()
+    paces: tuple[endpoint_pace.PaceReport, ...] = ()
 
 
 class GrantRequest(_Message, frozen=True, tag="ask-grant"):
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -1,6 +1,7 @@
 """The state that a gateway's tasks share: routes, endpoints, loads."""
 
 import asyncio
+import collections
 import random
 from typing import Any
 from typing import Coroutine
@@ -16,6 +17,11 @@
 from rackpost.decide import endpoint_load
 from rackpost.decide import features
 from rackpost.decide import gateway_groups
+from rackpost.decide.pace import batch_timing
+from rackpost.decide.pace import endpoint_pace
+from rackpost.decide.pace import measured_pace
+from rackpost.decide.pace import running_streams
+from rackpost.decide.pace import second_reads
 from rackpost.decide import plain_queue
 from rackpost.decide import quota
 from rackpost.decide import quota_buckets
@@ -92,8 +98,18 @@
             health=self.health,
             data_centre=host.data_centre,
             rng=self.rng,
+            pace_of=self.pace_of,
         )
         self.token_timing = token_timing_mod.TokenTiming()
+        self._batch_timings: dict[
+            types.ServiceName, batch_timing.BatchTiming
+        ] = collections.defaultdict(batch_timing.BatchTiming)
+        self.running_streams = running_streams.RunningStreams()
+        # The pace of endpoints whose service uses `ENDPOINT_PACE`.
+        self.measured_pace = measured_pace.MeasuredPace(
+            streams=self.running_streams
+        )
+        self._equal_pace = endpoint_pace.EqualPace()
         self.answer_lengths = answer_lengths.AnswerLengths()
         self.refusals = recent_refusals_mod.RefusalTable()
         self.orders = orders_mod.Orders(
@@ -137,6 +153,9 @@
         self._features: dict[
             types.ServiceName, frozenset[features.Feature]
         ] = {}
+        self._second_reads: dict[
+            types.ServiceName, second_reads.SecondReads
+        ] = {}
         self._plain_queues: dict[types.ServiceName, plain_queue.PlainQueue] = (
             {}
         )
@@ -238,6 +257,7 @@
             service: features.features_for(item)
             for service, item in profiles.items()
         }
+        found |= features.features_of_plain(found, routes.services.values())
         if found == self._features:
             return
         self._features = found
@@ -259,6 +279,20 @@
         """Whether a part of load management is on for a service."""
         return feature in self._features.get(service, ())
 
+    def pace_of(
+        self, service: types.ServiceName
+    ) -> endpoint_pace.EndpointPace:
+        """Return the pace of a service's endpoints."""
+        if self.has_feature(service, features.Feature.ENDPOINT_PACE):
+            return self.measured_pace
+        return self._equal_pace
+
+    def batch_timing_of(
+        self, service: types.ServiceName
+    ) -> batch_timing.BatchTiming:
+        """Return the usual event intervals of a model service."""
+        return self._batch_timings[service]
+
     def retry_budget(
         self, service: types.ServiceName
     ) -> retry_budget.RetryBudget:
@@ -274,6 +308,16 @@
             self._retry_budgets[service] = found
         return found
 
+    def second_reads_of(
+        self, service: types.ServiceName
+    ) -> second_reads.SecondReads:
+        """Return the second reads of a plain service."""
+        found = self._second_reads.get(service)
+        if found is None:
+            found = second_reads.SecondReads(phase=self.rng.random())
+            self._second_reads[service] = found
+        return found
+
     def plain_queue(
         self, service: types.ServiceName
     ) -> plain_queue.PlainQueue:
