Add a scheduler of a model service's pools at a coordinator

Those who compete for the capacity of one service wait in as many queues as there are gateways. A coordinator, chosen by rendezvous hashing, can now hold one queue for all, with the decision code of the gateways. It is held back in features.py: with the feature off nothing is sent and the gateway's own queue decides as before.

--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -15,6 +15,7 @@
 from rackpost.decide import rate_grants
 from rackpost.decide import role_balance
 from rackpost.routing import endpoints
+from rackpost.scheduler import messages as scheduler
 from rackpost import types
 
 
@@ -206,6 +207,7 @@
     EndpointUpdate,
     HeartbeatNotice,
     Suspicions,
+    scheduler.ToScheduler,
 ]
 ToGateway = Union[
     RoutingVersion,
@@ -216,6 +218,7 @@
     ChangingEndpoints,
     Peers,
     Suspicions,
+    scheduler.FromScheduler,
 ]
 FromReplica = Union[
     control.FromReplica, Join, EndpointUpdate, HeartbeatNotice, Suspicions
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -36,6 +36,8 @@
 from rackpost.platform import settings
 from rackpost.routing import endpoints
 from rackpost.routing import model
+from rackpost.scheduler import host as scheduler_host
+from rackpost.scheduler import messages as scheduler_messages
 from rackpost.state import machine
 
 # Time for a dialled coordinator to send its hello.
@@ -43,6 +45,8 @@
 # Missed heartbeats after which an endpoint counts in no pool.  Longer than
 # most restarts, shorter than a change of role.
 _SILENT_HEARTBEATS = 8.0
+# Schedulers use an endpoint without this many heartbeats last, as gateways do.
+_MAX_MISSED_HEARTBEATS = 3.5
 # How often received heartbeats are published.
 _HEARTBEAT_NOTICE_S = 0.5
 
@@ -85,6 +89,12 @@
             send_to_gateways=self.directory.send_to_gateways,
             send_to_replicas=self.node.broadcast,
         )
+        self.schedulers = scheduler_host.SchedulerHost(
+            name=host.vm,
+            table=self.directory.table,
+            silent_after_s=_MAX_MISSED_HEARTBEATS * host.heartbeat_ms / 1000.0,
+            metrics=self.metrics,
+        )
         self.feed = routing_feed.RoutingFeed()
         self._decoder = documents.IncrementalDecoder()
         # The document of a loaded snapshot is in force at once.
@@ -172,11 +182,13 @@
         conn.send(self.directory.full_update())
         conn.send(messages.ChangingEndpoints(ids=self._roles.changing))
         self._peers.greet_gateway(conn)
+        self.schedulers.link(hello.vm, conn)
 
     def _on_gateway_lost(self, conn: channel.Channel) -> None:
         hello = self.directory.gateways.pop(conn, None)
         if hello is not None:
             self.directory.quotas.pop(hello.vm, None)
+            self.schedulers.unlink(hello.vm, conn)
             logs.say(logs.Part.COORDINATOR, "Gateway lost.", peer=hello.vm)
             self._peers.publish_soon()
 
@@ -197,6 +209,9 @@
             chunk = self.feed.chunk(msg)
             if chunk is not None:
                 conn.send(chunk)
+        elif isinstance(msg, scheduler_messages.ToScheduler):
+            hello = self.directory.gateways[conn]
+            self.schedulers.receive(hello.vm, conn, msg)
 
     def _publish_changing(self) -> None:
         self.directory.send_to_gateways(
@@ -241,7 +256,8 @@
         if routing is None or routing.version <= self.feed.version:
             return
         try:
-            self.feed.publish(self._decoder.decode(routing.source))
+            doc = self._decoder.decode(routing.source)
+            self.feed.publish(doc)
         except exceptions.RoutingError as exc:
             # Accepted by a newer release; gateways keep their version.
             logs.say(
@@ -251,6 +267,7 @@
                 why=str(exc),
             )
             return
+        self.schedulers.set_document(doc)
         logs.say(
             logs.Part.COORDINATOR,
             "Routing document in force.",
@@ -341,10 +358,12 @@
             tasks.keep(self._members.run)
             tasks.keep(self._maintain_directory)
             tasks.keep(self._roles.run)
+            tasks.keep(self.schedulers.run)
             try:
                 yield
             finally:
                 self._peers.close()
+                self.schedulers.close()
                 self._dialler.close()
                 await tasks.close()
 
--- a/rackpost/decide/eligibility.py
+++ b/rackpost/decide/eligibility.py
@@ -66,6 +66,11 @@
         """Set the endpoints that are changing their role."""
         self._changing_role = frozenset(keys)
 
+    @property
+    def changing_role(self) -> frozenset[types.EndpointId]:
+        """The endpoints that are changing their role."""
+        return self._changing_role
+
     def answering_endpoint(
         self,
         requested: endpoints.Endpoint,
--- a/rackpost/decide/features.py
+++ b/rackpost/decide/features.py
@@ -38,6 +38,10 @@
     EARLY_ROLES = "early-roles"
 
 
+# Parts that stay off although a document calls for them.
+_HELD_BACK = frozenset({Feature.POOL_SCHEDULER})
+
+
 class ServiceProfile(msgspec.Struct, frozen=True, kw_only=True):
     """What the routing document says of the use of one model service.
 
@@ -91,4 +95,4 @@
         features.add(Feature.ENDPOINT_PACE)
         features.add(Feature.EARLY_ROLES)
         features.add(Feature.POOL_SCHEDULER)
-    return frozenset(features)
+    return frozenset(features) - _HELD_BACK
--- a/rackpost/gateway/admission_queue.py
+++ b/rackpost/gateway/admission_queue.py
@@ -12,6 +12,7 @@
 from rackpost.decide import plain_queue
 from rackpost.decide import queue_order
 from rackpost.decide import token_timing as token_timing_mod
+from rackpost.gateway import capacity_source
 from rackpost.gateway import reservation as reservation_mod
 from rackpost.routing import endpoints
 from rackpost import types
@@ -66,7 +67,7 @@
         ] = asyncio.get_running_loop().create_future()
 
 
-class AdmissionQueue:
+class AdmissionQueue(capacity_source.CapacitySource):
     """Reserves decode endpoints for waiting generations, by deadline."""
 
     def __init__(
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -16,6 +16,7 @@
 from rackpost.platform import settings
 from rackpost.routing import digests
 from rackpost.routing import endpoints
+from rackpost.scheduler import messages as scheduler
 from rackpost import types
 
 # Endpoints with a heartbeat within this time are reported to a coordinator
@@ -94,9 +95,10 @@
         """Send suspicions against requests to all coordinators."""
         self._send_to_all(messages.Suspicions(items=items))
 
-    def _on_linked(self, conn: websocket.WebSocketChannel) -> None:
+    def _on_linked(self, host: str, conn: websocket.WebSocketChannel) -> None:
         """Send the known suspicions to a newly linked coordinator."""
         self._linked.add(conn)
+        self._site.capacity.link(host, conn)
         items = self._site.crash_tracker.quarantine.suspicions(1)
         if items:
             conn.send(messages.Suspicions(items=items))
@@ -132,6 +134,7 @@
     def _closed(self, host: str, conn: websocket.WebSocketChannel) -> None:
         self._linked.discard(conn)
         self._updates.link_lost(conn)
+        self._site.capacity.unlink(host, conn)
         if self._changing.pop(host, None):
             self._on_changing_roles(host, messages.ChangingEndpoints(ids=()))
         # Its report on other hosts is kept: they may still be running.
@@ -144,7 +147,7 @@
     ) -> None:
         if isinstance(msg, messages.RoutingVersion):
             if conn not in self._linked:
-                self._on_linked(conn)
+                self._on_linked(host, conn)
             self._updates.record_version(conn, host, msg.version)
         elif isinstance(msg, messages.RoutingChunk):
             self._updates.receive_chunk(conn, msg)
@@ -164,6 +167,8 @@
             self._reports[host] = msg
             self._set_hosts()
             self._set_gateways()
+        elif isinstance(msg, scheduler.FromScheduler):
+            self._site.capacity.receive(host, msg)
 
     def _on_silence_query(
         self, conn: websocket.WebSocketChannel, msg: messages.SilenceQuery
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -86,7 +86,7 @@
             self._progress = self._new_progress()
             reservation = (
                 self._reserve_again()
-                or await call.site.admission_queue.reserve(
+                or await call.site.capacity.reserve(
                     self._reservation_request()
                 )
             )
@@ -117,7 +117,7 @@
         if endpoint is None or self._resumes >= _MAX_RESUMES:
             return None
         self._resumes += 1
-        reservation = self._call.site.admission_queue.reserve_at(
+        reservation = self._call.site.capacity.reserve_at(
             self._reservation_request(), endpoint
         )
         if reservation is not None:
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -108,6 +108,7 @@
             )
             self.site.tasks.keep(self._sweep)
             self.site.tasks.keep(self.site.admission_queue.run)
+            self.site.tasks.keep(self.site.capacity.run)
             yield
 
     def _serving_ready(self) -> contextlib.AbstractAsyncContextManager:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -38,6 +38,7 @@
 from rackpost.routing import endpoints
 from rackpost.routing import match
 from rackpost.routing import model
+from rackpost.scheduler import client as scheduler_client
 from rackpost import types
 
 # An endpoint without this many heartbeats is used last; single ones may be
@@ -105,6 +106,20 @@
             on_waiters_changed=self.loads_changed.set,
             split=policy.split,
         )
+        self.capacity = scheduler_client.PoolClient(
+            local=self.admission_queue,
+            is_scheduled=lambda service: self.has_feature(
+                service, features.Feature.POOL_SCHEDULER
+            ),
+            chooser=self.chooser,
+            loads=self.loads,
+            table=self.table,
+            eligible=self.eligibility,
+            health=self.health,
+            token_timing=self.token_timing,
+            capacity_changed=self.capacity_changed,
+            metrics=self.metrics,
+        )
         self.quotas = quota_buckets.SharedBuckets(
             settings=_quota_settings(host.bounds),
             started_at=self.started_at,
--- /dev/null
+++ b/rackpost/scheduler/host.py
@@ -0,0 +1,147 @@
+"""The schedulers that run at one coordinator, by model service.
+
+A scheduler begins with the first request for its service and ends without
+requests.  Its state is in memory only and is learnt from the gateways.
+"""
+
+import asyncio
+import random
+from typing import Iterable
+
+import msgspec
+
+from rackpost.decide import features
+from rackpost.link import channel
+from rackpost import logs
+from rackpost import metrics as metrics_mod
+from rackpost.routing import endpoints
+from rackpost.routing import model
+from rackpost.scheduler import messages
+from rackpost.scheduler import pool
+from rackpost import types
+
+# How often idle schedulers are looked for, in seconds.
+_SWEEP_S = 1.0
+
+
+class SchedulerHost:
+    """Starts, feeds and ends the schedulers of a coordinator."""
+
+    def __init__(
+        self,
+        *,
+        name: types.VmId,
+        table: endpoints.EndpointTable,
+        silent_after_s: float,
+        metrics: metrics_mod.Metrics,
+    ) -> None:
+        """Create a host without schedulers.
+
+        `table` is the coordinator's; endpoints without a heartbeat for
+        `silent_after_s` seconds are used last.
+        """
+        self._name = name
+        self._table = table
+        self._silent_after_s = silent_after_s
+        self._metrics = metrics
+        self._conns: dict[types.VmId, channel.Channel] = {}
+        # The services for which the document calls for a scheduler.
+        self._services: frozenset[types.ServiceName] = frozenset()
+        self._pools: dict[types.ServiceName, pool.PoolScheduler] = {}
+
+    def set_document(self, doc: model.Document) -> None:
+        """Take the routing document that is now in force here."""
+        profiles = features.profiles(
+            doc.routes, doc.services, doc.organisations
+        )
+        self.set_services(
+            service
+            for service, item in profiles.items()
+            if features.Feature.POOL_SCHEDULER in features.features_for(item)
+        )
+
+    def set_services(self, names: Iterable[types.ServiceName]) -> None:
+        """Set the services that schedulers are called for."""
+        self._services = frozenset(names)
+
+    def link(self, gateway: types.VmId, conn: channel.Channel) -> None:
+        """Record a new link of a gateway, which replaces an earlier one."""
+        self._conns[gateway] = conn
+        for found in self._pools.values():
+            found.link(gateway)
+
+    def unlink(self, gateway: types.VmId, conn: channel.Channel) -> None:
+        """Record that a link is lost, unless a newer one exists."""
+        if self._conns.get(gateway) is not conn:
+            return
+        del self._conns[gateway]
+        for found in self._pools.values():
+            found.unlink(gateway)
+
+    def _send(self, gateway: types.VmId, msg: msgspec.Struct) -> None:
+        conn = self._conns.get(gateway)
+        if conn is not None:
+            conn.send(msg)
+
+    def receive(
+        self,
+        gateway: types.VmId,
+        conn: channel.Channel,
+        msg: messages.ToScheduler,
+    ) -> None:
+        """Handle a message of a linked gateway to a scheduler."""
+        if self._conns.get(gateway) is not conn:
+            return
+        service = msg.service
+        found = self._pools.get(service)
+        if found is None and isinstance(msg, messages.CapacityRequest):
+            if service not in self._services:
+                self._send(
+                    gateway, messages.CapacityDeclined(tickets=(msg.ticket,))
+                )
+                return
+            found = self._begin(service)
+        if found is not None:
+            found.receive(gateway, msg)
+
+    def _begin(self, service: types.ServiceName) -> pool.PoolScheduler:
+        logs.say(logs.Part.COORDINATOR, "Scheduler begins.", service=service)
+        found = pool.PoolScheduler(
+            service=service,
+            name=self._name,
+            table=self._table,
+            silent_after_s=self._silent_after_s,
+            send=self._send,
+            metrics=self._metrics,
+            rng=random.Random(),
+        )
+        self._pools[service] = found
+        for gateway in list(self._conns):
+            found.link(gateway)
+        return found
+
+    def _end(self, service: types.ServiceName) -> None:
+        logs.say(logs.Part.COORDINATOR, "Scheduler ends.", service=service)
+        self._pools.pop(service).close()
+        for gateway in list(self._conns):
+            self._send(
+                gateway, messages.HoldingsQuery(service=service, active=False)
+            )
+
+    def sweep(self) -> None:
+        """End schedulers without requests or whose service has none."""
+        for service, found in list(self._pools.items()):
+            if found.is_idle or service not in self._services:
+                self._end(service)
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            self.sweep()
+
+    def close(self) -> None:
+        """End all schedulers."""
+        for found in self._pools.values():
+            found.close()
+        self._pools.clear()
--- a/rackpost/scheduler/messages.py
+++ b/rackpost/scheduler/messages.py
@@ -1,22 +1,22 @@
-"""Messages between gateways and the scheduler of a pool.
+"""Messages between gateways and the scheduler of a model service's pools.
 
 They pass over the links between gateways and coordinators.  A gateway sends
-one `CapacityRequest` for each generation; it gets one `CapacityGrant` or one
-`CapacityRefusal`, and until then one `CapacityQueued` at once.  What runs is
-reported in batches by `CapacityProgress`, which also renews its leases.
-"""
+one `CapacityRequest` for each generation and gets a `CapacityGrant`, a
+`CapacityRefusal` or a `CapacityDeclined`; while it waits it is listed in each
+`CapacityQueued`.  A scheduler that becomes active asks all linked gateways
+for what they hold (`HoldingsQuery`); what changes is then reported in batches
+by `CapacityProgress`, which also renews the gateway's leases.
 
-from typing import NewType
+Times are relative and in seconds, as the processes' clocks differ.
+"""
 
 import msgspec
 
 from rackpost.decide import kv_forecast
 from rackpost.decide import queue_order
+from rackpost.decide.waiting import leases
 from rackpost import types
 
-# Identifies a request for capacity within one incarnation of a gateway.
-TicketId = NewType("TicketId", int)
-
 
 class _Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """A message between a gateway and a scheduler."""
@@ -35,7 +35,7 @@
         in_place: the prompt must be prefilled at the decode endpoint.
     """
 
-    ticket: TicketId
+    ticket: leases.TicketId
     service: types.ServiceName
     memory_tokens: int
     run: kv_forecast.Run
@@ -46,9 +46,9 @@
 
 
 class CapacityQueued(_Message, frozen=True, tag="capacity-queued"):
-    """The scheduler has the request and answers it later."""
+    """Requests of the gateway that wait; repeated while there are any."""
 
-    ticket: TicketId
+    tickets: tuple[leases.TicketId, ...]
 
 
 class CapacityGrant(_Message, frozen=True, tag="capacity"):
@@ -61,7 +61,7 @@
         lease_s: how long the lease lasts without `CapacityProgress`.
     """
 
-    ticket: TicketId
+    ticket: leases.TicketId
     endpoint: types.EndpointId
     prefill_endpoint: types.EndpointId | None
     lease_s: float
@@ -73,15 +73,39 @@
     `retry_after_s` is when the caller should retry, in seconds.
     """
 
-    ticket: TicketId
+    ticket: leases.TicketId
     retry_after_s: float
     expected_wait_s: float
 
 
+class CapacityDeclined(_Message, frozen=True, tag="not-scheduling"):
+    """The scheduler can't decide now; the gateway has to choose itself."""
+
+    tickets: tuple[leases.TicketId, ...]
+
+
 class CapacityCancel(_Message, frozen=True, tag="cancel-capacity"):
-    """The requests are no longer waiting, or their leases are released."""
+    """The requests no longer wait, or their leases are released."""
+
+    service: types.ServiceName
+    tickets: tuple[leases.TicketId, ...]
+
+
+class HoldingsQuery(_Message, frozen=True, tag="report-holdings"):
+    """The coordinator schedules a service and needs all holdings of it.
+
+    With `active` False it has stopped, and needs no further reports.
+    """
+
+    service: types.ServiceName
+    active: bool = True
 
-    tickets: tuple[TicketId, ...]
+
+class SchedulerChoice(_Message, frozen=True, tag="scheduler-choice"):
+    """Whether the gateway uses the receiver as the scheduler of a service."""
+
+    service: types.ServiceName
+    chosen: bool
 
 
 class Holding(_Message, frozen=True):
@@ -91,24 +115,54 @@
     still to be prefilled.
     """
 
-    ticket: TicketId
-    service: types.ServiceName
+    ticket: leases.TicketId
     endpoint: types.EndpointId
     prefill_endpoint: types.EndpointId | None
     run: kv_forecast.Run
     prefilling: bool
 
 
-class CapacityProgress(_Message, frozen=True, tag="capacity-in-use"):
-    """What a gateway holds.
+class EndpointSigns(_Message, frozen=True):
+    """What a gateway has observed at endpoints.
 
-    With `complete` it is all that the gateway holds; a new scheduler grants
-    only beyond what is surely free until each linked gateway has sent one.
+    Attributes:
+        failed: endpoints that have just failed.
+        rejecting: endpoints that have just rejected a request.
+        backoffs: remaining back-off of endpoints, in seconds.
+        changing: endpoints that are changing their role.
+        prefill_token_s: time to prefill a token; 0 if unknown.
+        generation_s: mean time that a generation holds capacity.
     """
 
-    holdings: tuple[Holding, ...]
-    complete: bool = False
+    failed: tuple[types.EndpointId, ...] = ()
+    rejecting: tuple[types.EndpointId, ...] = ()
+    backoffs: dict[types.EndpointId, float] = {}
+    changing: tuple[types.EndpointId, ...] = ()
+    prefill_token_s: float = 0.0
+    generation_s: float = 0.0
 
 
-ToScheduler = CapacityRequest | CapacityCancel | CapacityProgress
-FromScheduler = CapacityQueued | CapacityGrant | CapacityRefusal
+class CapacityProgress(_Message, frozen=True, tag="capacity-in-use"):
+    """What has changed in what a gateway holds of a service.
+
+    With `complete` it is all that the gateway holds, the answer to a
+    `HoldingsQuery`.
+    """
+
+    service: types.ServiceName
+    holdings: tuple[Holding, ...] = ()
+    signs: EndpointSigns = EndpointSigns()
+    complete: bool = False
+    chosen: bool = False
+
+
+ToScheduler = (
+    CapacityRequest | CapacityCancel | CapacityProgress | SchedulerChoice
+)
+FromScheduler = (
+    CapacityQueued
+    | CapacityGrant
+    | CapacityRefusal
+    | CapacityDeclined
+    | HoldingsQuery
+)
