Compare the scheduler with the gateways' own queues in the emulator

The fleet can be served by a scheduler over simulated links, with the production client and host; requests may have two priorities, and the messages of both ways are counted. Without these settings the loads and outcomes are as before.

--- a/rackpost/decide/waiting/grant_check.py
+++ b/rackpost/decide/waiting/grant_check.py
@@ -26,7 +26,6 @@
 def objection(
     endpoint: endpoints.Endpoint | None,
     *,
-    run: kv_forecast.Run,
     memory_tokens: int,
     eligible: eligibility.Eligibility,
     health: endpoint_health.HealthTracker,
@@ -35,8 +34,9 @@
 ) -> Objection | None:
     """Return why a decode endpoint must not be used; None if it may be.
 
-    Its whole KV memory counts, while the scheduler reserves a part of it: so
-    reports that are some milliseconds old seldom cause an objection.
+    Capacity is often granted again before other gateways' reports say that
+    it is free.  So an endpoint is too full only if it has no memory or slots
+    left even without this request.
     """
     if endpoint is None:
         return Objection.UNKNOWN
@@ -44,8 +44,8 @@
     if found is not None:
         return found
     load = loads.total(endpoint.id)
-    peak = kv_forecast.peak_tokens([*load.runs, run])
-    if load.requests >= endpoint.slots or peak > memory_tokens:
+    peak = kv_forecast.peak_tokens(load.runs)
+    if load.requests > endpoint.slots or peak > memory_tokens:
         return Objection.NO_MEMORY
     return None
 
--- a/rackpost/scheduler/client.py
+++ b/rackpost/scheduler/client.py
@@ -56,7 +56,7 @@
     SILENT = "no answer in time"
     LINK_LOST = "link lost"
     DECLINED = "declined"
-    GRANTS_RETURNED = "grants returned"
+    TOO_MANY_ASKS = "asked too often"
     # Another coordinator schedules the service now; it is asked instead.
     MOVED = "moved"
 
@@ -158,9 +158,18 @@
                 if found is not None:
                     return found
                 exclude.append(answer.endpoint)
-            elif answer is not Fallback.MOVED:
+                if not self._has_other(request.service, exclude):
+                    break
+            elif answer not in (Fallback.MOVED, Fallback.LINK_LOST):
                 return await self._choose_here(request, answer)
-        return await self._choose_here(request, Fallback.GRANTS_RETURNED)
+        return await self._choose_here(request, Fallback.TOO_MANY_ASKS)
+
+    def _has_other(
+        self, service: types.ServiceName, exclude: list[types.EndpointId]
+    ) -> bool:
+        """Whether a decode endpoint is left to ask for."""
+        members = self._chooser.candidates.members(service, types.Role.DECODE)
+        return any(item.id not in exclude for item in members)
 
     def reserve_at(
         self,
@@ -274,7 +283,6 @@
         endpoint = self._table.alive.get(grant.endpoint)
         why = grant_check.objection(
             endpoint,
-            run=request.run,
             memory_tokens=request.memory_tokens,
             eligible=self._eligible,
             health=self._health,
@@ -431,7 +439,11 @@
         for pending in self._pending.values():
             if pending.service == service and pending.host != best:
                 pending.resolve(Fallback.MOVED)
-        for host in self._choices.subscribers(service):
+        hosts = set(self._choices.subscribers(service))
+        if before is not None and best is not None:
+            # It begins, so that all gateways change at the same time.
+            hosts.add(best)
+        for host in hosts:
             self._send(
                 host,
                 messages.SchedulerChoice(service=service, chosen=host == best),
--- a/rackpost/scheduler/host.py
+++ b/rackpost/scheduler/host.py
@@ -1,7 +1,8 @@
 """The schedulers that run at one coordinator, by model service.
 
-A scheduler begins with the first request for its service and ends without
-requests.  Its state is in memory only and is learnt from the gateways.
+A scheduler begins when a gateway chooses it for a service, or requests
+capacity, and ends without requests.  Its state is in memory only and is
+learnt from the gateways.
 """
 
 import asyncio
@@ -94,13 +95,13 @@
             return
         service = msg.service
         found = self._pools.get(service)
-        if found is None and isinstance(msg, messages.CapacityRequest):
-            if service not in self._services:
+        if found is None and _begins(msg):
+            if service in self._services:
+                found = self._begin(service)
+            elif isinstance(msg, messages.CapacityRequest):
                 self._send(
                     gateway, messages.CapacityDeclined(tickets=(msg.ticket,))
                 )
-                return
-            found = self._begin(service)
         if found is not None:
             found.receive(gateway, msg)
 
@@ -145,3 +146,10 @@
         for found in self._pools.values():
             found.close()
         self._pools.clear()
+
+
+def _begins(msg: messages.ToScheduler) -> bool:
+    """Whether a scheduler begins with this message."""
+    if isinstance(msg, messages.SchedulerChoice):
+        return msg.chosen
+    return isinstance(msg, messages.CapacityRequest)
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -24,8 +24,10 @@
 from rackpost.decide import queue_order
 from rackpost.decide import token_timing as token_timing_mod
 from rackpost.gateway import admission_queue as admission_queue_mod
+from rackpost.gateway import capacity_source
 from rackpost.gateway import reservation as reservation_mod
 from rackpost.routing import endpoints
+from rackpost.testing import fleet_scheduler
 from rackpost import types
 
 SERVICE = types.ServiceName("model")
@@ -71,6 +73,11 @@
     max_pause_s: float = 0.3
     # Delay of other gateways' load reports.
     report_delay_s: float = 0.013
+    # Capacity is granted by a scheduler, over links with this delay.
+    scheduler: bool = False
+    link_delay_s: float = 0.002
+    # Share of the requests with a higher priority.
+    urgent_share: float = 0.0
 
 
 class Outcome(msgspec.Struct, kw_only=True):
@@ -87,6 +94,13 @@
     wasted: int = 0
     # Load reports; each goes to all other gateways.
     messages: int = 0
+    # Messages between gateways and the scheduler.
+    link_messages: int = 0
+    # Of the requests with a higher priority.
+    urgent: int = 0
+    urgent_in_time: int = 0
+    # Sum of the times to the first token, in seconds.
+    start_s: float = 0.0
 
 
 class _Stream:
@@ -240,6 +254,8 @@
             rng=rng,
         )
         chooser.set_gateways(spec.gateways)
+        self.chooser = chooser
+        self.table = table
         self.admission_queue = admission_queue_mod.AdmissionQueue(
             chooser=chooser,
             loads=self.loads,
@@ -249,6 +265,7 @@
             capacity_changed=self.capacity_changed,
             on_waiters_changed=self.load_changed.set,
         )
+        self.capacity: capacity_source.CapacitySource = self.admission_queue
         # Timings of a gateway that has served for some time.
         self.token_timing.record_prefill(1000, 1000 * spec.prefill_token_s)
         token_s = spec.token_s + 8 * spec.token_each_s
@@ -307,10 +324,28 @@
         self._rng = random.Random(seed)
         self._loop = asyncio.get_running_loop()
         self.outcome = Outcome()
+        self._scheduler: fleet_scheduler.FleetScheduler | None = None
         self._gateways = [
             _Gateway(number=number, spec=spec)
             for number in range(spec.gateways)
         ]
+        if spec.scheduler:
+            self._scheduler = fleet_scheduler.FleetScheduler(
+                endpoints=list(_endpoints(spec)),
+                service=SERVICE,
+                delay_s=spec.link_delay_s,
+            )
+            for gateway in self._gateways:
+                gateway.capacity = self._scheduler.client(
+                    gateway.vm,
+                    local=gateway.admission_queue,
+                    chooser=gateway.chooser,
+                    loads=gateway.loads,
+                    table=gateway.table,
+                    health=gateway.health,
+                    token_timing=gateway.token_timing,
+                    capacity_changed=gateway.capacity_changed,
+                )
         self._prefill_engines = {
             item.id: _PrefillEngine(spec=spec)
             for item in _endpoints(spec)
@@ -350,9 +385,14 @@
         # All gateways have a first report before requests arrive.
         for gateway in self._gateways:
             self._publish(gateway)
+        if self._scheduler is not None:
+            tasks += self._scheduler.start()
         try:
             yield
         finally:
+            if self._scheduler is not None:
+                self.outcome.link_messages = self._scheduler.messages
+                self._scheduler.close()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -392,7 +432,11 @@
         off = rng.lognormvariate(0.0, spec.guess_spread)
         guess = min(spec.max_answer, int(answer * off))
         began = self._loop.time()
-        while not await self._attempt(gateway, prompt, answer, guess, began):
+        urgent = spec.urgent_share > 0.0 and rng.random() < spec.urgent_share
+        self.outcome.urgent += urgent
+        while not await self._attempt(
+            gateway, prompt, answer, guess, began, urgent
+        ):
             self.outcome.rejected += 1
 
     async def _attempt(
@@ -402,6 +446,7 @@
         answer: int,
         guess: int,
         began: float,
+        urgent: bool,
     ) -> bool:
         """Make one attempt; return False if the endpoint rejects it."""
         spec = self._spec
@@ -412,9 +457,9 @@
             event_tokens=spec.event_tokens,
             spread=gateway.lengths.spread,
         )
-        reservation = await gateway.admission_queue.reserve(
+        reservation = await gateway.capacity.reserve(
             _reservation_request(
-                spec, gateway.token_timing, progress.run, began
+                spec, gateway.token_timing, progress.run, began, urgent
             )
         )
         if isinstance(reservation, reservation_mod.NoCapacity):
@@ -439,15 +484,19 @@
         finally:
             reservation.release()
         gateway.lengths.record_answer(guess=guess, actual=answer)
-        self._record_outcome(stream, began)
+        self._record_outcome(stream, began, urgent)
         return True
 
-    def _record_outcome(self, stream: _Stream, began: float) -> None:
+    def _record_outcome(
+        self, stream: _Stream, began: float, urgent: bool
+    ) -> None:
         late = stream.first_at - began > self._spec.target_s
         paused = stream.longest_pause_s > self._spec.max_pause_s
         self.outcome.late_start += late
         self.outcome.long_pause += paused
         self.outcome.in_time += not (late or paused)
+        self.outcome.urgent_in_time += urgent and not (late or paused)
+        self.outcome.start_s += stream.first_at - began
 
 
 def _reservation_request(
@@ -455,6 +504,7 @@
     pace: token_timing_mod.TokenTiming,
     run: kv_forecast.Run,
     began: float,
+    urgent: bool,
 ) -> reservation_mod.ReservationRequest:
     start_s = pace.start_s(run.held_tokens)
     return reservation_mod.ReservationRequest(
@@ -464,7 +514,7 @@
         exclude=(),
         event_interval_s=pace.decode_s(spec.event_tokens),
         waiting_request=queue_order.WaitingRequest(
-            priority=1,
+            priority=0 if urgent else 1,
             target=began + spec.target_s,
             start_by=began + _PATIENCE_TARGETS * spec.target_s,
             deadline=began + 14.0,
