--- a/rackpost/scheduler/client.py
+++ b/rackpost/scheduler/client.py
@@ -43,7 +43,8 @@
 _REPORT_S = 0.05
 # Longest time between two reports, in seconds; several fit into a lease.
 _RENEW_S = 0.5
-_TOKENS_FOR_RATE = 1000
+# Tokens from whose time that of one is computed.
+_TOKENS = 1000
 # Bounds the log lines on fallbacks, in seconds from one to the next.
 _LOG_S = 1.0
 
@@ -458,14 +459,15 @@
 
     def _signs(self) -> messages.EndpointSigns:
         now = self._loop.time()
-        prefill_s = self._token_timing.prefill_s(_TOKENS_FOR_RATE)
+        timing = self._token_timing
         return messages.EndpointSigns(
             failed=self._health.failed_endpoints(now),
             rejecting=self._health.full_endpoints(now),
             backoffs=self._eligible.remaining_backoffs(now),
             changing=tuple(sorted(self._eligible.changing_role)),
-            prefill_token_s=prefill_s / _TOKENS_FOR_RATE,
-            generation_s=self._token_timing.generation_s,
+            prefill_token_s=timing.prefill_s(_TOKENS) / _TOKENS,
+            decode_token_s=timing.decode_s(_TOKENS) / _TOKENS,
+            generation_s=timing.generation_s,
         )
 
     async def run(self) -> None:
--- a/rackpost/scheduler/messages.py
+++ b/rackpost/scheduler/messages.py
@@ -131,6 +131,7 @@
         backoffs: remaining back-off of endpoints, in seconds.
         changing: endpoints that are changing their role.
         prefill_token_s: time to prefill a token; 0 if unknown.
+        decode_token_s: time to generate a token; 0 if unknown.
         generation_s: mean time that a generation holds capacity.
     """
 
@@ -139,6 +140,7 @@
     backoffs: dict[types.EndpointId, float] = {}
     changing: tuple[types.EndpointId, ...] = ()
     prefill_token_s: float = 0.0
+    decode_token_s: float = 0.0
     generation_s: float = 0.0
 
 
--- a/rackpost/scheduler/pool.py
+++ b/rackpost/scheduler/pool.py
@@ -55,20 +55,11 @@
 class _GatedEligibility(eligibility.Eligibility):
     """Endpoints may be selected only while the scheduler is ready."""
 
-    def __init__(
-        self,
-        *,
-        table: endpoints.EndpointTable,
-        rng: random.Random,
-        leases: leases_mod.LeaseTable,
-    ) -> None:
-        super().__init__(table=table, rng=rng)
-        self._leases = leases
+    is_open = False
 
     def may_select(self, endpoint: endpoints.Endpoint, now: float) -> bool:
         """Whether the endpoint may be granted now."""
-        ready = self._leases.readiness is leases_mod.Readiness.READY
-        return ready and super().may_select(endpoint, now)
+        return self.is_open and super().may_select(endpoint, now)
 
 
 class PoolScheduler:
@@ -96,9 +87,7 @@
         self._metrics = metrics
         self._table = table
         self.leases = leases_mod.LeaseTable(lease_s=LEASE_S)
-        self._eligible = _GatedEligibility(
-            table=table, rng=rng, leases=self.leases
-        )
+        self._eligible = _GatedEligibility(table=table, rng=rng)
         self._health = endpoint_health.HealthTracker()
         self._loads = endpoint_load.LoadTable(on_change=lambda: None)
         self._timing = timing.ReportedTiming()
@@ -299,7 +288,7 @@
             self._health.record_reported_full(endpoint, now)
         for endpoint, left_s in signs.backoffs.items():
             self._health.record_reported_backoff(endpoint, left_s, now)
-        self._timing.take(gateway, signs.prefill_token_s, signs.generation_s)
+        self._timing.take(gateway, signs)
         self._changing[gateway] = signs.changing
         self._eligible.set_changing_role(
             key for keys in self._changing.values() for key in keys
@@ -316,6 +305,7 @@
 
     def _update_readiness(self) -> None:
         ready = self.leases.readiness is leases_mod.Readiness.READY
+        self._eligible.is_open = ready
         if not ready:
             if self._unready_since is None:
                 self._unready_since = self._loop.time()
@@ -357,6 +347,7 @@
         if lapsed:
             self._log("Leases have lapsed.", count=len(lapsed))
             self._end(lapsed, Event.LAPSED)
+        self._update_readiness()
         waiting: dict[types.VmId, list[leases_mod.TicketId]] = {}
         for key in self._waiting:
             waiting.setdefault(key.gateway, []).append(key.ticket)
