--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -18,6 +18,7 @@
 from rackpost.decide.waiting import backfill
 from rackpost.decide.waiting import contender
 from rackpost.routing import endpoints
+from rackpost.scheduler import messages as scheduler
 from rackpost import types
 
 
@@ -216,6 +217,7 @@
     EndpointUpdate,
     HeartbeatNotice,
     Suspicions,
+    scheduler.ToScheduler,
 ]
 ToGateway = Union[
     RoutingVersion,
@@ -226,6 +228,7 @@
     ChangingEndpoints,
     Peers,
     Suspicions,
+    scheduler.FromScheduler,
 ]
 FromReplica = Union[
     control.FromReplica, Join, EndpointUpdate, HeartbeatNotice, Suspicions
--- a/rackpost/gateway/admission_queue.py
+++ b/rackpost/gateway/admission_queue.py
@@ -19,6 +19,7 @@
 from rackpost.decide.waiting import contender
 from rackpost.decide.waiting import headroom
 from rackpost.decide.waiting import orders as orders_mod
+from rackpost.gateway import capacity_source
 from rackpost.gateway import large_requests
 from rackpost.gateway import reservation as reservation_mod
 from rackpost.gateway import waiters as waiters_mod
@@ -69,7 +70,7 @@
     in_place: endpoint_choice.InPlacePrefill | None
 
 
-class AdmissionQueue:
+class AdmissionQueue(capacity_source.CapacitySource):
     """Reserves decode endpoints for waiting generations, by deadline."""
 
     def __init__(
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -105,7 +105,7 @@
             self._progress = self._new_progress()
             reservation = (
                 self._reserve_again()
-                or await call.site.admission_queue.reserve(
+                or await call.site.capacity.reserve(
                     self._reservation_request()
                 )
             )
@@ -151,7 +151,7 @@
         reservation = None
         if self._resumes < _MAX_RESUMES:
             self._resumes += 1
-            reservation = self._call.site.admission_queue.reserve_at(
+            reservation = self._call.site.capacity.reserve_at(
                 self._reservation_request(), endpoint
             )
         if reservation is None:
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -31,8 +31,10 @@
 from rackpost.decide import token_timing as token_timing_mod
 from rackpost.decide.waiting import orders as orders_mod
 from rackpost.gateway import admission_queue as admission_queue_mod
+from rackpost.gateway import capacity_source
 from rackpost.gateway import reservation as reservation_mod
 from rackpost.routing import endpoints
+from rackpost.testing import fleet_scheduler
 from rackpost.testing import uneven
 from rackpost import types
 
@@ -113,6 +115,11 @@
     prefill_speeds: uneven.Speeds = uneven.Speeds()
     decode_speeds: uneven.Speeds = uneven.Speeds()
     measures_pace: bool = False
+    # Capacity is granted by a scheduler, over links with this delay.
+    scheduler: bool = False
+    link_delay_s: float = 0.002
+    # Share of the requests with a higher priority.
+    urgent_share: float = 0.0
 
 
 class Tally(msgspec.Struct, kw_only=True):
@@ -163,6 +170,13 @@
     large: int = 0
     large_in_time: int = 0
     large_refused: int = 0
+    # Messages between gateways and the scheduler.
+    link_messages: int = 0
+    # Of the requests with a higher priority.
+    urgent: int = 0
+    urgent_in_time: int = 0
+    # Sum of the times to the first token, in seconds.
+    start_s: float = 0.0
 
 
 class _Stream:
@@ -345,6 +359,8 @@
         self.orders = orders_mod.Orders(
             vm=self.vm, has_contention=lambda _: spec.contention
         )
+        self.chooser = chooser
+        self.table = table
         self.admission_queue = admission_queue_mod.AdmissionQueue(
             chooser=chooser,
             loads=self.loads,
@@ -355,6 +371,7 @@
             on_waiters_changed=self.load_changed.set,
             orders=self.orders,
         )
+        self.capacity: capacity_source.CapacitySource = self.admission_queue
         # Timings of a gateway that has served for some time.
         self.token_timing.record_prefill(1000, 1000 * spec.prefill_token_s)
         token_s = spec.token_s + 8 * spec.token_each_s
@@ -413,10 +430,28 @@
         self._rng = random.Random(seed)
         self._loop = asyncio.get_running_loop()
         self.outcome = Outcome()
+        self._scheduler: fleet_scheduler.FleetScheduler | None = None
         self._gateways = [
             _Gateway(number=number, spec=spec)
             for number in range(spec.gateways)
         ]
+        if spec.scheduler:
+            self._scheduler = fleet_scheduler.FleetScheduler(
+                endpoints=list(_endpoints(spec)),
+                service=SERVICE,
+                delay_s=spec.link_delay_s,
+            )
+            for gateway in self._gateways:
+                gateway.capacity = self._scheduler.client(
+                    gateway.vm,
+                    local=gateway.admission_queue,
+                    chooser=gateway.chooser,
+                    loads=gateway.loads,
+                    table=gateway.table,
+                    health=gateway.health,
+                    token_timing=gateway.token_timing,
+                    capacity_changed=gateway.capacity_changed,
+                )
         self._prefill_engines = {
             item.id: _PrefillEngine(spec=spec, number=int(item.id[1:]))
             for item in _endpoints(spec)
@@ -458,9 +493,14 @@
         # All gateways have a first report before requests arrive.
         for gateway in self._gateways:
             self._publish(gateway)
+        if self._scheduler is not None:
+            tasks += self._scheduler.start()
         try:
             yield
         finally:
+            if self._scheduler is not None:
+                self.outcome.link_messages = self._scheduler.messages
+                self._scheduler.close()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -514,6 +554,9 @@
                 for item in spec.kinds
             ]
             kind = self._rng.choices(spec.kinds, weights)[0]
+        elif spec.urgent_share > 0.0:
+            if self._rng.random() < spec.urgent_share:
+                kind = msgspec.structs.replace(kind, name="urgent", priority=0)
         organisation = 0
         if spec.organisations > 1:
             usual = [1.0] * (spec.organisations - 1)
@@ -550,6 +593,7 @@
         off = rng.lognormvariate(0.0, spec.guess_spread)
         guess = min(spec.max_answer, int(answer * off))
         caller = self._caller()
+        self.outcome.urgent += caller.kind.priority == 0
         for tally in self._tallies(caller):
             tally.requests += 1
         while True:
@@ -584,7 +628,7 @@
             event_tokens=spec.event_tokens,
             spread=gateway.lengths.spread,
         )
-        reservation = await gateway.admission_queue.reserve(
+        reservation = await gateway.capacity.reserve(
             _reservation_request(
                 spec,
                 gateway.token_timing,
@@ -679,6 +723,9 @@
         self.outcome.in_time += not (late or paused)
         if stream.prompt >= self._spec.large_prompt:
             self.outcome.large_in_time += not (late or paused)
+        urgent = caller.kind.priority == 0
+        self.outcome.urgent_in_time += urgent and not (late or paused)
+        self.outcome.start_s += stream.first_at - caller.began
 
 
 def _reservation_request(
