Change roles on first evidence, for the peaks of the demand

A change of role followed the mean of 6 s, which counts the time before the first request: the first order came after 5 s of traffic. Gateways now report the work of their newest requests, and the leader plans several changes at once for the peaks, where the routing document calls for it.

--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -24,6 +24,7 @@
 from rackpost.coordinator import quarantine_keeper
 from rackpost.coordinator import roles
 from rackpost.coordinator import routing_feed
+from rackpost.decide import features
 from rackpost import exceptions
 from rackpost.http1 import message
 from rackpost.http1 import pages
@@ -87,8 +88,6 @@
         )
         self.feed = routing_feed.RoutingFeed()
         self._decoder = documents.IncrementalDecoder()
-        # The document of a loaded snapshot is in force at once.
-        self._publish_routing()
         self._peers = peers.PeerPublisher(
             directory=self.directory,
             coordinators=lambda: self._members.hosts | {self._host.ip},
@@ -108,6 +107,8 @@
             silent_s=_SILENT_HEARTBEATS * host.heartbeat_ms / 1000.0,
             on_changing=self._publish_changing,
         )
+        # The document of a loaded snapshot is in force at once.
+        self._publish_routing()
         self._members = members.MembershipManager(
             node=self.node,
             dialler=self._dialler,
@@ -241,7 +242,8 @@
         if routing is None or routing.version <= self.feed.version:
             return
         try:
-            self.feed.publish(self._decoder.decode(routing.source))
+            doc = self._decoder.decode(routing.source)
+            self.feed.publish(doc)
         except exceptions.RoutingError as exc:
             # Accepted by a newer release; gateways keep their version.
             logs.say(
@@ -256,6 +258,14 @@
             "Routing document in force.",
             version=routing.version,
         )
+        profiles = features.profiles(
+            doc.routes, doc.services, doc.organisations
+        )
+        self._roles.set_early_services(
+            service
+            for service, item in profiles.items()
+            if features.Feature.EARLY_ROLES in features.features_for(item)
+        )
 
     def _status_page(self) -> tuple[int, str]:
         found = overview.overview(
--- a/rackpost/coordinator/role_orders.py
+++ b/rackpost/coordinator/role_orders.py
@@ -31,6 +31,8 @@
     REFUSED = "refused"
     FENCED = "fenced"
     INELIGIBLE = "may get nothing now"
+    # Another order is in progress at the endpoint.
+    CHANGING = "is changing already"
     UNKNOWN = "not answered"
 
 
@@ -83,8 +85,13 @@
                 why=str(exc),
             )
             return OrderOutcome.REFUSED
-        if report is None or report.changing:
+        if report is None:
             return self._refusal_outcome(endpoint)
+        if report.changing:
+            outcome = self._refusal_outcome(endpoint)
+            if outcome is OrderOutcome.REFUSED:
+                outcome = OrderOutcome.CHANGING
+            return outcome
         order = orders.change_role(
             role,
             holder=self._holder,
--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -8,13 +8,17 @@
 import asyncio
 import random
 from typing import Callable
+from typing import Iterable
 from typing import NamedTuple
 
 from rackpost.control import node as node_mod
 from rackpost.coordinator import directory as directory_mod
 from rackpost.coordinator import role_orders
 from rackpost.decide import eligibility
+from rackpost.decide import features
 from rackpost.decide import role_balance
+from rackpost.decide import role_demand
+from rackpost.decide import role_plan
 from rackpost import logs
 from rackpost.routing import endpoints
 from rackpost.state import commands
@@ -40,6 +44,17 @@
 _LEASE_FACTOR = 1.2
 
 
+class _Order(NamedTuple):
+    """Endpoints that are to take a role, and why."""
+
+    service: types.ServiceName
+    role: types.Role
+    changes: int
+    pools: role_balance.Pools
+    # Prefill and decode demand, in endpoints.
+    demand: tuple[float, float]
+
+
 class _Change(NamedTuple):
     """A change of role in progress; it has failed after `until`."""
 
@@ -94,6 +109,8 @@
         self._imbalance_since: dict[types.ServiceName, float] = {}
         self._changes: dict[types.EndpointId, _Change] = {}
         self._not_before: dict[types.ServiceName, float] = {}
+        # The services whose roles change on first evidence.
+        self._planners: dict[types.ServiceName, role_plan.RolePlanner] = {}
 
     @property
     def changing(self) -> tuple[types.EndpointId, ...]:
@@ -106,14 +123,36 @@
         """Record the demand that a gateway reports."""
         self._demands[vm] = _DemandReport(at=self._loop.time(), items=items)
 
+    def set_early_services(
+        self, services: Iterable[types.ServiceName]
+    ) -> None:
+        """Set the services whose roles change on first evidence."""
+        wanted = set(services)
+        if wanted == self._planners.keys():
+            return
+        for service in self._planners.keys() - wanted:
+            del self._planners[service]
+        for service in wanted - self._planners.keys():
+            self._planners[service] = role_plan.RolePlanner()
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Services whose roles change on first evidence.",
+            feature=features.Feature.EARLY_ROLES.value,
+            services=sorted(wanted),
+        )
+
     async def run(self) -> None:
         """Balance the pools until cancelled."""
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
             self._orders.sweep()
+            # Recorded by all, so that a new leader knows the peaks.
+            self._record_recent_demand()
             if not self._node.is_leader:
                 self._fence_term = -1
                 self._imbalance_since.clear()
+                for planner in self._planners.values():
+                    planner.forget_orders()
                 self._check_changes()
                 continue
             if self._fence_term != self._node.term:
@@ -162,6 +201,21 @@
             and not table.is_silent(item.id, before)
         ]
 
+    def _record_recent_demand(self) -> None:
+        now = self._loop.time()
+        for service, planner in self._planners.items():
+            planner.history.record(
+                now,
+                [
+                    role_demand.WorkReport(report.at, item.recent)
+                    for report in self._demands.values()
+                    for item in report.items
+                    if item.service == service
+                    and item.recent is not None
+                    and now - report.at < _DEMAND_VALID_S
+                ],
+            )
+
     def _demand(self, service: types.ServiceName) -> role_balance.Demand:
         """Return the total demand at all gateways."""
         now = self._loop.time()
@@ -177,9 +231,13 @@
         now = self._loop.time()
         self._check_changes()
         members = self._members(service)
+        planner = self._planners.get(service)
+        pools = self._pools(members)
+        if planner is not None and pools.prefill > 0 and pools.decode > 0:
+            await self._balance_early(service, planner, members, pools)
+            return
         if not self._may_change(service, members, now):
             return
-        pools = self._pools(members)
         demand = self._demand(service)
         role = role_balance.role_to_add(pools, demand)
         if role is None:
@@ -188,11 +246,41 @@
         since = self._imbalance_since.setdefault(service, now)
         if now - since < _MIN_IMBALANCE_S:
             return
-        await self._order_change(service, role, members, pools, demand)
+        figures = (demand.prefill, demand.decode)
+        await self._order_changes(
+            _Order(service, role, 1, pools, figures), members
+        )
         if not self._may_change(service, members, self._loop.time()):
             # The next imbalance is timed from its own start.
             self._imbalance_since.pop(service, None)
 
+    async def _balance_early(
+        self,
+        service: types.ServiceName,
+        planner: role_plan.RolePlanner,
+        members: list[endpoints.Endpoint],
+        pools: role_balance.Pools,
+    ) -> None:
+        """Order the changes that the planner wants on first evidence."""
+        now = self._loop.time()
+        changing = [
+            item.role
+            for item in self._changes.values()
+            if item.service == service
+        ]
+        plan = planner.plan(now, pools, changing)
+        if (
+            plan is None
+            or now < self._may_order_at
+            or now < self._not_before.get(service, 0.0)
+        ):
+            return
+        order = _Order(
+            service, plan.role, plan.changes, pools, plan.demand[:2]
+        )
+        if await self._order_changes(order, members):
+            planner.record_order(plan.role)
+
     def _may_change(
         self,
         service: types.ServiceName,
@@ -236,7 +324,7 @@
         else:
             return
         del self._changes[change.endpoint.id]
-        if not any(
+        if change.service not in self._planners and not any(
             item.service == change.service for item in self._changes.values()
         ):
             self._not_before[change.service] = now + _PAUSE_AFTER_CHANGE_S
@@ -248,15 +336,15 @@
             outcome=outcome,
         )
 
-    async def _order_change(
-        self,
-        service: types.ServiceName,
-        role: types.Role,
-        members: list[endpoints.Endpoint],
-        pools: role_balance.Pools,
-        demand: role_balance.Demand,
-    ) -> None:
-        others = sorted(
+    def _candidates(
+        self, role: types.Role, members: list[endpoints.Endpoint]
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints that may be ordered to take a role.
+
+        The order is the same at each coordinator: a new leader first asks
+        the endpoints that its predecessor may have ordered.
+        """
+        return sorted(
             (
                 item
                 for item in members
@@ -267,27 +355,43 @@
             ),
             key=lambda item: item.id,
         )
+
+    async def _order_changes(
+        self, order: _Order, members: list[endpoints.Endpoint]
+    ) -> bool:
+        """Order endpoints to take a role; return whether any changes."""
+        chosen = self._candidates(order.role, members)
+        if order.service in self._planners:
+            chosen = role_plan.spread(chosen)
+        chosen = chosen[: order.changes]
         # A successor waits for longer than one lease from here.
         until = self._loop.time() + self._lease_s
-        if not others or not await self._is_still_holder():
-            return
-        endpoint = others[0]
+        if not chosen or not await self._is_still_holder():
+            return False
+        await asyncio.gather(
+            *(self._order_change(order, item, until) for item in chosen)
+        )
+        return any(item.id in self._changes for item in chosen)
+
+    async def _order_change(
+        self, order: _Order, endpoint: endpoints.Endpoint, until: float
+    ) -> None:
         result = await self._orders.send_order(
-            endpoint, role, self._fence, until=until
+            endpoint, order.role, self._fence, until=until
         )
         logs.say(
             logs.Part.COORDINATOR,
             "Ordered a change of role.",
             endpoint=endpoint.id,
-            role=role.value,
+            role=order.role.value,
             outcome=result.value,
             fence=self._fence,
-            prefill_endpoints=pools.prefill,
-            decode_endpoints=pools.decode,
-            prefill_demand=round(demand.prefill, 2),
-            decode_demand=round(demand.decode, 2),
+            prefill_endpoints=order.pools.prefill,
+            decode_endpoints=order.pools.decode,
+            prefill_demand=round(order.demand[0], 2),
+            decode_demand=round(order.demand[1], 2),
         )
-        self._record_outcome(service, endpoint, role, result)
+        self._record_outcome(order.service, endpoint, order.role, result)
 
     def _record_outcome(
         self,
@@ -303,11 +407,18 @@
         elif result is role_orders.OrderOutcome.INELIGIBLE:
             # The next round chooses another endpoint.
             return
-        elif result is role_orders.OrderOutcome.REFUSED:
+        elif result is role_orders.OrderOutcome.REFUSED or (
+            result is role_orders.OrderOutcome.CHANGING
+            and service not in self._planners
+        ):
             self._not_before[service] = now + _PAUSE_AFTER_CHANGE_S
         else:
             wait_s = _CHANGE_TIMEOUT_S
-            if result is role_orders.OrderOutcome.UNKNOWN:
+            if result in (
+                role_orders.OrderOutcome.UNKNOWN,
+                role_orders.OrderOutcome.CHANGING,
+            ):
+                # The latter is most likely an order of a former leader.
                 wait_s = _UNANSWERED_ORDER_S
             self._changes[endpoint.id] = _Change(
                 service=service,
--- a/rackpost/decide/role_balance.py
+++ b/rackpost/decide/role_balance.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from rackpost.decide import role_demand
 from rackpost.decide import token_timing
 from rackpost import types
 
@@ -45,7 +46,9 @@
     """Demand for a model service, in endpoints that it would keep busy.
 
     `is_known` is False where the sender has not observed enough;
-    `requests_per_s` is the request rate on which the figures are based.
+    `requests_per_s` is the request rate on which the figures are based;
+    `recent` is the work of the newest requests, where roles are changed on
+    first evidence.
     """
 
     service: types.ServiceName
@@ -53,6 +56,7 @@
     decode: float
     is_known: bool = True
     requests_per_s: float = 0.0
+    recent: role_demand.RecentWork | None = None
 
 
 class Pools(msgspec.Struct, frozen=True, kw_only=True):
@@ -94,6 +98,8 @@
         service: types.ServiceName,
         now: float,
         timing: token_timing.TokenTiming,
+        *,
+        with_recent: bool = False,
     ) -> Demand:
         """Return the demand over the window, at the observed token times.
 
@@ -112,6 +118,25 @@
             decode=timing.decode_s(decode_tokens) / counted_s,
             is_known=has_observed or not self._items,
             requests_per_s=len(self._items) / counted_s,
+            recent=self._recent_work(now, timing) if with_recent else None,
+        )
+
+    def _recent_work(
+        self, now: float, timing: token_timing.TokenTiming
+    ) -> role_demand.RecentWork:
+        """Return the work of the newest requests."""
+        items = [
+            item
+            for item in self._items
+            if item.at >= now - role_demand.RECENT_S
+        ]
+        return role_demand.RecentWork(
+            requests=len(items),
+            prompt_tokens=sum(item.prompt for item in items),
+            decode_tokens=sum(item.decode for item in items),
+            oldest_s=now - items[0].at if items else 0.0,
+            prefill_token_s=timing.prefill_s(1),
+            decode_token_s=timing.decode_s(1.0),
         )
 
 
@@ -143,15 +168,25 @@
     return work / endpoints if endpoints > 0 else float("inf")
 
 
+def utilisations(
+    pools: Pools, prefill: float, decode: float
+) -> tuple[float, float]:
+    """Return the utilisation of the prefill and of the decode pool.
+
+    `prefill` and `decode` are the demand, in endpoints.
+    """
+    return (
+        _utilisation(prefill / _MAX_PREFILL_UTILISATION, pools.prefill),
+        _utilisation(decode, pools.decode),
+    )
+
+
 def peak_utilisation(pools: Pools, demand: Demand) -> float:
     """Return the utilisation of the busier pool; 1 is its full capacity."""
     if pools.prefill == 0:
         work = demand.decode + _IN_PLACE_FACTOR * demand.prefill
         return _IN_PLACE_PAUSE_FACTOR * _utilisation(work, pools.decode)
-    return max(
-        _utilisation(demand.prefill / _MAX_PREFILL_UTILISATION, pools.prefill),
-        _utilisation(demand.decode, pools.decode),
-    )
+    return max(utilisations(pools, demand.prefill, demand.decode))
 
 
 def _during_change(pools: Pools, new_role: types.Role) -> Pools:
--- /dev/null
+++ b/rackpost/decide/role_demand.py
@@ -0,0 +1,128 @@
+"""Measure what the newest requests demand of each role of endpoint.
+
+Gateways report the work of their newest requests and the token times that
+they observe; a coordinator adds the reports up.  Token times are a median
+over the gateways, so a gateway that has none yet counts from its first
+request, and one that saw only slow starts does not distort the sum.
+
+Pure: times are readings of the owner's clock, in seconds.
+"""
+
+import math
+import statistics
+from typing import NamedTuple
+from typing import Sequence
+
+import msgspec
+
+# Time over which a gateway sums its newest requests: shorter than a burst.
+RECENT_S = 2.0
+# Fewest requests that show a mix.
+MIN_REQUESTS = 8
+# Shortest time over which a rate is computed.
+_MIN_COUNTED_S = 0.5
+# Peaks fall to 1/e in this time: they outlast the pause between two bursts,
+# and a mix of requests that has ended is forgotten within a minute.
+_PEAK_DECAY_S = 20.0
+
+
+class RecentWork(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """The work of a gateway's requests of the last `RECENT_S`.
+
+    Attributes:
+        decode_tokens: tokens to generate, each times the share of an endpoint
+            that its request occupies.
+        oldest_s: age of the oldest of these requests.
+        prefill_token_s: observed prefill time of a token; 0 if unknown.
+        decode_token_s: observed decode time of a token; 0 if unknown.
+    """
+
+    requests: int
+    prompt_tokens: int
+    decode_tokens: float
+    oldest_s: float = 0.0
+    prefill_token_s: float = 0.0
+    decode_token_s: float = 0.0
+
+
+class WorkReport(NamedTuple):
+    """The work that a gateway reported at time `at`."""
+
+    at: float
+    work: RecentWork
+
+
+class PoolDemand(NamedTuple):
+    """Demand in endpoints that it keeps busy, from a number of requests."""
+
+    prefill: float
+    decode: float
+    requests: int = 0
+
+
+NO_DEMAND = PoolDemand(0.0, 0.0)
+
+
+def _token_times(reports: Sequence[WorkReport]) -> tuple[float, float] | None:
+    """Return the median token times; None if no gateway knows both."""
+    known = [
+        item.work
+        for item in reports
+        if item.work.prefill_token_s > 0.0 and item.work.decode_token_s > 0.0
+    ]
+    if not known:
+        return None
+    return (
+        statistics.median(item.prefill_token_s for item in known),
+        statistics.median(item.decode_token_s for item in known),
+    )
+
+
+def _counted_s(reports: Sequence[WorkReport]) -> float:
+    """Return the time in which the reported requests came.
+
+    It is the whole window unless requests began a moment ago.
+    """
+    oldest_at = min(
+        item.at - item.work.oldest_s for item in reports if item.work.requests
+    )
+    reported_at = statistics.fmean(item.at for item in reports)
+    return min(RECENT_S, max(_MIN_COUNTED_S, reported_at - oldest_at))
+
+
+class DemandHistory:
+    """The demand of the newest requests at all gateways, and its peaks."""
+
+    def __init__(self) -> None:
+        self.current = NO_DEMAND
+        # Decaying maximum of each pool's demand; `requests` is the largest
+        # number of requests from which a demand was computed.
+        self.peak = NO_DEMAND
+        self._recorded_at: float | None = None
+
+    def record(self, now: float, reports: Sequence[WorkReport]) -> None:
+        """Add up the latest report of each gateway."""
+        requests = sum(item.work.requests for item in reports)
+        times = _token_times(reports)
+        self.current = NO_DEMAND
+        if times is not None and requests >= MIN_REQUESTS:
+            counted_s = _counted_s(reports)
+            tokens = sum(item.work.prompt_tokens for item in reports)
+            made = sum(item.work.decode_tokens for item in reports)
+            self.current = PoolDemand(
+                prefill=tokens * times[0] / counted_s,
+                decode=made * times[1] / counted_s,
+                requests=requests,
+            )
+        self._update_peak(now)
+
+    def _update_peak(self, now: float) -> None:
+        kept = 1.0
+        if self._recorded_at is not None:
+            kept = math.exp((self._recorded_at - now) / _PEAK_DECAY_S)
+        self._recorded_at = now
+        self.peak = PoolDemand(
+            prefill=max(self.current.prefill, kept * self.peak.prefill),
+            decode=max(self.current.decode, kept * self.peak.decode),
+            requests=max(self.current.requests, self.peak.requests),
+        )
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -276,7 +276,14 @@
         """Return the recent demand for each model service."""
         now = self.loop_time()
         return tuple(
-            meter.demand(service, now, self.token_timing)
+            meter.demand(
+                service,
+                now,
+                self.token_timing,
+                with_recent=self.has_feature(
+                    service, features.Feature.EARLY_ROLES
+                ),
+            )
             for service, meter in self._demand_meters.items()
         )
 
