--- a/rackpost/decide/role_plan.py
+++ b/rackpost/decide/role_plan.py
@@ -22,7 +22,7 @@
 _WORK_SPREAD = 0.9
 # A pool is too busy where a burst two thirds above the peak would fill it.
 _MIN_UTILISATION = 0.6
-# From this utilisation on, a pool is overloaded now.
+# From this utilisation on, a pool is overloaded.
 _OVERLOAD_UTILISATION = 0.85
 # Largest utilisation of the pool that gives endpoints, at the peak.
 _MAX_DONOR_UTILISATION = 0.9
@@ -34,9 +34,9 @@
 _FURTHER_S = 2.0
 _REVERSAL_S = 6.0
 # A change must lower the utilisation of the busier pool by a factor of 1 plus
-# this over the number of endpoints: by more than one endpoint's worth.  A
-# reversal must pay for two changes.
+# this over the number of endpoints.  A reversal must pay for two changes.
 _GAIN = 2.0
+_GAIN_OVERLOADED = 1.0
 _REVERSAL_GAIN = 3.0
 # One in this many endpoints may change its role at a time.
 _ENDPOINTS_PER_CHANGE = 5
@@ -154,11 +154,18 @@
             return _FURTHER_S
         return _REVERSAL_S
 
-    def _min_gain(self, role: types.Role, pools: role_balance.Pools) -> float:
-        gain = _GAIN
+    def _min_gain(
+        self,
+        role: types.Role,
+        pools: role_balance.Pools,
+    ) -> float:
         is_reversal = self._last_role not in (None, role)
         if is_reversal and not self._is_overloaded(role, pools):
             gain = _REVERSAL_GAIN
+        elif self._is_overloaded(role, pools):
+            gain = _GAIN_OVERLOADED
+        else:
+            gain = _GAIN
         return 1.0 + gain / (pools.prefill + pools.decode)
 
     def _best_plan(
