--- a/rackpost/decide/role_plan.py
+++ b/rackpost/decide/role_plan.py
@@ -20,8 +20,8 @@
 
 # Spread of the work of one request, over its mean.
 _WORK_SPREAD = 0.9
-# A pool is too busy where a burst two thirds above the peak would fill it.
-_MIN_UTILISATION = 0.6
+# A pool is too busy where a burst of twice the peak would overload it.
+_MIN_UTILISATION = 0.45
 # From this utilisation on, a pool is overloaded.
 _OVERLOAD_UTILISATION = 0.85
 # Largest utilisation of the pool that gives endpoints, at the peak.
