--- a/rackpost/coordinator/role_orders.py
+++ b/rackpost/coordinator/role_orders.py
@@ -65,9 +65,11 @@
         fence: types.Fence,
         *,
         until: float,
+        reports_changing: bool = False,
     ) -> OrderOutcome:
         """Order an endpoint to take a role, unless it is changing already.
 
+        The outcome is then CHANGING with `reports_changing`, else REFUSED.
         Endpoints refuse an order whose fence is below that of an earlier
         one.  No order is sent from `until` on (event loop clock): another
         coordinator may then hold the lease, as after a suspension of this
@@ -89,7 +91,7 @@
             return self._refusal_outcome(endpoint)
         if report.changing:
             outcome = self._refusal_outcome(endpoint)
-            if outcome is OrderOutcome.REFUSED:
+            if reports_changing and outcome is OrderOutcome.REFUSED:
                 outcome = OrderOutcome.CHANGING
             return outcome
         order = orders.change_role(
--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -377,7 +377,11 @@
         self, order: _Order, endpoint: endpoints.Endpoint, until: float
     ) -> None:
         result = await self._orders.send_order(
-            endpoint, order.role, self._fence, until=until
+            endpoint,
+            order.role,
+            self._fence,
+            until=until,
+            reports_changing=order.service in self._planners,
         )
         logs.say(
             logs.Part.COORDINATOR,
@@ -407,10 +411,7 @@
         elif result is role_orders.OrderOutcome.INELIGIBLE:
             # The next round chooses another endpoint.
             return
-        elif result is role_orders.OrderOutcome.REFUSED or (
-            result is role_orders.OrderOutcome.CHANGING
-            and service not in self._planners
-        ):
+        elif result is role_orders.OrderOutcome.REFUSED:
             self._not_before[service] = now + _PAUSE_AFTER_CHANGE_S
         else:
             wait_s = _CHANGE_TIMEOUT_S
