Merge roles that follow uneven demand, held back

So the part stays off (features._HELD_BACK); features.called_for tells what a document calls for. Tests of features and roles pass on the merged code.

--- a/rackpost/coordinator/role_orders.py
+++ b/rackpost/coordinator/role_orders.py
@@ -31,6 +31,8 @@
     REFUSED = "refused"
     FENCED = "fenced"
     INELIGIBLE = "may get nothing now"
+    # Another order is in progress at the endpoint.
+    CHANGING = "is changing already"
     UNKNOWN = "not answered"
 
 
@@ -63,9 +65,11 @@
         fence: types.Fence,
         *,
         until: float,
+        reports_changing: bool = False,
     ) -> OrderOutcome:
         """Order an endpoint to take a role, unless it is changing already.
 
+        The outcome is then CHANGING with `reports_changing`, else REFUSED.
         Endpoints refuse an order whose fence is below that of an earlier
         one.  No order is sent from `until` on (event loop clock): another
         coordinator may then hold the lease, as after a suspension of this
@@ -83,8 +87,13 @@
                 why=str(exc),
             )
             return OrderOutcome.REFUSED
-        if report is None or report.changing:
+        if report is None:
             return self._refusal_outcome(endpoint)
+        if report.changing:
+            outcome = self._refusal_outcome(endpoint)
+            if reports_changing and outcome is OrderOutcome.REFUSED:
+                outcome = OrderOutcome.CHANGING
+            return outcome
         order = orders.change_role(
             role,
             holder=self._holder,
--- a/rackpost/decide/features.py
+++ b/rackpost/decide/features.py
@@ -42,7 +42,7 @@
 
 
 # Parts that stay off although a document calls for them.
-_HELD_BACK = frozenset({Feature.POOL_SCHEDULER})
+_HELD_BACK = frozenset({Feature.POOL_SCHEDULER, Feature.EARLY_ROLES})
 
 
 class ServiceProfile(msgspec.Struct, frozen=True, kw_only=True):
@@ -87,8 +87,8 @@
     }
 
 
-def features_for(found: ServiceProfile) -> frozenset[Feature]:
-    """Return the parts that are on for a service with this profile."""
+def called_for(found: ServiceProfile) -> frozenset[Feature]:
+    """Return the parts that a service with this profile calls for."""
     features = set()
     if len(found.priorities) > 1:
         features.add(Feature.CONTENTION_ORDER)
@@ -99,7 +99,12 @@
         features.add(Feature.ENDPOINT_PACE)
         features.add(Feature.EARLY_ROLES)
         features.add(Feature.POOL_SCHEDULER)
-    return frozenset(features) - _HELD_BACK
+    return frozenset(features)
+
+
+def features_for(found: ServiceProfile) -> frozenset[Feature]:
+    """Return the parts that are on for a service with this profile."""
+    return called_for(found) - _HELD_BACK
 
 
 def features_of_plain(
