Bound what a gateway holds for clients that read slowly

A gateway held up to 64 KB for each connection with no bound for all together: 4,100 connections are more memory than a VM has, and above 64 KB an answer was left unread at its endpoint, which cuts it.

--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import enum
 from typing import AsyncIterator
 
 from rackpost.coordinator import links
+from rackpost.decide import slow_readers
 from rackpost.gateway import control_links
 from rackpost.gateway import handler as handler_mod
 from rackpost.gateway import load_exchange
@@ -29,6 +31,14 @@
 # without any, in seconds.
 _ENDPOINTS_WAIT_S = 5.0
 _SWEEP_S = 1.0
+# Share of the VM's memory for answers that clients have not read yet.
+_READERS_MEMORY_SHARE = 0.125
+
+
+class SlowReader(enum.Enum):
+    """What happened to a client that reads slowly."""
+
+    DISCONNECTED = "disconnected"
 
 
 class Gateway:
@@ -46,6 +56,12 @@
         self._server = server.Server(
             handler=handler_mod.Handler(site=self.site).handle,
             failed=_log_failure,
+            reader_budget=slow_readers.ReaderBudget(
+                max_bytes=int(
+                    _READERS_MEMORY_SHARE * host.limits.memory_mb * (1 << 20)
+                )
+            ),
+            disconnected=self._on_slow_reader,
         )
         self.stopping = False
         self._ready = False
@@ -78,6 +94,19 @@
             logs.Part.GATEWAY, "Settings reloaded.", seeds=list(host.seeds)
         )
 
+    def _on_slow_reader(
+        self, req: message.Request, reader: slow_readers.Reader
+    ) -> None:
+        self.site.metrics.count("slow_readers", SlowReader.DISCONNECTED)
+        logs.say(
+            logs.Part.GATEWAY,
+            "Slow reader disconnected.",
+            request=_request_id(req),
+            held_bytes=reader.held_bytes,
+            bytes_per_s=round(reader.bytes_per_s),
+            held_for_all=self._server.held_bytes,
+        )
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_S)
@@ -133,6 +162,7 @@
     def _metrics_page(self) -> tuple[int, str]:
         self.site.metrics.gauge("document_version", self.site.version)
         self.site.metrics.gauge("connections_opened", self.site.pool.opened)
+        self.site.metrics.gauge("unread_bytes", self._server.held_bytes)
         return 200, self.site.metrics.text()
 
     async def stop(self) -> None:
@@ -162,11 +192,15 @@
             await asyncio.sleep(_POLL_S)
 
 
-def _log_failure(req: message.Request, exc: Exception) -> None:
+def _request_id(req: message.Request) -> str:
     ident = message.find(req.headers, headers.REQUEST_ID) or b""
+    return ident.decode("latin-1")
+
+
+def _log_failure(req: message.Request, exc: Exception) -> None:
     logs.say(
         logs.Part.GATEWAY,
         "Request failed in the gateway.",
-        request=ident.decode("latin-1"),
+        request=_request_id(req),
         why=repr(exc),
     )
--- a/rackpost/http1/server.py
+++ b/rackpost/http1/server.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from rackpost.decide import slow_readers
 from rackpost.http1 import message
 from rackpost.routing import model
 
@@ -27,8 +28,11 @@
 # How long input is discarded after an early error answer; closing at once
 # could reset the connection before the client reads the answer.
 _LINGER_S = 1.0
-# Writing pauses while more than this is unsent.
+# Writing pauses while more than this is unsent, unless the budget for all
+# clients has room.
 _HIGH_WATER_BYTES = 64 << 10
+# Budget of a server whose owner sets none.
+_DEFAULT_BUDGET_BYTES = 16 << 20
 
 
 class Responder:
@@ -113,6 +117,11 @@
         self._writable: asyncio.Future[None] | None = None
         self._discarding = False
         self.closing = False
+        self._written_bytes = 0
+        # What the server's total of held bytes includes for this client.
+        self._counted_bytes = 0
+        self._read_rate = slow_readers.ReadRate()
+        self._latest_req: message.Request | None = None
         self.idle_since = self._loop.time()
         self._received_at = self.idle_since
         self.head_since: float | None = None
@@ -137,13 +146,41 @@
     def write(self, data: bytes) -> None:
         """Write bytes; dropped if the client has disconnected."""
         if self._transport is not None and not self._transport.is_closing():
+            self._written_bytes += len(data)
             self._transport.write(data)
 
     async def drain(self) -> None:
-        """Wait until the write buffer is below its limit."""
-        if self._writable is not None:
+        """Wait until more may be held for the client."""
+        if self._writable is not None and not self._server.has_room(self):
             await self._writable
 
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes are held for the client."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def count_held(self) -> int:
+        """Return the change of the held bytes since the last call."""
+        change = self.held_bytes - self._counted_bytes
+        self._counted_bytes += change
+        return change
+
+    def sampled_reader(self, now: float) -> slow_readers.Reader:
+        """Sample how fast the client reads."""
+        held_bytes = self.held_bytes
+        self._read_rate.sample(self._written_bytes - held_bytes, now)
+        return slow_readers.Reader(
+            self, held_bytes, self._read_rate.bytes_per_s
+        )
+
+    def disconnect_slow(self, reader: slow_readers.Reader) -> None:
+        """Close the connection of a client that reads too slowly."""
+        if self._latest_req is not None:
+            self._server.disconnected(self._latest_req, reader)
+        self.abort()
+
     def abort(self) -> None:
         """Close the connection at once."""
         if self._transport is not None:
@@ -160,6 +197,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler of a client that has disconnected."""
         self._server.connections.discard(self)
+        self._server.held_bytes -= self._counted_bytes
         self.resume_writing()
         self._pipelined.clear()
         if self._task is not None:
@@ -266,6 +304,7 @@
 
     async def _serve_one(self, req: message.Request, is_http10: bool) -> None:
         responder = Responder(conn=self, is_http10=is_http10)
+        self._latest_req = req
         if self._server.stopping:
             self.closing = True
         try:
@@ -339,9 +378,24 @@
         handler: Handler,
         failed: Callable[[message.Request, Exception], None],
         limits: model.Limits | None = None,
+        reader_budget: slow_readers.ReaderBudget | None = None,
+        disconnected: Callable[
+            [message.Request, slow_readers.Reader], None
+        ] = lambda req, reader: None,
     ) -> None:
+        """Create a server that does not listen yet.
+
+        `failed` is called for a handler's exception, `disconnected` for a
+        client that reads too slowly, with its latest request.
+        """
         self.handler = handler
         self.failed = failed
+        self.disconnected = disconnected
+        self._budget = reader_budget or slow_readers.ReaderBudget(
+            max_bytes=_DEFAULT_BUDGET_BYTES
+        )
+        # Bytes held for all clients; of each as of its last write or sweep.
+        self.held_bytes = 0
         self.limits = limits or model.Limits()
         self.connections: set[ServerConnection] = set()
         self.stopping = False
@@ -379,6 +433,19 @@
             now = loop.time()
             for conn in list(self.connections):
                 conn.sweep(now)
+            self._disconnect_slow(now)
+
+    def has_room(self, conn: ServerConnection) -> bool:
+        """Whether more may be held for a client."""
+        self.held_bytes += conn.count_held()
+        return self._budget.has_room(conn.held_bytes, self.held_bytes)
+
+    def _disconnect_slow(self, now: float) -> None:
+        for conn in self.connections:
+            self.held_bytes += conn.count_held()
+        readers = [conn.sampled_reader(now) for conn in self.connections]
+        for reader in self._budget.to_disconnect(readers):
+            cast(ServerConnection, reader.key).disconnect_slow(reader)
 
     def close_idle(self) -> None:
         """Close the connections that have no request in flight."""
