Judge slow readers by what they read over two seconds

The test of the stalled reader asks on one connection that must survive, and checks that nothing stays counted.

--- a/rackpost/decide/slow_readers.py
+++ b/rackpost/decide/slow_readers.py
@@ -9,6 +9,8 @@
 Pure: sizes are in bytes, times in seconds.
 """
 
+import collections
+import math
 from typing import Hashable
 from typing import NamedTuple
 from typing import Sequence
@@ -18,16 +20,21 @@
 _SLOW_S = 2.0
 # Share of the budget that one client may use.
 _SHARE_OF_ONE = 0.1
-# Reading rates are averaged with this weight of the newest sample.
-_EWMA_WEIGHT = 0.5
+# Reading rates are means of this time: a client may pause for less than the
+# silence above.
+_RATE_WINDOW_S = _SLOW_S
 
 
 class Reader(NamedTuple):
-    """A client, what is held for it, and how fast it reads."""
+    """A client, what is held for it, and how fast it reads.
+
+    `held_s` is how long something has been held for it without a break.
+    """
 
     key: Hashable
     held_bytes: int
     bytes_per_s: float
+    held_s: float = math.inf
 
     @property
     def drain_s(self) -> float:
@@ -38,24 +45,38 @@
 
 
 class ReadRate:
-    """Measures how fast one client reads."""
+    """Measures how fast one client reads while something is held for it.
+
+    A client that has read everything is measured anew: how long it waited for
+    the next answer says nothing about how fast it reads.
+    """
 
     def __init__(self) -> None:
-        self._read_bytes = 0
-        self._sampled_at: float | None = None
+        # Times, and the bytes that the client had read then.
+        self._samples: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._held_since = 0.0
         self.bytes_per_s = 0.0
 
-    def sample(self, read_bytes: int, now: float) -> None:
-        """Record how many bytes the client has read since its connection."""
-        if self._sampled_at is None:
-            self._sampled_at, self._read_bytes = now, read_bytes
-            return
-        elapsed_s = now - self._sampled_at
-        if elapsed_s <= 0.0:
-            return
-        rate = (read_bytes - self._read_bytes) / elapsed_s
-        self.bytes_per_s += _EWMA_WEIGHT * (rate - self.bytes_per_s)
-        self._sampled_at, self._read_bytes = now, read_bytes
+    def sample(self, read_bytes: int, held_bytes: int, now: float) -> float:
+        """Record what the client has read since its connection.
+
+        Returns how long something has been held without a break, in seconds.
+        """
+        if not held_bytes:
+            self._samples.clear()
+            self.bytes_per_s = 0.0
+            return 0.0
+        if not self._samples:
+            self._held_since = now
+        self._samples.append((now, read_bytes))
+        while self._samples[0][0] < now - _RATE_WINDOW_S:
+            self._samples.popleft()
+        since, first_bytes = self._samples[0]
+        if now > since:
+            self.bytes_per_s = (read_bytes - first_bytes) / (now - since)
+        return now - self._held_since
 
 
 class ReaderBudget:
@@ -77,12 +98,17 @@
     def to_disconnect(self, readers: Sequence[Reader]) -> list[Reader]:
         """Return the clients to disconnect, until the rest fit the budget.
 
-        Clients that read what is held for them in time are never returned:
-        their answers wait at the endpoints instead.
+        Clients that read what is held for them in time are never returned,
+        nor those for which nothing was held a moment ago: their answers wait
+        at the endpoints instead.
         """
         excess = sum(item.held_bytes for item in readers) - self.max_bytes
         slow = sorted(
-            (item for item in readers if item.drain_s > _SLOW_S),
+            (
+                item
+                for item in readers
+                if item.drain_s > _SLOW_S and item.held_s >= _SLOW_S
+            ),
             key=lambda item: (item.drain_s, item.held_bytes),
             reverse=True,
         )
--- a/rackpost/http1/server.py
+++ b/rackpost/http1/server.py
@@ -120,7 +120,8 @@
         self._written_bytes = 0
         # What the server's total of held bytes includes for this client.
         self._counted_bytes = 0
-        self._read_rate = slow_readers.ReadRate()
+        # Only while something is held: most connections need none.
+        self._read_rate: slow_readers.ReadRate | None = None
         self._latest_req: message.Request | None = None
         self.idle_since = self._loop.time()
         self._received_at = self.idle_since
@@ -151,9 +152,15 @@
 
     async def drain(self) -> None:
         """Wait until more may be held for the client."""
-        if self._writable is not None and not self._server.has_room(self):
+        while self._writable is not None and not self._server.has_room(self):
             await self._writable
 
+    def recheck_room(self) -> None:
+        """Let `drain` check again whether the budget has room."""
+        if self._writable is not None and self._server.has_room(self):
+            self._writable.set_result(None)
+            self._writable = self._loop.create_future()
+
     @property
     def held_bytes(self) -> int:
         """How many bytes are held for the client."""
@@ -167,12 +174,19 @@
         self._counted_bytes += change
         return change
 
-    def sampled_reader(self, now: float) -> slow_readers.Reader:
-        """Sample how fast the client reads."""
+    def sampled_reader(self, now: float) -> slow_readers.Reader | None:
+        """Sample how fast the client reads; None if nothing is held."""
         held_bytes = self.held_bytes
-        self._read_rate.sample(self._written_bytes - held_bytes, now)
+        if not held_bytes:
+            self._read_rate = None
+            return None
+        if self._read_rate is None:
+            self._read_rate = slow_readers.ReadRate()
+        held_s = self._read_rate.sample(
+            self._written_bytes - held_bytes, held_bytes, now
+        )
         return slow_readers.Reader(
-            self, held_bytes, self._read_rate.bytes_per_s
+            self, held_bytes, self._read_rate.bytes_per_s, held_s
         )
 
     def disconnect_slow(self, reader: slow_readers.Reader) -> None:
@@ -198,6 +212,7 @@
         """Cancel the handler of a client that has disconnected."""
         self._server.connections.discard(self)
         self._server.held_bytes -= self._counted_bytes
+        self._counted_bytes = 0
         self.resume_writing()
         self._pipelined.clear()
         if self._task is not None:
@@ -441,11 +456,16 @@
         return self._budget.has_room(conn.held_bytes, self.held_bytes)
 
     def _disconnect_slow(self, now: float) -> None:
+        readers = []
         for conn in self.connections:
             self.held_bytes += conn.count_held()
-        readers = [conn.sampled_reader(now) for conn in self.connections]
+            reader = conn.sampled_reader(now)
+            if reader is not None:
+                readers.append(reader)
         for reader in self._budget.to_disconnect(readers):
             cast(ServerConnection, reader.key).disconnect_slow(reader)
+        for conn in self.connections:
+            conn.recheck_room()
 
     def close_idle(self) -> None:
         """Close the connections that have no request in flight."""
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -52,6 +52,40 @@
     assert not budget.has_room(100, 500)
 
 
+def _sampled(
+    rate: slow_readers.ReadRate, samples: list[tuple[int, int]], start: float
+) -> slow_readers.Reader:
+    """Sample (read, held) bytes each 0.25 s; return the last reader."""
+    held_bytes, held_s = 0, 0.0
+    for tick, (read_bytes, held_bytes) in enumerate(samples):
+        held_s = rate.sample(read_bytes, held_bytes, start + 0.25 * tick)
+    return slow_readers.Reader("a", held_bytes, rate.bytes_per_s, held_s)
+
+
+def test_a_client_that_just_got_a_large_answer_stays() -> None:
+    """At the first samples nothing is known of how fast it reads."""
+    budget = slow_readers.ReaderBudget(max_bytes=1000)
+    rate = slow_readers.ReadRate()
+    assert not budget.to_disconnect([_sampled(rate, [(0, 2000)], 0.0)])
+    # It reads all, waits for long, and gets the next answer.
+    _sampled(rate, [(2000, 0)] * 40, 0.25)
+    found = _sampled(rate, [(2000, 2000), (2500, 1500)], 10.25)
+    assert not budget.to_disconnect([found])
+    assert found.bytes_per_s == 2000.0
+
+
+def test_a_client_that_pauses_between_reads_stays() -> None:
+    """It reads 4,000 bytes once a second, with up to 6,000 bytes held."""
+    budget = slow_readers.ReaderBudget(max_bytes=1000)
+    rate = slow_readers.ReadRate()
+    samples = [(4000 * (tick // 4), 6000) for tick in range(17, 40)]
+    for count in range(1, len(samples)):
+        found = _sampled(slow_readers.ReadRate(), samples[:count], 0.0)
+        assert not budget.to_disconnect([found])
+    stalled = _sampled(rate, [(4000, 6000)] * 9, 0.0)
+    assert budget.to_disconnect([stalled]) == [stalled]
+
+
 @given(
     st.lists(
         st.tuples(st.integers(0, 1 << 20), st.floats(0, 1e6, allow_nan=False)),
@@ -99,15 +133,16 @@
         async with served.serving("127.0.0.1", 0) as port:
             stalled = await asyncio.open_connection("127.0.0.1", port)
             stalled[1].write(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
             while not ended:
-                reader, writer = await asyncio.open_connection(
-                    "127.0.0.1", port
-                )
                 writer.write(b"GET /small HTTP/1.1\r\nHost: h\r\n\r\n")
                 assert b"200" in await reader.readline()
-                writer.close()
-                await asyncio.sleep(0)
+                assert (await reader.readuntil(b"xxxx")).endswith(b"xxxx")
+            writer.close()
             stalled[1].close()
+            while served.connections:
+                await asyncio.sleep(0)
+            assert served.held_bytes == 0
         assert [path for path, _ in ended] == [b"/large"]
         assert ended[0][1] > 1 << 20
 
@@ -152,3 +187,69 @@
             writer.close()
 
     asyncio.run(asyncio.wait_for(main(), 30.0))
+
+
+def test_a_stream_goes_on_when_the_budget_frees_up() -> None:
+    """Its client stalls, and fits the budget once another has ended."""
+
+    async def main() -> None:
+        done = asyncio.Event()
+
+        async def answer(
+            req: message.Request, responder: server.Responder
+        ) -> None:
+            responder.start(200, [])
+            for _ in range(8):
+                await responder.send_chunk(b"x" * (1 << 20))
+            responder.finish()
+            done.set()
+
+        served = server.Server(
+            handler=answer,
+            failed=lambda req, exc: None,
+            reader_budget=slow_readers.ReaderBudget(max_bytes=100 << 20),
+        )
+        async with served.serving("127.0.0.1", 0) as port:
+            # Held for others, as far as the budget knows.
+            served.held_bytes += 100 << 20
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.transport.pause_reading()
+            writer.write(b"GET /s HTTP/1.1\r\nHost: h\r\n\r\n")
+            while not any(
+                conn.held_bytes > 64 << 10 for conn in served.connections
+            ):
+                await asyncio.sleep(0)
+            assert not done.is_set()
+            served.held_bytes -= 100 << 20
+            await asyncio.wait_for(done.wait(), 10.0)
+            writer.close()
+
+    asyncio.run(asyncio.wait_for(main(), 30.0))
+
+
+def test_a_client_that_goes_away_leaves_nothing_counted() -> None:
+    """It resets its connection while an answer is held for it."""
+
+    async def answer(
+        req: message.Request, responder: server.Responder
+    ) -> None:
+        responder.send(200, [], b"x" * _LARGE_ANSWER_BYTES)
+
+    async def main() -> None:
+        served = server.Server(
+            handler=answer,
+            failed=lambda req, exc: None,
+            reader_budget=slow_readers.ReaderBudget(max_bytes=64 << 20),
+        )
+        async with served.serving("127.0.0.1", 0) as port:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.transport.pause_reading()
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            while not served.held_bytes:
+                await asyncio.sleep(0)
+            writer.transport.abort()
+            while served.connections:
+                await asyncio.sleep(0)
+            assert served.held_bytes == 0
+
+    asyncio.run(asyncio.wait_for(main(), 30.0))
