Release parts that are held back by a setting

RACKPOST_PARTS names those that are on where the document calls for them, at gateways and coordinators alike; an unknown name ends a starting program with an error that names the variable. Tests of features and policy pass.

--- a/rackpost/cmd_coordinator.py
+++ b/rackpost/cmd_coordinator.py
@@ -1,19 +1,25 @@
 """The program `rackpost-coordinator`."""
 
 import asyncio
+import functools
+import os
 
 from rackpost.coordinator import process
+from rackpost.decide import features
 from rackpost import exceptions
+from rackpost.gateway import policy
 from rackpost import logs
 from rackpost.platform import settings
 from rackpost import site_program
 
 
 async def serve(
-    host: settings.HostSettings, signals: site_program.Signals
+    released: frozenset[features.Feature],
+    host: settings.HostSettings,
+    signals: site_program.Signals,
 ) -> None:
     """Run a coordinator until a stop signal or a vital failure."""
-    coordinator = process.Coordinator(host=host)
+    coordinator = process.Coordinator(host=host, released=released)
     async with coordinator.serving():
         watch = asyncio.create_task(signals.watch(coordinator.reload))
         await _wait_for_any(signals.stop, coordinator.tasks.vital_failed)
@@ -34,7 +40,10 @@
 
 def main() -> None:
     """Run the program."""
-    site_program.run(logs.Part.COORDINATOR, serve)
+    released = site_program.read_or_exit(
+        lambda: policy.released_parts(os.environ)
+    )
+    site_program.run(logs.Part.COORDINATOR, functools.partial(serve, released))
 
 
 if __name__ == "__main__":
--- a/rackpost/cmd_gateway.py
+++ b/rackpost/cmd_gateway.py
@@ -16,7 +16,7 @@
     signals: site_program.Signals,
 ) -> None:
     """Run a gateway until a stop signal."""
-    if policy != policy_mod.Policy():
+    if not (policy.split and policy.share):
         logs.say(
             logs.Part.GATEWAY,
             "Parts are left out.",
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 from typing import AsyncIterator
+from typing import Collection
 
 import msgspec
 
@@ -55,7 +56,17 @@
 class Coordinator:
     """A running coordinator."""
 
-    def __init__(self, *, host: settings.HostSettings) -> None:
+    def __init__(
+        self,
+        *,
+        host: settings.HostSettings,
+        released: Collection[features.Feature] = (),
+    ) -> None:
+        """Open the disk; the coordinator runs within `serving`.
+
+        `released` are the parts of load management that are on although they
+        are held back by default.
+        """
         if host.data_dir is None:
             raise exceptions.ConfigError("a coordinator needs a data folder")
         self._loop = asyncio.get_running_loop()
@@ -95,7 +106,9 @@
             table=self.directory.table,
             silent_after_s=_MAX_MISSED_HEARTBEATS * host.heartbeat_ms / 1000.0,
             metrics=self.metrics,
+            released=released,
         )
+        self._released = released
         self.feed = routing_feed.RoutingFeed()
         self._decoder = documents.IncrementalDecoder()
         self._peers = peers.PeerPublisher(
@@ -280,7 +293,8 @@
         self._roles.set_early_services(
             service
             for service, item in profiles.items()
-            if features.Feature.EARLY_ROLES in features.features_for(item)
+            if features.Feature.EARLY_ROLES
+            in features.features_for(item, self._released)
         )
 
     def _status_page(self) -> tuple[int, str]:
--- a/rackpost/decide/features.py
+++ b/rackpost/decide/features.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from rackpost import exceptions
 from rackpost.routing import model
 from rackpost import types
 
@@ -41,7 +42,8 @@
     SECOND_READS = "second-reads"
 
 
-# Parts that stay off although a document calls for them.
+# Parts that stay off although a document calls for them, unless a setting
+# releases them.
 _HELD_BACK = frozenset({Feature.POOL_SCHEDULER, Feature.EARLY_ROLES})
 
 
@@ -102,9 +104,26 @@
     return frozenset(features)
 
 
-def features_for(found: ServiceProfile) -> frozenset[Feature]:
-    """Return the parts that are on for a service with this profile."""
-    return called_for(found) - _HELD_BACK
+def features_for(
+    found: ServiceProfile, released: Collection[Feature] = ()
+) -> frozenset[Feature]:
+    """Return the parts that are on for a service with this profile.
+
+    Parts that are held back are on only if they are `released`.
+    """
+    return called_for(found) - _HELD_BACK.difference(released)
+
+
+def parse(text: str) -> frozenset[Feature]:
+    """Return the parts that a setting names, separated by commas.
+
+    Raises ConfigError for a name that is none.
+    """
+    names = [item.strip() for item in text.split(",") if item.strip()]
+    try:
+        return frozenset(Feature(name) for name in names)
+    except ValueError as exc:
+        raise exceptions.ConfigError(str(exc)) from exc
 
 
 def features_of_plain(
--- a/rackpost/gateway/policy.py
+++ b/rackpost/gateway/policy.py
@@ -1,4 +1,4 @@
-"""Settings that switch off parts of the routing decisions.
+"""Settings that switch parts of the routing decisions off or on.
 
 They are for comparisons on a test site; production sites keep the defaults.
 """
@@ -7,10 +7,12 @@
 
 import msgspec
 
+from rackpost.decide import features
 from rackpost import exceptions
 
 SPLIT_VARIABLE = "RACKPOST_SPLIT"
 SHARE_VARIABLE = "RACKPOST_SHARE_LOADS"
+PARTS_VARIABLE = "RACKPOST_PARTS"
 _WORDS = {"yes": True, "no": False}
 
 
@@ -20,23 +22,41 @@
     Attributes:
         split: prompts go to prefill endpoints where there are any.
         share: gateways report their load to each other.
+        released: parts of load management that are held back by default, and
+            are on where the routing document calls for them.
     """
 
     split: bool = True
     share: bool = True
+    released: frozenset[features.Feature] = frozenset()
 
 
 def from_environment(environ: Mapping[str, str]) -> Policy:
-    """Return the policy set by environment variables; unset means `yes`.
+    """Return the policy set by environment variables.
 
-    Raises ConfigError for any other value than `yes` and `no`.
+    An unset switch means `yes`.  Raises ConfigError for any other value than
+    `yes` and `no`, and for a part that does not exist.
     """
     return Policy(
         split=_is_on(environ, SPLIT_VARIABLE),
         share=_is_on(environ, SHARE_VARIABLE),
+        released=released_parts(environ),
     )
 
 
+def released_parts(
+    environ: Mapping[str, str],
+) -> frozenset[features.Feature]:
+    """Return the parts that the environment releases.
+
+    Raises ConfigError, which names the variable.
+    """
+    try:
+        return features.parse(environ.get(PARTS_VARIABLE, ""))
+    except exceptions.ConfigError as exc:
+        raise exceptions.ConfigError(f"{PARTS_VARIABLE}: {exc}") from exc
+
+
 def _is_on(environ: Mapping[str, str], name: str) -> bool:
     word = environ.get(name, "yes")
     found = _WORDS.get(word)
--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -1,6 +1,10 @@
 """Which parts of load management a routing document calls for."""
 
+import pytest
+
 from rackpost.decide import features
+from rackpost import exceptions
+from rackpost.gateway import policy
 from rackpost.routing import model
 from rackpost import types
 
@@ -76,3 +80,21 @@
         features.Feature.EARLY_ROLES,
         features.Feature.POOL_SCHEDULER,
     }
+
+
+def test_a_setting_releases_a_part_that_is_called_for() -> None:
+    """It stays off where the document does not call for it."""
+    released = features.parse("pool-scheduler, early-roles")
+    mix = features.ServiceProfile(kinds=3, priorities=frozenset({1}))
+    assert features.Feature.POOL_SCHEDULER in features.features_for(
+        mix, released
+    )
+    two = features.ServiceProfile(kinds=2, priorities=frozenset({1}))
+    assert not features.features_for(two, released)
+
+
+def test_an_unknown_part_is_an_error_that_names_the_variable() -> None:
+    """A typing error must not leave a part off without a word."""
+    with pytest.raises(exceptions.ConfigError) as caught:
+        policy.released_parts({policy.PARTS_VARIABLE: "pool-schedular"})
+    assert policy.PARTS_VARIABLE in str(caught.value)
--- a/tests/test_pool_messages.py
+++ b/tests/test_pool_messages.py
@@ -77,7 +77,11 @@
             lease_s=3.5,
         ),
         messages.CapacityRefusal(
-            ticket=_TICKET, retry_after_s=0.5, expected_wait_s=2.5
+            ticket=_TICKET,
+            retry_after_s=0.5,
+            reason="hopeless",
+            kept=("late",),
+            expected_wait_s=2.5,
         ),
         messages.CapacityDeclined(tickets=(_TICKET,)),
         messages.HoldingsQuery(service=_SERVICE),
