--- a/tests/role_pools.py
+++ b/tests/role_pools.py
@@ -1,9 +1,6 @@
 """Emulated prefill and decode pools whose endpoints change their role.
 
 `python -m tests.role_pools` prints the comparison of docs/design/roles.md.
-Gateways count their requests with the production meter and report them once a
-second; a way of deciding sees the reports and orders changes.  An ordered
-endpoint finishes what it runs and is back after `SWITCH_S`.
 """
 
 import collections
