--- a/rackpost/decide/features.py
+++ b/rackpost/decide/features.py
@@ -44,7 +44,14 @@
 
 # Parts that stay off although a document calls for them, unless a setting
 # releases them.
-_HELD_BACK = frozenset({Feature.POOL_SCHEDULER, Feature.EARLY_ROLES})
+_HELD_BACK = frozenset(
+    {
+        Feature.CONTENTION_ORDER,
+        Feature.POOL_SCHEDULER,
+        Feature.ENDPOINT_PACE,
+        Feature.EARLY_ROLES,
+    }
+)
 
 
 class ServiceProfile(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -27,7 +27,7 @@
     )
 
 
-def _features(*routes: model.Route) -> frozenset[features.Feature]:
+def _called_for(*routes: model.Route) -> frozenset[features.Feature]:
     engine = model.Engine(
         slots=8, memory_tokens=1000, event_tokens=4, handle_ttl_s=0.5
     )
@@ -37,7 +37,7 @@
     ]
     found = features.profiles(routes, services)
     assert list(found) == [_SERVICE]
-    return features.features_for(found[_SERVICE])
+    return features.called_for(found[_SERVICE])
 
 
 def test_two_kinds_of_one_priority_are_served_as_before() -> None:
@@ -52,20 +52,21 @@
         priority=0,
     )
     other = _stream("c", 0, service="other")
-    assert not _features(_stream("a"), _stream("b"), plain, other)
+    assert not _called_for(_stream("a"), _stream("b"), plain, other)
 
 
 def test_several_priorities_turn_the_contention_order_on() -> None:
     """Two kinds suffice if one is more urgent."""
-    found = _features(_stream("a", 0), _stream("b", 1))
+    found = _called_for(_stream("a", 0), _stream("b", 1))
     assert features.Feature.CONTENTION_ORDER in found
     assert features.Feature.ENDPOINT_PACE not in found
 
 
 def test_a_mix_of_kinds_turns_the_uneven_parts_on() -> None:
     """Three kinds of one priority share the overload of their pool."""
-    found = _features(_stream("a"), _stream("b"), _stream("c"))
+    found = _called_for(_stream("a"), _stream("b"), _stream("c"))
     assert features.Feature.LARGE_RESERVATIONS in found
+    assert features.Feature.EARLY_ROLES in found
     assert features.Feature.CONTENTION_ORDER in found
 
 
@@ -75,11 +76,9 @@
     called = features.called_for(found)
     assert features.Feature.EARLY_ROLES in called
     assert features.Feature.POOL_SCHEDULER in called
-    held_back = called - features.features_for(found)
-    assert held_back == {
-        features.Feature.EARLY_ROLES,
-        features.Feature.POOL_SCHEDULER,
-    }
+    on = features.features_for(found)
+    assert on == {features.Feature.LARGE_RESERVATIONS}
+    assert features.features_for(found, called) == called
 
 
 def test_a_setting_releases_a_part_that_is_called_for() -> None:
--- a/tests/test_gateway_pace.py
+++ b/tests/test_gateway_pace.py
@@ -3,13 +3,23 @@
 import asyncio
 import pathlib
 
+import pytest
+
 from rackpost.coordinator import messages
+from rackpost.decide import features
 from rackpost.decide.pace import endpoint_pace
 from rackpost.link import codec
 from rackpost import types
 from tests import platform_site
 from tests import test_gateway
 
+
+@pytest.fixture(autouse=True)
+def _released(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Release all parts that the document calls for."""
+    monkeypatch.setattr(features, "_HELD_BACK", frozenset())
+
+
 MODEL = types.ServiceName("model")
 
 
--- a/tests/test_gateway_second_reads.py
+++ b/tests/test_gateway_second_reads.py
@@ -5,6 +5,9 @@
 import pathlib
 from typing import AsyncIterator
 
+import pytest
+
+from rackpost.decide import features
 from rackpost.decide.pace import second_reads
 from rackpost.gateway import second_read
 from rackpost.http1 import message
@@ -13,6 +16,13 @@
 from tests import platform_site
 from tests import test_gateway
 
+
+@pytest.fixture(autouse=True)
+def _released(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Release all parts that the document calls for."""
+    monkeypatch.setattr(features, "_HELD_BACK", frozenset())
+
+
 PLAIN = types.ServiceName("plain")
 
 
