Say plainly what two comments of choices mean

A docstring and a comment used turns that a newcomer has to guess at. They now name the pace check and the silent scheduler.

--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -182,7 +182,7 @@
         pace: endpoint_pace.EndpointPace,
         now: float,
     ) -> list[tuple[float, endpoints.Endpoint]]:
-        """Drop endpoints on trial that have a request, unless all are."""
+        """Drop endpoints whose pace is being checked by a request."""
         rest = [
             pair
             for pair in found
--- a/rackpost/scheduler/choice.py
+++ b/rackpost/scheduler/choice.py
@@ -15,7 +15,7 @@
 # (`coordinator/links.py`).
 SETTLE_S = 2.0
 # After a scheduler did not answer in time it is not asked for this long, in
-# seconds, so that few requests wait for it in vain.
+# seconds, so that few requests wait for a silent one.
 _SUSPECT_S = 0.5
 
 
