--- a/rackpost/cmd_coordinator.py
+++ b/rackpost/cmd_coordinator.py
@@ -14,12 +14,12 @@
 
 
 async def serve(
-    released: frozenset[features.Feature],
+    parts: features.Overrides,
     host: settings.HostSettings,
     signals: site_program.Signals,
 ) -> None:
     """Run a coordinator until a stop signal or a vital failure."""
-    coordinator = process.Coordinator(host=host, released=released)
+    coordinator = process.Coordinator(host=host, parts=parts)
     async with coordinator.serving():
         watch = asyncio.create_task(signals.watch(coordinator.reload))
         await _wait_for_any(signals.stop, coordinator.tasks.vital_failed)
@@ -40,10 +40,10 @@
 
 def main() -> None:
     """Run the program."""
-    released = site_program.read_or_exit(
-        lambda: policy.released_parts(os.environ)
+    parts = site_program.read_or_exit(
+        lambda: policy.part_overrides(os.environ)
     )
-    site_program.run(logs.Part.COORDINATOR, functools.partial(serve, released))
+    site_program.run(logs.Part.COORDINATOR, functools.partial(serve, parts))
 
 
 if __name__ == "__main__":
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -5,7 +5,6 @@
 import pathlib
 import random
 from typing import AsyncIterator
-from typing import Collection
 
 import msgspec
 
@@ -60,12 +59,11 @@
         self,
         *,
         host: settings.HostSettings,
-        released: Collection[features.Feature] = (),
+        parts: features.Overrides = features.NO_OVERRIDES,
     ) -> None:
         """Open the disk; the coordinator runs within `serving`.
 
-        `released` are the parts of load management that are on although they
-        are held back by default.
+        `parts` are the parts of load management that a setting switches.
         """
         if host.data_dir is None:
             raise exceptions.ConfigError("a coordinator needs a data folder")
@@ -106,9 +104,9 @@
             table=self.directory.table,
             silent_after_s=_MAX_MISSED_HEARTBEATS * host.heartbeat_ms / 1000.0,
             metrics=self.metrics,
-            released=released,
+            parts=parts,
         )
-        self._released = released
+        self._parts = parts
         self.feed = routing_feed.RoutingFeed()
         self._decoder = documents.IncrementalDecoder()
         self._peers = peers.PeerPublisher(
@@ -294,7 +292,7 @@
             service
             for service, item in profiles.items()
             if features.Feature.EARLY_ROLES
-            in features.features_for(item, self._released)
+            in features.features_for(item, self._parts)
         )
 
     def _status_page(self) -> tuple[int, str]:
--- a/rackpost/decide/features.py
+++ b/rackpost/decide/features.py
@@ -13,6 +13,7 @@
 from typing import Collection
 from typing import Iterable
 from typing import Mapping
+from typing import NamedTuple
 
 import msgspec
 
@@ -40,6 +41,11 @@
     EARLY_ROLES = "early-roles"
     # Late reads are sent to a second endpoint of a plain service.
     SECOND_READS = "second-reads"
+    # Load reports hold what has changed, within a share of the VM's link.
+    LOAD_DELTAS = "load-deltas"
+    # Capacity is set aside at the decode endpoint before a prompt is
+    # prefilled.
+    DECODE_HOLDS = "decode-holds"
 
 
 # Parts that stay off although a document calls for them, unless a setting
@@ -50,10 +56,26 @@
         Feature.POOL_SCHEDULER,
         Feature.ENDPOINT_PACE,
         Feature.EARLY_ROLES,
+        Feature.LOAD_DELTAS,
+        Feature.DECODE_HOLDS,
     }
 )
 
 
+class Overrides(NamedTuple):
+    """The parts that a setting switches, where the document calls for them.
+
+    `released` are on although they are held back by default, `disabled` are
+    off.
+    """
+
+    released: frozenset[Feature] = frozenset()
+    disabled: frozenset[Feature] = frozenset()
+
+
+NO_OVERRIDES = Overrides()
+
+
 class ServiceProfile(msgspec.Struct, frozen=True, kw_only=True):
     """What the routing document says of the use of one model service.
 
@@ -108,29 +130,46 @@
         features.add(Feature.ENDPOINT_PACE)
         features.add(Feature.EARLY_ROLES)
         features.add(Feature.POOL_SCHEDULER)
+    if features:
+        features.add(Feature.LOAD_DELTAS)
+        features.add(Feature.DECODE_HOLDS)
     return frozenset(features)
 
 
 def features_for(
-    found: ServiceProfile, released: Collection[Feature] = ()
+    found: ServiceProfile, overrides: Overrides = NO_OVERRIDES
 ) -> frozenset[Feature]:
     """Return the parts that are on for a service with this profile.
 
-    Parts that are held back are on only if they are `released`.
+    Parts that are held back are on only if they are released.
     """
-    return called_for(found) - _HELD_BACK.difference(released)
+    called = called_for(found) - _HELD_BACK.difference(overrides.released)
+    return called - overrides.disabled
 
 
-def parse(text: str) -> frozenset[Feature]:
+def parse(text: str) -> Overrides:
     """Return the parts that a setting names, separated by commas.
 
-    Raises ConfigError for a name that is none.
+    A part with a minus sign before its name is disabled, others are released.
+    Raises ConfigError for a name that is none, or is named with both.
     """
     names = [item.strip() for item in text.split(",") if item.strip()]
     try:
-        return frozenset(Feature(name) for name in names)
+        found = Overrides(
+            released=frozenset(
+                Feature(name) for name in names if name[0] != "-"
+            ),
+            disabled=frozenset(
+                Feature(name[1:]) for name in names if name[0] == "-"
+            ),
+        )
     except ValueError as exc:
         raise exceptions.ConfigError(str(exc)) from exc
+    both = found.released & found.disabled
+    if both:
+        listed = ", ".join(sorted(item.value for item in both))
+        raise exceptions.ConfigError(f"both released and disabled: {listed}")
+    return found
 
 
 def features_of_plain(
--- a/rackpost/decide/queue_order.py
+++ b/rackpost/decide/queue_order.py
@@ -46,6 +46,7 @@
         organisation: whose request it is, None if callers have no keys.
         arrived_at: clock reading at which it arrived at its gateway.
         peak_tokens: the most KV memory that it is expected to use, in tokens.
+        holds_prompt: its prompt is prefilled, and its KV cache will expire.
     """
 
     priority: int
@@ -59,6 +60,7 @@
     organisation: types.OrganisationName | None = None
     arrived_at: float = 0.0
     peak_tokens: int = 0
+    holds_prompt: bool = False
 
 
 def is_infeasible(request: WaitingRequest, now: float) -> bool:
--- a/rackpost/gateway/capacity_source.py
+++ b/rackpost/gateway/capacity_source.py
@@ -9,6 +9,14 @@
 class CapacitySource(abc.ABC):
     """Reserves capacity for generations."""
 
+    @property
+    def is_delegated(self) -> bool:
+        """Whether others decide on the capacity of all model services.
+
+        The load reports of other gateways are then needed only as a fallback.
+        """
+        return False
+
     @abc.abstractmethod
     async def reserve(
         self, request: reservation_mod.ReservationRequest
--- a/rackpost/gateway/policy.py
+++ b/rackpost/gateway/policy.py
@@ -22,13 +22,13 @@
     Attributes:
         split: prompts go to prefill endpoints where there are any.
         share: gateways report their load to each other.
-        released: parts of load management that are held back by default, and
-            are on where the routing document calls for them.
+        parts: parts of load management that are switched on or off where the
+            routing document calls for them.
     """
 
     split: bool = True
     share: bool = True
-    released: frozenset[features.Feature] = frozenset()
+    parts: features.Overrides = features.NO_OVERRIDES
 
 
 def from_environment(environ: Mapping[str, str]) -> Policy:
@@ -40,14 +40,12 @@
     return Policy(
         split=_is_on(environ, SPLIT_VARIABLE),
         share=_is_on(environ, SHARE_VARIABLE),
-        released=released_parts(environ),
+        parts=part_overrides(environ),
     )
 
 
-def released_parts(
-    environ: Mapping[str, str],
-) -> frozenset[features.Feature]:
-    """Return the parts that the environment releases.
+def part_overrides(environ: Mapping[str, str]) -> features.Overrides:
+    """Return the parts that the environment switches.
 
     Raises ConfigError, which names the variable.
     """
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -269,7 +269,7 @@
             routes, routes.services.values(), routes.organisations.all()
         )
         found = {
-            service: features.features_for(item, self.policy.released)
+            service: features.features_for(item, self.policy.parts)
             for service, item in profiles.items()
         }
         found |= features.features_of_plain(found, routes.services.values())
--- a/rackpost/platform/documents.py
+++ b/rackpost/platform/documents.py
@@ -51,6 +51,7 @@
     stride: int = 1
     # In seconds.
     handle_ttl_s: float = msgspec.field(default=0.0, name="handleTtlS")
+    hold_ms: float = 0.0
 
 
 class _Service(msgspec.Struct, kw_only=True, rename="camel"):
@@ -205,6 +206,7 @@
             memory_tokens=wire.engine.kv_capacity_tokens,
             event_tokens=wire.engine.stride,
             handle_ttl_s=wire.engine.handle_ttl_s,
+            hold_s=wire.engine.hold_ms / 1000.0,
         )
     return model.Service(
         name=types.ServiceName(wire.name),
--- a/rackpost/platform/settings.py
+++ b/rackpost/platform/settings.py
@@ -61,9 +61,10 @@
 
 
 class VmLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Resources of this VM."""
+    """Resources of this VM; a link rate of 0 is unknown."""
 
     memory_mb: float = msgspec.field(default=256, name="memoryMb")
+    link_mbps: float = msgspec.field(default=0.0, name="linkMbps")
     descriptors: int = msgspec.field(default=1024, name="maxFds")
     disk_mb: float = msgspec.field(default=0, name="diskMb")
 
--- a/rackpost/routing/model.py
+++ b/rackpost/routing/model.py
@@ -84,12 +84,15 @@
         memory_tokens: size of the KV cache, in tokens.
         event_tokens: tokens in one event of a stream.
         handle_ttl_s: how long a prefill result is kept for decode.
+        hold_s: longest time for which capacity can be set aside at an
+            endpoint; 0 if it can't.
     """
 
     slots: int
     memory_tokens: int
     event_tokens: int
     handle_ttl_s: float
+    hold_s: float = 0.0
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
--- a/rackpost/scheduler/host.py
+++ b/rackpost/scheduler/host.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-from typing import Collection
 from typing import Iterable
 
 import msgspec
@@ -37,13 +36,11 @@
         table: endpoints.EndpointTable,
         silent_after_s: float,
         metrics: metrics_mod.Metrics,
-        released: Collection[features.Feature] = (),
+        parts: features.Overrides = features.NO_OVERRIDES,
     ) -> None:
         """Create a host without schedulers.
 
-        `released` are the parts that are on although they are held back by
-        default.
-
+        `parts` are the parts of load management that a setting switches.
         `table` is the coordinator's; endpoints without a heartbeat for
         `silent_after_s` seconds are used last.
         """
@@ -51,7 +48,7 @@
         self._table = table
         self._silent_after_s = silent_after_s
         self._metrics = metrics
-        self._released = released
+        self._parts = parts
         self._conns: dict[types.VmId, channel.Channel] = {}
         # The services for which the document calls for a scheduler.
         self._services: frozenset[types.ServiceName] = frozenset()
@@ -67,7 +64,7 @@
             doc.routes, doc.services, doc.organisations
         )
         found = {
-            service: features.features_for(item, self._released)
+            service: features.features_for(item, self._parts)
             for service, item in profiles.items()
         }
         self._contending = frozenset(
--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -78,7 +78,10 @@
     assert features.Feature.POOL_SCHEDULER in called
     on = features.features_for(found)
     assert on == {features.Feature.LARGE_RESERVATIONS}
-    assert features.features_for(found, called) == called
+    assert (
+        features.features_for(found, features.Overrides(released=called))
+        == called
+    )
 
 
 def test_a_setting_releases_a_part_that_is_called_for() -> None:
@@ -92,8 +95,21 @@
     assert not features.features_for(two, released)
 
 
+def test_a_setting_disables_parts() -> None:
+    """A part with a minus sign is off, whatever the document calls for."""
+    mix = features.ServiceProfile(kinds=3, priorities=frozenset({0}))
+    found = features.parse("early-roles, -large-reservations")
+    assert features.features_for(mix, found) == {features.Feature.EARLY_ROLES}
+
+
+def test_a_part_both_released_and_disabled_is_refused() -> None:
+    """The setting contradicts itself."""
+    with pytest.raises(exceptions.ConfigError, match="early-roles"):
+        features.parse("early-roles,-early-roles")
+
+
 def test_an_unknown_part_is_an_error_that_names_the_variable() -> None:
     """A typing error must not leave a part off without a word."""
     with pytest.raises(exceptions.ConfigError) as caught:
-        policy.released_parts({policy.PARTS_VARIABLE: "pool-schedular"})
+        policy.part_overrides({policy.PARTS_VARIABLE: "pool-schedular"})
     assert policy.PARTS_VARIABLE in str(caught.value)
