Don't pass on other gateways' failure reports as own

Cause: a report of a failed endpoint extended avoid_until, and each gateway with a failure of its own reported the endpoint while avoid_until lasted. Two such gateways extended each other's reports for as long as they were less than 0.4 s apart, that is through a whole burst; rejections did the same with 0.25 s.

Change: what other gateways report is kept apart from what a gateway saw itself; only the latter is reported.

--- a/rackpost/decide/endpoint_health.py
+++ b/rackpost/decide/endpoint_health.py
@@ -27,12 +27,16 @@
     def __init__(self) -> None:
         self.failures_in_row = 0
         self.avoid_until = 0.0
+        # The same after failures that other gateways reported.  They are not
+        # reported again, or gateways would extend each other's reports.
+        self.reported_avoid_until = 0.0
         # Running average of failures, from 0 to 1.
         self.failure_rate = 0.0
         self.answer_s: float | None = None
         self.work_s = 0.0
         self.rejections_in_row = 0
         self.full_until = 0.0
+        self.reported_full_until = 0.0
         # End of a back-off that another gateway reported.
         self.reported_backoff_until = 0.0
         # Last rejection, here or at another gateway.
@@ -53,6 +57,7 @@
         record = self._record(endpoint)
         record.failures_in_row = 0
         record.avoid_until = 0.0
+        record.reported_avoid_until = 0.0
         record.rejections_in_row = 0
         record.failure_rate *= 1.0 - _EWMA_WEIGHT
         if record.answer_s is None:
@@ -104,7 +109,7 @@
         """Record a rejection that another gateway reported."""
         record = self._record(endpoint)
         record.rejected_at = now
-        record.full_until = max(record.full_until, now + _MIN_FULL_S)
+        record.reported_full_until = now + _MIN_FULL_S
 
     def record_reported_backoff(
         self, endpoint: types.EndpointId, remaining_s: float, now: float
@@ -129,7 +134,9 @@
     def is_full(self, endpoint: types.EndpointId, now: float) -> bool:
         """Whether the endpoint has just rejected a request."""
         record = self._records.get(endpoint)
-        return record is not None and now < record.full_until
+        return record is not None and now < max(
+            record.full_until, record.reported_full_until
+        )
 
     def rejected_since(self, endpoint: types.EndpointId, since: float) -> bool:
         """Whether the endpoint rejected a request of any gateway since."""
@@ -149,7 +156,7 @@
     ) -> None:
         """Record a failure that another gateway reported."""
         record = self._record(endpoint)
-        record.avoid_until = max(record.avoid_until, now + _MIN_AVOID_S)
+        record.reported_avoid_until = now + _MIN_AVOID_S
 
     def failed_endpoints(self, now: float) -> tuple[types.EndpointId, ...]:
         """Return the endpoints that have just failed for this gateway."""
@@ -162,7 +169,9 @@
     def is_avoided(self, endpoint: types.EndpointId, now: float) -> bool:
         """Whether the endpoint is avoided after a recent failure."""
         record = self._records.get(endpoint)
-        return record is not None and now < record.avoid_until
+        return record is not None and now < max(
+            record.avoid_until, record.reported_avoid_until
+        )
 
     def slowness(self, endpoint: types.EndpointId, usual_s: float) -> float:
         """Return the answer time relative to `usual_s`.
