Try endpoints again that were slow for a moment

Cause: the mean answer time of a plain endpoint never aged. Of two endpoints the slower one also counted as the usual one.

Change: the mean counts for 5 s after the last answer, and for twice as long, up to 40 s, each time that a trial was slow again; the lower median of an even number of endpoints is the usual time.

Result: two tests of a quiet gateway fail without it and pass. Not mended: failures do not age either.

--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -116,7 +116,7 @@
         if not all(self._is_overloaded(item) for item in accepting):
             found = accepting
         median_s = self._median_answer_s(found)
-        waits = [(self._wait(item, median_s), item) for item in found]
+        waits = [(self._wait(item, median_s, now), item) for item in found]
         max_wait = _MAX_WAIT_RATIO * min(
             (wait for wait, _ in waits), default=0.0
         )
@@ -168,7 +168,7 @@
         for item in found:
             if not self._accepts_prompt(item, max_ahead_tokens, now):
                 continue
-            slowness = self._health.slowness(item.id, median_s)
+            slowness = self._health.slowness(item.id, median_s, now)
             slowness *= pace.factor(item.id, now)
             ahead = self._loads.total(item.id).prompt_tokens
             wait = (ahead + prompt) * slowness * self._distance_factor(item)
@@ -475,12 +475,15 @@
             )
             if answer_s is not None
         )
-        return known[len(known) // 2] if known else _DEFAULT_ANSWER_S
+        # The lower one of two: a slow endpoint is not the usual one.
+        return known[(len(known) - 1) // 2] if known else _DEFAULT_ANSWER_S
 
-    def _wait(self, item: endpoints.Endpoint, median_s: float) -> float:
+    def _wait(
+        self, item: endpoints.Endpoint, median_s: float, now: float
+    ) -> float:
         load = self._loads.total(item.id)
         rounds = (load.requests + 1) / max(1, item.slots)
-        slowness = self._health.slowness(item.id, median_s)
+        slowness = self._health.slowness(item.id, median_s, now)
         jitter = 1.0 + _JITTER * self._rng.random()
         return (0.5 + rounds) * slowness * self._distance_factor(item) * jitter
 
--- a/rackpost/decide/endpoint_health.py
+++ b/rackpost/decide/endpoint_health.py
@@ -17,6 +17,15 @@
 _REPORT_LIFETIME_S = 1.5
 # Weight of the newest answer in the running averages.
 _EWMA_WEIGHT = 0.15
+# The mean answer time of an endpoint counts until it has not answered for this
+# long, in seconds, so that an endpoint that was slow is tried again.  It
+# counts twice as long each time that it was tried again and still slow.
+_MIN_VALID_S = 5.0
+_MAX_VALID_S = 40.0
+# An endpoint counts as at most this much faster than usual.
+_MIN_RATIO = 0.25
+# An answer that takes this many times the usual time is slow.
+_SLOW_RATIO = 1.5
 # Slowness added to an endpoint that fails all requests.
 _FAILURE_PENALTY = 8.0
 
@@ -33,6 +42,10 @@
         # Running average of failures, from 0 to 1.
         self.failure_rate = 0.0
         self.answer_s: float | None = None
+        self.answered_at = -math.inf
+        # The answer time that it was last compared with; 0 if unknown.
+        self.usual_s = 0.0
+        self.valid_s = _MIN_VALID_S
         self.work_s = 0.0
         self.rejections_in_row = 0
         self.full_until = 0.0
@@ -42,6 +55,10 @@
         # Last rejection, here or at another gateway.
         self.rejected_at = -math.inf
 
+    def is_outdated(self, now: float) -> bool:
+        """Whether the mean answer time does not count any more."""
+        return now - self.answered_at > self.valid_s
+
 
 class HealthTracker:
     """Health of each endpoint, as one gateway knows it."""
@@ -52,9 +69,15 @@
     def _record(self, endpoint: types.EndpointId) -> _EndpointHealth:
         return self._records.setdefault(endpoint, _EndpointHealth())
 
-    def record_answer(self, endpoint: types.EndpointId, took_s: float) -> None:
+    def record_answer(
+        self, endpoint: types.EndpointId, took_s: float, now: float
+    ) -> None:
         """Record a complete answer that is not the endpoint's own failure."""
         record = self._record(endpoint)
+        if record.is_outdated(now):
+            record.answer_s = None
+            self._update_validity(record, took_s)
+        record.answered_at = now
         record.failures_in_row = 0
         record.avoid_until = 0.0
         record.reported_avoid_until = 0.0
@@ -64,6 +87,15 @@
             record.answer_s = took_s
         record.answer_s += _EWMA_WEIGHT * (took_s - record.answer_s)
 
+    def _update_validity(self, record: _EndpointHealth, took_s: float) -> None:
+        """Set how long the answer time of a trial counts."""
+        is_slow = 0.0 < _SLOW_RATIO * record.usual_s < took_s
+        record.valid_s = (
+            min(2.0 * record.valid_s, _MAX_VALID_S)
+            if is_slow
+            else _MIN_VALID_S
+        )
+
     def record_work(
         self, endpoint: types.EndpointId, took_s: float, rounds: float
     ) -> None:
@@ -173,17 +205,24 @@
             record.avoid_until, record.reported_avoid_until
         )
 
-    def slowness(self, endpoint: types.EndpointId, usual_s: float) -> float:
+    def slowness(
+        self, endpoint: types.EndpointId, usual_s: float, now: float
+    ) -> float:
         """Return the answer time relative to `usual_s`.
 
-        Failures increase it.
+        It is 1 where no answer came for long; failures increase it.
         """
         record = self._records.get(endpoint)
         if record is None:
             return 1.0
+        record.usual_s = usual_s
         ratio = 1.0
-        if record.answer_s is not None and usual_s > 0:
-            ratio = max(0.25, record.answer_s / usual_s)
+        if (
+            record.answer_s is not None
+            and usual_s > 0
+            and not record.is_outdated(now)
+        ):
+            ratio = max(_MIN_RATIO, record.answer_s / usual_s)
         return ratio * (1.0 + _FAILURE_PENALTY * record.failure_rate)
 
     def mean_answer_s(self, endpoint: types.EndpointId) -> float | None:
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -277,9 +277,8 @@
         raise exceptions.ExchangeError(why)
     if answer_check.is_stream(head):
         call.on_answer()
-        call.site.health.record_answer(
-            endpoint.id, call.site.loop_time() - began
-        )
+        now = call.site.loop_time()
+        call.site.health.record_answer(endpoint.id, now - began, now)
         await answer_relay.relay_stream(call, head, reply.conn)
         call.record_delivered(endpoint, head)
         return None
@@ -321,9 +320,9 @@
         call.failure = call_mod.Failure(head=head, body=body)
         call.log("Endpoint failed.", endpoint=endpoint.id, status=head.status)
         return retry_decision.AttemptEnd.FAILED
-    took = call.site.loop_time() - began
+    now = call.site.loop_time()
     if call.route.kind is not model.RouteKind.STREAM:
-        call.site.health.record_answer(endpoint.id, took)
+        call.site.health.record_answer(endpoint.id, now - began, now)
     call.on_answer()
     answer_relay.relay_whole(call, head, body)
     call.record_delivered(endpoint, head)
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -317,7 +317,7 @@
         endpoint.id, seconds=took, usual_s=usual_s, now=site.loop_time()
     )
     site.token_timing.record_prefill(ahead + prompt, took)
-    site.health.record_answer(endpoint.id, took)
+    site.health.record_answer(endpoint.id, took, site.loop_time())
     state.store(endpoint, result)
     if call.sampled:
         call.log(
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -136,7 +136,7 @@
     assert not health.record_failure(A, 1.0)
     assert health.is_avoided(A, 1.7)
     assert health.failed_endpoints(1.1) == (A,)
-    health.record_answer(A, 0.1)
+    health.record_answer(A, 0.1, 1.2)
     assert not health.is_avoided(A, 1.7)
     assert health.failed_endpoints(1.1) == ()
 
@@ -167,6 +167,55 @@
     assert chosen is None
 
 
+class QuietPair:
+    """A gateway that asks one of two plain endpoints at a time."""
+
+    def __init__(self, *, slow_s: float) -> None:
+        self.view = GatewayView()
+        self.times_s = {A: slow_s, B: 0.01}
+        self.asked: list[types.EndpointId] = []
+        for key, took_s in self.times_s.items():
+            self.view.health.record_answer(key, took_s, 0.0)
+
+    def ask(self, *, since: float, until: float, interval_s: float) -> None:
+        """Send one request each `interval_s` seconds."""
+        now = since
+        while now < until:
+            chosen = self.view.chooser.choose_plain(SERVICE, now=now)
+            assert chosen is not None
+            self.asked.append(chosen.id)
+            self.view.health.record_answer(
+                chosen.id, self.times_s[chosen.id], now
+            )
+            now += interval_s
+
+
+def test_an_endpoint_that_was_slow_for_a_moment_is_used_again() -> None:
+    """Few requests: nobody would ask it as long as the other is free.
+
+    Its callers would wait at one endpoint for good after a slow second.
+    """
+    pair = QuietPair(slow_s=0.2)
+    pair.times_s[A] = 0.01
+    pair.ask(since=0.0, until=20.0, interval_s=0.5)
+    assert A in pair.asked
+    pair.asked.clear()
+    pair.ask(since=20.0, until=40.0, interval_s=0.5)
+    assert pair.asked.count(A) >= 10
+
+
+def test_an_endpoint_that_stays_slow_is_tried_ever_less_often() -> None:
+    """Each trial costs one caller a slow answer."""
+    pair = QuietPair(slow_s=0.2)
+    pair.ask(since=0.0, until=60.0, interval_s=0.5)
+    # After 5, 10 and 20 s.
+    assert pair.asked.count(A) == 3
+    pair.asked.clear()
+    pair.ask(since=60.0, until=240.0, interval_s=0.5)
+    # Each 40 s.
+    assert 4 <= pair.asked.count(A) <= 5
+
+
 def test_an_endpoint_that_rejected_a_request_is_full_for_a_while() -> None:
     """Runs whose answers were lost use memory that no gateway counts."""
     view = GatewayView(types.Role.DECODE)
@@ -180,7 +229,7 @@
     )
     view.health.record_rejection(A, 0.3)
     assert view.health.is_full(A, 0.7)
-    view.health.record_answer(A, 0.1)
+    view.health.record_answer(A, 0.1, 0.9)
     view.health.record_rejection(A, 1.0)
     assert not view.health.is_full(A, 1.3)
 
--- a/tests/test_health_reports.py
+++ b/tests/test_health_reports.py
@@ -64,5 +64,5 @@
     tracker = endpoint_health.HealthTracker()
     tracker.record_failure(_ENDPOINT, 0.0)
     tracker.record_reported_failure(_ENDPOINT, 0.1)
-    tracker.record_answer(_ENDPOINT, 0.05)
+    tracker.record_answer(_ENDPOINT, 0.05, 0.1)
     assert not tracker.is_avoided(_ENDPOINT, 0.2)
--- a/tests/test_plain_crowd.py
+++ b/tests/test_plain_crowd.py
@@ -239,7 +239,7 @@
         if endpoint in self._lossy and self._rng.random() < self._loss_rate:
             self._record_loss(gateway, endpoint, now)
         else:
-            gateway.health.record_answer(endpoint, now - arrived_at)
+            gateway.health.record_answer(endpoint, now - arrived_at, now)
             self.answer_times_s.append(now - arrived_at)
         self._running[endpoint] -= 1
         self._serve(now, endpoint)
