Show who waits for capacity: rackpost site waiting

Cause: nothing shows an operator which kinds and organisations wait in a burst; the log names single requests after the fact.

Change: gateways count the generations that wait for a reservation, wherever it is decided, and send the largest groups with their demand each second; coordinators show them on the status page and the command prints them.

--- a/rackpost/cmd_operator.py
+++ b/rackpost/cmd_operator.py
@@ -392,6 +392,11 @@
     return _site_view(args, site_overview.endpoints)
 
 
+def site_waiting(args: operator_commands.SiteWaiting) -> str:
+    """Return the generations that wait for capacity."""
+    return _site_view(args, site_overview.waiting)
+
+
 def site_quotas(args: operator_commands.SiteQuotas) -> str:
     """Return the organisations' quotas and their use."""
     return _site_view(args, site_overview.quotas)
@@ -419,6 +424,7 @@
     operator_commands.CheckConfig: check_config,
     operator_commands.SiteStatus: site_status,
     operator_commands.SiteQuotas: site_quotas,
+    operator_commands.SiteWaiting: site_waiting,
     operator_commands.SiteHeld: site_held,
     operator_commands.SiteRoutes: site_routes,
     operator_commands.SiteEndpoints: site_endpoints,
--- a/rackpost/coordinator/directory.py
+++ b/rackpost/coordinator/directory.py
@@ -11,6 +11,7 @@
 
 from rackpost.coordinator import messages
 from rackpost.decide import quota_use
+from rackpost.decide.waiting import waiting_use
 from rackpost.link import channel
 from rackpost import logs
 from rackpost.routing import digests
@@ -40,6 +41,10 @@
         self.gateways: dict[channel.Channel, messages.GatewayHello] = {}
         # Recent quota use of organisations, by gateway.
         self.quotas: dict[types.VmId, tuple[quota_use.QuotaUse, ...]] = {}
+        # Generations that wait for capacity, by gateway.
+        self.waiting: dict[
+            types.VmId, tuple[waiting_use.WaitingGroup, ...]
+        ] = {}
 
     def update(self, item: endpoints.Endpoint) -> bool:
         """Apply an endpoint's update and forward it to gateways.
--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -17,6 +17,7 @@
 from rackpost.decide import role_balance
 from rackpost.decide.waiting import backfill
 from rackpost.decide.waiting import contender
+from rackpost.decide.waiting import waiting_use
 from rackpost.routing import endpoints
 from rackpost.scheduler import messages as scheduler
 from rackpost import types
@@ -106,11 +107,13 @@
 class Demands(_Message, frozen=True, tag="demands"):
     """Demand for the model services at one gateway.
 
-    `quotas` is the organisations' quota use there, shown to operators.
+    `quotas` is the organisations' quota use there, and `waiting` are the
+    generations that wait for capacity; both are shown to operators.
     """
 
     items: tuple[role_balance.Demand, ...]
     quotas: tuple[quota_use.QuotaUse, ...] = ()
+    waiting: tuple[waiting_use.WaitingGroup, ...] = ()
 
 
 class Suspicions(_Message, frozen=True, tag="suspicions"):
--- a/rackpost/coordinator/overview.py
+++ b/rackpost/coordinator/overview.py
@@ -10,6 +10,7 @@
 from rackpost.coordinator import directory as directory_mod
 from rackpost.decide import quarantine as quarantine_mod
 from rackpost.decide import quota_use
+from rackpost.decide.waiting import waiting_use
 from rackpost import exceptions
 from rackpost import logs
 from rackpost.platform import documents
@@ -17,7 +18,7 @@
 from rackpost.routing import model
 from rackpost import types
 
-# Gateways listed for each organisation.
+# Gateways listed for each organisation, and for each waiting group.
 _MAX_GATEWAYS = 3
 
 
@@ -70,6 +71,24 @@
     gateways: tuple[tuple[types.VmId, int], ...]
 
 
+class WaitingLine(msgspec.Struct, frozen=True, kw_only=True):
+    """Generations of one kind and organisation that wait for capacity.
+
+    Attributes:
+        late: how many of them can't be in time any more.
+        oldest_s: how long the first of them has waited, in seconds.
+        gateways: those where most wait, each with their number.
+    """
+
+    kind: str
+    organisation: types.OrganisationName
+    priority: int
+    waiting: int
+    late: int
+    oldest_s: float
+    gateways: tuple[tuple[types.VmId, int], ...]
+
+
 class QuarantineLine(msgspec.Struct, frozen=True, kw_only=True):
     """A request that stays quarantined for another `left_s` seconds.
 
@@ -88,6 +107,7 @@
         version: version of the routing document that it holds; 0 if none.
         hears_quorum: it leads, or was lately in contact with the leader.
         held: quarantined requests.
+        waiting: generations that wait for capacity.
     """
 
     vm: types.VmId
@@ -103,6 +123,7 @@
     endpoints: tuple[EndpointLine, ...]
     quotas: tuple[QuotaLine, ...] = ()
     held: tuple[QuarantineLine, ...] = ()
+    waiting: tuple[WaitingLine, ...] = ()
 
 
 def overview(
@@ -135,6 +156,7 @@
         held=tuple(
             _quarantine_line(item) for item in quarantine.quarantined(now)
         ),
+        waiting=_waiting(directory),
     )
 
 
@@ -163,6 +185,36 @@
     )
 
 
+def _waiting(directory: directory_mod.Directory) -> tuple[WaitingLine, ...]:
+    """Return the generations that wait, the largest groups first."""
+    groups = [item for items in directory.waiting.values() for item in items]
+    return tuple(
+        WaitingLine(
+            kind=item.kind,
+            organisation=item.organisation,
+            priority=item.priority,
+            waiting=item.waiting,
+            late=item.late,
+            oldest_s=item.oldest_s,
+            gateways=_most_waiting(item, directory),
+        )
+        for item in waiting_use.largest(groups)
+    )
+
+
+def _most_waiting(
+    group: waiting_use.WaitingGroup, directory: directory_mod.Directory
+) -> tuple[tuple[types.VmId, int], ...]:
+    by_gateway = [
+        (vm, item.waiting)
+        for vm, items in directory.waiting.items()
+        for item in items
+        if item[:3] == group[:3]
+    ]
+    by_gateway.sort(key=lambda pair: -pair[1])
+    return tuple(by_gateway[:_MAX_GATEWAYS])
+
+
 def _quota_line(
     use: quota_use.QuotaUse,
     limit: model.Quota | None,
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -200,6 +200,7 @@
         hello = self.directory.gateways.pop(conn, None)
         if hello is not None:
             self.directory.quotas.pop(hello.vm, None)
+            self.directory.waiting.pop(hello.vm, None)
             self.schedulers.unlink(hello.vm, conn)
             logs.say(logs.Part.COORDINATOR, "Gateway lost.", peer=hello.vm)
             self._peers.publish_soon()
@@ -211,6 +212,7 @@
             hello = self.directory.gateways[conn]
             self._roles.record_demand(hello.vm, msg.items)
             self.directory.quotas[hello.vm] = msg.quotas
+            self.directory.waiting[hello.vm] = msg.waiting
         elif isinstance(msg, messages.HeartbeatNotice):
             self.directory.table.record_heartbeat_digests(
                 msg.digests, self._loop.time()
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -73,6 +73,7 @@
         msg = messages.Demands(
             items=self._site.demands(),
             quotas=self._site.quota_use.recent(self._loop.time()),
+            waiting=self._site.waiting_use.groups(self._loop.time()),
         )
         self._send_to_all(msg)
 
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -103,12 +103,7 @@
         call = self._call
         while True:
             self._progress = self._new_progress()
-            reservation = (
-                self._reserve_again()
-                or await call.site.capacity.reserve(
-                    self._reservation_request()
-                )
-            )
+            reservation = self._reserve_again() or await self._reserve()
             if isinstance(reservation, reservation_mod.NoCapacity):
                 self._refuse_no_capacity(reservation)
                 return
@@ -133,6 +128,22 @@
             if ended is retry_decision.AttemptEnd.BROKEN:
                 self._broken_endpoint = reservation.endpoint
 
+    async def _reserve(
+        self,
+    ) -> reservation_mod.DecodeReservation | reservation_mod.NoCapacity:
+        """Wait for a decode endpoint."""
+        call = self._call
+        with call.site.waiting_use.waits(
+            kind=call.route.name,
+            organisation=types.OrganisationName(call.caller.name),
+            priority=call.priority,
+            since=call.began,
+            target=self._target(),
+        ):
+            return await call.site.capacity.reserve(
+                self._reservation_request()
+            )
+
     def _reserves_for_large(self) -> bool:
         """Whether large requests of the service reserve endpoints."""
         return self._call.site.has_feature(
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -31,6 +31,7 @@
 from rackpost.decide import role_balance
 from rackpost.decide import token_timing as token_timing_mod
 from rackpost.decide.waiting import orders as orders_mod
+from rackpost.decide.waiting import waiting_use
 from rackpost.gateway import admission_queue as admission_queue_mod
 from rackpost.gateway import crash_tracker as crash_tracker_mod
 from rackpost.gateway import planned_stop
@@ -159,6 +160,8 @@
             metrics=self.metrics,
             rng=self.rng,
         )
+        # Shown to operators.
+        self.waiting_use = waiting_use.WaitingTracker()
         self.quota_use = quota_use.QuotaUseTracker(
             window_s=host.bounds.quota_window_s
         )
--- a/rackpost/operator_commands.py
+++ b/rackpost/operator_commands.py
@@ -255,6 +255,12 @@
     """Show the quotas of organisations and their use."""
 
 
+@cappa.command(name="waiting", help="Show who waits for capacity.")
+@dataclasses.dataclass(kw_only=True)
+class SiteWaiting(Coordinators):
+    """Show the generations that wait, by kind and organisation."""
+
+
 @cappa.command(name="held", help="Show requests that are held back.")
 @dataclasses.dataclass(kw_only=True)
 class SiteHeld(Coordinators):
@@ -267,7 +273,12 @@
     """Inspect a site of gateways and coordinators."""
 
     what: cappa.Subcommands[
-        SiteStatus | SiteRoutes | SiteEndpoints | SiteQuotas | SiteHeld
+        SiteStatus
+        | SiteRoutes
+        | SiteEndpoints
+        | SiteQuotas
+        | SiteWaiting
+        | SiteHeld
     ]
 
 
--- a/rackpost/site_overview.py
+++ b/rackpost/site_overview.py
@@ -143,6 +143,32 @@
     return _table(head, rows)
 
 
+def waiting(found: overview.Overview) -> str:
+    """Return a table of the generations that wait for capacity."""
+    rows = [
+        (
+            item.kind,
+            item.organisation or "-",
+            str(item.priority),
+            str(item.waiting),
+            str(item.late),
+            f"{item.oldest_s:g}",
+            ", ".join(f"{vm}:{count}" for vm, count in item.gateways),
+        )
+        for item in found.waiting
+    ]
+    head = (
+        "kind",
+        "organisation",
+        "priority",
+        "waiting",
+        "late",
+        "oldest s",
+        "most at",
+    )
+    return _table(head, rows)
+
+
 def quarantined(found: overview.Overview) -> str:
     """Return a table of the quarantined requests."""
     rows = [
--- a/tests/test_site_overview.py
+++ b/tests/test_site_overview.py
@@ -14,7 +14,7 @@
 from tests import platform_site
 
 
-def _address(site: platform_site.Site) -> str:
+def coordinator_address(site: platform_site.Site) -> str:
     port = site.plan.base + links.METRICS_PORT
     return f"{site.plan.ip(11)}:{port}"
 
@@ -25,7 +25,7 @@
     async def main() -> None:
         async with platform_site.small_site(tmp_path) as site:
             # An unreachable coordinator is skipped.
-            where = f"127.0.0.1:1,{_address(site)}"
+            where = f"127.0.0.1:1,{coordinator_address(site)}"
 
             async def run(*words: str) -> str:
                 args = ["site", *words, "--coordinators", where]
@@ -65,7 +65,12 @@
             site.coordinator.quarantine.receive(
                 messages.Suspicions(items=items)
             )
-            args = ["site", "held", "--coordinators", _address(site)]
+            args = [
+                "site",
+                "held",
+                "--coordinators",
+                coordinator_address(site),
+            ]
             await asyncio.to_thread(cmd_operator.main, args)
             row = capsys.readouterr().out.splitlines()[1]
             assert row.split()[0] == "ab" * 16
