Take the decisions of the contention order apart

Cause: the order served fewer in time than the standing one. It refused by foresight what would have been served, kept late requests out for arrivals of their own kind while capacity stood free, and sent a report with each load report. None of its decisions could be on alone.

A place in the order of return may be None, and record_admitted takes the time.

--- a/rackpost/decide/features.py
+++ b/rackpost/decide/features.py
@@ -29,8 +29,14 @@
 class Feature(enum.Enum):
     """A part of load management that can be on or off for a service."""
 
-    # Capacity is kept for urgent kinds, organisations share fairly.
+    # Urgent kinds go first, organisations share fairly.
     CONTENTION_ORDER = "contention-order"
+    # Capacity is kept free for more urgent arrivals.
+    KEPT_CAPACITY = "kept-capacity"
+    # Refused on arrival is only what surely can't be served.
+    SURE_REFUSALS = "sure-refusals"
+    # No kind is served less often than a less urgent one.
+    KIND_GUARD = "kind-guard"
     # Large requests reserve an endpoint; smaller ones backfill.
     LARGE_RESERVATIONS = "large-reservations"
     # One queue for the pool, at a coordinator.
@@ -48,11 +54,20 @@
     DECODE_HOLDS = "decode-holds"
 
 
+# The decisions on requests whose kinds or organisations compete.
+_CONTENTION = frozenset(
+    {
+        Feature.CONTENTION_ORDER,
+        Feature.KEPT_CAPACITY,
+        Feature.SURE_REFUSALS,
+        Feature.KIND_GUARD,
+    }
+)
 # Parts that stay off although a document calls for them, unless a setting
 # releases them.
 _HELD_BACK = frozenset(
     {
-        Feature.CONTENTION_ORDER,
+        *_CONTENTION,
         Feature.POOL_SCHEDULER,
         Feature.ENDPOINT_PACE,
         Feature.EARLY_ROLES,
@@ -120,12 +135,12 @@
 
 def called_for(found: ServiceProfile) -> frozenset[Feature]:
     """Return the parts that a service with this profile calls for."""
-    features = set()
+    features: set[Feature] = set()
     if len(found.priorities) > 1:
-        features.add(Feature.CONTENTION_ORDER)
+        features |= _CONTENTION
         features.add(Feature.POOL_SCHEDULER)
     if found.kinds >= _MIN_KINDS_OF_A_MIX:
-        features.add(Feature.CONTENTION_ORDER)
+        features |= _CONTENTION
         features.add(Feature.LARGE_RESERVATIONS)
         features.add(Feature.ENDPOINT_PACE)
         features.add(Feature.EARLY_ROLES)
--- a/rackpost/decide/queue_order.py
+++ b/rackpost/decide/queue_order.py
@@ -23,11 +23,13 @@
     """Position of a waiting request; the lowest is served first.
 
     `at` is a deadline in seconds; ranks to be compared must use the same
-    clock.
+    clock.  A request whose prompt is prefilled is ahead of others, since its
+    KV cache expires.
     """
 
     late: bool
     priority: int
+    needs_prefill: bool
     at: float
 
 
@@ -47,6 +49,7 @@
         arrived_at: clock reading at which it arrived at its gateway.
         peak_tokens: the most KV memory that it is expected to use, in tokens.
         holds_prompt: its prompt is prefilled, and its KV cache will expire.
+        admitted_before: it was admitted, but not run to its end.
     """
 
     priority: int
@@ -61,6 +64,7 @@
     arrived_at: float = 0.0
     peak_tokens: int = 0
     holds_prompt: bool = False
+    admitted_before: bool = False
 
 
 def is_infeasible(request: WaitingRequest, now: float) -> bool:
@@ -75,11 +79,12 @@
     """Return the rank of a request.
 
     Requests that can still be in time are ahead of late ones, which lose
-    nothing more by waiting.  Among equals the earliest deadline is first.
+    nothing more by waiting.  Among equals those whose prompt is prefilled are
+    first, then the earliest deadline.
     """
     late = now + request.start_s > request.target
     at = request.start_by if late else request.target
-    return Rank(late, request.priority, at)
+    return Rank(late, request.priority, not request.holds_prompt, at)
 
 
 class WaitingSummary(
@@ -92,17 +97,19 @@
     Attributes:
         slack_s: time until the first token cannot be in time any more.
         start_s: time until the client leaves without a token.
+        holds_prompt: its prompt is prefilled.
     """
 
     priority: int
     slack_s: float
     start_s: float
+    holds_prompt: bool = False
 
     def rank(self, age_s: float) -> Rank:
         """Return the rank, `age_s` seconds after the summary was made."""
         late = self.slack_s < age_s
         at = self.start_s if late else self.slack_s
-        return Rank(late, self.priority, at - age_s)
+        return Rank(late, self.priority, not self.holds_prompt, at - age_s)
 
 
 def is_ahead(
@@ -112,8 +119,7 @@
     own_name: str,
 ) -> bool:
     """Whether another gateway's request is ahead of this gateway's."""
-    comparable = other.late == own.late and other.priority == own.priority
-    if comparable and abs(other.at - own.at) < _TIE_S:
+    if other[:3] == own[:3] and abs(other.at - own.at) < _TIE_S:
         return other_name < own_name
     return other < own
 
@@ -124,6 +130,7 @@
         priority=request.priority,
         slack_s=round(request.target - request.start_s - now, 3),
         start_s=round(request.start_by - now, 3),
+        holds_prompt=request.holds_prompt,
     )
 
 
--- a/rackpost/decide/waiting/contender.py
+++ b/rackpost/decide/waiting/contender.py
@@ -1,15 +1,18 @@
 """Waiting generations as gateways report them to each other.
 
-Pure: no input or output; durations are in seconds.
+Pure: no input or output; durations are in seconds, in reports in
+milliseconds.
 """
 
 import enum
+import math
 from typing import NamedTuple
 
 import msgspec
 
 from rackpost.decide import queue_order
 from rackpost.decide.waiting import arrival_rates
+from rackpost.decide.waiting import kind_guard
 from rackpost import types
 
 # Most of the time that a start may take longer than estimated, as a share of
@@ -29,6 +32,18 @@
     LATE = 2
 
 
+# What else counts in the rank of a waiting generation: bits of its marks.
+# Plain integers, as ranks are compared some thousand times a second.
+# Its organisation uses its share without it.
+OVER_SHARE = 1
+# It was refused before.
+RETURNED = 2
+# Its prompt is prefilled.
+HOLDS_PROMPT = 4
+# Late, but ranked as in time, since its kind is served too seldom.
+LIFTED = 8
+
+
 class ContenderRank(NamedTuple):
     """Position among the waiting requests; the lowest is served first.
 
@@ -37,49 +52,70 @@
 
     is_late: bool
     priority: int
+    needs_prefill: bool
     lateness: Lateness
     over_share: bool
     first_time: bool
-    position: float
+    position: int
     at: float
 
 
 class Contender(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """A waiting generation.
+    """A waiting generation; integers, which are short in messages.
 
     Attributes:
-        slack_s: time until its first token can't be in time.
-        margin_s: usual error of this time.
-        leave_s: time until its client leaves without a token.
-        over_share: its organisation uses its share without it.
+        slack_ms: time until its first token can't be in time.
+        margin_ms: usual error of this time.
+        leave_ms: time until its client leaves without a token.
+        marks: `OVER_SHARE` and the like, added up.
         position: place among those over their share, by their use.
-        returned: it was refused before.
     """
 
     priority: int
-    slack_s: float
-    margin_s: float
-    leave_s: float
-    over_share: bool = False
-    position: float = 0.0
-    returned: bool = False
+    slack_ms: int
+    margin_ms: int
+    leave_ms: int
+    marks: int = 0
+    position: int = 0
+
+    @property
+    def is_lifted(self) -> bool:
+        """Whether it is late, but ranked as in time."""
+        return self.marks & LIFTED != 0
+
+    def is_late_after(self, age_s: float) -> bool:
+        """Whether it ranks as late, `age_s` seconds after the report."""
+        return self.slack_ms < 1000.0 * age_s and self.marks & LIFTED == 0
 
     def rank(self, age_s: float = 0.0) -> ContenderRank:
         """Return the rank, `age_s` seconds after the report."""
-        slack_s = self.slack_s - age_s
-        lateness = lateness_of(slack_s, self.margin_s)
+        marks = self.marks
+        at = self.slack_ms / 1000.0 - age_s
+        lateness = lateness_of(at, self.margin_ms / 1000.0)
+        is_late = lateness is Lateness.LATE
+        if is_late:
+            at = self.leave_ms / 1000.0 - age_s
+        over_share = marks & OVER_SHARE != 0
         return ContenderRank(
-            is_late=lateness is Lateness.LATE,
-            priority=self.priority,
-            lateness=lateness,
-            over_share=self.over_share,
-            first_time=not self.returned,
-            position=self.position if self.over_share else 0.0,
-            at=(
-                self.leave_s - age_s if lateness is Lateness.LATE else slack_s
-            ),
+            is_late and marks & LIFTED == 0,
+            self.priority,
+            marks & HOLDS_PROMPT == 0,
+            lateness,
+            over_share,
+            marks & RETURNED == 0,
+            self.position if over_share else 0,
+            at,
         )
 
+    def deadline_rank(self, age_s: float = 0.0) -> queue_order.Rank:
+        """Return the rank by deadline, `age_s` seconds after the report."""
+        return queue_order.WaitingSummary(
+            priority=self.priority,
+            slack_s=self.slack_ms / 1000.0,
+            start_s=self.leave_ms / 1000.0,
+            holds_prompt=self.marks & HOLDS_PROMPT != 0,
+        ).rank(age_s)
+
 
 class OrganisationLoad(
     msgspec.Struct, frozen=True, array_like=True, kw_only=True
@@ -97,15 +133,19 @@
 ):
     """What a gateway tells the others of one model service.
 
+    None is as in its last report.
+
     Attributes:
         rates: its recent arrivals.
         loads: what organisations use and wait for there.
         waiting: the first of its waiting requests.
+        outcomes: how its requests of the last seconds ended, by priority.
     """
 
-    rates: tuple[arrival_rates.ArrivalRate, ...] = ()
-    loads: tuple[OrganisationLoad, ...] = ()
-    waiting: tuple[Contender, ...] = ()
+    rates: tuple[arrival_rates.ArrivalRate, ...] | None = None
+    loads: tuple[OrganisationLoad, ...] | None = None
+    waiting: tuple[Contender, ...] | None = None
+    outcomes: tuple[kind_guard.KindOutcomes, ...] | None = None
 
 
 def lateness_of(slack_s: float, margin_s: float) -> Lateness:
@@ -126,6 +166,32 @@
     return min(_START_ERROR_SHARE * request.start_s, _TARGET_SHARE * target_s)
 
 
+def contender(
+    request: queue_order.WaitingRequest,
+    now: float,
+    *,
+    marks: int = 0,
+    position: int = 0,
+) -> Contender:
+    """Return a waiting request as it is now.
+
+    `marks` are those that the request itself does not tell.
+    """
+    if request.refused_before:
+        marks |= RETURNED
+    if request.holds_prompt:
+        marks |= HOLDS_PROMPT
+    return Contender(
+        priority=request.priority,
+        # Rounded down, so that one that is late is never in time.
+        slack_ms=math.floor(1000.0 * slack_s(request, now)),
+        margin_ms=round(1000.0 * margin_s(request)),
+        leave_ms=round(1000.0 * (request.start_by - now)),
+        marks=marks,
+        position=position,
+    )
+
+
 def is_ahead(
     other: ContenderRank,
     other_vm: types.VmId,
@@ -133,6 +199,6 @@
     own_vm: types.VmId,
 ) -> bool:
     """Whether another gateway's request is ahead of this gateway's."""
-    if other[:6] == own[:6] and abs(other.at - own.at) < _TIE_S:
+    if other[:-1] == own[:-1] and abs(other.at - own.at) < _TIE_S:
         return other_vm < own_vm
     return other < own
--- a/rackpost/decide/waiting/contention.py
+++ b/rackpost/decide/waiting/contention.py
@@ -1,237 +1,170 @@
 """The order of services whose kinds or organisations compete.
 
-Requests that can be in time are ahead of late ones; among either, a more
-urgent request is always ahead of a less urgent one.  Among those of one
-priority organisations below their max-min share are first, then the earliest
-deadline.
-Capacity is kept for the more urgent arrivals of the next seconds, and for
-those of the same priority where a request is late.
+Composes decisions that are each on or off: the rank, the capacity kept for
+more urgent arrivals, refusals, and the guard over kinds.  What is off is
+decided as for services without contention.
 
 The state is soft: it starts empty, and nothing is kept free until arrivals
 are seen.  Pure: times are readings of the queue's clock, in seconds.
 """
 
 import collections
-import math
-import statistics
-from typing import Callable
-from typing import Iterable
+import itertools
 from typing import Sequence
 
 from rackpost.decide import queue_order
 from rackpost.decide.waiting import arrival_rates
 from rackpost.decide.waiting import contender
+from rackpost.decide.waiting import decisions as decisions_mod
 from rackpost.decide.waiting import headroom
+from rackpost.decide.waiting import keeping
+from rackpost.decide.waiting import kind_guard
 from rackpost.decide.waiting import order
-from rackpost.decide.waiting import shares
+from rackpost.decide.waiting import outgoing
+from rackpost.decide.waiting import peer_reports
+from rackpost.decide.waiting import ranking
+from rackpost.decide.waiting import refusal
+from rackpost.decide.waiting import standings
 from rackpost import types
 
-# Gateways report at least each second.  Reports count a little longer:
-# capacity must not stay free for a gateway that is gone.
-_REPORT_LIFETIME_S = 1.3
 # Number of waiting requests in a report.
 _MAX_REPORTED = 6
-
-_Organisation = types.OrganisationName | None
-_Use = dict[tuple[int, _Organisation], int]
-# Returns the weight of an organisation's share, None if it has none.
-WeightOf = Callable[[_Organisation], float | None]
-
-
-def _no_weight(organisation: _Organisation) -> None:
-    return None
-
-
-class _Standing:
-    """Place of one waiting request against its organisation's share."""
-
-    def __init__(self, *, over_share: bool, position: float) -> None:
-        self.over_share = over_share
-        self.position = position
+# Shortest time between two changes that are told of rates, shares and
+# outcomes, and longest time until they are repeated, in seconds.  They count
+# over seconds, and others keep them for `peer_reports.LIFETIME_S`.
+_MIN_INTERVAL_S = 0.25
+_REFRESH_S = 0.5
+# Until waiting requests are repeated, in seconds; changes are told at once.
+_WAITING_REFRESH_S = 0.25
+# Changes of a rate below this share do not matter.
+_RATE_CHANGE = 0.2
 
 
 class ContentionOrder(order.AdmissionOrder):
-    """Keeps the urgent ahead, shares fairly, serves late ones last."""
+    """Composes the decisions on one service's waiting requests."""
 
     def __init__(
         self,
         *,
         vm: types.VmId = types.VmId(""),
-        weight_of: WeightOf = _no_weight,
+        weight_of: standings.WeightOf = standings.no_weight,
+        decisions: frozenset[decisions_mod.Decision] = decisions_mod.ALL,
     ) -> None:
-        """Start with an empty state.
-
-        An organisation without a weight has the mean of the others.
-        """
-        self._vm = vm
-        self._weight_of = weight_of
+        """Start with an empty state; `decisions` may change later."""
+        self.decisions = decisions
         self._arrivals = arrival_rates.ArrivalRates()
-        self._held: _Use = collections.Counter()
-        self._reports: dict[
-            types.VmId, tuple[float, contender.ContentionReport]
-        ] = {}
-        # Requests over their share, by identity, since the last arrangement.
-        self._standings: dict[int, _Standing] = {}
-        # Clock reading of the last place in the order of return.
-        self._last_return_at = -math.inf
+        self._peers = peer_reports.PeerReports()
+        self._standings = standings.Standings(
+            peers=self._peers, weight_of=weight_of
+        )
+        self._by_contention = ranking.ContentionRanking(
+            peers=self._peers, standings=self._standings, vm=vm
+        )
+        self._by_deadline = ranking.DeadlineRanking(peers=self._peers, vm=vm)
+        self._keeper = keeping.CapacityKeeper(
+            arrivals=self._arrivals, peers=self._peers
+        )
+        self._sure = refusal.SureRefusals(peers=self._peers)
+        self._expected = refusal.ExpectedRefusals()
+        self._guard = kind_guard.KindGuard()
+        # The waiting requests as they were last arranged.
+        self._arranged: Sequence[queue_order.WaitingRequest] = ()
+        self._told_rates: outgoing.Outgoing[arrival_rates.ArrivalRate] = (
+            outgoing.Outgoing(
+                min_interval_s=_MIN_INTERVAL_S, refresh_s=_REFRESH_S
+            )
+        )
+        self._told_loads: outgoing.Outgoing[contender.OrganisationLoad] = (
+            outgoing.Outgoing(
+                min_interval_s=_MIN_INTERVAL_S, refresh_s=_REFRESH_S
+            )
+        )
+        self._told_outcomes: outgoing.Outgoing[kind_guard.KindOutcomes] = (
+            outgoing.Outgoing(
+                min_interval_s=_MIN_INTERVAL_S, refresh_s=_REFRESH_S
+            )
+        )
+        self._told_waiting: outgoing.Outgoing[contender.Contender] = (
+            outgoing.Outgoing(min_interval_s=0.0, refresh_s=_WAITING_REFRESH_S)
+        )
+        # What was told last: rates by priority, and waiting requests.
+        self._rates_told: dict[int, float] = {}
+        self._waiting_told: tuple[int, ...] = ()
+
+    def _uses(self, decision: decisions_mod.Decision) -> bool:
+        return decision in self.decisions
+
+    @property
+    def _ranking(self) -> ranking.Ranking:
+        if self._uses(decisions_mod.Decision.RANK):
+            return self._by_contention
+        return self._by_deadline
+
+    @property
+    def _refusals(self) -> refusal.RefusalPolicy:
+        if self._uses(decisions_mod.Decision.REFUSAL):
+            return self._sure
+        return self._expected
 
     def record_arrival(
         self, request: queue_order.WaitingRequest, now: float
     ) -> None:
-        """Count the arrival, unless it was counted before its refusal."""
-        if not request.refused_before:
-            self._arrivals.add(
-                request.priority, contender.slack_s(request, now), now
-            )
+        """Count the arrival, unless it was counted before."""
+        if request.admitted_before:
+            return
+        if request.refused_before:
+            # It is not lost after all.
+            self._record(request, kind_guard.Outcome.UNSERVED, now, -1)
+            return
+        self._arrivals.add(
+            request.priority, contender.slack_s(request, now), now
+        )
 
-    def record_admitted(self, request: queue_order.WaitingRequest) -> None:
+    def record_admitted(
+        self, request: queue_order.WaitingRequest, now: float
+    ) -> kind_guard.Outcome | None:
         """Count the capacity as used by the organisation."""
-        self._held[request.priority, request.organisation] += 1
+        self._standings.record_admitted(request)
+        if request.admitted_before:
+            return None
+        outcome = kind_guard.Outcome.IN_TIME
+        if contender.slack_s(request, now) < 0.0:
+            outcome = kind_guard.Outcome.LATE
+            if self._ranking.contender(request, now).is_lifted:
+                outcome = kind_guard.Outcome.LIFTED
+        self._record(request, outcome, now)
+        return outcome
 
     def record_released(self, request: queue_order.WaitingRequest) -> None:
         """Count the capacity as no longer used."""
-        key = request.priority, request.organisation
-        self._held[key] -= 1
-        if self._held[key] <= 0:
-            del self._held[key]
-
-    def arrange(
-        self, waiting: Sequence[queue_order.WaitingRequest], now: float
-    ) -> list[queue_order.WaitingRequest]:
-        """Return the requests by rank."""
-        self._update_standings(waiting, now)
-        return sorted(waiting, key=lambda item: self._rank(item, now))
-
-    def _rank(
-        self, request: queue_order.WaitingRequest, now: float
-    ) -> contender.ContenderRank:
-        return self._contender(request, now).rank()
+        self._standings.record_released(request)
 
-    def _contender(
+    def record_unserved(
         self, request: queue_order.WaitingRequest, now: float
-    ) -> contender.Contender:
-        standing = self._standings.get(id(request))
-        return contender.Contender(
-            priority=request.priority,
-            slack_s=round(contender.slack_s(request, now), 4),
-            margin_s=round(contender.margin_s(request), 3),
-            leave_s=round(request.start_by - now, 4),
-            over_share=standing is not None and standing.over_share,
-            position=0.0 if standing is None else round(standing.position, 3),
-            returned=request.refused_before,
-        )
-
-    def _update_standings(
-        self, waiting: Sequence[queue_order.WaitingRequest], now: float
     ) -> None:
-        """Compare the organisations of each priority that compete."""
-        self._standings = {}
-        groups: dict[int, list[queue_order.WaitingRequest]] = {}
-        for item in waiting:
-            groups.setdefault(item.priority, []).append(item)
-        for priority, group in groups.items():
-            self._compare_organisations(priority, group, now)
+        """Count a request that was refused, or whose client left."""
+        if not request.admitted_before:
+            self._record(request, kind_guard.Outcome.UNSERVED, now)
 
-    def _compare_organisations(
+    def _record(
         self,
-        priority: int,
-        group: Sequence[queue_order.WaitingRequest],
+        request: queue_order.WaitingRequest,
+        outcome: kind_guard.Outcome,
         now: float,
+        count: int = 1,
     ) -> None:
-        held = self._held_by(priority, now)
-        demands = self._waiting_by(priority, now)
-        for item in group:
-            demands[item.organisation] += 1
-        if len(held.keys() | demands.keys()) < 2:
-            return
-        demands.update(held)
-        weights = self._weights(demands)
-        # The shares of what is used now and of the next capacity.
-        level = shares.fair_level(demands, weights, sum(held.values()) + 1)
-        by_time = sorted(
-            group,
-            key=lambda item: (contender.slack_s(item, now) < 0.0, item.target),
-        )
-        for item in by_time:
-            key = item.organisation
-            position = held[key] / weights[key]
-            held[key] += 1
-            self._standings[id(item)] = _Standing(
-                over_share=position >= level, position=position
-            )
+        self._guard.record(request.priority, outcome, now, count)
 
-    def _weights(
-        self, organisations: Iterable[_Organisation]
-    ) -> dict[_Organisation, float]:
-        own = {key: self._weight_of(key) for key in organisations}
-        known = [weight for weight in own.values() if weight is not None]
-        usual = statistics.mean(known) if known else 1.0
-        return {
-            key: usual if weight is None else weight
-            for key, weight in own.items()
-        }
-
-    def _held_by(
-        self, priority: int, now: float
-    ) -> collections.Counter[_Organisation]:
-        """Return what each organisation uses of the pool."""
-        found: collections.Counter[_Organisation] = collections.Counter()
-        for (level, organisation), count in self._held.items():
-            if level == priority:
-                found[organisation] += count
-        for load in self._reported_loads(priority, now):
-            found[load.organisation] += load.held
-        return found
-
-    def _waiting_by(
-        self, priority: int, now: float
-    ) -> collections.Counter[_Organisation]:
-        """Return what each organisation waits for at other gateways."""
-        found: collections.Counter[_Organisation] = collections.Counter()
-        for load in self._reported_loads(priority, now):
-            found[load.organisation] += load.waiting
-        return found
-
-    def _reported_loads(
-        self, priority: int, now: float
-    ) -> Iterable[contender.OrganisationLoad]:
-        return (
-            load
-            for _, _, report in self._fresh_reports(now)
-            for load in report.loads
-            if load.priority == priority
-        )
-
-    def _fresh_reports(
-        self, now: float
-    ) -> list[tuple[types.VmId, float, contender.ContentionReport]]:
-        """Return sender, age in seconds and content of recent reports."""
-        return [
-            (sender, now - at, report)
-            for sender, (at, report) in self._reports.items()
-            if now - at <= _REPORT_LIFETIME_S
-        ]
-
-    def _rates(
-        self, most_priority: int, now: float
-    ) -> list[arrival_rates.ArrivalRate]:
-        """Return the rates at all gateways, up to a priority."""
-        found: dict[int, arrival_rates.ArrivalRate] = {}
-        reported = (item for _, _, item in self._fresh_reports(now))
-        sources = [self._arrivals.rates(now)]
-        sources += [item.rates for item in reported]
-        for rate in (item for rates in sources for item in rates):
-            if rate.priority > most_priority:
-                continue
-            known = found.get(rate.priority)
-            found[rate.priority] = arrival_rates.ArrivalRate(
-                priority=rate.priority,
-                per_s=rate.per_s + (known.per_s if known else 0.0),
-                slack_s=min(
-                    rate.slack_s, known.slack_s if known else math.inf
-                ),
-            )
-        return list(found.values())
+    def arrange(
+        self, waiting: Sequence[queue_order.WaitingRequest], now: float
+    ) -> list[queue_order.WaitingRequest]:
+        """Return the requests by rank."""
+        owed = {}
+        if waiting and self._uses(decisions_mod.Decision.GUARD):
+            owed = self._guard.owed(now)
+        arranged = self._ranking.arrange(waiting, now, owed)
+        self._arranged = arranged
+        return arranged
 
     def kept_for(
         self,
@@ -240,55 +173,27 @@
         now: float,
     ) -> order.Kept | None:
         """Return for whom capacity is kept, None if it may be admitted."""
-        rates = self._rates_ahead(request, now)
-        kept = headroom.kept_capacity(rates, pool, request.generation_s)
-        if kept < pool.capacity:
+        if not self._uses(decisions_mod.Decision.KEPT):
             return None
-        if self._is_over_share(request):
+        if not self._keeper.is_kept(request, pool, now):
+            return None
+        if self._standings.of(request).over_share:
             return order.Kept.SHARE
-        if self._yields_to_equals(request, now):
-            return order.Kept.LATE
         return order.Kept.HEADROOM
 
     def yields_to_arrivals(
         self, request: queue_order.WaitingRequest, now: float
     ) -> bool:
         """Whether requests that go before it arrived lately."""
-        return bool(self._rates_ahead(request, now))
-
-    def _rates_ahead(
-        self, request: queue_order.WaitingRequest, now: float
-    ) -> list[arrival_rates.ArrivalRate]:
-        """Return the rates of the arrivals for which it has to wait."""
-        priority = request.priority
-        if not self._yields_to_equals(request, now):
-            priority -= 1
-        return self._rates(priority, now)
-
-    def _yields_to_equals(
-        self, request: queue_order.WaitingRequest, now: float
-    ) -> bool:
-        """Whether arrivals of its own priority go before it.
-
-        A returned request has its place, ahead of them.
-        """
-        late = contender.slack_s(request, now) < 0.0
-        return late and not request.refused_before
-
-    def _is_over_share(self, request: queue_order.WaitingRequest) -> bool:
-        standing = self._standings.get(id(request))
-        return standing is not None and standing.over_share
+        return self._uses(
+            decisions_mod.Decision.KEPT
+        ) and self._keeper.has_more_urgent_arrivals(request, now)
 
     def ahead_elsewhere(
         self, request: queue_order.WaitingRequest, now: float
     ) -> int:
         """Return how many requests at other gateways are ahead."""
-        own = self._rank(request, now)
-        return sum(
-            contender.is_ahead(other.rank(age_s), sender, own, self._vm)
-            for sender, age_s, report in self._fresh_reports(now)
-            for other in report.waiting
-        )
+        return len(self._ranking.ahead_elsewhere(request, now))
 
     def expected_wait_s(
         self,
@@ -297,72 +202,102 @@
         pool: headroom.PoolState,
         now: float,
     ) -> float:
-        """Return the wait until releases reach it, in seconds.
-
-        More urgent arrivals go first, and where it is late by then, those
-        of its own priority.
-        """
-        urgent = self._rates(request.priority - 1, now)
-        wait_s = headroom.expected_wait_s(ahead, urgent, pool)
-        if wait_s <= contender.slack_s(request, now) or request.refused_before:
-            return wait_s
-        rates = self._rates(request.priority, now)
-        return headroom.expected_wait_s(ahead, rates, pool)
+        """Return the wait until releases reach it, in seconds."""
+        return self._refusals.expected_wait_s(ahead, pool)
 
     def is_hopeless(
         self,
         request: queue_order.WaitingRequest,
         wait_s: float,
+        pool_of: order.PoolOf,
         now: float,
     ) -> bool:
-        """Whether to refuse a request that is expected to wait `wait_s`.
+        """Whether to refuse a request that has just arrived."""
+        return self._refusals.is_hopeless(
+            request,
+            wait_s,
+            lambda: (pool_of(), self._ahead(request, now)),
+            now,
+        )
 
-        A request that has returned waits as long as it can be served.
-        """
-        if request.refused_before:
-            return queue_order.is_infeasible(request, now)
-        return queue_order.will_be_infeasible(request, wait_s, now)
+    def _ahead(
+        self, request: queue_order.WaitingRequest, now: float
+    ) -> list[contender.Contender]:
+        here = itertools.takewhile(
+            lambda item: item is not request, self._arranged
+        )
+        found = [self._ranking.contender(item, now) for item in here]
+        return found + self._ranking.ahead_elsewhere(request, now)
 
     def return_in_s(
         self, wait_s: float, pool: headroom.PoolState, now: float
-    ) -> float:
+    ) -> float | None:
         """Take a place in the order of return; return when it is due."""
-        # All gateways give places of their own, so that each gives few.
-        spacing_s = (
-            pool.generation_s
-            * (1 + len(self._fresh_reports(now)))
-            / max(1, len(pool.releases_s))
-        )
-        at = max(now + wait_s, self._last_return_at + spacing_s)
-        self._last_return_at = at
-        return at - now
+        return self._refusals.return_in_s(wait_s, pool, now)
 
     def report(
         self, waiting: Sequence[queue_order.WaitingRequest], now: float
     ) -> contender.ContentionReport | None:
-        """Return the arrivals, use and waiting requests here."""
+        """Return what has changed of arrivals, use and waiting requests."""
+        report = contender.ContentionReport(
+            rates=self._next_rates(now),
+            loads=self._told_loads.next(self._loads(waiting), now),
+            waiting=self._next_waiting(waiting, now),
+            outcomes=self._told_outcomes.next(self._guard.outcomes(now), now),
+        )
+        return None if report == contender.ContentionReport() else report
+
+    def _next_rates(
+        self, now: float
+    ) -> tuple[arrival_rates.ArrivalRate, ...] | None:
         rates = self._arrivals.rates(now)
-        if not rates and not self._held and not waiting:
-            return None
-        first = sorted(
-            (self._contender(item, now) for item in waiting),
-            key=lambda item: item.rank(),
+        found = {item.priority: item.per_s for item in rates}
+        changed = any(
+            abs(found.get(key, 0.0) - self._rates_told.get(key, 0.0))
+            > _RATE_CHANGE * self._rates_told.get(key, 0.0)
+            for key in found.keys() | self._rates_told.keys()
+        )
+        told = self._told_rates.next(rates, now, changed=changed)
+        if told is not None:
+            self._rates_told = found
+        return told
+
+    def _next_waiting(
+        self, waiting: Sequence[queue_order.WaitingRequest], now: float
+    ) -> tuple[contender.Contender, ...] | None:
+        contenders = {
+            id(item): self._ranking.contender(item, now) for item in waiting
+        }
+        first = sorted(contenders, key=lambda key: contenders[key].rank())
+        del first[_MAX_REPORTED:]
+        told = self._told_waiting.next(
+            tuple(contenders[key] for key in first),
+            now,
+            changed=tuple(first) != self._waiting_told,
         )
+        if told is not None:
+            self._waiting_told = tuple(first)
+        return told
+
+    def _loads(
+        self, waiting: Sequence[queue_order.WaitingRequest]
+    ) -> tuple[contender.OrganisationLoad, ...]:
         counts = collections.Counter(
             (item.priority, item.organisation) for item in waiting
         )
-        return contender.ContentionReport(
-            rates=rates,
-            loads=tuple(
-                contender.OrganisationLoad(
-                    priority=key[0],
-                    organisation=key[1],
-                    held=self._held.get(key, 0),
-                    waiting=counts[key],
-                )
-                for key in self._held.keys() | counts.keys()
-            ),
-            waiting=tuple(first[:_MAX_REPORTED]),
+        held = self._standings.held
+        keys = sorted(
+            held.keys() | counts.keys(),
+            key=lambda key: (key[0], key[1] or ""),
+        )
+        return tuple(
+            contender.OrganisationLoad(
+                priority=key[0],
+                organisation=key[1],
+                held=held.get(key, 0),
+                waiting=counts[key],
+            )
+            for key in keys
         )
 
     def receive(
@@ -372,7 +307,6 @@
         now: float,
     ) -> None:
         """Take in the report of another gateway."""
-        self._reports[sender] = now, report
-        for name, (at, _) in list(self._reports.items()):
-            if now - at > _REPORT_LIFETIME_S:
-                del self._reports[name]
+        self._peers.receive(sender, report, now)
+        if report.outcomes is not None:
+            self._guard.receive(sender, report.outcomes, now)
--- a/rackpost/decide/waiting/order.py
+++ b/rackpost/decide/waiting/order.py
@@ -9,22 +9,25 @@
 
 import abc
 import enum
+from typing import Callable
 from typing import Sequence
 
 from rackpost.decide import queue_order
 from rackpost.decide.waiting import contender
 from rackpost.decide.waiting import headroom
+from rackpost.decide.waiting import kind_guard
 from rackpost import types
 
+# Returns the state of the pool, which takes some work to find out.
+PoolOf = Callable[[], headroom.PoolState]
+
 
 class Kept(enum.Enum):
     """Why a request waits although an endpoint has capacity for it."""
 
     # Capacity is kept for more urgent arrivals.
     HEADROOM = "headroom"
-    # It is late, and capacity is kept for arrivals that can be in time.
-    LATE = "late"
-    # Organisations that use less of the pool go first.
+    # The same, and its organisation uses more than its share.
     SHARE = "share"
 
 
@@ -38,13 +41,24 @@
         """Record a request that has arrived, whatever becomes of it."""
 
     @abc.abstractmethod
-    def record_admitted(self, request: queue_order.WaitingRequest) -> None:
-        """Record that a request holds capacity from now on."""
+    def record_admitted(
+        self, request: queue_order.WaitingRequest, now: float
+    ) -> kind_guard.Outcome | None:
+        """Record that a request holds capacity from now on.
+
+        Returns whether it will be in time; None if that is not recorded.
+        """
 
     @abc.abstractmethod
     def record_released(self, request: queue_order.WaitingRequest) -> None:
         """Record that an admitted request has released its capacity."""
 
+    @abc.abstractmethod
+    def record_unserved(
+        self, request: queue_order.WaitingRequest, now: float
+    ) -> None:
+        """Record that a request was refused, or its client left."""
+
     @abc.abstractmethod
     def arrange(
         self, waiting: Sequence[queue_order.WaitingRequest], now: float
@@ -87,17 +101,22 @@
         self,
         request: queue_order.WaitingRequest,
         wait_s: float,
+        pool_of: PoolOf,
         now: float,
     ) -> bool:
-        """Whether to refuse a request that is expected to wait `wait_s`."""
+        """Whether to refuse a request that has just arrived.
+
+        It is expected to wait `wait_s`, and was arranged with the others.
+        """
 
     @abc.abstractmethod
     def return_in_s(
         self, wait_s: float, pool: headroom.PoolState, now: float
-    ) -> float:
+    ) -> float | None:
         """Take a place in the order of return; return when it is due.
 
         In seconds; `wait_s` is the expected wait of the refused request.
+        None where refused requests have no order.
         """
 
     def report(
@@ -127,12 +146,20 @@
     ) -> None:
         """Record nothing."""
 
-    def record_admitted(self, request: queue_order.WaitingRequest) -> None:
+    def record_admitted(
+        self, request: queue_order.WaitingRequest, now: float
+    ) -> kind_guard.Outcome | None:
         """Record nothing."""
+        return None
 
     def record_released(self, request: queue_order.WaitingRequest) -> None:
         """Record nothing."""
 
+    def record_unserved(
+        self, request: queue_order.WaitingRequest, now: float
+    ) -> None:
+        """Record nothing."""
+
     def arrange(
         self, waiting: Sequence[queue_order.WaitingRequest], now: float
     ) -> list[queue_order.WaitingRequest]:
@@ -178,6 +205,7 @@
         self,
         request: queue_order.WaitingRequest,
         wait_s: float,
+        pool_of: PoolOf,
         now: float,
     ) -> bool:
         """Whether the request can't be served in time after the wait."""
@@ -185,6 +213,6 @@
 
     def return_in_s(
         self, wait_s: float, pool: headroom.PoolState, now: float
-    ) -> float:
-        """Return the wait: refused requests have no order."""
-        return wait_s
+    ) -> float | None:
+        """Return None: refused requests have no order."""
+        return None
--- a/rackpost/decide/waiting/orders.py
+++ b/rackpost/decide/waiting/orders.py
@@ -9,12 +9,16 @@
 
 from rackpost.decide.waiting import contender
 from rackpost.decide.waiting import contention
+from rackpost.decide.waiting import decisions as decisions_mod
 from rackpost.decide.waiting import order
+from rackpost.decide.waiting import standings
 from rackpost import types
 
+_Decisions = frozenset[decisions_mod.Decision]
 
-def _never(service: types.ServiceName) -> bool:
-    return False
+
+def _no_decisions(service: types.ServiceName) -> _Decisions:
+    return frozenset()
 
 
 class Orders:
@@ -24,12 +28,17 @@
         self,
         *,
         vm: types.VmId = types.VmId(""),
-        has_contention: Callable[[types.ServiceName], bool] = _never,
-        weight_of: contention.WeightOf | None = None,
+        decisions_of: Callable[
+            [types.ServiceName], _Decisions
+        ] = _no_decisions,
+        weight_of: standings.WeightOf = standings.no_weight,
     ) -> None:
-        """`has_contention` says which services use the contention order."""
+        """`decisions_of` returns the decisions that are on for a service.
+
+        A service with any of them uses the contention order.
+        """
         self._vm = vm
-        self._has_contention = has_contention
+        self._decisions_of = decisions_of
         self._weight_of = weight_of
         self._by_deadline = order.DeadlineOrder()
         self._contentions: dict[
@@ -38,22 +47,20 @@
 
     def contends(self, service: types.ServiceName) -> bool:
         """Whether a service uses the contention order."""
-        return self._has_contention(service)
+        return bool(self._decisions_of(service))
 
     def order_for(self, service: types.ServiceName) -> order.AdmissionOrder:
         """Return the order of a service."""
-        if not self._has_contention(service):
+        decisions = self._decisions_of(service)
+        if not decisions:
             return self._by_deadline
         found = self._contentions.get(service)
         if found is None:
-            found = (
-                contention.ContentionOrder(vm=self._vm)
-                if self._weight_of is None
-                else contention.ContentionOrder(
-                    vm=self._vm, weight_of=self._weight_of
-                )
+            found = contention.ContentionOrder(
+                vm=self._vm, weight_of=self._weight_of
             )
             self._contentions[service] = found
+        found.decisions = decisions
         return found
 
     def services(self) -> Iterable[types.ServiceName]:
@@ -68,5 +75,5 @@
     ) -> None:
         """Take in what another gateway reports of its services."""
         for service, report in reports.items():
-            if self._has_contention(service):
+            if self.contends(service):
                 self.order_for(service).receive(sender, report, now)
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -67,6 +67,10 @@
         # Whether prefill endpoints have failed: the prompt is to be prefilled
         # in place.
         self._in_place = False
+        # Whether there was a reservation.
+        self._admitted = False
+        # Whether the last reservation was asked for with a prefilled prompt.
+        self._held_prompt = False
         # The endpoint where the last connection broke, and the number of times
         # that the request was resumed at such an endpoint.
         self._broken_endpoint: endpoints.Endpoint | None = None
@@ -107,6 +111,7 @@
             if isinstance(reservation, reservation_mod.NoCapacity):
                 self._refuse_no_capacity(reservation)
                 return
+            self._admitted = True
             if call.end_if_blocked():
                 reservation.release()
                 return
@@ -225,6 +230,7 @@
 
     def _reservation_request(self) -> reservation_mod.ReservationRequest:
         call = self._call
+        self._held_prompt = self._holds_prompt()
         return reservation_mod.ReservationRequest(
             service=call.service.name,
             memory_tokens=self._engine.memory_tokens,
@@ -239,6 +245,17 @@
             waiting_request=self._waiting_request(),
         )
 
+    def _holds_prompt(self) -> bool:
+        """Whether the prompt is prefilled, where that counts in the order."""
+        return (
+            self._prefill_state.is_fresh(self._engine)
+            and not self._prefill_state.is_fetched
+            and (
+                self._reserves_for_large()
+                or self._call.site.orders.contends(self._call.service.name)
+            )
+        )
+
     def _waiting_request(self) -> queue_order.WaitingRequest:
         call = self._call
         timing = call.site.token_timing
@@ -257,6 +274,8 @@
             organisation=types.OrganisationName(call.caller.name) or None,
             arrived_at=call.began,
             peak_tokens=kv_forecast.peak_tokens([self._progress.run]),
+            holds_prompt=self._held_prompt,
+            admitted_before=self._admitted,
         )
 
     def _target(self) -> float:
@@ -339,7 +358,11 @@
         if self._prefill_state.is_fresh(self._engine):
             return True
         self._prefill_state.release_stale()
-        if reservation.prefill_endpoint is None or self._prompt_tokens == 0:
+        # A prompt that was prefilled has expired since the reservation.
+        has_expired = self._held_prompt
+        if self._prompt_tokens == 0 or not (
+            reservation.prefill_endpoint or has_expired
+        ):
             return True
         await self._prefill(reservation)
         # Release the prefill endpoint, also after a failure.
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -105,6 +105,11 @@
             self._endpoint
         )
 
+    @property
+    def is_fetched(self) -> bool:
+        """Whether a decode endpoint has fetched the KV cache."""
+        return self._fetched
+
     def headers(self) -> list[message.Header]:
         """Return the header that tells a decode endpoint where to fetch it."""
         if self._endpoint is None or self._result is None:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -30,6 +30,7 @@
 from rackpost.decide import retry_budget
 from rackpost.decide import role_balance
 from rackpost.decide import token_timing as token_timing_mod
+from rackpost.decide.waiting import decisions as decisions_mod
 from rackpost.decide.waiting import orders as orders_mod
 from rackpost.decide.waiting import waiting_use
 from rackpost.gateway import admission_queue as admission_queue_mod
@@ -116,8 +117,8 @@
         self.refusals = recent_refusals_mod.RefusalTable()
         self.orders = orders_mod.Orders(
             vm=host.vm,
-            has_contention=lambda service: self.has_feature(
-                service, features.Feature.CONTENTION_ORDER
+            decisions_of=lambda service: self._decisions.get(
+                service, frozenset()
             ),
             weight_of=self._weight_of,
         )
@@ -168,6 +169,10 @@
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
         self.planned_stop = planned_stop.PlannedStop()
         self._listed_vms: set[types.VmId] = set()
+        # The decisions of the contention order that are on, by service.
+        self._decisions: dict[
+            types.ServiceName, frozenset[decisions_mod.Decision]
+        ] = {}
         self._features: dict[
             types.ServiceName, frozenset[features.Feature]
         ] = {}
@@ -279,6 +284,10 @@
         if found == self._features:
             return
         self._features = found
+        self._decisions = {
+            service: decisions_mod.of_features(parts)
+            for service, parts in found.items()
+        }
         for service, item in profiles.items():
             logs.say(
                 logs.Part.GATEWAY,
--- a/rackpost/scheduler/host.py
+++ b/rackpost/scheduler/host.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from rackpost.decide import features
+from rackpost.decide.waiting import decisions as decisions_mod
 from rackpost.decide.waiting import orders as orders_mod
 from rackpost.link import channel
 from rackpost import logs
@@ -52,9 +53,11 @@
         self._conns: dict[types.VmId, channel.Channel] = {}
         # The services for which the document calls for a scheduler.
         self._services: frozenset[types.ServiceName] = frozenset()
-        # The services whose kinds or organisations compete, and the weights
+        # The decisions of the contention order by service, and the weights
         # of the organisations.
-        self._contending: frozenset[types.ServiceName] = frozenset()
+        self._decisions: dict[
+            types.ServiceName, frozenset[decisions_mod.Decision]
+        ] = {}
         self._weights: dict[types.OrganisationName, float] = {}
         self._pools: dict[types.ServiceName, pool.PoolScheduler] = {}
 
@@ -67,11 +70,10 @@
             service: features.features_for(item, self._parts)
             for service, item in profiles.items()
         }
-        self._contending = frozenset(
-            service
+        self._decisions = {
+            service: decisions_mod.of_features(parts)
             for service, parts in found.items()
-            if features.Feature.CONTENTION_ORDER in parts
-        )
+        }
         self._weights = {
             item.name: item.quota.rate_per_s
             for item in doc.organisations
@@ -143,7 +145,9 @@
             rng=random.Random(),
             orders=orders_mod.Orders(
                 vm=self._name,
-                has_contention=lambda name: name in self._contending,
+                decisions_of=lambda name: self._decisions.get(
+                    name, frozenset()
+                ),
                 weight_of=self._weight_of,
             ),
         )
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -29,6 +29,7 @@
 from rackpost.decide.pace import stream_clock
 from rackpost.decide import queue_order
 from rackpost.decide import token_timing as token_timing_mod
+from rackpost.decide.waiting import decisions as decisions_mod
 from rackpost.decide.waiting import orders as orders_mod
 from rackpost.gateway import admission_queue as admission_queue_mod
 from rackpost.gateway import capacity_source
@@ -103,8 +104,8 @@
     hot_factor: float = 1.0
     # How often a refused client comes back.
     returns: int = 0
-    # Whether gateways use the contention order.
-    contention: bool = False
+    # The decisions of the contention order that gateways use.
+    decisions: frozenset[decisions_mod.Decision] = frozenset()
     # Prompts are at most this long.
     max_prompt: float = math.inf
     # From this length on a prompt counts among the large ones.
@@ -357,7 +358,7 @@
         )
         chooser.set_gateways(spec.gateways)
         self.orders = orders_mod.Orders(
-            vm=self.vm, has_contention=lambda _: spec.contention
+            vm=self.vm, decisions_of=lambda _: spec.decisions
         )
         self.chooser = chooser
         self.table = table
