Grant capacity while gateways restart, and refuse only by own time

Change: - Only gateways that were linked when a scheduler began, and have not reported what they hold, and those that use another scheduler stop the grants. Others are granted nothing themselves before their first report.

--- a/rackpost/decide/endpoint_choice.py
+++ b/rackpost/decide/endpoint_choice.py
@@ -151,12 +151,14 @@
         *,
         exclude: Sequence[types.EndpointId] = (),
         max_ahead_tokens: int | None = None,
+        data_centre: types.DataCentre | None = None,
         now: float,
     ) -> endpoints.Endpoint | None:
         """Return the prefill endpoint that finishes a prompt soonest.
 
         `prompt` is its length in tokens.  None where no endpoint has a free
-        slot and at most `max_ahead_tokens` to prefill before it.
+        slot and at most `max_ahead_tokens` to prefill before it.  Endpoints
+        of `data_centre`, by default this process's, are preferred.
         """
         found = self._prefill_endpoints(service, exclude, now)
         pace = self._pace_of(service)
@@ -171,8 +173,8 @@
             slowness = self._health.slowness(item.id, median_s, now)
             slowness *= pace.factor(item.id, now)
             ahead = self._loads.total(item.id).prompt_tokens
-            wait = (ahead + prompt) * slowness * self._distance_factor(item)
-            free.append((wait, item))
+            distance = self._distance_factor(item, data_centre)
+            free.append(((ahead + prompt) * slowness * distance, item))
         free = self._prefer_known_pace(free, pace, now)
         return self._pick_lowest(self._prefer_without_backoff(free, now))
 
@@ -244,13 +246,15 @@
         in_place: InPlacePrefill | None = None,
         large_terms: LargeTerms | None = None,
         exclude: Sequence[types.EndpointId] = (),
+        data_centre: types.DataCentre | None = None,
         now: float,
     ) -> endpoints.Endpoint | None:
         """Return the decode endpoint with the most free KV memory.
 
         None if none has capacity for `run`.  `capacity` is the KV memory of
         each endpoint, in tokens.  `large_terms` leave out endpoints that are
-        needed for large requests.
+        needed for large requests.  Endpoints of `data_centre`, by default
+        this process's, are preferred.
         """
         found = self.candidates.find(
             service, types.Role.DECODE, exclude=exclude, now=now
@@ -261,9 +265,8 @@
             peak = self._peak_with(item, [run], capacity, in_place, now)
             if peak is not None:
                 # A slow endpoint holds its memory for longer.
-                weight = self._distance_factor(item) * pace.factor(
-                    item.id, now
-                )
+                distance = self._distance_factor(item, data_centre)
+                weight = distance * pace.factor(item.id, now)
                 fitting.append((peak * weight, item))
         if large_terms is not None:
             fitting = [
@@ -487,5 +490,10 @@
         jitter = 1.0 + _JITTER * self._rng.random()
         return (0.5 + rounds) * slowness * self._distance_factor(item) * jitter
 
-    def _distance_factor(self, item: endpoints.Endpoint) -> float:
-        return 1.0 if item.data_centre == self._data_centre else _REMOTE_FACTOR
+    def _distance_factor(
+        self,
+        item: endpoints.Endpoint,
+        data_centre: types.DataCentre | None = None,
+    ) -> float:
+        near = self._data_centre if data_centre is None else data_centre
+        return 1.0 if item.data_centre == near else _REMOTE_FACTOR
--- a/rackpost/decide/waiting/leases.py
+++ b/rackpost/decide/waiting/leases.py
@@ -1,8 +1,13 @@
 """The leases on a model service's capacity that gateways hold.
 
-A scheduler grants only while it knows all that its linked gateways hold and
-each of them uses it: a gateway that uses another scheduler may be granted
-capacity there.  The leases of a gateway lapse together if it is silent.
+A scheduler that begins may follow another one.  So it grants only once it
+knows what the gateways hold that were linked to it at that time, and only
+while no linked gateway uses another scheduler, which may grant capacity there.
+
+A gateway that links later does not stop the grants to others: it has just
+started, or was linked before and its leases still count.  It is granted
+nothing until it has reported what it holds.  The leases of a gateway lapse
+together if it is silent.
 
 Pure: times are readings of the scheduler's clock, in seconds.
 """
@@ -52,11 +57,21 @@
     ended: list[LeaseKey]
 
 
+class Use(enum.Enum):
+    """Which scheduler of a service a gateway uses."""
+
+    THIS = "this"
+    OTHER = "other"
+    # It decides itself, and reports what it takes.
+    NONE = "none"
+
+
 class Readiness(enum.Enum):
     """Whether a scheduler may grant, or why not."""
 
     READY = "ready"
-    # A linked gateway has not yet reported what it holds.
+    # A gateway that was linked when the scheduler began has not yet reported
+    # what it holds.
     UNKNOWN_HOLDINGS = "unknown holdings"
     # A linked gateway uses another scheduler.
     NOT_CHOSEN = "not chosen"
@@ -68,7 +83,9 @@
     def __init__(self, *, now: float) -> None:
         self.is_linked = True
         self.has_reported = False
-        self.uses_this = False
+        # It may hold what another scheduler granted.
+        self.is_awaited = False
+        self.use = Use.NONE
         self.last_report_at = now
         self.tickets: set[TicketId] = set()
 
@@ -86,21 +103,38 @@
     def readiness(self) -> Readiness:
         """Whether the scheduler may grant, or why not."""
         linked = [item for item in self._gateways.values() if item.is_linked]
-        if not all(item.has_reported for item in linked):
+        if any(item.is_awaited for item in linked):
             return Readiness.UNKNOWN_HOLDINGS
-        if not all(item.uses_this for item in linked):
+        if any(item.use is Use.OTHER for item in linked):
             return Readiness.NOT_CHOSEN
         return Readiness.READY
 
-    def link(self, gateway: types.VmId, now: float) -> None:
+    def has_reported(self, gateway: types.VmId) -> bool:
+        """Whether it is known what a linked gateway holds."""
+        found = self._gateways.get(gateway)
+        return found is not None and found.is_linked and found.has_reported
+
+    def blockers(self) -> list[types.VmId]:
+        """Return the gateways that keep the scheduler from granting."""
+        return [
+            vm
+            for vm, item in self._gateways.items()
+            if item.is_linked and (item.is_awaited or item.use is Use.OTHER)
+        ]
+
+    def link(
+        self, gateway: types.VmId, now: float, *, awaited: bool = False
+    ) -> None:
         """Record a new link; what the gateway holds is unknown until told.
 
-        Leases from an earlier link count until then.
+        Leases from an earlier link count until then, and a gateway that used
+        another scheduler still counts as one that does.  With `awaited` the
+        scheduler has just begun, and grants nothing before the report.
         """
         found = self._gateways.setdefault(gateway, _Gateway(now=now))
         found.is_linked = True
         found.has_reported = False
-        found.uses_this = False
+        found.is_awaited = found.is_awaited or awaited
 
     def unlink(self, gateway: types.VmId) -> None:
         """Record a lost link; its leases count until they lapse."""
@@ -113,11 +147,11 @@
         self.leases[key] = lease
         self._gateways[key.gateway].tickets.add(key.ticket)
 
-    def choose(self, gateway: types.VmId, chosen: bool) -> None:
-        """Record whether a gateway uses this scheduler."""
+    def record_use(self, gateway: types.VmId, use: Use) -> None:
+        """Record which scheduler a gateway uses."""
         found = self._gateways.get(gateway)
         if found is not None:
-            found.uses_this = chosen
+            found.use = use
 
     def report(
         self,
@@ -136,6 +170,7 @@
         if found is None or not (complete or found.has_reported):
             return changes
         found.has_reported = True
+        found.is_awaited = False
         found.last_report_at = now
         for ticket, lease in held.items():
             self._update(LeaseKey(gateway, ticket), lease, changes)
@@ -160,6 +195,19 @@
             known.prefilling = False
             changes.prefilled.append(key)
 
+    def record_prefilled(
+        self, gateway: types.VmId, tickets: Iterable[TicketId]
+    ) -> list[LeaseKey]:
+        """Record prompts that are prefilled; return those that were not."""
+        changed = []
+        for ticket in tickets:
+            key = LeaseKey(gateway, ticket)
+            known = self.leases.get(key)
+            if known is not None and known.prefilling:
+                known.prefilling = False
+                changed.append(key)
+        return changed
+
     def release(
         self, gateway: types.VmId, tickets: Iterable[TicketId]
     ) -> list[LeaseKey]:
@@ -174,12 +222,17 @@
         return ended
 
     def expire(self, now: float) -> list[LeaseKey]:
-        """Drop the leases of gateways that are silent; return them."""
+        """Drop the leases of gateways that are silent; return them.
+
+        A silent gateway does not keep the scheduler from granting either.
+        """
         ended = []
         for vm, item in list(self._gateways.items()):
             if now - item.last_report_at <= self._lease_s:
                 continue
             ended += self.release(vm, item.tickets)
+            item.is_awaited = False
+            item.use = Use.NONE
             if not item.is_linked:
                 del self._gateways[vm]
         return ended
--- a/rackpost/gateway/endpoint_reserver.py
+++ b/rackpost/gateway/endpoint_reserver.py
@@ -133,6 +133,8 @@
             max_ahead_tokens=self._token_timing.prefill_tokens_in(
                 _MAX_PREFILL_QUEUE_S
             ),
+            exclude=request.exclude,
+            data_centre=request.data_centre,
             now=now,
         )
 
@@ -160,6 +162,7 @@
                 claimed_only=claimed_only,
             ),
             exclude=request.exclude,
+            data_centre=request.data_centre,
             now=now,
         )
         if endpoint is None:
--- a/rackpost/gateway/reservation.py
+++ b/rackpost/gateway/reservation.py
@@ -25,6 +25,8 @@
         large_reservations: large requests claim endpoints, and claims of
             others are respected.
         request_id: the id of the request, for logs.
+        data_centre: where endpoints are preferred; None is where this process
+            is.
     """
 
     service: types.ServiceName
@@ -36,6 +38,7 @@
     in_place: bool = False
     large_reservations: bool = False
     request_id: str = ""
+    data_centre: types.DataCentre | None = None
 
 
 class RefusalReason(enum.Enum):
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -136,9 +136,7 @@
         )
         self.capacity = scheduler_client.PoolClient(
             local=self.admission_queue,
-            is_scheduled=lambda service: self.has_feature(
-                service, features.Feature.POOL_SCHEDULER
-            ),
+            is_scheduled=self._is_scheduled,
             chooser=self.chooser,
             loads=self.loads,
             table=self.table,
@@ -147,6 +145,7 @@
             token_timing=self.token_timing,
             capacity_changed=self.capacity_changed,
             metrics=self.metrics,
+            data_centre=host.data_centre,
         )
         self.quotas = quota_buckets.SharedBuckets(
             settings=_quota_settings(host.bounds),
@@ -203,6 +202,15 @@
             return None
         return found.rate_per_s
 
+    def _is_scheduled(self, service: types.ServiceName) -> bool:
+        """Whether a coordinator may grant the capacity of a service.
+
+        A scheduler does not know the groups of a large fleet.
+        """
+        return not self.group.is_partial and self.has_feature(
+            service, features.Feature.POOL_SCHEDULER
+        )
+
     def loop_time(self) -> float:
         """Return the loop's monotonic clock, in seconds."""
         return self._loop.time()
--- a/rackpost/scheduler/client.py
+++ b/rackpost/scheduler/client.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import contextlib
 import enum
 import itertools
 from typing import Callable
@@ -20,7 +19,6 @@
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
 from rackpost.decide import token_timing as token_timing_mod
-from rackpost.decide.waiting import grant_check
 from rackpost.decide.waiting import leases
 from rackpost.gateway import capacity_source
 from rackpost.gateway import reservation as reservation_mod
@@ -30,8 +28,9 @@
 from rackpost.routing import endpoints
 from rackpost.scheduler import choice
 from rackpost.scheduler import convert
-from rackpost.scheduler import holdings as holdings_mod
+from rackpost.scheduler import grants
 from rackpost.scheduler import messages
+from rackpost.scheduler import reporting
 from rackpost import types
 
 # A request that is neither answered nor confirmed for this long, in seconds,
@@ -39,12 +38,9 @@
 ANSWER_S = 0.15
 # Grants that a gateway asks for one request before it decides itself.
 _MAX_ASKS = 3
-# Shortest time between two reports of what is held, in seconds.
-_REPORT_S = 0.05
-# Longest time between two reports, in seconds; several fit into a lease.
-_RENEW_S = 0.5
-# Tokens from whose time that of one is computed.
-_TOKENS = 1000
+# After a decision without a scheduler the other gateways' load reports are
+# needed for this long, in seconds.
+_FALLBACK_S = 1.0
 # Bounds the log lines on fallbacks, in seconds from one to the next.
 _LOG_S = 1.0
 
@@ -106,33 +102,64 @@
         token_timing: token_timing_mod.TokenTiming,
         capacity_changed: asyncio.Event,
         metrics: metrics_mod.Metrics,
+        data_centre: types.DataCentre = types.DataCentre(""),
     ) -> None:
         """`local` decides where no scheduler does.
 
         `is_scheduled` tells whether a scheduler is to be used for a service.
+        Endpoints of `data_centre` are preferred.
         """
         self._loop = asyncio.get_running_loop()
         self._local = local
         self._is_scheduled = is_scheduled
         self._chooser = chooser
-        self._loads = loads
-        self._table = table
-        self._eligible = eligible
-        self._health = health
-        self._token_timing = token_timing
-        self._capacity_changed = capacity_changed
         self._metrics = metrics
+        self._data_centre = data_centre
+        self._taker = grants.GrantTaker(
+            chooser=chooser,
+            loads=loads,
+            table=table,
+            eligible=eligible,
+            health=health,
+            capacity_changed=capacity_changed,
+        )
+        self._reporter = reporting.Reporter(
+            eligible=eligible,
+            health=health,
+            token_timing=token_timing,
+            before_report=self._update_choices,
+            is_asked=lambda service: bool(self._choices.subscribers(service)),
+            send=self._send_to_subscribers,
+        )
         self._choices = choice.SchedulerChoices()
         self._conns: dict[str, channel.Channel] = {}
         self._pending: dict[leases.TicketId, _Pending] = {}
-        self._holdings: dict[types.ServiceName, holdings_mod.Holdings] = {}
         # The scheduler in use, as the subscribers know it.
         self._chosen: dict[types.ServiceName, str | None] = {}
         self._tickets = itertools.count(1)
-        self._report_due = asyncio.Event()
-        self._last_report_at = 0.0
+        # Clock reading of the last decision without a scheduler.
+        self._last_local_at = -_FALLBACK_S
         self._last_logged_at = -_LOG_S
 
+    @property
+    def is_delegated(self) -> bool:
+        """Whether schedulers decide on the capacity of all model services.
+
+        False for a second after each decision without one.
+        """
+        now = self._loop.time()
+        if now < self._last_local_at + _FALLBACK_S:
+            return False
+        hosts = [
+            host
+            for service, host in self._chosen.items()
+            if self._is_scheduled(service)
+        ]
+        return bool(hosts) and not any(
+            host is None or self._choices.is_suspect(host, now)
+            for host in hosts
+        )
+
     # Reservations.
 
     async def reserve(
@@ -143,7 +170,7 @@
         Returns NoCapacity where the request can't be served in time.
         """
         if not self._is_scheduled(request.service):
-            return await self._local.reserve(request)
+            return await self._reserve_here(request)
         exclude = list(request.exclude)
         for _ in range(_MAX_ASKS):
             ticket = leases.TicketId(next(self._tickets))
@@ -158,9 +185,9 @@
                 )
             if isinstance(answer, messages.CapacityGrant):
                 found = self._use_grant(answer, request)
-                if found is not None:
+                if isinstance(found, reservation_mod.DecodeReservation):
                     return found
-                exclude.append(answer.endpoint)
+                exclude.append(found.endpoint)
                 if not self._has_other(request.service, exclude):
                     break
             elif answer not in (Fallback.MOVED, Fallback.LINK_LOST):
@@ -181,30 +208,17 @@
     ) -> reservation_mod.DecodeReservation | None:
         """Reserve the endpoint where the request's connection just broke."""
         found = self._local.reserve_at(request, endpoint)
-        if found is None or not self._is_scheduled(request.service):
-            return found
-        return self._hold(request, found)
+        return None if found is None else self._hold(request, found)
 
     def _hold(
         self,
         request: reservation_mod.ReservationRequest,
         found: reservation_mod.DecodeReservation,
-        ticket: leases.TicketId | None = None,
     ) -> reservation_mod.DecodeReservation:
-        """Have schedulers told of a reservation."""
-        if ticket is None:
-            ticket = leases.TicketId(next(self._tickets))
-        held = self._holdings_of(request.service).hold(ticket, request, found)
-        return held
-
-    def _holdings_of(
-        self, service: types.ServiceName
-    ) -> holdings_mod.Holdings:
-        found = self._holdings.get(service)
-        if found is None:
-            found = holdings_mod.Holdings(on_change=self._report_due.set)
-            self._holdings[service] = found
-        return found
+        """Have schedulers told of the gateway's own reservation."""
+        held = self._reporter.holdings_of(request.service)
+        ticket = leases.TicketId(next(self._tickets))
+        return held.hold(ticket, request, found, granted=False)
 
     async def _choose_here(
         self, request: reservation_mod.ReservationRequest, why: Fallback
@@ -221,6 +235,12 @@
                 why=why.value,
                 scheduler=self._choices.best(request.service, now),
             )
+        return await self._reserve_here(request)
+
+    async def _reserve_here(
+        self, request: reservation_mod.ReservationRequest
+    ) -> reservation_mod.DecodeReservation | reservation_mod.NoCapacity:
+        self._last_local_at = self._loop.time()
         found = await self._local.reserve(request)
         if isinstance(found, reservation_mod.NoCapacity):
             return found
@@ -248,7 +268,11 @@
             self._send(
                 host,
                 convert.capacity_request(
-                    request, ticket=ticket, exclude=exclude, now=now
+                    request,
+                    ticket=ticket,
+                    exclude=exclude,
+                    data_centre=self._data_centre,
+                    now=now,
                 ),
             )
             answer = await self._wait_for(pending)
@@ -280,76 +304,21 @@
         self,
         grant: messages.CapacityGrant,
         request: reservation_mod.ReservationRequest,
-    ) -> reservation_mod.DecodeReservation | None:
-        """Return the reservation of a grant; None if it is returned."""
-        now = self._loop.time()
-        endpoint = self._table.alive.get(grant.endpoint)
-        why = grant_check.objection(
-            endpoint,
-            memory_tokens=request.memory_tokens,
-            eligible=self._eligible,
-            health=self._health,
-            loads=self._loads,
-            now=now,
-        )
-        prefill = None
-        if why is None and grant.prefill_endpoint is not None:
-            prefill = self._table.alive.get(grant.prefill_endpoint)
-            why = grant_check.sending_objection(
-                prefill, self._eligible, self._health, now
-            )
-        if why is not None or endpoint is None:
-            self._metrics.count(
-                "scheduler_objections",
-                why or grant_check.Objection.UNKNOWN,
-                str(request.service),
-            )
-            self._return_grant(request.service, grant)
-            return None
-        self._count(Outcome.GRANTED, request.service)
-        return self._hold(
-            request,
-            self._reservation(endpoint, prefill, request, now),
-            grant.ticket,
-        )
-
-    def _return_grant(
-        self, service: types.ServiceName, grant: messages.CapacityGrant
-    ) -> None:
-        for host in self._choices.subscribers(service):
-            self._give_back(host, service, grant.ticket)
-
-    def _reservation(
-        self,
-        endpoint: endpoints.Endpoint,
-        prefill: endpoints.Endpoint | None,
-        request: reservation_mod.ReservationRequest,
-        now: float,
-    ) -> reservation_mod.DecodeReservation:
-        """Count a grant in the gateway's own load."""
-        prompt = request.run.held_tokens
-        release_capacity = self._loads.add_request(
-            endpoint.id, run=request.run
-        )
-        prefills_at = prefill or endpoint
-        release_prompt = self._loads.add_request(prefills_at.id, prompt=prompt)
-        self._chooser.candidates.record_selection(endpoint, now)
-        if prefill is not None:
-            self._chooser.candidates.record_selection(prefill, now)
-
-        def release_prefill() -> None:
-            release_prompt()
-            if prefill is None:
-                self._loads.record_prefilled(endpoint.id, self._loop.time())
-
-        return reservation_mod.DecodeReservation(
-            endpoint=endpoint,
-            prefill_endpoint=prefill,
-            release_capacity=release_capacity,
-            release_prefill=release_prefill,
-            on_change=self._capacity_changed.set,
-            reserved_at=now,
-        )
+    ) -> reservation_mod.DecodeReservation | grants.Objection:
+        """Return the reservation of a grant, or why it is returned."""
+        service = request.service
+        found = self._taker.take(grant, request)
+        if isinstance(found, grants.Objection):
+            name = "scheduler_objections"
+            self._metrics.count(name, found.why, str(service))
+            for host in self._choices.subscribers(service):
+                self._give_back(host, service, grant.ticket)
+            return found
+        self._count(Outcome.GRANTED, service)
+        # Other schedulers that asked for holdings don't know of the grant.
+        is_known = len(self._choices.subscribers(service)) <= 1
+        held = self._reporter.holdings_of(service)
+        return held.hold(grant.ticket, request, found, granted=is_known)
 
     # Links.
 
@@ -412,13 +381,20 @@
             host,
             messages.CapacityProgress(
                 service=service,
-                holdings=self._holdings_of(service).all(),
-                signs=self._signs(),
+                holdings=self._reporter.holdings_of(service).all(),
+                signs=self._reporter.signs(),
                 complete=True,
-                chosen=self._chosen.get(service) == host,
+                use=self._use_of(host, service),
             ),
         )
 
+    def _use_of(self, host: str, service: types.ServiceName) -> leases.Use:
+        """Return what a coordinator is to know of the choice."""
+        chosen = self._chosen.get(service)
+        if chosen is None:
+            return leases.Use.NONE
+        return leases.Use.THIS if chosen == host else leases.Use.OTHER
+
     def _update_choices(self) -> None:
         for service in list(self._chosen):
             self._update_choice(service)
@@ -449,7 +425,9 @@
         for host in hosts:
             self._send(
                 host,
-                messages.SchedulerChoice(service=service, chosen=host == best),
+                messages.SchedulerChoice(
+                    service=service, use=self._use_of(host, service)
+                ),
             )
 
     def _send(self, host: str, msg: msgspec.Struct) -> None:
@@ -457,58 +435,15 @@
         if conn is not None:
             conn.send(msg)
 
-    # Reports.
-
-    def _signs(self) -> messages.EndpointSigns:
-        now = self._loop.time()
-        timing = self._token_timing
-        return messages.EndpointSigns(
-            failed=self._health.failed_endpoints(now),
-            rejecting=self._health.full_endpoints(now),
-            backoffs=self._eligible.remaining_backoffs(now),
-            changing=tuple(sorted(self._eligible.changing_role)),
-            prefill_token_s=timing.prefill_s(_TOKENS) / _TOKENS,
-            decode_token_s=timing.decode_s(_TOKENS) / _TOKENS,
-            generation_s=timing.generation_s,
-        )
+    def _send_to_subscribers(
+        self, service: types.ServiceName, msg: msgspec.Struct
+    ) -> None:
+        for host in self._choices.subscribers(service):
+            self._send(host, msg)
 
     async def run(self) -> None:
         """Report what is held, until cancelled."""
-        while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_RENEW_S):
-                    await self._report_due.wait()
-            self._report_due.clear()
-            self.report()
-            await asyncio.sleep(_REPORT_S)
-
-    def report(self) -> None:
-        """Report the changes since the last report to the schedulers."""
-        now = self._loop.time()
-        self._update_choices()
-        due = now >= self._last_report_at + _RENEW_S
-        for service, held in self._holdings.items():
-            changed = held.take_changes()
-            ended = held.take_ended()
-            hosts = self._choices.subscribers(service)
-            if not hosts:
-                continue
-            if ended:
-                cancel = messages.CapacityCancel(
-                    service=service, tickets=ended
-                )
-                self._send_all(hosts, cancel)
-            if changed or due:
-                progress = messages.CapacityProgress(
-                    service=service, holdings=changed, signs=self._signs()
-                )
-                self._send_all(hosts, progress)
-        if due:
-            self._last_report_at = now
-
-    def _send_all(self, hosts: list[str], msg: msgspec.Struct) -> None:
-        for host in hosts:
-            self._send(host, msg)
+        await self._reporter.run()
 
     def _count(self, outcome: Outcome, service: types.ServiceName) -> None:
         self._metrics.count("scheduler_outcome", outcome, str(service))
--- a/rackpost/scheduler/convert.py
+++ b/rackpost/scheduler/convert.py
@@ -31,6 +31,7 @@
     *,
     ticket: leases.TicketId,
     exclude: Iterable[types.EndpointId],
+    data_centre: types.DataCentre,
     now: float,
 ) -> messages.CapacityRequest:
     """Return the message that asks a scheduler for capacity."""
@@ -45,6 +46,7 @@
         in_place=request.in_place,
         large_reservations=request.large_reservations,
         request_id=request.request_id,
+        data_centre=data_centre,
     )
 
 
@@ -62,6 +64,7 @@
         in_place=msg.in_place,
         large_reservations=msg.large_reservations,
         request_id=msg.request_id,
+        data_centre=msg.data_centre,
     )
 
 
--- a/rackpost/scheduler/host.py
+++ b/rackpost/scheduler/host.py
@@ -12,14 +12,16 @@
 import msgspec
 
 from rackpost.decide import features
+from rackpost.decide import gateway_groups
 from rackpost.decide.waiting import decisions as decisions_mod
-from rackpost.decide.waiting import orders as orders_mod
+from rackpost.decide.waiting import leases
 from rackpost.link import channel
 from rackpost import logs
 from rackpost import metrics as metrics_mod
 from rackpost.routing import endpoints
 from rackpost.routing import model
 from rackpost.scheduler import messages
+from rackpost.scheduler import own_time
 from rackpost.scheduler import pool
 from rackpost import types
 
@@ -124,7 +126,7 @@
         service = msg.service
         found = self._pools.get(service)
         if found is None and _begins(msg):
-            if service in self._services:
+            if service in self._services and not self._is_divided:
                 found = self._begin(service)
             elif isinstance(msg, messages.CapacityRequest):
                 self._send(
@@ -133,6 +135,11 @@
         if found is not None:
             found.receive(gateway, msg)
 
+    @property
+    def _is_divided(self) -> bool:
+        """Whether gateways use the endpoints of their groups only."""
+        return gateway_groups.group_count(len(self._conns)) > 1
+
     def _begin(self, service: types.ServiceName) -> pool.PoolScheduler:
         logs.say(logs.Part.COORDINATOR, "Scheduler begins.", service=service)
         found = pool.PoolScheduler(
@@ -143,7 +150,7 @@
             send=self._send,
             metrics=self._metrics,
             rng=random.Random(),
-            orders=orders_mod.Orders(
+            orders=own_time.SchedulerOrders(
                 vm=self._name,
                 decisions_of=lambda name: self._decisions.get(
                     name, frozenset()
@@ -153,7 +160,7 @@
         )
         self._pools[service] = found
         for gateway in list(self._conns):
-            found.link(gateway)
+            found.link(gateway, awaited=True)
         return found
 
     def _end(self, service: types.ServiceName) -> None:
@@ -165,9 +172,10 @@
             )
 
     def sweep(self) -> None:
-        """End schedulers without requests or whose service has none."""
+        """End schedulers without requests, or which are not called for."""
         for service, found in list(self._pools.items()):
-            if found.is_idle or service not in self._services:
+            is_called_for = service in self._services and not self._is_divided
+            if found.is_idle or not is_called_for:
                 self._end(service)
 
     async def run(self) -> None:
@@ -186,5 +194,5 @@
 def _begins(msg: messages.ToScheduler) -> bool:
     """Whether a scheduler begins with this message."""
     if isinstance(msg, messages.SchedulerChoice):
-        return msg.chosen
+        return msg.use is leases.Use.THIS
     return isinstance(msg, messages.CapacityRequest)
--- a/rackpost/scheduler/messages.py
+++ b/rackpost/scheduler/messages.py
@@ -4,8 +4,9 @@
 one `CapacityRequest` for each generation and gets a `CapacityGrant`, a
 `CapacityRefusal` or a `CapacityDeclined`; while it waits it is listed in each
 `CapacityQueued`.  A scheduler that becomes active asks all linked gateways
-for what they hold (`HoldingsQuery`); what changes is then reported in batches
-by `CapacityProgress`, which also renews the gateway's leases.
+for what they hold (`HoldingsQuery`).  What is released or prefilled is then
+reported at once, the progress of generations at intervals by
+`CapacityProgress`, which also renews the gateway's leases.
 
 Times are relative and in seconds, as the processes' clocks differ.
 """
@@ -36,6 +37,7 @@
         large_reservations: it claims an endpoint if it is large, and respects
             the claims of others.
         request_id: the id of the generation, for logs.
+        data_centre: where the gateway is; endpoints there are preferred.
     """
 
     ticket: leases.TicketId
@@ -48,6 +50,7 @@
     in_place: bool = False
     large_reservations: bool = False
     request_id: str = ""
+    data_centre: types.DataCentre = types.DataCentre("")
 
 
 class CapacityQueued(_Message, frozen=True, tag="capacity-queued"):
@@ -102,6 +105,13 @@
     tickets: tuple[leases.TicketId, ...]
 
 
+class CapacityPrefilled(_Message, frozen=True, tag="capacity-prefilled"):
+    """The prompts of these leases are prefilled."""
+
+    service: types.ServiceName
+    tickets: tuple[leases.TicketId, ...]
+
+
 class HoldingsQuery(_Message, frozen=True, tag="report-holdings"):
     """The coordinator schedules a service and needs all holdings of it.
 
@@ -113,10 +123,10 @@
 
 
 class SchedulerChoice(_Message, frozen=True, tag="scheduler-choice"):
-    """Whether the gateway uses the receiver as the scheduler of a service."""
+    """Which scheduler of a service the gateway uses from now on."""
 
     service: types.ServiceName
-    chosen: bool
+    use: leases.Use
 
 
 class Holding(_Message, frozen=True):
@@ -159,18 +169,22 @@
     """What has changed in what a gateway holds of a service.
 
     With `complete` it is all that the gateway holds, the answer to a
-    `HoldingsQuery`.
+    `HoldingsQuery`; `use` is then the scheduler that it uses.
     """
 
     service: types.ServiceName
     holdings: tuple[Holding, ...] = ()
     signs: EndpointSigns = EndpointSigns()
     complete: bool = False
-    chosen: bool = False
+    use: leases.Use = leases.Use.NONE
 
 
 ToScheduler = (
-    CapacityRequest | CapacityCancel | CapacityProgress | SchedulerChoice
+    CapacityRequest
+    | CapacityCancel
+    | CapacityPrefilled
+    | CapacityProgress
+    | SchedulerChoice
 )
 FromScheduler = (
     CapacityQueued
--- a/rackpost/scheduler/pool.py
+++ b/rackpost/scheduler/pool.py
@@ -2,10 +2,12 @@
 
 It decides with the same code as a gateway does for itself, an
 `AdmissionQueue`, on what the gateways report.  It grants only while the lease
-table is ready; requests that wait longer for that are declined.
+table is ready, and only to gateways that have reported what they hold;
+requests that wait longer for that are declined.
 """
 
 import asyncio
+import contextlib
 import enum
 import random
 from typing import Callable
@@ -37,6 +39,10 @@
 # Requests wait this long for the scheduler to be ready, in seconds: a round
 # trip to each gateway.
 _MAX_UNREADY_S = 0.1
+# Requests beyond this number are declined; gateways decide on them.
+_MAX_WAITING = 512
+# Gateways named in one log line.
+_MAX_LOGGED = 5
 # Without requests for this long, in seconds, a scheduler stops.
 _IDLE_S = 5.0
 
@@ -120,6 +126,8 @@
             orders=orders,
             metrics=metrics,
         )
+        # Set once a linked gateway has reported what it holds.
+        self._reported: dict[types.VmId, asyncio.Event] = {}
         self._waiting: dict[leases_mod.LeaseKey, asyncio.Task[None]] = {}
         self._reserved: dict[
             leases_mod.LeaseKey, reservation_mod.DecodeReservation
@@ -139,10 +147,14 @@
 
     # Gateways.
 
-    def link(self, gateway: types.VmId) -> None:
-        """Ask a linked gateway what it holds."""
+    def link(self, gateway: types.VmId, *, awaited: bool = False) -> None:
+        """Ask a linked gateway what it holds.
+
+        With `awaited` the scheduler begins: nothing is granted until then.
+        """
         self._drop_waiting(gateway)
-        self.leases.link(gateway, self._loop.time())
+        self._reported.pop(gateway, None)
+        self.leases.link(gateway, self._loop.time(), awaited=awaited)
         self._send(gateway, messages.HoldingsQuery(service=self._service))
         self._update_readiness()
 
@@ -160,10 +172,13 @@
             self._on_request(leases_mod.LeaseKey(gateway, msg.ticket), msg)
         elif isinstance(msg, messages.CapacityCancel):
             self._on_cancel(gateway, msg)
+        elif isinstance(msg, messages.CapacityPrefilled):
+            for key in self.leases.record_prefilled(gateway, msg.tickets):
+                self._reserved[key].record_prefilled()
         elif isinstance(msg, messages.CapacityProgress):
             self._on_progress(gateway, msg)
         elif isinstance(msg, messages.SchedulerChoice):
-            self.leases.choose(gateway, msg.chosen)
+            self.leases.record_use(gateway, msg.use)
         self._update_readiness()
 
     def _on_request(
@@ -171,7 +186,9 @@
     ) -> None:
         now = self._loop.time()
         self._last_request_at = now
-        if self._is_unready_for_long(now) or not self._has_endpoints():
+        is_full = len(self._waiting) >= _MAX_WAITING
+        is_unready = self._is_unready_for_long(now)
+        if is_full or is_unready or not self._has_endpoints():
             self._decline(key.gateway, (key.ticket,))
             return
         if key in self._waiting or key in self.leases.leases:
@@ -190,6 +207,9 @@
     ) -> None:
         request = convert.reservation_request(msg, self._loop.time())
         try:
+            if not await self._knows(key.gateway):
+                self._decline(key.gateway, (key.ticket,))
+                return
             found = await self._queue.reserve(request)
         finally:
             self._waiting.pop(key, None)
@@ -208,6 +228,19 @@
             return
         self._grant(key, request, found)
 
+    async def _knows(self, gateway: types.VmId) -> bool:
+        """Wait until a gateway has reported what it holds.
+
+        Its first report would end a lease that it is granted before.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_MAX_UNREADY_S):
+                await self._reported_event(gateway).wait()
+        return self.leases.has_reported(gateway)
+
+    def _reported_event(self, gateway: types.VmId) -> asyncio.Event:
+        return self._reported.setdefault(gateway, asyncio.Event())
+
     def _grant(
         self,
         key: leases_mod.LeaseKey,
@@ -219,7 +252,7 @@
             endpoint=found.endpoint.id,
             prefill_endpoint=None if prefill is None else prefill.id,
             run=request.run,
-            prefilling=True,
+            prefilling=not request.waiting_request.holds_prompt,
         )
         self.leases.grant(key, lease)
         self._reserved[key] = found
@@ -250,7 +283,7 @@
     ) -> None:
         now = self._loop.time()
         if msg.complete:
-            self.leases.choose(gateway, msg.chosen)
+            self.leases.record_use(gateway, msg.use)
         changes = self.leases.report(
             gateway,
             convert.leases_of(msg.holdings),
@@ -262,6 +295,8 @@
             self._reserved[key] = self._reserve_reported(key, now)
         for key in changes.prefilled:
             self._reserved[key].record_prefilled()
+        if msg.complete and self.leases.has_reported(gateway):
+            self._reported_event(gateway).set()
         self._record_signs(gateway, msg.signs, now)
 
     def _reserve_reported(
@@ -317,7 +352,10 @@
         if not ready:
             if self._unready_since is None:
                 self._unready_since = self._loop.time()
-                self._log("Scheduler has stopped to grant.")
+                self._log(
+                    "Scheduler has stopped to grant.",
+                    gateways=self.leases.blockers()[:_MAX_LOGGED],
+                )
         elif self._unready_since is not None:
             self._unready_since = None
             self._log("Scheduler grants.")
--- a/tests/test_pool_fleet.py
+++ b/tests/test_pool_fleet.py
@@ -37,3 +37,27 @@
     # each gateway to all others.
     for item in together:
         assert item.link_messages < 20 * item.requests
+
+
+def test_a_burst_at_twice_the_capacity_is_refused_no_more_than_without() -> (
+    None
+):
+    """70 requests a second for 4 s, of which the endpoints serve about 35.
+
+    Of 30 gateways; the same requests and seeds with and without a scheduler.
+    """
+    found = []
+    for scheduler in (False, True):
+        spec = fleet.Spec(
+            gateways=30,
+            rate=13.0,
+            surge_factor=5.5,
+            urgent_share=0.3,
+            scheduler=scheduler,
+        )
+        found.append([virtual.run(fleet.serve(spec, seed)) for seed in _SEEDS])
+    apart, together = found
+    for before, after in zip(apart, together, strict=True):
+        assert before.requests == after.requests
+        assert after.refused <= before.refused
+        assert after.in_time >= before.in_time
