--- a/tests/test_scheduler_grants.py
+++ b/tests/test_scheduler_grants.py
@@ -221,3 +221,29 @@
             assert not gateway.client.is_delegated
 
     virtual.run(main())
+
+
+def test_a_prompt_that_is_held_is_not_prefilled_again() -> None:
+    """Neither the gateway nor the scheduler counts its prefill."""
+
+    async def main() -> None:
+        world = scheduler_world.World(gateways=2)
+        world.link_all()
+        async with world.running():
+            usual = scheduler_world.request()
+            waiting = msgspec.structs.replace(
+                usual.waiting_request, holds_prompt=True
+            )
+            found = await world.gateways[0].client.reserve(
+                msgspec.structs.replace(usual, waiting_request=waiting)
+            )
+            assert isinstance(found, Reservation)
+            counted = [
+                world.gateways[0].loads.own[found.endpoint.id],
+                _pool(world.scheduler)._loads.total(found.endpoint.id),
+            ]
+            for load in counted:
+                assert load.prompt_tokens == 0 and len(load.runs) == 1
+            found.release()
+
+    virtual.run(main())
