--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -8,6 +8,7 @@
 from rackpost.control import messages as control
 from rackpost.decide import endpoint_load
 from rackpost.decide import endpoint_rates
+from rackpost.decide import load_deltas
 from rackpost.decide.pace import endpoint_pace
 from rackpost.decide import quarantine
 from rackpost.decide import queue_order as queue_order_mod
@@ -181,6 +182,34 @@
     paces: tuple[endpoint_pace.PaceReport, ...] = ()
 
 
+class LoadDelta(_Message, frozen=True, tag="load-changes"):
+    """What has changed in a gateway's load since its last reports.
+
+    `loads` has the endpoints whose load has changed, all other attributes
+    are as in `GatewayLoad`, which is sent each second.  Endpoints are named
+    by packed digests, see `routing/digests.py`, times are in milliseconds.
+
+    Attributes:
+        waiting: for each waiting generation its priority, its slack and the
+            time in which it has to start.
+        contention: only services whose report has changed.
+        backoffs: empty if the same endpoints have a back-off as before.
+    """
+
+    incarnation: int
+    sequence: int
+    loads: tuple[load_deltas.EndpointChange, ...] = ()
+    failed: bytes = b""
+    rejecting: bytes = b""
+    waiting: tuple[int, ...] = ()
+    refused_keys: tuple[int, ...] = ()
+    quotas: quota.QuotaReport = quota.QuotaReport()
+    backoffs: dict[types.EndpointId, float] = {}
+    named_rates: tuple[endpoint_rates.RateUpdate, ...] = ()
+    contention: dict[types.ServiceName, contender.ContentionReport] = {}
+    claims: tuple[backfill.Claim, ...] = ()
+
+
 class GrantRequest(_Message, frozen=True, tag="ask-grant"):
     """Asks the owner of an endpoint's rate for a grant to send one request.
 
@@ -208,7 +237,9 @@
     born: int
 
 
-BetweenGateways = Union[GatewayLoad, GrantRequest, GrantAnswer, ReturnGrant]
+BetweenGateways = Union[
+    GatewayLoad, LoadDelta, GrantRequest, GrantAnswer, ReturnGrant
+]
 
 FromGateway = Union[
     GatewayHello,
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -7,12 +7,14 @@
 
 import contextlib
 from typing import Callable
+from typing import Iterable
 from typing import Iterator
 
 import msgspec
 
 from rackpost.decide import fleet_size
 from rackpost.decide import kv_forecast
+from rackpost.decide import load_changes
 from rackpost.decide import queue_order
 from rackpost.decide.waiting import backfill
 from rackpost import types
@@ -60,7 +62,11 @@
         """
         self.own: dict[types.EndpointId, EndpointLoad] = {}
         self._on_change = on_change
+        # Of the own loads; whoever reports changes takes them.
+        self.changes = load_changes.LoadChanges()
         self._reports: dict[types.VmId, _GatewayReport] = {}
+        # The gateways by their incarnation.
+        self._senders: dict[int, types.VmId] = {}
         # The reported loads by endpoint, for fast summation.
         self._by_endpoint: dict[
             types.EndpointId, dict[types.VmId, EndpointLoad]
@@ -99,6 +105,9 @@
         if run is not None:
             load.runs.append(run)
         is_generation = run is not None or prompt > 0
+        plain = load_changes.Urgency.PLAIN
+        reserved = load_changes.Urgency.RESERVATION
+        self.changes.record(endpoint, reserved if is_generation else plain)
         self._report_change(is_generation)
 
         def release() -> None:
@@ -108,6 +117,8 @@
                 _remove(load.runs, run)
             if load.requests == 0:
                 self.own.pop(endpoint, None)
+            released = load_changes.Urgency.RELEASE
+            self.changes.record(endpoint, released if is_generation else plain)
             self._report_change(is_generation)
 
         return release
@@ -139,17 +150,54 @@
         report = self._reports.setdefault(sender, _GatewayReport())
         if incarnation == report.incarnation and sequence <= report.sequence:
             return
+        self._senders.pop(report.incarnation, None)
+        self._senders[incarnation] = sender
         report.incarnation = incarnation
         report.sequence = sequence
         report.received_at = now
         self._record_finished_prefills(report, loads, now)
-        self._unindex(sender, report)
+        self._unindex(sender, report.loads)
         report.loads = loads
         for endpoint, load in loads.items():
             self._by_endpoint.setdefault(endpoint, {})[sender] = load
         report.waiting = waiting
         report.claims = claims
 
+    def receive_changes(
+        self,
+        incarnation: int,
+        sequence: int,
+        changed: dict[types.EndpointId, EndpointLoad],
+        now: float,
+        waiting: tuple[queue_order.WaitingSummary, ...] = (),
+        claims: tuple[backfill.Claim, ...] = (),
+    ) -> types.VmId | None:
+        """Take in a report of the endpoints whose load has changed.
+
+        Return its sender.  Return None and ignore the report if a newer one
+        has arrived, or no complete one of this incarnation.
+        """
+        sender = self._senders.get(incarnation)
+        if sender is None:
+            return None
+        report = self._reports[sender]
+        if sequence <= report.sequence:
+            return None
+        report.sequence = sequence
+        report.received_at = now
+        report.waiting = waiting
+        report.claims = claims
+        # The sender's other endpoints are unchanged.
+        self._record_finished_prefills(report, report.loads | changed, now)
+        report.loads = dict(report.loads)
+        for endpoint, load in changed.items():
+            if load.requests:
+                report.loads[endpoint] = load
+                self._by_endpoint.setdefault(endpoint, {})[sender] = load
+            elif report.loads.pop(endpoint, None) is not None:
+                self._unindex(sender, (endpoint,))
+        return sender
+
     def _record_finished_prefills(
         self,
         report: _GatewayReport,
@@ -183,10 +231,13 @@
         """Drop the report of a gateway that is gone."""
         report = self._reports.pop(sender, None)
         if report is not None:
-            self._unindex(sender, report)
+            self._senders.pop(report.incarnation, None)
+            self._unindex(sender, report.loads)
 
-    def _unindex(self, sender: types.VmId, report: _GatewayReport) -> None:
-        for endpoint in report.loads:
+    def _unindex(
+        self, sender: types.VmId, gone: Iterable[types.EndpointId]
+    ) -> None:
+        for endpoint in gone:
             found = self._by_endpoint.get(endpoint, {})
             found.pop(sender, None)
             if not found:
@@ -227,6 +278,15 @@
                     count += 1
         return count
 
+    def has_waiting(self, sender: types.VmId, now: float) -> bool:
+        """Whether generations wait for capacity at another gateway."""
+        report = self._reports.get(sender)
+        return (
+            report is not None
+            and bool(report.waiting)
+            and now - report.received_at <= _WAITING_LIFETIME_S
+        )
+
     def claims(
         self, now: float
     ) -> Iterator[tuple[types.VmId, float, backfill.Claim]]:
--- a/rackpost/decide/endpoint_rates.py
+++ b/rackpost/decide/endpoint_rates.py
@@ -180,7 +180,16 @@
         self._changed.clear()
         if now >= self._complete_at + _COMPLETE_INTERVAL_S:
             self._complete_at = now
-            keys = list(self._records)
+            return self.complete_updates(now)
+        return self._updates(keys, now)
+
+    def complete_updates(self, now: float) -> tuple[RateUpdate, ...]:
+        """Return all rates; the next ones in turn where there are many."""
+        return self._updates(list(self._records), now)
+
+    def _updates(
+        self, keys: list[endpoints.Incarnation], now: float
+    ) -> tuple[RateUpdate, ...]:
         del keys[_MAX_REPORTED:]
         for key in keys:
             # Move to the end, so that the next report starts with others.
--- a/rackpost/decide/quota.py
+++ b/rackpost/decide/quota.py
@@ -152,5 +152,13 @@
         """Return what to report to the other gateways."""
         return QuotaReport()
 
+    def complete_report(self, now: float) -> QuotaReport:
+        """Return all figures, for a gateway that may lack some."""
+        return QuotaReport()
+
+    def changed_report(self, now: float) -> QuotaReport:
+        """Return what changed since the last report of changes."""
+        return QuotaReport()
+
     def forget(self, now: float) -> None:
         """Drop what has left the window."""
--- a/rackpost/decide/quota_buckets.py
+++ b/rackpost/decide/quota_buckets.py
@@ -239,25 +239,39 @@
 
     def next_report(self, now: float) -> quota.QuotaReport:
         """Return a complete report, or what changed since the last one."""
-        is_complete = now >= self._complete_at + _COMPLETE_INTERVAL_S
-        if is_complete:
-            self._complete_at = now
-            spent = dict(self._totals)
-        else:
-            spent = {
-                name: value
-                for name, value in self._totals.items()
-                if value != self._reported.get(name, 0)
-            }
+        if now < self._complete_at + _COMPLETE_INTERVAL_S:
+            return self.changed_report(now)
+        self._complete_at = now
+        self._reported = dict(self._totals)
+        return self.complete_report(now)
+
+    def complete_report(self, now: float) -> quota.QuotaReport:
+        """Return all figures."""
+        return quota.QuotaReport(
+            uptime_s=int(now - self.started_at),
+            is_complete=True,
+            spent=dict(self._totals),
+            levels=self._below_full(now),
+            waiting=self._waiting_units(),
+        )
+
+    def changed_report(self, now: float) -> quota.QuotaReport:
+        """Return what changed since the last report of changes."""
+        spent = {
+            name: value
+            for name, value in self._totals.items()
+            if value != self._reported.get(name, 0)
+        }
         self._reported = dict(self._totals)
         return quota.QuotaReport(
             uptime_s=int(now - self.started_at),
-            is_complete=is_complete,
             spent=spent,
-            levels=self._below_full(now) if is_complete else {},
-            waiting={k: units for k, units in self._waiting.items() if units},
+            waiting=self._waiting_units(),
         )
 
+    def _waiting_units(self) -> dict[types.OrganisationName, int]:
+        return {name: units for name, units in self._waiting.items() if units}
+
     def forget(self, now: float) -> None:
         """Drop gateways without a report for a window."""
         before = now - self.settings.window_s
--- a/rackpost/gateway/load_exchange.py
+++ b/rackpost/gateway/load_exchange.py
@@ -1,7 +1,8 @@
 """Exchanges load reports between gateways, by datagrams.
 
 Each report is complete and repeated with each change and at least once a
-second, so that a lost datagram does little harm.  Grants of endpoints' rates
+second, so that a lost datagram does little harm.  Where `LOAD_DELTAS` is on,
+changes go in smaller reports (`delta_reports.py`).  Grants of endpoints' rates
 (`rate_grants.py`) use the same socket.
 """
 
@@ -10,14 +11,20 @@
 import random
 from typing import Any
 from typing import AsyncIterator
+from typing import Collection
+
+import msgspec
 
 from rackpost.coordinator import links
 from rackpost.coordinator import messages
+from rackpost.decide import load_deltas
 from rackpost import exceptions
+from rackpost.gateway import delta_reports
 from rackpost.gateway import site as site_mod
 from rackpost.http1 import address
 from rackpost.link import codec
 from rackpost import logs
+from rackpost import types
 
 # Changes are batched for this long, in seconds: a fixed part and one per
 # gateway, which bounds the datagrams that a gateway receives.  The delay has
@@ -48,6 +55,13 @@
         host = site.host
         port = host.internal_ports[0] + links.LOADS_PORT
         self._address = f"{host.ip}:{port}"
+        self._deltas = delta_reports.DeltaReports(
+            site=site,
+            incarnation=self._incarnation,
+            next_sequence=self._next_sequence,
+            complete_report=self._complete_report,
+            send=self._send_to,
+        )
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Handle a load report or a message about grants."""
@@ -60,6 +74,8 @@
             return
         if isinstance(msg, messages.GatewayLoad):
             self._receive_load(msg, self._site.loop_time())
+        elif isinstance(msg, messages.LoadDelta):
+            self._receive_delta(msg, self._site.loop_time())
         else:
             self._site.rate_grants.receive(msg, address.Address(*addr[:2]))
 
@@ -74,28 +90,64 @@
             waiting=msg.waiting,
             claims=msg.claims,
         )
-        site.orders.receive(msg.vm, msg.contention, now)
         site.add_gateway(
             messages.GatewayAddress(vm=msg.vm, load_address=msg.load_address)
         )
-        site.refusals.receive(msg.refused_keys, now)
-        if site.quotas.receive(msg.vm, msg.incarnation, msg.quotas, now):
-            # The sender lacks recent quota use of this gateway.
-            site.loads_changed.set()
+        self._receive_other(msg.vm, msg.incarnation, msg, now)
         for endpoint in msg.rejecting:
             site.health.record_reported_full(endpoint, now)
         for endpoint in msg.failed:
             site.health.record_reported_failure(endpoint, now)
+        site.measured_pace.receive(msg.paces, now, sender=msg.vm)
+        site.capacity_changed.set()
+
+    def _receive_delta(self, msg: messages.LoadDelta, now: float) -> None:
+        site = self._site
+        id_of = site.table.id_of_digest
+        sender = site.loads.receive_changes(
+            msg.incarnation,
+            msg.sequence,
+            load_deltas.unpack_loads(msg.loads, id_of),
+            now,
+            waiting=load_deltas.unpack_waiting(msg.waiting),
+            claims=msg.claims,
+        )
+        if sender is None:
+            return
+        self._receive_other(sender, msg.incarnation, msg, now)
+        for endpoint in load_deltas.unpack_ids(msg.rejecting, id_of):
+            site.health.record_reported_full(endpoint, now)
+        for endpoint in load_deltas.unpack_ids(msg.failed, id_of):
+            site.health.record_reported_failure(endpoint, now)
+        site.capacity_changed.set()
+
+    def _receive_other(
+        self,
+        sender: types.VmId,
+        incarnation: int,
+        msg: messages.GatewayLoad | messages.LoadDelta,
+        now: float,
+    ) -> None:
+        """Take in what both forms of reports have."""
+        site = self._site
+        site.orders.receive(sender, msg.contention, now)
+        site.refusals.receive(msg.refused_keys, now)
+        if site.quotas.receive(sender, incarnation, msg.quotas, now):
+            # The sender lacks recent quota use of this gateway.
+            self._deltas.require_complete(sender)
+            site.loads_changed.set()
         for endpoint, left_s in msg.backoffs.items():
             site.health.record_reported_backoff(endpoint, left_s, now)
         for update in msg.named_rates:
             site.rate_grants.receive_rate(update, now)
-        site.measured_pace.receive(msg.paces, now, sender=msg.vm)
-        site.capacity_changed.set()
 
     async def _publish(self) -> None:
         changed = self._site.loads_changed
         while True:
+            if self._site.policy.share and delta_reports.is_used(self._site):
+                found = [item.vm for item in self._recipients()]
+                await self._deltas.wait_and_send(found)
+                continue
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_MAX_INTERVAL_S):
                     await changed.wait()
@@ -106,11 +158,36 @@
     def _send(self) -> None:
         if not self._site.policy.share:
             return
-        self._sequence += 1
+        self._site.loads.changes.take()
         data = codec.encode(self._report(self._site.loop_time()))
-        for item in self._recipients():
-            if self._transport is not None:
-                self._transport.sendto(data, address.split(item.load_address))
+        self._send_to(
+            data,
+            [item.vm for item in self._recipients()],
+            delta_reports.ReportKind.COMPLETE,
+        )
+
+    def _send_to(
+        self,
+        data: bytes,
+        recipients: Collection[types.VmId],
+        kind: delta_reports.ReportKind,
+    ) -> None:
+        if self._transport is None:
+            return
+        found = [
+            self._site.gateways[vm]
+            for vm in recipients
+            if vm in self._site.gateways
+        ]
+        for item in found:
+            self._transport.sendto(data, address.split(item.load_address))
+        count = self._site.metrics.count
+        count("load_reports", kind, by=len(found))
+        count("load_report_bytes", kind, by=len(data) * len(found))
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
 
     def _recipients(self) -> list[messages.GatewayAddress]:
         """Return the other gateways that use the same endpoints."""
@@ -122,22 +199,38 @@
             if item.vm != me and group.contains(item.vm)
         ]
 
+    def _complete_report(self, now: float) -> messages.GatewayLoad:
+        """Return a report for gateways of which some may know nothing."""
+        site = self._site
+        return msgspec.structs.replace(
+            self._base_report(now),
+            quotas=site.quotas.complete_report(now),
+            named_rates=site.eligibility.rates.complete_updates(now),
+        )
+
     def _report(self, now: float) -> messages.GatewayLoad:
+        """Return a report for gateways that have all earlier ones."""
+        site = self._site
+        return msgspec.structs.replace(
+            self._base_report(now),
+            quotas=site.quotas.next_report(now),
+            named_rates=site.eligibility.rates.next_updates(now),
+        )
+
+    def _base_report(self, now: float) -> messages.GatewayLoad:
         site = self._site
         return messages.GatewayLoad(
             vm=site.host.vm,
             load_address=self._address,
             incarnation=self._incarnation,
-            sequence=self._sequence,
+            sequence=self._next_sequence(),
             loads=site.loads.own,
             failed=site.health.failed_endpoints(now),
             rejecting=site.health.full_endpoints(now),
             waiting=site.admission_queue.most_urgent_waiters(now),
             claims=site.admission_queue.claims(now),
             refused_keys=site.refusals.recent(now),
-            quotas=site.quotas.next_report(now),
             backoffs=site.eligibility.remaining_backoffs(now),
-            named_rates=site.eligibility.rates.next_updates(now),
             paces=site.measured_pace.reports(now),
             contention=site.admission_queue.contention_reports(now),
         )
@@ -149,6 +242,17 @@
         transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=address.split(self._address)
         )
+        try:
+            async with self.running_on(transport):
+                yield
+        finally:
+            transport.close()
+
+    @contextlib.asynccontextmanager
+    async def running_on(
+        self, transport: asyncio.DatagramTransport
+    ) -> AsyncIterator[None]:
+        """Send and receive reports by `transport` until the block ends."""
         self._transport = transport
         self._site.rate_grants.send = transport.sendto
         task = asyncio.create_task(self._publish())
@@ -156,4 +260,3 @@
             yield
         finally:
             task.cancel()
-            transport.close()
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -294,6 +294,10 @@
         """Whether a part of load management is on for a service."""
         return feature in self._features.get(service, ())
 
+    def uses(self, feature: features.Feature) -> bool:
+        """Whether a part of load management is on for any service."""
+        return any(feature in parts for parts in self._features.values())
+
     def pace_of(
         self, service: types.ServiceName
     ) -> endpoint_pace.EndpointPace:
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -207,6 +207,11 @@
         for id_digest in digests.unpack(data):
             self.record_heartbeats(self._by_digest.get(id_digest, ()), now)
 
+    def id_of_digest(self, id_digest: bytes) -> types.EndpointId | None:
+        """Return the only known endpoint with this digest, or None."""
+        found = self._by_digest.get(id_digest, set())
+        return next(iter(found)) if len(found) == 1 else None
+
     def with_heartbeat_since(
         self, since: float
     ) -> tuple[types.EndpointId, ...]:
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -34,6 +34,7 @@
 from rackpost.gateway import capacity_source
 from rackpost.gateway import reservation as reservation_mod
 from rackpost.routing import endpoints
+from rackpost.testing import fleet_reports
 from rackpost.testing import fleet_scheduler
 from rackpost.testing import uneven
 from rackpost import types
@@ -120,6 +121,14 @@
     link_delay_s: float = 0.002
     # Share of the requests with a higher priority.
     urgent_share: float = 0.0
+    # With a rate of the gateways' links, their load reports are messages that
+    # pass these; `report_delay_s` is not used.
+    link_mbps: float = 0.0
+    load_deltas: bool = False
+    report_loss: float = 0.0
+    # Plain requests a second, which only appear in load reports.
+    plain_rate: float = 0.0
+    plain_s: float = 0.04
 
 
 class Tally(msgspec.Struct, kw_only=True):
@@ -177,6 +186,18 @@
     urgent_in_time: int = 0
     # Sum of the times to the first token, in seconds.
     start_s: float = 0.0
+    # Reservations of memory that was in use or reserved already.
+    overbooked: int = 0
+    # Sum over the reservations of the error of the gateway's forecast, as a
+    # share of the endpoint's memory.
+    forecast_error: float = 0.0
+    # With links: bytes a second on the busiest link in its busiest half
+    # second, all bytes, and the age at which reservations become known at
+    # other gateways.
+    peak_link_bytes: float = 0.0
+    report_bytes: int = 0
+    report_age_p50_s: float = 0.0
+    report_age_p99_s: float = 0.0
 
 
 class _Stream:
@@ -338,7 +359,7 @@
             )
         rng = random.Random(number)
         table = endpoints.EndpointTable()
-        for item in _endpoints(spec):
+        for item in (*_endpoints(spec), *_plain_endpoints()):
             table.update(item, 0.0)
         chooser = endpoint_choice.Chooser(
             candidates=candidates.Candidates(
@@ -414,6 +435,21 @@
             )
 
 
+def _plain_endpoints() -> list[endpoints.Endpoint]:
+    return [
+        endpoints.Endpoint(
+            id=types.EndpointId(f"q{number}"),
+            service=types.ServiceName("plain"),
+            address=f"q{number}:1",
+            data_centre=_HERE,
+            role=types.Role.PLAIN,
+            slots=8,
+            sequence=1,
+        )
+        for number in range(5)
+    ]
+
+
 def _size(rng: random.Random, mean: float, spread: float) -> float:
     """Return a sample of a log-normal distribution."""
     variance = math.log(1.0 + spread * spread)
@@ -452,6 +488,15 @@
                     token_timing=gateway.token_timing,
                     capacity_changed=gateway.capacity_changed,
                 )
+        self._reports: fleet_reports.FleetReports | None = None
+        if spec.link_mbps > 0.0:
+            self._reports = fleet_reports.FleetReports(
+                gateways=list(self._gateways),
+                link_mbps=spec.link_mbps,
+                has_deltas=spec.load_deltas,
+                loss=spec.report_loss,
+                seed=seed,
+            )
         self._prefill_engines = {
             item.id: _PrefillEngine(spec=spec, number=int(item.id[1:]))
             for item in _endpoints(spec)
@@ -489,10 +534,15 @@
         ]
         for gateway in self._gateways:
             tasks.append(asyncio.create_task(gateway.admission_queue.run()))
-            tasks.append(asyncio.create_task(self._publish_loop(gateway)))
+            if self._reports is None:
+                tasks.append(asyncio.create_task(self._publish_loop(gateway)))
         # All gateways have a first report before requests arrive.
         for gateway in self._gateways:
             self._publish(gateway)
+        if self._reports is not None:
+            tasks.append(asyncio.create_task(self._reports.run()))
+        if self._spec.plain_rate > 0.0:
+            tasks.append(asyncio.create_task(self._send_plain()))
         if self._scheduler is not None:
             tasks += self._scheduler.start()
         try:
@@ -501,10 +551,42 @@
             if self._scheduler is not None:
                 self.outcome.link_messages = self._scheduler.messages
                 self._scheduler.close()
+            if self._reports is not None:
+                self._reports.sum_up(self.outcome)
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _send_plain(self) -> None:
+        """Count plain requests at random gateways until cancelled."""
+        rng = random.Random(0)
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(rng.expovariate(self._spec.plain_rate))
+                group.create_task(self._plain(rng.choice(self._gateways), rng))
+
+    async def _plain(self, gateway: _Gateway, rng: random.Random) -> None:
+        endpoint = rng.choice(_plain_endpoints()).id
+        with gateway.loads.request_added(endpoint):
+            await asyncio.sleep(self._spec.plain_s)
+
+    def _record_reservation(
+        self, gateway: _Gateway, endpoint: types.EndpointId
+    ) -> None:
+        """Compare what the gateway knows with what is reserved."""
+        memory = self._spec.memory_tokens
+        known = kv_forecast.peak_tokens(gateway.loads.total(endpoint).runs)
+        actual = kv_forecast.peak_tokens(
+            run
+            for item in self._gateways
+            if endpoint in item.loads.own
+            for run in item.loads.own[endpoint].runs
+        )
+        self.outcome.forecast_error += abs(known - actual) / memory
+        self.outcome.overbooked += actual > memory
+        if self._reports is not None:
+            self._reports.record_reservation(gateway.vm)
+
     async def _publish_loop(self, gateway: _Gateway) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
@@ -642,6 +724,7 @@
             if delay_s is None:
                 self.outcome.large_refused += prompt >= spec.large_prompt
             return delay_s
+        self._record_reservation(gateway, reservation.endpoint.id)
         try:
             if reservation.prefill_endpoint is not None:
                 await self._prefill(
--- /dev/null
+++ b/rackpost/testing/fleet_reports.py
@@ -0,0 +1,269 @@
+"""Load reports of a simulated fleet, over links with a rate.
+
+The production `LoadExchange` sends and receives them.
+"""
+
+import asyncio
+import collections
+import contextlib
+import random
+from typing import Any
+from typing import Callable
+from typing import cast
+from typing import Protocol
+
+from rackpost.coordinator import messages
+from rackpost.decide import eligibility
+from rackpost.decide import endpoint_health
+from rackpost.decide import endpoint_load
+from rackpost.decide import features
+from rackpost.decide import load_sync
+from rackpost.decide.pace import endpoint_pace
+from rackpost.decide import quota
+from rackpost.decide import quota_buckets
+from rackpost.decide import recent_refusals
+from rackpost.decide.waiting import orders as orders_mod
+from rackpost.gateway import admission_queue as admission_queue_mod
+from rackpost.gateway import load_exchange
+from rackpost.gateway import policy as policy_mod
+from rackpost.gateway import site as site_mod
+from rackpost import metrics as metrics_mod
+from rackpost.platform import settings
+from rackpost.routing import endpoints
+from rackpost import types
+
+_BYTES_PER_MEGABIT = 125_000.0
+_LATENCY_S = 0.0005
+# Bytes are counted in periods of this length, in seconds.
+_PERIOD_S = 0.5
+
+
+class Gateway(Protocol):
+    """What reports need of a simulated gateway."""
+
+    vm: types.VmId
+    loads: endpoint_load.LoadTable
+    load_changed: asyncio.Event
+    capacity_changed: asyncio.Event
+    health: endpoint_health.HealthTracker
+    table: endpoints.EndpointTable
+    orders: orders_mod.Orders
+    pace: endpoint_pace.EndpointPace
+    admission_queue: admission_queue_mod.AdmissionQueue
+
+
+class Outcome(Protocol):
+    """Where the cost of reports is recorded."""
+
+    messages: int
+    peak_link_bytes: float
+    report_bytes: int
+    report_age_p50_s: float
+    report_age_p99_s: float
+
+
+class _Everyone:
+    """A group with all gateways."""
+
+    def contains(self, name: str) -> bool:
+        return True
+
+
+class _Site:
+    """The part of a gateway's site that load reports use."""
+
+    def __init__(
+        self, *, gateway: Gateway, link_mbps: float, has_deltas: bool
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._has_deltas = has_deltas
+        self.host = settings.HostSettings(
+            vm=gateway.vm,
+            ip=gateway.vm,
+            data_centre=types.DataCentre("here"),
+            limits=settings.VmLimits(link_mbps=link_mbps),
+        )
+        self.policy = policy_mod.Policy()
+        self.metrics = metrics_mod.Metrics()
+        self.loads = gateway.loads
+        self.loads_changed = gateway.load_changed
+        self.capacity_changed = gateway.capacity_changed
+        self.health = gateway.health
+        self.table = gateway.table
+        self.orders = gateway.orders
+        self.measured_pace = gateway.pace
+        self.admission_queue = gateway.admission_queue
+        self.group = _Everyone()
+        self.eligibility = eligibility.Eligibility(
+            table=gateway.table, rng=random.Random(1)
+        )
+        self.refusals = recent_refusals.RefusalTable()
+        self.quotas = quota_buckets.SharedBuckets(
+            settings=quota.QuotaSettings(),
+            started_at=self._loop.time(),
+            limit_of=lambda name: None,
+        )
+        self.rate_grants = _NoGrants()
+        self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
+
+    @property
+    def gateway_count(self) -> int:
+        return max(1, len(self.gateways))
+
+    def loop_time(self) -> float:
+        return self._loop.time()
+
+    def add_gateway(self, item: messages.GatewayAddress) -> None:
+        if item.vm not in self.gateways:
+            self.gateways[item.vm] = item
+            self.loads_changed.set()
+
+    def uses(self, feature: features.Feature) -> bool:
+        return self._has_deltas and feature is features.Feature.LOAD_DELTAS
+
+
+class _NoGrants:
+    """Grants of rates, which the simulated endpoints don't name."""
+
+    send: Callable[..., None]
+
+
+class _Transport:
+    """The socket of one gateway."""
+
+    def __init__(self, *, sendto: Callable[[bytes, types.VmId], None]) -> None:
+        self._sendto = sendto
+
+    def sendto(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._sendto(data, types.VmId(addr[0]))
+
+    def close(self) -> None:
+        pass
+
+
+class _Link:
+    """One direction of a VM's link; a datagram waits for earlier ones."""
+
+    def __init__(self, *, bytes_per_s: float) -> None:
+        self._rate = bytes_per_s
+        self._free_at = 0.0
+        self.periods: collections.Counter[int] = collections.Counter()
+
+    def pass_at(self, size: int, at: float) -> float:
+        """Return when a datagram that comes at `at` has passed."""
+        self._free_at = max(self._free_at, at) + size / self._rate
+        self.periods[int(at / _PERIOD_S)] += size
+        return self._free_at
+
+    @property
+    def peak_per_s(self) -> float:
+        """Bytes a second in the busiest period."""
+        return max(self.periods.values(), default=0) / _PERIOD_S
+
+
+class FleetReports:
+    """The exchanges of load reports of all gateways, and their links."""
+
+    def __init__(
+        self,
+        *,
+        gateways: list[Gateway],
+        link_mbps: float,
+        has_deltas: bool,
+        loss: float = 0.0,
+        seed: int = 0,
+    ) -> None:
+        """`loss` is the share of the datagrams that are lost."""
+        self._loop = asyncio.get_running_loop()
+        self._rng = random.Random(seed)
+        self._loss = loss
+        rate = link_mbps * _BYTES_PER_MEGABIT
+        self._out = {item.vm: _Link(bytes_per_s=rate) for item in gateways}
+        self._in = {item.vm: _Link(bytes_per_s=rate) for item in gateways}
+        self.sites = {
+            item.vm: _Site(
+                gateway=item, link_mbps=link_mbps, has_deltas=has_deltas
+            )
+            for item in gateways
+        }
+        for site in self.sites.values():
+            site.gateways = {
+                vm: messages.GatewayAddress(vm=vm, load_address=f"{vm}:1")
+                for vm in self.sites
+            }
+        self._exchanges = {
+            vm: load_exchange.LoadExchange(site=cast(site_mod.Site, site))
+            for vm, site in self.sites.items()
+        }
+        self.datagrams = 0
+        # When each gateway reserved capacity, and how many of these changes
+        # each other gateway knows.
+        self._reserved_at: dict[types.VmId, list[float]] = {
+            vm: [] for vm in self.sites
+        }
+        self._known: collections.Counter[tuple[types.VmId, types.VmId]]
+        self._known = collections.Counter()
+        self.ages_s: list[float] = []
+
+    async def run(self) -> None:
+        """Exchange reports until cancelled."""
+        async with contextlib.AsyncExitStack() as stack:
+            for vm, exchange in self._exchanges.items():
+                await stack.enter_async_context(
+                    exchange.running_on(cast(Any, self._transport(vm)))
+                )
+            await asyncio.Event().wait()
+
+    def _transport(self, vm: types.VmId) -> _Transport:
+        return _Transport(
+            sendto=lambda data, receiver: self._send(data, vm, receiver)
+        )
+
+    def record_reservation(self, vm: types.VmId) -> None:
+        """Record that a gateway has reserved capacity."""
+        self._reserved_at[vm].append(self._loop.time())
+
+    def _send(
+        self, data: bytes, sender: types.VmId, receiver: types.VmId
+    ) -> None:
+        self.datagrams += 1
+        size = len(data) + load_sync.HEADER_BYTES
+        left_at = self._out[sender].pass_at(size, self._loop.time())
+        if self._rng.random() < self._loss:
+            return
+        at = self._in[receiver].pass_at(size, left_at + _LATENCY_S)
+        count = len(self._reserved_at[sender])
+        self._loop.call_at(at, self._deliver, data, sender, receiver, count)
+
+    def _deliver(
+        self, data: bytes, sender: types.VmId, receiver: types.VmId, count: int
+    ) -> None:
+        self._exchanges[receiver].datagram_received(data, (sender, 1))
+        known = self._known[(sender, receiver)]
+        for at in self._reserved_at[sender][known:count]:
+            self.ages_s.append(self._loop.time() - at)
+        self._known[(sender, receiver)] = max(known, count)
+
+    def sum_up(self, outcome: Outcome) -> None:
+        """Add the cost and the age of the reports to an outcome."""
+        outcome.messages = self.datagrams
+        outcome.peak_link_bytes = self.peak_per_s
+        outcome.report_bytes = self.bytes_sent
+        outcome.report_age_p50_s = self.age_s(0.5)
+        outcome.report_age_p99_s = self.age_s(0.99)
+
+    def age_s(self, share: float) -> float:
+        """Return a quantile of the age at which reservations got known."""
+        found = sorted(self.ages_s)
+        return found[min(len(found) - 1, int(share * len(found)))]
+
+    @property
+    def peak_per_s(self) -> float:
+        """Bytes a second on the busiest link in its busiest half second."""
+        links = [*self._out.values(), *self._in.values()]
+        return max(link.peak_per_s for link in links)
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of all datagrams with their headers."""
+        return sum(sum(link.periods.values()) for link in self._out.values())
