--- a/rackpost/decide/load_sync.py
+++ b/rackpost/decide/load_sync.py
@@ -1,9 +1,9 @@
 """Decide which load reports a gateway sends next, and to whom.
 
 Changes are reported to all others in one small report, soon if they are
-urgent.  Each other gateway gets a complete report each second; these are
-spread over the second.  All reports together use at most a share of the VM's
-link, so that requests and answers are not delayed behind them.
+urgent.  Each other gateway gets a complete report at least once a second;
+these are spread over the time.  All reports together use at most a share of
+the VM's link, so that requests and answers are not delayed behind them.
 
 Pure: clock readings are arguments, in seconds.
 """
@@ -23,9 +23,13 @@
 # arrives, and both directions carry prompts and events of streams.
 LINK_SHARE = 0.15
 _BUDGET_PERIOD_S = 0.5
-# Each other gateway gets a complete report at this interval.  Gateways count
-# as unreachable after 1.3 s.
-_COMPLETE_INTERVAL_S = 1.0
+# Each other gateway gets a complete report at an interval within these
+# bounds, the shortest at which complete reports use less than this share of
+# the budget.  They tell how far generations have come, which changes of other
+# endpoints do not.  Gateways count as unreachable after 1.3 s.
+_MIN_INTERVAL_S = 0.5
+_MAX_INTERVAL_S = 1.0
+_COMPLETE_SHARE = 0.35
 # Complete reports are sent to one part of the other gateways at a time.
 _SLOTS = 8
 # IP and UDP headers of a datagram.
@@ -41,8 +45,13 @@
 }
 # Number of reports in which a change is told, so that one may be lost.
 _TOLD_TIMES = 2
-# Size of a report of changes before one has been sent.
+# A report of changes also holds the load of endpoints that was told longer
+# ago, in seconds: their generations have come further.  No report is sent
+# only for this.
+_REFRESH_S = 0.2
+# Sizes of reports before one has been sent.
 _USUAL_BYTES = 100
+_USUAL_COMPLETE_BYTES = 400
 
 
 class LinkBudget:
@@ -96,19 +105,9 @@
 class LoadSync:
     """What the other gateways were told, and what is to be told next."""
 
-    def __init__(
-        self,
-        *,
-        link_bytes_per_s: float,
-        now: float,
-        delay_s: Mapping[Urgency, float] = _DELAY_S,
-        interval_s: float = _COMPLETE_INTERVAL_S,
-    ) -> None:
-        self._budget = LinkBudget(
-            bytes_per_s=link_bytes_per_s * LINK_SHARE, now=now
-        )
-        self._delay_s = dict(delay_s)
-        self._slot_s = interval_s / _SLOTS
+    def __init__(self, *, link_bytes_per_s: float, now: float) -> None:
+        self._bytes_per_s = link_bytes_per_s * LINK_SHARE
+        self._budget = LinkBudget(bytes_per_s=self._bytes_per_s, now=now)
         self._slot = 0
         self._slot_at = now
         # The other gateways and the slots of their complete reports.
@@ -118,7 +117,9 @@
         self._since: dict[Urgency, float] = {}
         # How often the present load of endpoints was told; 0 is a new change.
         self._times_told: dict[types.EndpointId, int] = {}
+        self._told_at: dict[types.EndpointId, float] = {}
         self._last_bytes = _USUAL_BYTES
+        self._complete_bytes = _USUAL_COMPLETE_BYTES
         # Number of the report, for the order of sending.
         self._turn = 0
         self._is_deferred = False
@@ -158,11 +159,18 @@
         """Return when to call `next_reports`."""
         if not self._slots:
             return math.inf
-        found = self._slot_at + self._slot_s
+        found = self._slot_at + self._slot_s()
         if self._told != self._slots.keys():
-            found = min(found, now + self._delay_s[Urgency.RESERVATION])
+            found = min(found, now + _DELAY_S[Urgency.RESERVATION])
         return min(found, self._changes_at(now))
 
+    def _slot_s(self) -> float:
+        """Return the time between two parts of the complete reports."""
+        size = (self._complete_bytes + HEADER_BYTES) * len(self._slots)
+        wanted_s = size / (self._bytes_per_s * _COMPLETE_SHARE)
+        bounded_s = min(_MAX_INTERVAL_S, max(_MIN_INTERVAL_S, wanted_s))
+        return bounded_s / _SLOTS
+
     def _changes_at(self, now: float) -> float:
         """Return when changes are due, within the budget."""
         wanted = math.inf
@@ -173,7 +181,7 @@
                 now,
                 is_urgent=urgency is Urgency.RESERVATION,
             )
-            due = since + self._delay_s[urgency]
+            due = since + _DELAY_S[urgency]
             wanted = min(wanted, due)
             allowed = min(allowed, max(due, now + wait_s if wait_s else due))
         if not self._is_deferred and wanted <= now < allowed:
@@ -185,11 +193,16 @@
         return (self._last_bytes + HEADER_BYTES) * len(self._told)
 
     def next_reports(
-        self, now: float, first: Collection[types.VmId] = ()
+        self,
+        now: float,
+        *,
+        first: Collection[types.VmId] = (),
+        present: Collection[types.EndpointId] = (),
     ) -> Plan:
         """Return what is due; it counts as told.
 
-        `first` are the gateways that get changes before the others.
+        `first` are the gateways that get changes before the others, `present`
+        the endpoints that have a load.
         """
         complete = self._due_complete(now)
         plan = Plan(complete=tuple(complete))
@@ -198,7 +211,7 @@
             plan = Plan(
                 complete=plan.complete,
                 changes=self._ordered(told, first),
-                endpoints=tuple(self._times_told),
+                endpoints=self._endpoints_to_tell(present, now),
                 waited_s={
                     urgency: now - at for urgency, at in self._since.items()
                 },
@@ -207,13 +220,29 @@
         self._told |= complete
         return plan
 
+    def _endpoints_to_tell(
+        self, present: Collection[types.EndpointId], now: float
+    ) -> tuple[types.EndpointId, ...]:
+        """Return the endpoints whose load has changed or was told long ago."""
+        before = now - _REFRESH_S
+        found = dict.fromkeys(self._times_told)
+        for endpoint in present:
+            if self._told_at.get(endpoint, -math.inf) <= before:
+                found[endpoint] = None
+        self._told_at = {
+            key: at for key, at in self._told_at.items() if at > before
+        }
+        self._told_at.update(dict.fromkeys(found, now))
+        return tuple(found)
+
     def _due_complete(self, now: float) -> set[types.VmId]:
         """Return who gets a complete report, and move on to the next slot."""
         found = self._slots.keys() - self._told
         passed = 0
-        while now >= self._slot_at + self._slot_s and passed < _SLOTS:
+        slot_s = self._slot_s()
+        while now >= self._slot_at + slot_s and passed < _SLOTS:
             passed += 1
-            self._slot_at += self._slot_s
+            self._slot_at += slot_s
             self._slot = (self._slot + 1) % _SLOTS
             found |= {
                 k for k, slot in self._slots.items() if slot == self._slot
@@ -250,7 +279,9 @@
     ) -> None:
         """Record the size of a report and the number of its datagrams."""
         self._budget.spend((size + HEADER_BYTES) * recipients, now)
-        if not is_complete:
+        if is_complete:
+            self._complete_bytes = size
+        else:
             self._last_bytes = size
 
     def take_deferred(self) -> int:
--- a/rackpost/gateway/delta_reports.py
+++ b/rackpost/gateway/delta_reports.py
@@ -107,7 +107,9 @@
         waiting = [
             vm for vm in self._site.gateways if loads.has_waiting(vm, now)
         ]
-        plan = self._sync.next_reports(now, first=waiting)
+        plan = self._sync.next_reports(
+            now, first=waiting, present=tuple(loads.own)
+        )
         if plan.changes:
             delta = self._delta(plan.endpoints, now)
             self._send_report(delta, plan.changes, now)
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -125,7 +125,6 @@
     # pass these; `report_delay_s` is not used.
     link_mbps: float = 0.0
     load_deltas: bool = False
-    report_loss: float = 0.0
     # Plain requests a second, which only appear in load reports.
     plain_rate: float = 0.0
     plain_s: float = 0.04
@@ -338,7 +337,7 @@
         return self._free_at - now
 
 
-class _Gateway:
+class Gateway:
     """One gateway's production queue, choice and load table."""
 
     def __init__(self, *, number: int, spec: Spec) -> None:
@@ -468,7 +467,7 @@
         self.outcome = Outcome()
         self._scheduler: fleet_scheduler.FleetScheduler | None = None
         self._gateways = [
-            _Gateway(number=number, spec=spec)
+            Gateway(number=number, spec=spec)
             for number in range(spec.gateways)
         ]
         if spec.scheduler:
@@ -491,11 +490,9 @@
         self._reports: fleet_reports.FleetReports | None = None
         if spec.link_mbps > 0.0:
             self._reports = fleet_reports.FleetReports(
-                gateways=list(self._gateways),
+                listed=[item.vm for item in self._gateways],
                 link_mbps=spec.link_mbps,
                 has_deltas=spec.load_deltas,
-                loss=spec.report_loss,
-                seed=seed,
             )
         self._prefill_engines = {
             item.id: _PrefillEngine(spec=spec, number=int(item.id[1:]))
@@ -540,7 +537,9 @@
         for gateway in self._gateways:
             self._publish(gateway)
         if self._reports is not None:
-            tasks.append(asyncio.create_task(self._reports.run()))
+            tasks.append(
+                asyncio.create_task(self._reports.run(self._gateways))
+            )
         if self._spec.plain_rate > 0.0:
             tasks.append(asyncio.create_task(self._send_plain()))
         if self._scheduler is not None:
@@ -565,13 +564,13 @@
                 await asyncio.sleep(rng.expovariate(self._spec.plain_rate))
                 group.create_task(self._plain(rng.choice(self._gateways), rng))
 
-    async def _plain(self, gateway: _Gateway, rng: random.Random) -> None:
+    async def _plain(self, gateway: Gateway, rng: random.Random) -> None:
         endpoint = rng.choice(_plain_endpoints()).id
         with gateway.loads.request_added(endpoint):
             await asyncio.sleep(self._spec.plain_s)
 
     def _record_reservation(
-        self, gateway: _Gateway, endpoint: types.EndpointId
+        self, gateway: Gateway, endpoint: types.EndpointId
     ) -> None:
         """Compare what the gateway knows with what is reserved."""
         memory = self._spec.memory_tokens
@@ -587,7 +586,7 @@
         if self._reports is not None:
             self._reports.record_reservation(gateway.vm)
 
-    async def _publish_loop(self, gateway: _Gateway) -> None:
+    async def _publish_loop(self, gateway: Gateway) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(1.0):
@@ -596,7 +595,7 @@
             gateway.load_changed.clear()
             self._publish(gateway)
 
-    def _publish(self, gateway: _Gateway) -> None:
+    def _publish(self, gateway: Gateway) -> None:
         self.outcome.messages += 1
         gateway.sequence += 1
         now = self._loop.time()
@@ -692,7 +691,7 @@
 
     async def _attempt(
         self,
-        gateway: _Gateway,
+        gateway: Gateway,
         prompt: int,
         answer: int,
         guess: int,
@@ -761,7 +760,7 @@
         return None
 
     async def _prefill(
-        self, gateway: _Gateway, endpoint: types.EndpointId, prompt: int
+        self, gateway: Gateway, endpoint: types.EndpointId, prompt: int
     ) -> None:
         """Prefill a prompt, and let the gateway learn from it."""
         load = gateway.loads.total(endpoint)
@@ -776,7 +775,7 @@
         gateway.token_timing.record_prefill(prompt, took)
 
     def _watch(
-        self, gateway: _Gateway, endpoint: types.EndpointId, stream: _Stream
+        self, gateway: Gateway, endpoint: types.EndpointId, stream: _Stream
     ) -> stream_clock.StreamClock:
         """Let the gateway time the events of a stream."""
         clock = stream_clock.StreamClock(
--- a/rackpost/testing/fleet_reports.py
+++ b/rackpost/testing/fleet_reports.py
@@ -8,8 +8,10 @@
 import contextlib
 import random
 from typing import Any
+from typing import AsyncIterator
 from typing import Callable
 from typing import cast
+from typing import Iterable
 from typing import Protocol
 
 from rackpost.coordinator import messages
@@ -161,63 +163,82 @@
         return max(self.periods.values(), default=0) / _PERIOD_S
 
 
+# Returns the delay of a datagram besides that of the links; None if lost.
+DelayOf = Callable[[bytes, types.VmId, types.VmId], float | None]
+
+
+def _no_delay(
+    data: bytes, sender: types.VmId, receiver: types.VmId
+) -> float | None:
+    return 0.0
+
+
 class FleetReports:
     """The exchanges of load reports of all gateways, and their links."""
 
     def __init__(
         self,
         *,
-        gateways: list[Gateway],
+        listed: Iterable[types.VmId],
         link_mbps: float,
         has_deltas: bool,
-        loss: float = 0.0,
-        seed: int = 0,
+        delay_of: DelayOf = _no_delay,
     ) -> None:
-        """`loss` is the share of the datagrams that are lost."""
+        """`listed` are the gateways that all know from coordinators."""
         self._loop = asyncio.get_running_loop()
-        self._rng = random.Random(seed)
-        self._loss = loss
-        rate = link_mbps * _BYTES_PER_MEGABIT
-        self._out = {item.vm: _Link(bytes_per_s=rate) for item in gateways}
-        self._in = {item.vm: _Link(bytes_per_s=rate) for item in gateways}
-        self.sites = {
-            item.vm: _Site(
-                gateway=item, link_mbps=link_mbps, has_deltas=has_deltas
-            )
-            for item in gateways
-        }
-        for site in self.sites.values():
-            site.gateways = {
-                vm: messages.GatewayAddress(vm=vm, load_address=f"{vm}:1")
-                for vm in self.sites
-            }
-        self._exchanges = {
-            vm: load_exchange.LoadExchange(site=cast(site_mod.Site, site))
-            for vm, site in self.sites.items()
-        }
+        self._listed = list(listed)
+        self._link_mbps = link_mbps
+        self._has_deltas = has_deltas
+        self._delay_of = delay_of
+        self._out: dict[types.VmId, _Link]
+        self._out = collections.defaultdict(self._new_link)
+        self._in: dict[types.VmId, _Link]
+        self._in = collections.defaultdict(self._new_link)
+        self.sites: dict[types.VmId, _Site] = {}
+        self._exchanges: dict[types.VmId, load_exchange.LoadExchange] = {}
         self.datagrams = 0
         # When each gateway reserved capacity, and how many of these changes
         # each other gateway knows.
-        self._reserved_at: dict[types.VmId, list[float]] = {
-            vm: [] for vm in self.sites
-        }
+        self._reserved_at: dict[types.VmId, list[float]]
+        self._reserved_at = collections.defaultdict(list)
         self._known: collections.Counter[tuple[types.VmId, types.VmId]]
         self._known = collections.Counter()
         self.ages_s: list[float] = []
 
-    async def run(self) -> None:
-        """Exchange reports until cancelled."""
-        async with contextlib.AsyncExitStack() as stack:
-            for vm, exchange in self._exchanges.items():
-                await stack.enter_async_context(
-                    exchange.running_on(cast(Any, self._transport(vm)))
-                )
-            await asyncio.Event().wait()
-
-    def _transport(self, vm: types.VmId) -> _Transport:
-        return _Transport(
+    def _new_link(self) -> _Link:
+        return _Link(bytes_per_s=self._link_mbps * _BYTES_PER_MEGABIT)
+
+    @contextlib.asynccontextmanager
+    async def connected(self, gateway: Gateway) -> AsyncIterator[_Site]:
+        """Let a gateway exchange reports until the block ends."""
+        vm = gateway.vm
+        site = _Site(
+            gateway=gateway,
+            link_mbps=self._link_mbps,
+            has_deltas=self._has_deltas,
+        )
+        for other in (*self._listed, vm):
+            site.add_gateway(
+                messages.GatewayAddress(vm=other, load_address=f"{other}:1")
+            )
+        exchange = load_exchange.LoadExchange(site=cast(site_mod.Site, site))
+        transport = _Transport(
             sendto=lambda data, receiver: self._send(data, vm, receiver)
         )
+        self.sites[vm] = site
+        self._exchanges[vm] = exchange
+        try:
+            async with exchange.running_on(cast(Any, transport)):
+                yield site
+        finally:
+            del self._exchanges[vm]
+
+    async def run(self, gateways: Iterable[Gateway]) -> None:
+        """Let gateways exchange reports until cancelled."""
+        async with contextlib.AsyncExitStack() as stack:
+            for item in gateways:
+                await stack.enter_async_context(self.connected(item))
+            await asyncio.Event().wait()
 
     def record_reservation(self, vm: types.VmId) -> None:
         """Record that a gateway has reserved capacity."""
@@ -229,16 +250,22 @@
         self.datagrams += 1
         size = len(data) + load_sync.HEADER_BYTES
         left_at = self._out[sender].pass_at(size, self._loop.time())
-        if self._rng.random() < self._loss:
+        delay_s = self._delay_of(data, sender, receiver)
+        if delay_s is None:
             return
         at = self._in[receiver].pass_at(size, left_at + _LATENCY_S)
         count = len(self._reserved_at[sender])
-        self._loop.call_at(at, self._deliver, data, sender, receiver, count)
+        self._loop.call_at(
+            at + delay_s, self._deliver, data, sender, receiver, count
+        )
 
     def _deliver(
         self, data: bytes, sender: types.VmId, receiver: types.VmId, count: int
     ) -> None:
-        self._exchanges[receiver].datagram_received(data, (sender, 1))
+        exchange = self._exchanges.get(receiver)
+        if exchange is None:
+            return
+        exchange.datagram_received(data, (sender, 1))
         known = self._known[(sender, receiver)]
         for at in self._reserved_at[sender][known:count]:
             self.ages_s.append(self._loop.time() - at)
--- /dev/null
+++ b/tests/test_load_deltas.py
@@ -0,0 +1,290 @@
+"""Load reports under load and with failures, in virtual time.
+
+The load: a burst of 40 streams and 100 plain requests a second over gateways
+whose links have 5 Mbit/s.
+"""
+
+import asyncio
+import contextlib
+import functools
+from typing import AsyncIterator
+
+import msgspec
+import pytest
+
+from rackpost.coordinator import messages
+from rackpost.decide import kv_forecast
+from rackpost.decide import load_sync
+from rackpost.link import codec
+from rackpost.testing import fleet
+from rackpost.testing import fleet_reports
+from rackpost.testing import virtual
+from rackpost import types
+
+_LINK_MBPS = 5.0
+_LINK_BYTES_PER_S = _LINK_MBPS * 125_000.0
+_BURST = fleet.Spec(
+    gateways=30,
+    prefills=6,
+    decodes=15,
+    rate=17.4,
+    surge_factor=2.3,
+    surge_at=1.5,
+    surge_s=2.5,
+    seconds=4.0,
+    plain_rate=100.0,
+    link_mbps=_LINK_MBPS,
+)
+# A fleet of 370 gateways is divided into six groups.
+_GROUP = msgspec.structs.replace(
+    _BURST, gateways=62, prefills=3, decodes=9, rate=13.0
+)
+
+
+@functools.cache
+def _played(spec: fleet.Spec, *, deltas: bool) -> fleet.Outcome:
+    changed = msgspec.structs.replace(spec, load_deltas=deltas)
+    return virtual.run(fleet.serve(changed, 1))
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [_BURST, msgspec.structs.replace(_BURST, gateways=70), _GROUP],
+    ids=["30", "70", "370"],
+)
+def test_reports_of_changes_leave_the_link_to_requests(
+    spec: fleet.Spec,
+) -> None:
+    complete = _played(spec, deltas=False)
+    changes = _played(spec, deltas=True)
+    share = _LINK_BYTES_PER_S * load_sync.LINK_SHARE
+    assert changes.peak_link_bytes < 1.2 * share
+    assert changes.peak_link_bytes < 0.6 * complete.peak_link_bytes
+    # Other gateways know of reservations no later.
+    assert changes.report_age_p50_s < complete.report_age_p50_s
+    assert changes.report_age_p99_s < complete.report_age_p99_s
+    assert changes.report_age_p99_s < 0.02
+
+
+def test_forecasts_are_as_good_as_with_complete_reports() -> None:
+    complete = _played(_BURST, deltas=False)
+    changes = _played(_BURST, deltas=True)
+    assert changes.requests == complete.requests
+    worse = changes.forecast_error / complete.forecast_error
+    assert worse < 1.15
+
+
+class _World:
+    """Some gateways with load reports of changes."""
+
+    def __init__(self, *, count: int = 3) -> None:
+        self._spec = fleet.Spec(gateways=count, prefills=1, decodes=2)
+        self.lost: set[tuple[type, str, str]] = set()
+        self.late_s: dict[tuple[type, str, str], float] = {}
+        self.sent: list[tuple[type, str, str]] = []
+        names = [types.VmId(f"g{number}") for number in range(count)]
+        self.reports = fleet_reports.FleetReports(
+            listed=names,
+            link_mbps=_LINK_MBPS,
+            has_deltas=True,
+            delay_of=self._delay_of,
+        )
+        self.gateways = [self.gateway(number) for number in range(count)]
+
+    def gateway(self, number: int) -> fleet.Gateway:
+        return fleet.Gateway(number=number, spec=self._spec)
+
+    def _delay_of(
+        self, data: bytes, sender: types.VmId, receiver: types.VmId
+    ) -> float | None:
+        kind = type(_DECODER.decode(data))
+        key = (kind, sender, receiver)
+        self.sent.append(key)
+        return None if key in self.lost else self.late_s.get(key, 0.0)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        async with contextlib.AsyncExitStack() as stack:
+            for item in self.gateways:
+                await stack.enter_async_context(self.reports.connected(item))
+            # All are told of all, and reports of changes have a phase.
+            await asyncio.sleep(0.3)
+            yield
+
+
+_DECODER = codec.Decoder(kinds=messages.BetweenGateways)
+_D0 = types.EndpointId("d0")
+_D1 = types.EndpointId("d1")
+
+
+def _run() -> kv_forecast.Run:
+    return kv_forecast.Run(held_tokens=5200, remaining_tokens=4400)
+
+
+def _runs(gateway: fleet.Gateway, endpoint: types.EndpointId) -> int:
+    return len(gateway.loads.total(endpoint).runs)
+
+
+def test_a_reservation_is_known_within_ten_milliseconds() -> None:
+    async def main() -> None:
+        world = _World()
+        first, *others = world.gateways
+        async with world.running():
+            first.loads.add_request(_D0, run=_run())
+            await asyncio.sleep(0.01)
+            assert [_runs(item, _D0) for item in others] == [1, 1]
+
+    virtual.run(main())
+
+
+def test_a_lost_change_is_in_the_next_report() -> None:
+    async def main() -> None:
+        world = _World()
+        first, second, third = world.gateways
+        world.lost.add((messages.LoadDelta, "g0", "g1"))
+        async with world.running():
+            first.loads.add_request(_D0, run=_run())
+            await asyncio.sleep(0.01)
+            assert (_runs(second, _D0), _runs(third, _D0)) == (0, 1)
+            world.lost.clear()
+            first.loads.add_request(_D1, run=_run())
+            await asyncio.sleep(0.01)
+            assert (_runs(second, _D0), _runs(second, _D1)) == (1, 1)
+
+    virtual.run(main())
+
+
+def test_a_lost_release_is_known_with_the_next_complete_report() -> None:
+    async def main() -> None:
+        world = _World()
+        first, second, _ = world.gateways
+        async with world.running():
+            release = first.loads.add_request(_D0, run=_run())
+            await asyncio.sleep(0.1)
+            world.lost.add((messages.LoadDelta, "g0", "g1"))
+            release()
+            await asyncio.sleep(0.03)
+            assert _runs(second, _D0) == 1
+            # Nothing else changes.
+            await asyncio.sleep(0.5)
+            assert _runs(second, _D0) == 0
+
+    virtual.run(main())
+
+
+def test_reports_that_overtake_each_other_leave_the_newest_state() -> None:
+    async def main() -> None:
+        world = _World()
+        first, second, _ = world.gateways
+        async with world.running():
+            world.late_s[(messages.LoadDelta, "g0", "g1")] = 0.05
+            release = first.loads.add_request(_D0, run=_run())
+            await asyncio.sleep(0.01)
+            world.late_s.clear()
+            release()
+            first.loads.add_request(_D1, run=_run())
+            await asyncio.sleep(0.01)
+            assert (_runs(second, _D0), _runs(second, _D1)) == (0, 1)
+            await asyncio.sleep(0.05)
+            assert (_runs(second, _D0), _runs(second, _D1)) == (0, 1)
+
+    virtual.run(main())
+
+
+def test_a_late_complete_report_does_not_replace_newer_changes() -> None:
+    async def main() -> None:
+        world = _World()
+        first, second, _ = world.gateways
+        async with world.running():
+            world.late_s[(messages.GatewayLoad, "g0", "g1")] = 0.06
+            # Changes soon after each report that may be late.
+            for _ in range(20):
+                await asyncio.sleep(0.05)
+                release = first.loads.add_request(_D0, run=_run())
+                await asyncio.sleep(0.01)
+                assert _runs(second, _D0) == 1
+                release()
+                await asyncio.sleep(0.025)
+                assert _runs(second, _D0) == 0
+
+    virtual.run(main())
+
+
+def test_after_a_restart_of_the_sender_its_old_loads_are_gone() -> None:
+    async def main() -> None:
+        world = _World(count=2)
+        first, second = world.gateways
+        async with world.reports.connected(second):
+            async with world.reports.connected(first):
+                await asyncio.sleep(0.3)
+                first.loads.add_request(_D0, run=_run())
+                await asyncio.sleep(0.1)
+                assert _runs(second, _D0) == 1
+            again = world.gateway(0)
+            async with world.reports.connected(again):
+                second.loads.add_request(_D1, run=_run())
+                await asyncio.sleep(0.02)
+                assert _runs(second, _D0) == 0
+                # It is told of the others' loads, although nothing changes.
+                assert _runs(again, _D1) == 1
+                again.loads.add_request(_D0, run=_run())
+                await asyncio.sleep(0.01)
+                assert _runs(second, _D0) == 1
+
+    virtual.run(main())
+
+
+def test_a_gateway_that_joins_late_is_told_of_all_loads() -> None:
+    async def main() -> None:
+        world = _World()
+        first, second, _ = world.gateways
+        async with world.running():
+            first.loads.add_request(_D0, run=_run())
+            await asyncio.sleep(0.7)
+            late = world.gateway(3)
+            async with world.reports.connected(late):
+                await asyncio.sleep(0.04)
+                assert _runs(late, _D0) == 1
+                late.loads.add_request(_D1, run=_run())
+                await asyncio.sleep(0.01)
+                assert _runs(second, _D1) == 1
+
+    virtual.run(main())
+
+
+def test_changes_of_an_unknown_sender_wait_for_its_complete_report() -> None:
+    async def main() -> None:
+        world = _World()
+        first, second, _ = world.gateways
+        world.lost.add((messages.GatewayLoad, "g0", "g1"))
+        async with world.running():
+            first.loads.add_request(_D0, run=_run())
+            await asyncio.sleep(0.01)
+            assert _runs(second, _D0) == 0
+            world.lost.clear()
+            await asyncio.sleep(0.5)
+            assert _runs(second, _D0) == 1
+
+    virtual.run(main())
+
+
+def test_a_full_link_delays_releases_and_not_reservations() -> None:
+    """30 gateways; one reserves and releases far more than its share."""
+
+    async def main() -> None:
+        world = _World(count=30)
+        first, second, *_ = world.gateways
+        async with world.running():
+            for _ in range(45):
+                first.loads.add_request(_D1, run=_run())()
+                await asyncio.sleep(0.008)
+            release = first.loads.add_request(_D0, run=_run())
+            await asyncio.sleep(0.012)
+            assert _runs(second, _D0) == 1
+            release()
+            await asyncio.sleep(0.6)
+            assert _runs(second, _D0) == 0
+        site = world.reports.sites[first.vm]
+        assert site.metrics.totals("load_reports")["deferred"] > 0
+
+    virtual.run(main())
