--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -105,10 +105,14 @@
         if run is not None:
             load.runs.append(run)
         is_generation = run is not None or prompt > 0
-        plain = load_changes.Urgency.PLAIN
-        reserved = load_changes.Urgency.RESERVATION
-        self.changes.record(endpoint, reserved if is_generation else plain)
-        self._report_change(is_generation)
+        self._report_change(
+            endpoint,
+            (
+                load_changes.Urgency.RESERVATION
+                if is_generation
+                else load_changes.Urgency.PLAIN
+            ),
+        )
 
         def release() -> None:
             load.requests -= 1
@@ -117,18 +121,28 @@
                 _remove(load.runs, run)
             if load.requests == 0:
                 self.own.pop(endpoint, None)
-            released = load_changes.Urgency.RELEASE
-            self.changes.record(endpoint, released if is_generation else plain)
-            self._report_change(is_generation)
+            self._report_change(
+                endpoint,
+                (
+                    load_changes.Urgency.RELEASE
+                    if is_generation
+                    else load_changes.Urgency.PLAIN
+                ),
+            )
 
         return release
 
-    def _report_change(self, is_generation: bool) -> None:
+    def _report_change(
+        self, endpoint: types.EndpointId, urgency: load_changes.Urgency
+    ) -> None:
         if (
-            is_generation
-            or self.gateway_count
-            <= fleet_size.MAX_GATEWAYS_FOR_INSTANT_REPORTS
+            urgency is load_changes.Urgency.PLAIN
+            and self.gateway_count
+            > fleet_size.MAX_GATEWAYS_FOR_INSTANT_REPORTS
         ):
+            self.changes.record(endpoint, load_changes.Urgency.NONE)
+        else:
+            self.changes.record(endpoint, urgency)
             self._on_change()
 
     def receive(
--- a/rackpost/decide/load_changes.py
+++ b/rackpost/decide/load_changes.py
@@ -11,12 +11,14 @@
 class Urgency(enum.IntEnum):
     """How soon the other gateways have to know of a change."""
 
+    # With the next report.
+    NONE = 0
     # Plain requests: endpoints have queues for them.
-    PLAIN = 0
+    PLAIN = 1
     # Capacity is free again, or a request waits.
-    RELEASE = 1
+    RELEASE = 2
     # Capacity is in use that other gateways may reserve as well.
-    RESERVATION = 2
+    RESERVATION = 3
 
 
 class LoadChanges:
--- a/rackpost/decide/load_sync.py
+++ b/rackpost/decide/load_sync.py
@@ -23,15 +23,12 @@
 # arrives, and both directions carry prompts and events of streams.
 LINK_SHARE = 0.15
 _BUDGET_PERIOD_S = 0.5
-# Each other gateway gets a complete report at an interval within these
-# bounds, the shortest at which complete reports use less than this share of
-# the budget.  They tell how far generations have come, which changes of other
-# endpoints do not.  Gateways count as unreachable after 1.3 s.
-_MIN_INTERVAL_S = 0.5
-_MAX_INTERVAL_S = 1.0
-_COMPLETE_SHARE = 0.35
+# Each other gateway gets a complete report at this interval.  Gateways count
+# as unreachable after 1.3 s.
+_COMPLETE_INTERVAL_S = 1.0
 # Complete reports are sent to one part of the other gateways at a time.
 _SLOTS = 8
+_SLOT_S = _COMPLETE_INTERVAL_S / _SLOTS
 # IP and UDP headers of a datagram.
 HEADER_BYTES = 28
 # How long changes wait for others that go into the same report.  A gateway
@@ -45,13 +42,13 @@
 }
 # Number of reports in which a change is told, so that one may be lost.
 _TOLD_TIMES = 2
-# A report of changes also holds the load of endpoints that was told longer
-# ago, in seconds: their generations have come further.  No report is sent
-# only for this.
-_REFRESH_S = 0.2
-# Sizes of reports before one has been sent.
+# Generations get further without a change of load.  A report of changes also
+# holds the load of endpoints that was told longer ago, and without changes
+# one is sent after the second of these times.
+_TELL_AGAIN_S = 0.2
+_REFRESH_S = 0.5
+# Size of a report of changes before one has been sent.
 _USUAL_BYTES = 100
-_USUAL_COMPLETE_BYTES = 400
 
 
 class LinkBudget:
@@ -106,8 +103,9 @@
     """What the other gateways were told, and what is to be told next."""
 
     def __init__(self, *, link_bytes_per_s: float, now: float) -> None:
-        self._bytes_per_s = link_bytes_per_s * LINK_SHARE
-        self._budget = LinkBudget(bytes_per_s=self._bytes_per_s, now=now)
+        self._budget = LinkBudget(
+            bytes_per_s=link_bytes_per_s * LINK_SHARE, now=now
+        )
         self._slot = 0
         self._slot_at = now
         # The other gateways and the slots of their complete reports.
@@ -118,8 +116,10 @@
         # How often the present load of endpoints was told; 0 is a new change.
         self._times_told: dict[types.EndpointId, int] = {}
         self._told_at: dict[types.EndpointId, float] = {}
+        # The endpoints with generations, and the last report of changes.
+        self._generating: tuple[types.EndpointId, ...] = ()
+        self._reported_at = now
         self._last_bytes = _USUAL_BYTES
-        self._complete_bytes = _USUAL_COMPLETE_BYTES
         # Number of the report, for the order of sending.
         self._turn = 0
         self._is_deferred = False
@@ -138,6 +138,10 @@
             used.append(slot)
             self._slots[vm] = slot
 
+    def set_generating(self, found: Collection[types.EndpointId]) -> None:
+        """Set the endpoints where generations of this gateway run."""
+        self._generating = tuple(found)
+
     def require_complete(self, vm: types.VmId) -> None:
         """Send a gateway a complete report next: it has just started."""
         self._told.discard(vm)
@@ -153,65 +157,66 @@
         for endpoint in changed:
             self._times_told[endpoint] = 0
         for urgency in set(changed.values()) or {Urgency.RELEASE}:
-            self._since.setdefault(urgency, now)
+            if urgency in _DELAY_S:
+                self._since.setdefault(urgency, now)
 
     def next_at(self, now: float) -> float:
         """Return when to call `next_reports`."""
         if not self._slots:
             return math.inf
-        found = self._slot_at + self._slot_s()
+        found = self._slot_at + _SLOT_S
         if self._told != self._slots.keys():
             found = min(found, now + _DELAY_S[Urgency.RESERVATION])
         return min(found, self._changes_at(now))
 
-    def _slot_s(self) -> float:
-        """Return the time between two parts of the complete reports."""
-        size = (self._complete_bytes + HEADER_BYTES) * len(self._slots)
-        wanted_s = size / (self._bytes_per_s * _COMPLETE_SHARE)
-        bounded_s = min(_MAX_INTERVAL_S, max(_MIN_INTERVAL_S, wanted_s))
-        return bounded_s / _SLOTS
-
     def _changes_at(self, now: float) -> float:
-        """Return when changes are due, within the budget."""
-        wanted = math.inf
-        allowed = math.inf
-        for urgency, since in self._since.items():
-            wait_s = self._budget.wait_s(
-                self._estimated_bytes(),
-                now,
-                is_urgent=urgency is Urgency.RESERVATION,
-            )
-            due = since + _DELAY_S[urgency]
-            wanted = min(wanted, due)
-            allowed = min(allowed, max(due, now + wait_s if wait_s else due))
-        if not self._is_deferred and wanted <= now < allowed:
-            self._is_deferred = True
-            self._deferred += 1
+        """Return when a report of changes is due, within the budget."""
+        due = {
+            urgency: since + _DELAY_S[urgency]
+            for urgency, since in self._since.items()
+        }
+        if self._generating:
+            due.setdefault(Urgency.NONE, self._reported_at + _REFRESH_S)
+        allowed = min(
+            (
+                max(at, now + self._wait_s(urgency, now))
+                for urgency, at in due.items()
+            ),
+            default=math.inf,
+        )
+        if not self._is_deferred and min(due.values(), default=now) < now:
+            self._is_deferred = allowed > now
+            self._deferred += self._is_deferred
         return allowed
 
+    def _wait_s(self, urgency: Urgency, now: float) -> float:
+        return self._budget.wait_s(
+            self._estimated_bytes(),
+            now,
+            is_urgent=urgency is Urgency.RESERVATION,
+        )
+
     def _estimated_bytes(self) -> int:
         return (self._last_bytes + HEADER_BYTES) * len(self._told)
 
     def next_reports(
         self,
         now: float,
-        *,
         first: Collection[types.VmId] = (),
-        present: Collection[types.EndpointId] = (),
     ) -> Plan:
         """Return what is due; it counts as told.
 
-        `first` are the gateways that get changes before the others, `present`
-        the endpoints that have a load.
+        `first` are the gateways that get changes before the others.
         """
         complete = self._due_complete(now)
         plan = Plan(complete=tuple(complete))
         told = self._told - complete
-        if self._changes_at(now) <= now and self._since:
+        if self._changes_at(now) <= now:
+            self._reported_at = now
             plan = Plan(
                 complete=plan.complete,
                 changes=self._ordered(told, first),
-                endpoints=self._endpoints_to_tell(present, now),
+                endpoints=self._endpoints_to_tell(now),
                 waited_s={
                     urgency: now - at for urgency, at in self._since.items()
                 },
@@ -220,13 +225,11 @@
         self._told |= complete
         return plan
 
-    def _endpoints_to_tell(
-        self, present: Collection[types.EndpointId], now: float
-    ) -> tuple[types.EndpointId, ...]:
+    def _endpoints_to_tell(self, now: float) -> tuple[types.EndpointId, ...]:
         """Return the endpoints whose load has changed or was told long ago."""
-        before = now - _REFRESH_S
+        before = now - _TELL_AGAIN_S
         found = dict.fromkeys(self._times_told)
-        for endpoint in present:
+        for endpoint in self._generating:
             if self._told_at.get(endpoint, -math.inf) <= before:
                 found[endpoint] = None
         self._told_at = {
@@ -239,10 +242,9 @@
         """Return who gets a complete report, and move on to the next slot."""
         found = self._slots.keys() - self._told
         passed = 0
-        slot_s = self._slot_s()
-        while now >= self._slot_at + slot_s and passed < _SLOTS:
+        while now >= self._slot_at + _SLOT_S and passed < _SLOTS:
             passed += 1
-            self._slot_at += slot_s
+            self._slot_at += _SLOT_S
             self._slot = (self._slot + 1) % _SLOTS
             found |= {
                 k for k, slot in self._slots.items() if slot == self._slot
@@ -279,9 +281,7 @@
     ) -> None:
         """Record the size of a report and the number of its datagrams."""
         self._budget.spend((size + HEADER_BYTES) * recipients, now)
-        if is_complete:
-            self._complete_bytes = size
-        else:
+        if not is_complete:
             self._last_bytes = size
 
     def take_deferred(self) -> int:
--- a/rackpost/gateway/delta_reports.py
+++ b/rackpost/gateway/delta_reports.py
@@ -90,6 +90,7 @@
         """Wait until a report is due or the load changes; send what is due."""
         changed = self._site.loads_changed
         self._sync.set_recipients(recipients)
+        self._set_generating()
         due = self._sync.next_at(self._site.loop_time())
         # Gateways may come and go meanwhile.
         due = min(due, self._site.loop_time() + 1.0)
@@ -102,14 +103,17 @@
             self._sync.record_changes(self._site.loads.changes.take(), now)
         self._send_due(now)
 
+    def _set_generating(self) -> None:
+        own = self._site.loads.own
+        self._sync.set_generating([key for key in own if own[key].runs])
+
     def _send_due(self, now: float) -> None:
         loads = self._site.loads
         waiting = [
             vm for vm in self._site.gateways if loads.has_waiting(vm, now)
         ]
-        plan = self._sync.next_reports(
-            now, first=waiting, present=tuple(loads.own)
-        )
+        self._set_generating()
+        plan = self._sync.next_reports(now, first=waiting)
         if plan.changes:
             delta = self._delta(plan.endpoints, now)
             self._send_report(delta, plan.changes, now)
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -583,8 +583,6 @@
         )
         self.outcome.forecast_error += abs(known - actual) / memory
         self.outcome.overbooked += actual > memory
-        if self._reports is not None:
-            self._reports.record_reservation(gateway.vm)
 
     async def _publish_loop(self, gateway: Gateway) -> None:
         while True:
--- a/rackpost/testing/fleet_reports.py
+++ b/rackpost/testing/fleet_reports.py
@@ -19,6 +19,7 @@
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
 from rackpost.decide import features
+from rackpost.decide import load_changes
 from rackpost.decide import load_sync
 from rackpost.decide.pace import endpoint_pace
 from rackpost.decide import quota
@@ -32,12 +33,19 @@
 from rackpost import metrics as metrics_mod
 from rackpost.platform import settings
 from rackpost.routing import endpoints
+from rackpost.routing import model
 from rackpost import types
 
 _BYTES_PER_MEGABIT = 125_000.0
 _LATENCY_S = 0.0005
 # Bytes are counted in periods of this length, in seconds.
 _PERIOD_S = 0.5
+# Organisations whose spending is in the reports, and units of a reservation.
+_ORGANISATIONS = [
+    types.OrganisationName(f"organisation-{number}") for number in range(20)
+]
+_SPENT_TOKENS = 10_000
+_QUOTA = model.Quota(rate_per_s=50_000.0, burst=100_000.0, by_tokens=True)
 
 
 class Gateway(Protocol):
@@ -64,6 +72,21 @@
     report_age_p99_s: float
 
 
+class _TimedChanges(load_changes.LoadChanges):
+    """Records when capacity was reserved, and what was spent for it."""
+
+    def __init__(self, *, on_reservation: Callable[[], None]) -> None:
+        super().__init__()
+        self._on_reservation = on_reservation
+
+    def record(
+        self, endpoint: types.EndpointId, urgency: load_changes.Urgency
+    ) -> None:
+        super().record(endpoint, urgency)
+        if urgency is load_changes.Urgency.RESERVATION:
+            self._on_reservation()
+
+
 class _Everyone:
     """A group with all gateways."""
 
@@ -103,7 +126,7 @@
         self.quotas = quota_buckets.SharedBuckets(
             settings=quota.QuotaSettings(),
             started_at=self._loop.time(),
-            limit_of=lambda name: None,
+            limit_of=lambda name: _QUOTA,
         )
         self.rate_grants = _NoGrants()
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
@@ -225,6 +248,9 @@
         transport = _Transport(
             sendto=lambda data, receiver: self._send(data, vm, receiver)
         )
+        gateway.loads.changes = _TimedChanges(
+            on_reservation=lambda: self._record_reservation(vm)
+        )
         self.sites[vm] = site
         self._exchanges[vm] = exchange
         try:
@@ -233,6 +259,13 @@
         finally:
             del self._exchanges[vm]
 
+    def _record_reservation(self, vm: types.VmId) -> None:
+        now = self._loop.time()
+        self._reserved_at[vm].append(now)
+        # Each reservation is paid for by one of the organisations.
+        name = _ORGANISATIONS[self.datagrams % len(_ORGANISATIONS)]
+        self.sites[vm].quotas.record_sent(name, _SPENT_TOKENS, now)
+
     async def run(self, gateways: Iterable[Gateway]) -> None:
         """Let gateways exchange reports until cancelled."""
         async with contextlib.AsyncExitStack() as stack:
@@ -240,10 +273,6 @@
                 await stack.enter_async_context(self.connected(item))
             await asyncio.Event().wait()
 
-    def record_reservation(self, vm: types.VmId) -> None:
-        """Record that a gateway has reserved capacity."""
-        self._reserved_at[vm].append(self._loop.time())
-
     def _send(
         self, data: bytes, sender: types.VmId, receiver: types.VmId
     ) -> None:
