--- a/rackpost/testing/fleet_reports.py
+++ b/rackpost/testing/fleet_reports.py
@@ -45,7 +45,7 @@
     types.OrganisationName(f"organisation-{number}") for number in range(20)
 ]
 _SPENT_TOKENS = 10_000
-_QUOTA = model.Quota(rate_per_s=50_000.0, burst=100_000.0, by_tokens=True)
+QUOTA = model.Quota(rate_per_s=50_000.0, burst=100_000.0, by_tokens=True)
 
 
 class Gateway(Protocol):
@@ -94,7 +94,7 @@
         return True
 
 
-class _Site:
+class ReportSite:
     """The part of a gateway's site that load reports use."""
 
     def __init__(
@@ -126,7 +126,7 @@
         self.quotas = quota_buckets.SharedBuckets(
             settings=quota.QuotaSettings(),
             started_at=self._loop.time(),
-            limit_of=lambda name: _QUOTA,
+            limit_of=lambda name: QUOTA,
         )
         self.rate_grants = _NoGrants()
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
@@ -217,7 +217,7 @@
         self._out = collections.defaultdict(self._new_link)
         self._in: dict[types.VmId, _Link]
         self._in = collections.defaultdict(self._new_link)
-        self.sites: dict[types.VmId, _Site] = {}
+        self.sites: dict[types.VmId, ReportSite] = {}
         self._exchanges: dict[types.VmId, load_exchange.LoadExchange] = {}
         self.datagrams = 0
         # When each gateway reserved capacity, and how many of these changes
@@ -232,10 +232,10 @@
         return _Link(bytes_per_s=self._link_mbps * _BYTES_PER_MEGABIT)
 
     @contextlib.asynccontextmanager
-    async def connected(self, gateway: Gateway) -> AsyncIterator[_Site]:
+    async def connected(self, gateway: Gateway) -> AsyncIterator[ReportSite]:
         """Let a gateway exchange reports until the block ends."""
         vm = gateway.vm
-        site = _Site(
+        site = ReportSite(
             gateway=gateway,
             link_mbps=self._link_mbps,
             has_deltas=self._has_deltas,
@@ -264,7 +264,9 @@
         self._reserved_at[vm].append(now)
         # Each reservation is paid for by one of the organisations.
         name = _ORGANISATIONS[self.datagrams % len(_ORGANISATIONS)]
-        self.sites[vm].quotas.record_sent(name, _SPENT_TOKENS, now)
+        quotas = self.sites[vm].quotas
+        quotas.admit(name, _SPENT_TOKENS, now)
+        quotas.record_sent(name, _SPENT_TOKENS, now)
 
     async def run(self, gateways: Iterable[Gateway]) -> None:
         """Let gateways exchange reports until cancelled."""
--- a/tests/test_load_deltas.py
+++ b/tests/test_load_deltas.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import functools
+import typing
 from typing import AsyncIterator
 
 import msgspec
@@ -15,7 +16,11 @@
 from rackpost.coordinator import messages
 from rackpost.decide import kv_forecast
 from rackpost.decide import load_sync
+from rackpost.decide import queue_order
+from rackpost.gateway import delta_reports
+from rackpost.gateway import site as site_mod
 from rackpost.link import codec
+from rackpost.routing import model
 from rackpost.testing import fleet
 from rackpost.testing import fleet_reports
 from rackpost.testing import virtual
@@ -77,7 +82,7 @@
 class _World:
     """Some gateways with load reports of changes."""
 
-    def __init__(self, *, count: int = 3) -> None:
+    def __init__(self, *, count: int = 3, has_deltas: bool = True) -> None:
         self._spec = fleet.Spec(gateways=count, prefills=1, decodes=2)
         self.lost: set[tuple[type, str, str]] = set()
         self.late_s: dict[tuple[type, str, str], float] = {}
@@ -86,7 +91,7 @@
         self.reports = fleet_reports.FleetReports(
             listed=names,
             link_mbps=_LINK_MBPS,
-            has_deltas=True,
+            has_deltas=has_deltas,
             delay_of=self._delay_of,
         )
         self.gateways = [self.gateway(number) for number in range(count)]
@@ -268,23 +273,118 @@
     virtual.run(main())
 
 
-def test_a_full_link_delays_releases_and_not_reservations() -> None:
+def test_changes_tell_of_rejections_failures_refusals_and_quotas() -> None:
+    async def main() -> None:
+        world = _World()
+        # Complete reports come too late.
+        world.lost.add((messages.GatewayLoad, "g0", "g1"))
+        async with world.running():
+            world.lost.clear()
+            await asyncio.sleep(1.1)
+            here, there = (
+                world.reports.sites[item.vm] for item in world.gateways[:2]
+            )
+            now = here.loop_time()
+            here.health.record_rejection(_D0, now)
+            here.health.record_failure(_D1, now)
+            here.refusals.add(11, now)
+            name = types.OrganisationName("organisation-1")
+            quota = fleet_reports.QUOTA
+            spent = int(there.quotas.bucket_size(quota))
+            here.quotas.admit(name, spent, now)
+            here.quotas.record_sent(name, spent, now)
+            here.loads_changed.set()
+            await asyncio.sleep(0.022)
+            now = there.loop_time()
+            assert there.health.is_full(_D0, now)
+            assert there.health.is_avoided(_D1, now)
+            assert there.refusals.was_refused(11, now)
+            found = model.Organisation(name=name, keys=(), quota=quota)
+            assert there.quotas.check(found, 20_000, now) is not None
+
+    virtual.run(main())
+
+
+def test_waiting_generations_are_told_with_their_rank() -> None:
+    async def main() -> None:
+        world = _World()
+        first, second, _ = world.gateways
+        item = queue_order.WaitingSummary(
+            priority=0, slack_s=0.25, start_s=3.0
+        )
+        queue = first.admission_queue
+        queue.most_urgent_waiters = lambda now: (item,)  # type: ignore
+        async with world.running():
+            first.load_changed.set()
+            await asyncio.sleep(0.022)
+            now = asyncio.get_running_loop().time()
+            own = queue_order.WaitingSummary(
+                priority=0, slack_s=0.5, start_s=3.0
+            )
+            assert second.loads.waiting_ahead(own, second.vm, now) == 1
+            assert second.loads.has_waiting(first.vm, now)
+            assert not second.loads.has_waiting(second.vm, now)
+
+    virtual.run(main())
+
+
+@pytest.mark.parametrize(
+    "link_mbps, has_deltas, used",
+    [(5.0, True, True), (5.0, False, False), (0.0, True, False)],
+)
+def test_changes_are_sent_where_the_part_is_on_and_the_link_is_known(
+    link_mbps: float, has_deltas: bool, used: bool
+) -> None:
+    async def main() -> None:
+        gateway = fleet.Gateway(number=0, spec=fleet.Spec())
+        site = fleet_reports.ReportSite(
+            gateway=gateway, link_mbps=link_mbps, has_deltas=has_deltas
+        )
+        found = typing.cast(site_mod.Site, site)
+        assert delta_reports.is_used(found) is used
+
+    virtual.run(main())
+
+
+def test_without_the_part_all_reports_are_complete() -> None:
+    async def main() -> None:
+        world = _World(has_deltas=False)
+        first, second, _ = world.gateways
+        async with world.running():
+            first.loads.add_request(_D0, run=_run())
+            await asyncio.sleep(0.01)
+            assert _runs(second, _D0) == 1
+        assert {kind for kind, _, _ in world.sent} == {messages.GatewayLoad}
+
+    virtual.run(main())
+
+
+def test_a_full_link_delays_releases_and_not_reservations(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """30 gateways; one reserves and releases far more than its share."""
+    lines: list[str] = []
+    monkeypatch.setattr(
+        delta_reports.logs, "say", lambda part, text, **kw: lines.append(text)
+    )
 
     async def main() -> None:
         world = _World(count=30)
         first, second, *_ = world.gateways
         async with world.running():
-            for _ in range(45):
+            for _ in range(28):
                 first.loads.add_request(_D1, run=_run())()
                 await asyncio.sleep(0.008)
             release = first.loads.add_request(_D0, run=_run())
-            await asyncio.sleep(0.012)
+            await asyncio.sleep(0.02)
             assert _runs(second, _D0) == 1
             release()
             await asyncio.sleep(0.6)
             assert _runs(second, _D0) == 0
         site = world.reports.sites[first.vm]
         assert site.metrics.totals("load_reports")["deferred"] > 0
+        # One line in five seconds.
+        assert len(lines) == 1
+        assert "deferred" in lines[0]
 
     virtual.run(main())
