--- a/rackpost/decide/endpoint_health.py
+++ b/rackpost/decide/endpoint_health.py
@@ -17,6 +17,15 @@
 _REPORT_LIFETIME_S = 1.5
 # Weight of the newest answer in the running averages.
 _EWMA_WEIGHT = 0.15
+# The mean answer time of an endpoint counts until it has not answered for this
+# long, in seconds, so that an endpoint that was slow is tried again.  It
+# counts twice as long each time that it was tried again and still slow.
+_MIN_VALID_S = 5.0
+_MAX_VALID_S = 40.0
+# An endpoint counts as at most this much faster than usual.
+_MIN_RATIO = 0.25
+# An answer that takes this many times the usual time is slow.
+_SLOW_RATIO = 1.5
 # Slowness added to an endpoint that fails all requests.
 _FAILURE_PENALTY = 8.0
 
@@ -27,17 +36,29 @@
     def __init__(self) -> None:
         self.failures_in_row = 0
         self.avoid_until = 0.0
+        # The same after failures that other gateways reported.  They are not
+        # reported again, or gateways would extend each other's reports.
+        self.reported_avoid_until = 0.0
         # Running average of failures, from 0 to 1.
         self.failure_rate = 0.0
         self.answer_s: float | None = None
+        self.answered_at = -math.inf
+        # The answer time that it was last compared with; 0 if unknown.
+        self.usual_s = 0.0
+        self.valid_s = _MIN_VALID_S
         self.work_s = 0.0
         self.rejections_in_row = 0
         self.full_until = 0.0
+        self.reported_full_until = 0.0
         # End of a back-off that another gateway reported.
         self.reported_backoff_until = 0.0
         # Last rejection, here or at another gateway.
         self.rejected_at = -math.inf
 
+    def is_outdated(self, now: float) -> bool:
+        """Whether the mean answer time does not count any more."""
+        return now - self.answered_at > self.valid_s
+
 
 class HealthTracker:
     """Health of each endpoint, as one gateway knows it."""
@@ -48,17 +69,33 @@
     def _record(self, endpoint: types.EndpointId) -> _EndpointHealth:
         return self._records.setdefault(endpoint, _EndpointHealth())
 
-    def record_answer(self, endpoint: types.EndpointId, took_s: float) -> None:
+    def record_answer(
+        self, endpoint: types.EndpointId, took_s: float, now: float
+    ) -> None:
         """Record a complete answer that is not the endpoint's own failure."""
         record = self._record(endpoint)
+        if record.is_outdated(now):
+            record.answer_s = None
+            self._update_validity(record, took_s)
+        record.answered_at = now
         record.failures_in_row = 0
         record.avoid_until = 0.0
+        record.reported_avoid_until = 0.0
         record.rejections_in_row = 0
         record.failure_rate *= 1.0 - _EWMA_WEIGHT
         if record.answer_s is None:
             record.answer_s = took_s
         record.answer_s += _EWMA_WEIGHT * (took_s - record.answer_s)
 
+    def _update_validity(self, record: _EndpointHealth, took_s: float) -> None:
+        """Set how long the answer time of a trial counts."""
+        is_slow = 0.0 < _SLOW_RATIO * record.usual_s < took_s
+        record.valid_s = (
+            min(2.0 * record.valid_s, _MAX_VALID_S)
+            if is_slow
+            else _MIN_VALID_S
+        )
+
     def record_work(
         self, endpoint: types.EndpointId, took_s: float, rounds: float
     ) -> None:
@@ -104,7 +141,7 @@
         """Record a rejection that another gateway reported."""
         record = self._record(endpoint)
         record.rejected_at = now
-        record.full_until = max(record.full_until, now + _MIN_FULL_S)
+        record.reported_full_until = now + _MIN_FULL_S
 
     def record_reported_backoff(
         self, endpoint: types.EndpointId, remaining_s: float, now: float
@@ -129,7 +166,9 @@
     def is_full(self, endpoint: types.EndpointId, now: float) -> bool:
         """Whether the endpoint has just rejected a request."""
         record = self._records.get(endpoint)
-        return record is not None and now < record.full_until
+        return record is not None and now < max(
+            record.full_until, record.reported_full_until
+        )
 
     def rejected_since(self, endpoint: types.EndpointId, since: float) -> bool:
         """Whether the endpoint rejected a request of any gateway since."""
@@ -149,7 +188,7 @@
     ) -> None:
         """Record a failure that another gateway reported."""
         record = self._record(endpoint)
-        record.avoid_until = max(record.avoid_until, now + _MIN_AVOID_S)
+        record.reported_avoid_until = now + _MIN_AVOID_S
 
     def failed_endpoints(self, now: float) -> tuple[types.EndpointId, ...]:
         """Return the endpoints that have just failed for this gateway."""
@@ -162,19 +201,28 @@
     def is_avoided(self, endpoint: types.EndpointId, now: float) -> bool:
         """Whether the endpoint is avoided after a recent failure."""
         record = self._records.get(endpoint)
-        return record is not None and now < record.avoid_until
+        return record is not None and now < max(
+            record.avoid_until, record.reported_avoid_until
+        )
 
-    def slowness(self, endpoint: types.EndpointId, usual_s: float) -> float:
+    def slowness(
+        self, endpoint: types.EndpointId, usual_s: float, now: float
+    ) -> float:
         """Return the answer time relative to `usual_s`.
 
-        Failures increase it.
+        It is 1 where no answer came for long; failures increase it.
         """
         record = self._records.get(endpoint)
         if record is None:
             return 1.0
+        record.usual_s = usual_s
         ratio = 1.0
-        if record.answer_s is not None and usual_s > 0:
-            ratio = max(0.25, record.answer_s / usual_s)
+        if (
+            record.answer_s is not None
+            and usual_s > 0
+            and not record.is_outdated(now)
+        ):
+            ratio = max(_MIN_RATIO, record.answer_s / usual_s)
         return ratio * (1.0 + _FAILURE_PENALTY * record.failure_rate)
 
     def mean_answer_s(self, endpoint: types.EndpointId) -> float | None:
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -105,6 +105,11 @@
             self._endpoint
         )
 
+    @property
+    def is_fetched(self) -> bool:
+        """Whether a decode endpoint has fetched the KV cache."""
+        return self._fetched
+
     def headers(self) -> list[message.Header]:
         """Return the header that tells a decode endpoint where to fetch it."""
         if self._endpoint is None or self._result is None:
@@ -317,7 +322,7 @@
         endpoint.id, seconds=took, usual_s=usual_s, now=site.loop_time()
     )
     site.token_timing.record_prefill(ahead + prompt, took)
-    site.health.record_answer(endpoint.id, took)
+    site.health.record_answer(endpoint.id, took, site.loop_time())
     state.store(endpoint, result)
     if call.sampled:
         call.log(
