--- a/rackpost/decide/load_sync.py
+++ b/rackpost/decide/load_sync.py
@@ -118,6 +118,7 @@
         self._told_at: dict[types.EndpointId, float] = {}
         # The endpoints with generations, and the last report of changes.
         self._generating: tuple[types.EndpointId, ...] = ()
+        self._refreshes = False
         self._reported_at = now
         self._last_bytes = _USUAL_BYTES
         # Number of the report, for the order of sending.
@@ -138,9 +139,16 @@
             used.append(slot)
             self._slots[vm] = slot
 
-    def set_generating(self, found: Collection[types.EndpointId]) -> None:
-        """Set the endpoints where generations of this gateway run."""
+    def set_generating(
+        self, found: Collection[types.EndpointId], *, contends: bool = False
+    ) -> None:
+        """Set the endpoints where generations of this gateway run.
+
+        `contends` says that services have a contention order, of which parts
+        are told again from time to time.
+        """
         self._generating = tuple(found)
+        self._refreshes = contends or bool(found)
 
     def require_complete(self, vm: types.VmId) -> None:
         """Send a gateway a complete report next: it has just started."""
@@ -175,7 +183,7 @@
             urgency: since + _DELAY_S[urgency]
             for urgency, since in self._since.items()
         }
-        if self._generating:
+        if self._refreshes:
             due.setdefault(Urgency.NONE, self._reported_at + _REFRESH_S)
         allowed = min(
             (
--- a/rackpost/gateway/delta_reports.py
+++ b/rackpost/gateway/delta_reports.py
@@ -14,7 +14,6 @@
 from rackpost.decide import features
 from rackpost.decide import load_deltas
 from rackpost.decide import load_sync
-from rackpost.decide.waiting import contender
 from rackpost.gateway import site as site_mod
 from rackpost.link import codec
 from rackpost import logs
@@ -24,9 +23,6 @@
 _BYTES_PER_MEGABIT = 125_000.0
 # At most one line about deferred reports in this time, in seconds.
 _LOG_INTERVAL_S = 5.0
-# Reports of services with a contention order change with each arrival; they
-# are sent at most this often, in seconds.
-_CONTENTION_INTERVAL_S = 0.1
 # In how many reports a refused request is told.
 _TOLD_TIMES = 2
 
@@ -74,10 +70,6 @@
         )
         self._told_refusals: dict[int, int] = {}
         self._told_backoffs: frozenset[types.EndpointId] = frozenset()
-        self._told_contention: dict[
-            types.ServiceName, contender.ContentionReport
-        ] = {}
-        self._contention_at = 0.0
         # Deferrals since the last log line.
         self._deferred = 0
         self._logged_at = -_LOG_INTERVAL_S
@@ -105,7 +97,10 @@
 
     def _set_generating(self) -> None:
         own = self._site.loads.own
-        self._sync.set_generating([key for key in own if own[key].runs])
+        self._sync.set_generating(
+            [key for key in own if own[key].runs],
+            contends=any(True for _ in self._site.orders.services()),
+        )
 
     def _send_due(self, now: float) -> None:
         loads = self._site.loads
@@ -176,7 +171,7 @@
             quotas=site.quotas.changed_report(now),
             backoffs=self._changed_backoffs(now),
             named_rates=site.eligibility.rates.next_updates(now),
-            contention=self._changed_contention(now),
+            contention=queue.contention_reports(now),
             claims=queue.claims(now),
         )
 
@@ -196,19 +191,3 @@
             return {}
         self._told_backoffs = frozenset(found)
         return found
-
-    def _changed_contention(
-        self, now: float
-    ) -> dict[types.ServiceName, contender.ContentionReport]:
-        if now < self._contention_at + _CONTENTION_INTERVAL_S:
-            return {}
-        reports = self._site.admission_queue.contention_reports(now)
-        found = {
-            service: report
-            for service, report in reports.items()
-            if report != self._told_contention.get(service)
-        }
-        if found:
-            self._contention_at = now
-            self._told_contention = reports
-        return found
--- a/rackpost/gateway/load_exchange.py
+++ b/rackpost/gateway/load_exchange.py
@@ -200,7 +200,10 @@
         ]
 
     def _complete_report(self, now: float) -> messages.GatewayLoad:
-        """Return a report for gateways of which some may know nothing."""
+        """Return a report for gateways of which some may know nothing.
+
+        What is told of a contention order is only in reports to all.
+        """
         site = self._site
         return msgspec.structs.replace(
             self._base_report(now),
@@ -215,6 +218,7 @@
             self._base_report(now),
             quotas=site.quotas.next_report(now),
             named_rates=site.eligibility.rates.next_updates(now),
+            contention=site.admission_queue.contention_reports(now),
         )
 
     def _base_report(self, now: float) -> messages.GatewayLoad:
@@ -232,7 +236,6 @@
             refused_keys=site.refusals.recent(now),
             backoffs=site.eligibility.remaining_backoffs(now),
             paces=site.measured_pace.reports(now),
-            contention=site.admission_queue.contention_reports(now),
         )
 
     @contextlib.asynccontextmanager
--- a/tests/test_load_deltas.py
+++ b/tests/test_load_deltas.py
@@ -17,6 +17,7 @@
 from rackpost.decide import kv_forecast
 from rackpost.decide import load_sync
 from rackpost.decide import queue_order
+from rackpost.decide.waiting import contender
 from rackpost.gateway import delta_reports
 from rackpost.gateway import site as site_mod
 from rackpost.link import codec
@@ -333,6 +334,37 @@
     virtual.run(main())
 
 
+def test_reports_of_a_contention_order_go_to_all_at_once() -> None:
+    """Each part of them is only told once until it changes."""
+
+    async def main() -> None:
+        world = _World()
+        first, second, third = world.gateways
+        found = []
+        for other in (second, third):
+            other.orders.receive = (  # type: ignore
+                lambda sender, reports, now, vm=other.vm: found.extend(
+                    (vm, key) for key in reports
+                )
+            )
+        async with world.running():
+            told = iter([contender.ContentionReport(loads=())])
+            queue = first.admission_queue
+            queue.contention_reports = lambda now: {  # type: ignore
+                fleet.SERVICE: item for item in told
+            }
+            # Complete reports to some come first, and don't hold them.
+            await asyncio.sleep(1.1)
+            assert found == []
+            first.load_changed.set()
+            await asyncio.sleep(0.022)
+        assert sorted(found) == [
+            (item.vm, fleet.SERVICE) for item in (second, third)
+        ]
+
+    virtual.run(main())
+
+
 @pytest.mark.parametrize(
     "link_mbps, has_deltas, used",
     [(5.0, True, True), (5.0, False, False), (0.0, True, False)],
--- a/tests/test_load_sync.py
+++ b/tests/test_load_sync.py
@@ -99,6 +99,14 @@
     assert plan.changes and plan.endpoints == (_A,)
 
 
+def test_a_contention_order_is_told_of_each_half_second() -> None:
+    sync = _sync()
+    sync.set_generating([], contends=True)
+    assert sync.next_reports(0.49).changes == ()
+    plan = sync.next_reports(0.51)
+    assert plan.changes and plan.endpoints == ()
+
+
 def test_changes_without_urgency_are_told_with_the_next_report() -> None:
     sync = _sync()
     sync.record_changes({_A: load_changes.Urgency.NONE}, 0.0)
