--- a/rackpost/gateway/load_exchange.py
+++ b/rackpost/gateway/load_exchange.py
@@ -156,9 +156,9 @@
             self._send()
 
     def _send(self) -> None:
+        self._site.loads.changes.take()
         if not self._site.policy.share:
             return
-        self._site.loads.changes.take()
         data = codec.encode(self._report(self._site.loop_time()))
         self._send_to(
             data,
