--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -279,7 +279,7 @@
             service, plan.role, plan.changes, pools, plan.demand[:2]
         )
         if await self._order_changes(order, members):
-            planner.record_order(plan.role)
+            planner.record_order(now, plan.role)
 
     def _may_change(
         self,
--- a/rackpost/decide/role_demand.py
+++ b/rackpost/decide/role_demand.py
@@ -18,12 +18,13 @@
 # Time over which a gateway sums its newest requests: shorter than a burst.
 RECENT_S = 2.0
 # Fewest requests that show a mix.
-MIN_REQUESTS = 8
+MIN_REQUESTS = 10
 # Shortest time over which a rate is computed.
 _MIN_COUNTED_S = 0.5
-# Peaks fall to 1/e in this time: they outlast the pause between two bursts,
-# and a mix of requests that has ended is forgotten within a minute.
-_PEAK_DECAY_S = 20.0
+# Peaks fall to 1/e in this time: they outlast the pause between two bursts
+# and a change of role there and back, and a mix of requests that has ended is
+# forgotten within two minutes.
+_PEAK_DECAY_S = 30.0
 
 
 class RecentWork(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -78,16 +79,17 @@
     )
 
 
-def _counted_s(reports: Sequence[WorkReport]) -> float:
+def _counted_s(now: float, reports: Sequence[WorkReport]) -> float:
     """Return the time in which the reported requests came.
 
-    It is the whole window unless requests began a moment ago.
+    It is the whole window unless requests began a moment ago.  Then those
+    that are not reported yet count as none: a peak that is too high would
+    last.
     """
     oldest_at = min(
         item.at - item.work.oldest_s for item in reports if item.work.requests
     )
-    reported_at = statistics.fmean(item.at for item in reports)
-    return min(RECENT_S, max(_MIN_COUNTED_S, reported_at - oldest_at))
+    return min(RECENT_S, max(_MIN_COUNTED_S, now - oldest_at))
 
 
 class DemandHistory:
@@ -98,6 +100,8 @@
         # Decaying maximum of each pool's demand; `requests` is the largest
         # number of requests from which a demand was computed.
         self.peak = NO_DEMAND
+        # Requests of about the last `_PEAK_DECAY_S` that show the mix.
+        self.evidence = 0.0
         self._recorded_at: float | None = None
 
     def record(self, now: float, reports: Sequence[WorkReport]) -> None:
@@ -106,7 +110,7 @@
         times = _token_times(reports)
         self.current = NO_DEMAND
         if times is not None and requests >= MIN_REQUESTS:
-            counted_s = _counted_s(reports)
+            counted_s = _counted_s(now, reports)
             tokens = sum(item.work.prompt_tokens for item in reports)
             made = sum(item.work.decode_tokens for item in reports)
             self.current = PoolDemand(
@@ -117,10 +121,15 @@
         self._update_peak(now)
 
     def _update_peak(self, now: float) -> None:
-        kept = 1.0
+        passed_s = 0.0
         if self._recorded_at is not None:
-            kept = math.exp((self._recorded_at - now) / _PEAK_DECAY_S)
+            passed_s = now - self._recorded_at
+        kept = math.exp(-passed_s / _PEAK_DECAY_S)
         self._recorded_at = now
+        new = self.current.requests * min(1.0, passed_s / RECENT_S)
+        self.evidence = max(
+            float(self.current.requests), kept * self.evidence + new
+        )
         self.peak = PoolDemand(
             prefill=max(self.current.prefill, kept * self.peak.prefill),
             decode=max(self.current.decode, kept * self.peak.decode),
--- a/rackpost/decide/role_plan.py
+++ b/rackpost/decide/role_plan.py
@@ -1,9 +1,11 @@
 """Plan changes of role on first evidence, for the peaks of the demand.
 
-A change takes longer than most bursts last, so the pools are divided for the
-mix that the peaks show, before the next one.  Waves and bursts of all kinds
-together leave the division as it is: it depends on the ratio of the two
-demands, not on their level.
+A change takes longer than most bursts last, so the pools are divided before
+the next one: for the largest multiple of the demand that both can serve.
+Waves and bursts of all kinds together leave the division as it is: it depends
+on the ratio of the two demands, not on their level.  A change of an endpoint
+whose pool is mostly idle costs callers nothing, so a low level is no reason
+to wait.
 
 Pure: times are readings of the owner's clock, in seconds.
 """
@@ -18,14 +20,19 @@
 from rackpost.routing import endpoints
 from rackpost import types
 
-# Spread of the work of one request, over its mean.
-_WORK_SPREAD = 0.9
-# A pool is too busy where a burst of twice the peak would overload it.
-_MIN_UTILISATION = 0.45
+# Standard deviation of the ratio of prefill to decode work that one request
+# shows, over the ratio.  The giving pool's demand counts as higher by this
+# over the square root of the number of requests.
+_RATIO_SPREAD = 0.5
 # From this utilisation on, a pool is overloaded.
 _OVERLOAD_UTILISATION = 0.85
-# Largest utilisation of the pool that gives endpoints, at the peak.
-_MAX_DONOR_UTILISATION = 0.9
+# Fewest endpoints that a pool keeps, so that the loss of one leaves another;
+# a small service could not follow its demand otherwise.
+_MIN_POOL = 2
+_ENDPOINTS_FOR_MIN_POOL = 6
+# Within this time a pool gives at most half of its endpoints, unless the
+# other one is overloaded: the mix may shift back.
+_HALVING_S = 60.0
 # How long an imbalance must last before a change.  The first change follows
 # the first evidence; a further one must outlast a burst's first seconds, and
 # one in the other direction what a change of role takes, unless the pool is
@@ -33,10 +40,16 @@
 _FIRST_S = 0.4
 _FURTHER_S = 2.0
 _REVERSAL_S = 6.0
+# Reversals that need no pause before them, and the shortest pause before each
+# further one.  It doubles with each reversal within `_RECENT_REVERSALS_S`, up
+# to the longest.
+_FREE_REVERSALS = 2
+_MIN_REVERSAL_PAUSE_S = 60.0
+_MAX_REVERSAL_PAUSE_S = 240.0
+_RECENT_REVERSALS_S = 600.0
 # A change must lower the utilisation of the busier pool by a factor of 1 plus
 # this over the number of endpoints.  A reversal must pay for two changes.
-_GAIN = 2.0
-_GAIN_OVERLOADED = 1.0
+_GAIN = 0.8
 _REVERSAL_GAIN = 3.0
 # One in this many endpoints may change its role at a time.
 _ENDPOINTS_PER_CHANGE = 5
@@ -76,6 +89,45 @@
     )
 
 
+def _min_pool(pools: role_balance.Pools) -> int:
+    """Return how many endpoints each pool keeps."""
+    if pools.prefill + pools.decode < _ENDPOINTS_FOR_MIN_POOL:
+        return 1
+    return _MIN_POOL
+
+
+def _donors(pools: role_balance.Pools, role: types.Role) -> int:
+    """Return the size of the pool that gives endpoints to a role."""
+    return pools.prefill if role is types.Role.DECODE else pools.decode
+
+
+class ReversalLimit:
+    """Limits how often the direction of changes reverses."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._recent: collections.deque[float] = collections.deque()
+
+    def record(self, now: float) -> None:
+        """Record a reversal."""
+        self._count += 1
+        self._recent.append(now)
+
+    def allowed_at(self, now: float) -> float:
+        """Return the earliest time of the next reversal."""
+        if self._count < _FREE_REVERSALS:
+            return now
+        last = self._recent[-1]
+        while len(self._recent) > 1 and (
+            self._recent[0] < now - _RECENT_REVERSALS_S
+        ):
+            self._recent.popleft()
+        doublings = max(0, len(self._recent) - _FREE_REVERSALS)
+        return last + min(
+            _MAX_REVERSAL_PAUSE_S, _MIN_REVERSAL_PAUSE_S * 2.0**doublings
+        )
+
+
 class RolePlanner:
     """Plans the changes of role of one model service."""
 
@@ -83,13 +135,16 @@
         self.history = role_demand.DemandHistory()
         self._imbalance: _Imbalance | None = None
         self._last_role: types.Role | None = None
-        # Endpoints at each check of the last seconds.
-        self._totals: collections.deque[tuple[float, int]] = (
+        self._reversals = ReversalLimit()
+        # The pools at each check of the last `_HALVING_S`.
+        self._pools: collections.deque[tuple[float, role_balance.Pools]] = (
             collections.deque()
         )
 
-    def record_order(self, role: types.Role) -> None:
+    def record_order(self, now: float, role: types.Role) -> None:
         """Record that endpoints were ordered to take a role."""
+        if self._is_reversal(role):
+            self._reversals.record(now)
         self._last_role = role
         self._imbalance = None
 
@@ -109,10 +164,10 @@
         `pools` counts the endpoints that are changing as changed; `changing`
         holds the roles that they take.  Both pools must have an endpoint.
         """
-        if self._is_unsettled(now, pools) or not self._has_evidence():
-            self._imbalance = None
-            return None
-        found = self._best_plan(pools, changing)
+        self._record_pools(now, pools)
+        found = None
+        if not self._is_unsettled(now) and self._has_evidence():
+            found = self._best_plan(pools, changing)
         if found is None:
             self._imbalance = None
             return None
@@ -122,20 +177,40 @@
             found.role, pools
         ):
             return None
+        if self._is_reversal(found.role) and now < self._reversals.allowed_at(
+            now
+        ):
+            return None
         return found
 
     def _has_evidence(self) -> bool:
         return self.history.current.requests > 0
 
-    def _is_unsettled(self, now: float, pools: role_balance.Pools) -> bool:
+    def _is_reversal(self, role: types.Role) -> bool:
+        return self._last_role not in (None, role)
+
+    def _record_pools(self, now: float, pools: role_balance.Pools) -> None:
+        self._pools.append((now, pools))
+        while self._pools[0][0] < now - _HALVING_S:
+            self._pools.popleft()
+
+    def _is_unsettled(self, now: float) -> bool:
         """Whether many endpoints were lost or came back a moment ago."""
-        total = pools.prefill + pools.decode
-        self._totals.append((now, total))
-        while self._totals[0][0] < now - _SETTLE_S:
-            self._totals.popleft()
-        counts = [count for _, count in self._totals]
-        allowed = max(1, total // _ENDPOINTS_PER_LOSS)
-        return max(counts) - min(counts) > allowed
+        totals = [
+            pools.prefill + pools.decode
+            for at, pools in self._pools
+            if at >= now - _SETTLE_S
+        ]
+        allowed = max(1, totals[-1] // _ENDPOINTS_PER_LOSS)
+        return max(totals) - min(totals) > allowed
+
+    def _most_donors(self, pools: role_balance.Pools, role: types.Role) -> int:
+        """Return how many endpoints may be given to a role."""
+        donors = _donors(pools, role)
+        largest = max(_donors(item, role) for _, item in self._pools)
+        if self._is_overloaded(role, pools):
+            largest = donors
+        return min(donors - (largest + 1) // 2, donors - _min_pool(pools))
 
     def _is_overloaded(
         self, role: types.Role, pools: role_balance.Pools
@@ -150,22 +225,14 @@
     ) -> float:
         if self._last_role is None:
             return _FIRST_S
-        if self._last_role is role or self._is_overloaded(role, pools):
-            return _FURTHER_S
-        return _REVERSAL_S
+        if self._is_reversal(role) and not self._is_overloaded(role, pools):
+            return _REVERSAL_S
+        return _FURTHER_S
 
-    def _min_gain(
-        self,
-        role: types.Role,
-        pools: role_balance.Pools,
-    ) -> float:
-        is_reversal = self._last_role not in (None, role)
-        if is_reversal and not self._is_overloaded(role, pools):
+    def _min_gain(self, role: types.Role, pools: role_balance.Pools) -> float:
+        gain = _GAIN
+        if self._is_reversal(role) and not self._is_overloaded(role, pools):
             gain = _REVERSAL_GAIN
-        elif self._is_overloaded(role, pools):
-            gain = _GAIN_OVERLOADED
-        else:
-            gain = _GAIN
         return 1.0 + gain / (pools.prefill + pools.decode)
 
     def _best_plan(
@@ -174,8 +241,6 @@
         demand = self.history.peak
         shares = role_balance.utilisations(pools, *demand[:2])
         utilisation = max(shares)
-        if utilisation < _MIN_UTILISATION:
-            return None
         role = types.Role.PREFILL
         if shares[0] < shares[1]:
             role = types.Role.DECODE
@@ -184,40 +249,65 @@
             return None
         total = pools.prefill + pools.decode
         room = max(1, total // _ENDPOINTS_PER_CHANGE) - len(changing)
-        count = self._best_count(pools, role, room)
-        if count == 0:
-            return None
-        planned = max(
-            role_balance.utilisations(_moved(pools, role, count), *demand[:2])
-        )
-        if planned * self._min_gain(role, pools) >= utilisation:
+        count, planned = self._best_count(pools, role, room)
+        if count == 0 or planned * self._min_gain(role, pools) >= utilisation:
             return None
         return Plan(role, count, demand, utilisation, planned)
 
     def _best_count(
         self, pools: role_balance.Pools, role: types.Role, room: int
-    ) -> int:
-        """Return how many endpoints to change; the giving pool keeps room.
+    ) -> tuple[int, float]:
+        """Return how many endpoints to change, and the utilisation then.
 
-        It gives its endpoints at once, the other pool gets them only after
-        the change.  Few requests show its demand inaccurately, and the mix
-        may change: it keeps at least half of its endpoints.
+        Of the divisions in reach it is the one that serves the largest
+        multiple of the peak, the uncertainty counted against the giving pool.
+        That pool gives its endpoints at once, the other gets them only after
+        the change: it keeps at least half of them, and its demand still fits
+        after the loss of one, or is no larger for what is left of it than
+        that of the other pool.
         """
-        demand = self.history.peak
-        uncertainty = 1.0 + _WORK_SPREAD / math.sqrt(demand.requests)
-        best = max(role_balance.utilisations(pools, *demand[:2]))
-        limit = max(_MAX_DONOR_UTILISATION, best / uncertainty)
-        donors = pools.prefill if role is types.Role.DECODE else pools.decode
-        found = 0
-        for count in range(1, min(room, donors // 2) + 1):
-            shares = role_balance.utilisations(
-                _moved(pools, role, count), *demand[:2]
+        best, found = self._expected_utilisation(pools, role)[2], 0
+        donors = _donors(pools, role)
+        most = min(room, self._most_donors(pools, role))
+        for count in range(1, most + 1):
+            donor, taker, busier = self._expected_utilisation(
+                _moved(pools, role, count), role
             )
-            donor = shares[0 if role is types.Role.DECODE else 1]
-            if max(shares) >= best or donor * uncertainty > limit:
+            if busier >= best or not self._survives_loss(
+                donors - count, role, taker
+            ):
                 break
-            best, found = max(shares), count
-        return found
+            best, found = busier, count
+        return found, best
+
+    def _survives_loss(
+        self, left: int, role: types.Role, taker: float
+    ) -> bool:
+        """Whether what is left of the giving pool can lose an endpoint.
+
+        Its peak then still fits, or is no larger for it than that of the
+        other pool, whose utilisation is `taker`.
+        """
+        peak = self.history.peak
+        work = peak.prefill if role is types.Role.DECODE else peak.decode
+        return left < _MIN_POOL or work <= max(1.0, taker) * (left - 1)
+
+    def _expected_utilisation(
+        self, pools: role_balance.Pools, role: types.Role
+    ) -> tuple[float, float, float]:
+        """Return the utilisation of giver and taker at the peak, and of both.
+
+        The giver's demand is raised by the uncertainty of few requests.
+        """
+        demand = self.history.peak
+        uncertainty = 1.0 + _RATIO_SPREAD / math.sqrt(
+            max(1.0, self.history.evidence)
+        )
+        donor, taker = role_balance.utilisations(pools, *demand[:2])
+        if role is types.Role.PREFILL:
+            donor, taker = taker, donor
+        donor *= uncertainty
+        return donor, taker, max(donor, taker)
 
 
 def spread(
--- a/tests/role_pools.py
+++ b/tests/role_pools.py
@@ -98,7 +98,7 @@
         self.planner.history.record(view.now, works)
         plan = self.planner.plan(*view[:3])
         if plan is not None:
-            self.planner.record_order(plan.role)
+            self.planner.record_order(view.now, plan.role)
         return plan and (plan.role, plan.changes)
 
 
--- a/tests/test_role_plan.py
+++ b/tests/test_role_plan.py
@@ -177,14 +177,14 @@
 
 def test_the_other_direction_needs_a_lasting_imbalance() -> None:
     planner = role_plan.RolePlanner()
-    planner.record_order(DECODE)
+    planner.record_order(0.0, DECODE)
     moderate = (_work(20, prefill_s=2.1, decode_s=3.0),) * 2
     found = _plan_until(planner, _pools(4, 15), *moderate)
     assert found is not None and found[1].role is PREFILL
     assert found[0] >= 6.0
     # A pool that is overloaded now is not left so.
     planner = role_plan.RolePlanner()
-    planner.record_order(DECODE)
+    planner.record_order(0.0, DECODE)
     found = _plan_until(
         planner, _pools(4, 15), *_LONG_PROMPTS, changing=(DECODE,)
     )
@@ -240,7 +240,7 @@
 
 def test_a_former_leader_forgets_its_orders() -> None:
     planner = role_plan.RolePlanner()
-    planner.record_order(PREFILL)
+    planner.record_order(0.0, PREFILL)
     planner.forget_orders()
     found = _plan_until(planner, _pools(7, 12), *_LONG_ANSWERS)
     assert found is not None and found[0] == 0.5
