--- a/rackpost/decide/role_balance.py
+++ b/rackpost/decide/role_balance.py
@@ -93,6 +93,12 @@
         """
         self._items.append(_Request(at=now, prompt=prompt, decode=share * out))
 
+    def has_recent(self, now: float) -> bool:
+        """Whether a request came within `role_demand.RECENT_S`."""
+        if not self._items:
+            return False
+        return self._items[-1].at >= now - role_demand.RECENT_S
+
     def demand(
         self,
         service: types.ServiceName,
--- a/rackpost/decide/role_demand.py
+++ b/rackpost/decide/role_demand.py
@@ -8,6 +8,7 @@
 Pure: times are readings of the owner's clock, in seconds.
 """
 
+import collections
 import math
 import statistics
 from typing import NamedTuple
@@ -17,6 +18,9 @@
 
 # Time over which a gateway sums its newest requests: shorter than a burst.
 RECENT_S = 2.0
+# Peaks are those of the mean demand over this time: generations take seconds,
+# so that few long ones in a moment do not fill the pool.
+_MEAN_S = 2.0
 # Fewest requests that show a mix.
 MIN_REQUESTS = 10
 # Shortest time over which a rate is computed.
@@ -100,9 +104,11 @@
         # Decaying maximum of each pool's demand; `requests` is the largest
         # number of requests from which a demand was computed.
         self.peak = NO_DEMAND
-        # Requests of about the last `_PEAK_DECAY_S` that show the mix.
-        self.evidence = 0.0
         self._recorded_at: float | None = None
+        # The demands recorded within `_MEAN_S`.
+        self._newest: collections.deque[tuple[float, PoolDemand]] = (
+            collections.deque()
+        )
 
     def record(self, now: float, reports: Sequence[WorkReport]) -> None:
         """Add up the latest report of each gateway."""
@@ -126,12 +132,23 @@
             passed_s = now - self._recorded_at
         kept = math.exp(-passed_s / _PEAK_DECAY_S)
         self._recorded_at = now
-        new = self.current.requests * min(1.0, passed_s / RECENT_S)
-        self.evidence = max(
-            float(self.current.requests), kept * self.evidence + new
-        )
+        mean = self._mean(now)
         self.peak = PoolDemand(
-            prefill=max(self.current.prefill, kept * self.peak.prefill),
-            decode=max(self.current.decode, kept * self.peak.decode),
+            prefill=max(mean.prefill, kept * self.peak.prefill),
+            decode=max(mean.decode, kept * self.peak.decode),
             requests=max(self.current.requests, self.peak.requests),
         )
+
+    def _mean(self, now: float) -> PoolDemand:
+        """Return the mean of the newest demands that show a mix."""
+        if self.current.requests:
+            self._newest.append((now, self.current))
+        while self._newest and self._newest[0][0] <= now - _MEAN_S:
+            self._newest.popleft()
+        if not self._newest:
+            return NO_DEMAND
+        demands = [demand for _, demand in self._newest]
+        return PoolDemand(
+            prefill=statistics.fmean(item.prefill for item in demands),
+            decode=statistics.fmean(item.decode for item in demands),
+        )
--- a/rackpost/decide/role_plan.py
+++ b/rackpost/decide/role_plan.py
@@ -24,8 +24,10 @@
 # shows, over the ratio.  The giving pool's demand counts as higher by this
 # over the square root of the number of requests.
 _RATIO_SPREAD = 0.5
+# Pools that serve four times the peak are left as they are.
+_MIN_UTILISATION = 0.25
 # From this utilisation on, a pool is overloaded.
-_OVERLOAD_UTILISATION = 0.85
+_OVERLOAD_UTILISATION = 1.0
 # Fewest endpoints that a pool keeps, so that the loss of one leaves another;
 # a small service could not follow its demand otherwise.
 _MIN_POOL = 2
@@ -51,6 +53,10 @@
 # this over the number of endpoints.  A reversal must pay for two changes.
 _GAIN = 0.8
 _REVERSAL_GAIN = 3.0
+# Each endpoint must lower it by at least this share of what its own pool loses
+# of its capacity, times the ratio of the utilisation of that pool to that of
+# the other: the mix may shift back, and a small pool is soon too small.
+_LOSS_SHARE = 0.3
 # One in this many endpoints may change its role at a time.
 _ENDPOINTS_PER_CHANGE = 5
 # After a loss or return of more than one in this many endpoints at a time,
@@ -241,6 +247,8 @@
         demand = self.history.peak
         shares = role_balance.utilisations(pools, *demand[:2])
         utilisation = max(shares)
+        if utilisation < _MIN_UTILISATION:
+            return None
         role = types.Role.PREFILL
         if shares[0] < shares[1]:
             role = types.Role.DECODE
@@ -273,9 +281,11 @@
             donor, taker, busier = self._expected_utilisation(
                 _moved(pools, role, count), role
             )
-            if busier >= best or not self._survives_loss(
-                donors - count, role, taker
-            ):
+            left = donors - count
+            loss = _LOSS_SHARE / left * donor / taker
+            if busier * (1.0 + loss) >= best:
+                break
+            if not self._survives_loss(left, role, taker):
                 break
             best, found = busier, count
         return found, best
@@ -300,9 +310,7 @@
         The giver's demand is raised by the uncertainty of few requests.
         """
         demand = self.history.peak
-        uncertainty = 1.0 + _RATIO_SPREAD / math.sqrt(
-            max(1.0, self.history.evidence)
-        )
+        uncertainty = 1.0 + _RATIO_SPREAD / math.sqrt(max(1, demand.requests))
         donor, taker = role_balance.utilisations(pools, *demand[:2])
         if role is types.Role.PREFILL:
             donor, taker = taker, donor
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -9,6 +9,7 @@
 from rackpost.coordinator import messages
 from rackpost.decide import notice_relays
 from rackpost.decide import quarantine
+from rackpost.decide import role_reports
 from rackpost.gateway import routing_updates
 from rackpost.gateway import site as site_mod
 from rackpost.link import websocket
@@ -47,6 +48,7 @@
         self._reports: dict[str, messages.Peers] = {}
         self._changing: dict[str, tuple[types.EndpointId, ...]] = {}
         self._updates = routing_updates.RoutingUpdates(site=site)
+        self._evidence = role_reports.EvidenceReports()
         # Links on which a coordinator has reported its document version.
         self._linked: set[websocket.WebSocketChannel] = set()
         site.crash_tracker.publish = self._publish_suspicions
@@ -70,6 +72,10 @@
 
     def publish_demands(self) -> None:
         """Report the demand of this gateway's clients to all coordinators."""
+        self._evidence.record(
+            has_requests=self._site.has_early_requests(),
+            knows_times=self._site.token_timing.is_known,
+        )
         msg = messages.Demands(
             items=self._site.demands(),
             quotas=self._site.quota_use.recent(self._loop.time()),
@@ -77,6 +83,16 @@
         )
         self._send_to_all(msg)
 
+    def publish_new_demands(self) -> None:
+        """Report the demand if it shows what the last report lacked."""
+        found = self._evidence.due(
+            has_requests=self._site.has_early_requests(),
+            knows_times=self._site.token_timing.is_known,
+        )
+        if found is not None:
+            self._site.metrics.count("early_demand_reports", found)
+            self.publish_demands()
+
     def _send_to_all(
         self,
         msg: msgspec.Struct,
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -6,6 +6,7 @@
 from typing import AsyncIterator
 
 from rackpost.coordinator import links
+from rackpost.decide import role_reports
 from rackpost.decide import slow_readers
 from rackpost.gateway import control_links
 from rackpost.gateway import handler as handler_mod
@@ -120,6 +121,11 @@
             if self.site.routes is not None:
                 self._server.limits = self.site.routes.limits
 
+    async def _report_new_demands(self) -> None:
+        while True:
+            await asyncio.sleep(role_reports.CHECK_INTERVAL_S)
+            self._links.publish_new_demands()
+
     @contextlib.asynccontextmanager
     async def serving(self) -> AsyncIterator[None]:
         """Serve until the block ends."""
@@ -136,6 +142,7 @@
                 self._server.serving(at.host, at.port)
             )
             self.site.tasks.keep(self._sweep)
+            self.site.tasks.keep(self._report_new_demands)
             self.site.tasks.keep(self.site.admission_queue.run)
             self.site.tasks.keep(self.site.capacity.run)
             yield
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -384,6 +384,15 @@
             for service, meter in self._demand_meters.items()
         )
 
+    def has_early_requests(self) -> bool:
+        """Whether requests came lately for services with early roles."""
+        now = self.loop_time()
+        return any(
+            meter.has_recent(now)
+            for service, meter in self._demand_meters.items()
+            if self.has_feature(service, features.Feature.EARLY_ROLES)
+        )
+
     def max_connections_to(self, service: model.Service) -> int:
         """Return how many connections this gateway may open per endpoint."""
         return max(2, service.max_connections * 9 // 10 // self.gateway_count)
--- a/tests/role_pools.py
+++ b/tests/role_pools.py
@@ -14,6 +14,7 @@
 from rackpost.decide import role_balance
 from rackpost.decide import role_demand
 from rackpost.decide import role_plan
+from rackpost.decide import role_reports
 from rackpost.decide import token_timing
 from rackpost import types
 
@@ -163,16 +164,26 @@
 class _Gateway:
     """A gateway that has been running for some time without requests."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, is_early: bool) -> None:
+        self._is_early = is_early
+        self._evidence = role_reports.EvidenceReports()
         self.meter = role_balance.DemandMeter(started_at=-15.0)
         self._timing = token_timing.TokenTiming()
         self._first_at = math.inf
         self._next_report = rng.random()
+        self._next_check = self._next_report % role_reports.CHECK_INTERVAL_S
         self._report(-1.0)
 
     def _report(self, now: float) -> None:
         found = self.meter.demand(SERVICE, now, self._timing, with_recent=True)
         self.report = (now, found)
+        self._evidence.record(**self._known(now))
+
+    def _known(self, now: float) -> dict[str, bool]:
+        return {
+            "has_requests": self.meter.has_recent(now),
+            "knows_times": self._timing.is_known,
+        }
 
     def add(self, req: _Request) -> None:
         """Count a request."""
@@ -180,13 +191,16 @@
         self.meter.add(**req._asdict())
 
     def advance(self, now: float) -> None:
-        """Report once a second."""
-        if now < self._next_report:
-            return
-        self._next_report += 1.0
+        """Report once a second, and early on new evidence."""
         if not self._timing.is_known and now > self._first_at + _FIRST_TIMES_S:
             self._timing = known_token_timing()
-        self._report(now)
+        if now >= self._next_report:
+            self._next_report += 1.0
+            self._report(now)
+        if self._is_early and now >= self._next_check:
+            self._next_check += role_reports.CHECK_INTERVAL_S
+            if self._evidence.due(**self._known(now)):
+                self._report(now)
 
 
 class _Site:
@@ -274,7 +288,8 @@
     rng = random.Random(seed)
     arrivals = collections.deque(_arrivals(load, rng))
     requests = len(arrivals)
-    gateways = [_Gateway(rng) for _ in range(_GATEWAYS)]
+    is_early = isinstance(way, PlannedWay)
+    gateways = [_Gateway(rng, is_early) for _ in range(_GATEWAYS)]
     site = _Site()
     orders: list[tuple[float, types.Role, int]] = []
     for tick in range(int(SECONDS / _STEP_S)):
