--- a/rackpost/decide/role_demand.py
+++ b/rackpost/decide/role_demand.py
@@ -25,10 +25,9 @@
 MIN_REQUESTS = 10
 # Shortest time over which a rate is computed.
 _MIN_COUNTED_S = 0.5
-# Peaks fall to 1/e in this time: they outlast the pause between two bursts
-# and a change of role there and back, and a mix of requests that has ended is
-# forgotten within two minutes.
-_PEAK_DECAY_S = 30.0
+# Peaks fall to 1/e in this time: they outlast a mix that takes turns with
+# another one, and a mix that has ended is forgotten within some minutes.
+_PEAK_DECAY_S = 45.0
 
 
 class RecentWork(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/rackpost/decide/role_plan.py
+++ b/rackpost/decide/role_plan.py
@@ -53,10 +53,10 @@
 # this over the number of endpoints.  A reversal must pay for two changes.
 _GAIN = 0.8
 _REVERSAL_GAIN = 3.0
-# Each endpoint must lower it by at least this share of what its own pool loses
-# of its capacity, times the ratio of the utilisation of that pool to that of
-# the other: the mix may shift back, and a small pool is soon too small.
-_LOSS_SHARE = 0.3
+# Each endpoint must lower it by what its own pool loses of its capacity, times
+# the share that the loss of one more endpoint would take there, times the ratio
+# of the utilisation of that pool to that of the other, times this.
+_LOSS_WEIGHT = 1.75
 # One in this many endpoints may change its role at a time.
 _ENDPOINTS_PER_CHANGE = 5
 # After a loss or return of more than one in this many endpoints at a time,
@@ -282,7 +282,7 @@
                 _moved(pools, role, count), role
             )
             left = donors - count
-            loss = _LOSS_SHARE / left * donor / taker
+            loss = _LOSS_WEIGHT / left**2 * donor / taker
             if busier * (1.0 + loss) >= best:
                 break
             if not self._survives_loss(left, role, taker):
