--- a/rackpost/decide/role_demand.py
+++ b/rackpost/decide/role_demand.py
@@ -1,7 +1,7 @@
 """Measure what the newest requests demand of each role of endpoint.
 
 Gateways report the work of their newest requests and the token times that
-they observe; a coordinator adds the reports up.  Token times are a median
+they observe; a coordinator adds the reports up.  Token times are a quantile
 over the gateways, so a gateway that has none yet counts from its first
 request, and one that saw only slow starts does not distort the sum.
 
@@ -68,7 +68,11 @@
 
 
 def _token_times(reports: Sequence[WorkReport]) -> tuple[float, float] | None:
-    """Return the median token times; None if no gateway knows both."""
+    """Return the token times; None if no gateway knows both.
+
+    Most gateways have seen only a few prefills at first, and delays only ever
+    make one too slow: the prefill time is the lower quartile.
+    """
     known = [
         item.work
         for item in reports
@@ -76,8 +80,9 @@
     ]
     if not known:
         return None
+    prefills = sorted(item.prefill_token_s for item in known)
     return (
-        statistics.median(item.prefill_token_s for item in known),
+        prefills[len(prefills) // 4],
         statistics.median(item.decode_token_s for item in known),
     )
 
--- a/tests/test_early_roles.py
+++ b/tests/test_early_roles.py
@@ -14,6 +14,7 @@
 from rackpost.http1 import message
 from rackpost.http1 import server
 from rackpost import logs
+from rackpost import types
 from tests import test_roles
 
 _RECENT = role_demand.RecentWork(
@@ -41,10 +42,15 @@
     """An endpoint that may say that an order is in progress."""
 
     is_busy = False
+    # Takes an order without an answer.
+    is_mute = False
 
     async def handle_order(
         self, req: message.Request, responder: server.Responder
     ) -> None:
+        if self.is_mute and req.method == b"POST":
+            self.orders.append(json.loads(req.body))
+            await asyncio.sleep(5.0)
         if not self.is_busy:
             await super().handle_order(req, responder)
             return
@@ -89,9 +95,15 @@
         is_early: bool,
         demand: role_balance.Demand,
         busy: int = 0,
+        mute: int = 0,
+        leaving: int = 0,
         outcomes: int = 0,
     ) -> None:
-        """Run until as many outcomes, and for 40 rounds after them."""
+        """Run until as many outcomes, and for 40 rounds after them.
+
+        The first endpoints say that they are busy, or answer no order; or
+        they leave after the outcomes.
+        """
         stages = ["prefill"] * 7 + ["decode"] * 3
         group = [
             _Endpoint(ident=f"e{number}", stage=stage)
@@ -99,6 +111,8 @@
         ]
         for one in group[:busy]:
             one.is_busy = True
+        for one in group[:mute]:
+            one.is_mute = True
         async with test_roles.leading_coordinator(root, group) as (
             running,
             send_heartbeats,
@@ -114,6 +128,9 @@
             async with asyncio.timeout(20.0):
                 while len(self.outcomes) < outcomes:
                     await report()
+                for one in group[:leaving]:
+                    running.directory.table.drop(types.EndpointId(one.ident))
+                    group.remove(one)
                 end = self.rounds + 40
                 while self.rounds < end:
                     await report()
@@ -160,3 +177,42 @@
     )
     assert play.outcomes[0] == "refused"
     assert not play.ordered and not play.changing
+
+
+def test_a_leader_that_died_between_two_orders_is_followed_by_one_order(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Of the two changes of one plan the first had been ordered."""
+    play = _Play(monkeypatch)
+    asyncio.run(
+        play.run(tmp_path, is_early=True, demand=_UNKNOWN, busy=1, outcomes=2)
+    )
+    assert sorted(play.outcomes) == ["is changing already", "taken"]
+    assert play.ordered == {"e1"}
+    assert play.changing == {"e0", "e1"}
+
+
+def test_an_order_without_an_answer_is_not_given_to_another_endpoint(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It may still take effect."""
+    play = _Play(monkeypatch)
+    asyncio.run(
+        play.run(tmp_path, is_early=True, demand=_UNKNOWN, mute=1, outcomes=2)
+    )
+    assert sorted(play.outcomes) == ["not answered", "taken"]
+    assert play.ordered == play.changing == {"e0", "e1"}
+
+
+def test_an_endpoint_that_leaves_while_changing_is_not_replaced_at_once(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It may restart; the pool that gave it gives no other meanwhile."""
+    play = _Play(monkeypatch)
+    asyncio.run(
+        play.run(
+            tmp_path, is_early=True, demand=_UNKNOWN, leaving=1, outcomes=2
+        )
+    )
+    assert play.ordered == {"e1"}
+    assert play.changing == {"e1"}
--- a/tests/test_role_plan.py
+++ b/tests/test_role_plan.py
@@ -2,6 +2,8 @@
 
 import math
 
+import msgspec
+
 from rackpost.decide import role_balance
 from rackpost.decide import role_demand
 from rackpost.decide import role_plan
@@ -215,6 +217,17 @@
     assert history.current.requests == 20
 
 
+def test_slow_first_prefills_do_not_hide_long_answers() -> None:
+    """Half of the gateways saw a first prefill take twice the usual time."""
+    planner = role_plan.RolePlanner()
+    usual = _work(20, prefill_s=1.0, decode_s=4.5)
+    slow = msgspec.structs.replace(usual, prefill_token_s=0.002)
+    found = _plan_until(planner, _pools(7, 12), usual, slow, usual, slow)
+    assert found is not None
+    assert (found[1].role, found[1].changes) == (DECODE, 2)
+    assert math.isclose(planner.history.current.prefill, 2.0)
+
+
 def test_the_time_before_the_first_request_does_not_count() -> None:
     """Guards against a demand that is small because it is new."""
     history = role_demand.DemandHistory()
