--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -13,6 +13,7 @@
 
 from rackpost.control import node as node_mod
 from rackpost.coordinator import directory as directory_mod
+from rackpost.coordinator import role_logs
 from rackpost.coordinator import role_orders
 from rackpost.decide import eligibility
 from rackpost.decide import features
@@ -111,6 +112,7 @@
         self._not_before: dict[types.ServiceName, float] = {}
         # The services whose roles change on first evidence.
         self._planners: dict[types.ServiceName, role_plan.RolePlanner] = {}
+        self._demand_log = role_logs.DemandLog()
 
     @property
     def changing(self) -> tuple[types.EndpointId, ...]:
@@ -269,6 +271,7 @@
             if item.service == service
         ]
         plan = planner.plan(now, pools, changing)
+        self._demand_log.record(now, service, planner.history, pools)
         if (
             plan is None
             or now < self._may_order_at
