--- a/tests/test_role_limits.py
+++ b/tests/test_role_limits.py
@@ -33,10 +33,12 @@
         self.smallest = min(prefill, decode)
         self._changes: list[tuple[float, types.Role]] = []
 
-    def check(self, now: float, mix: _Mix) -> role_plan.Plan | None:
+    def check(
+        self, now: float, mix: _Mix, requests: int = 60
+    ) -> role_plan.Plan | None:
         """Record the demand of 2 s, and make the changes that are planned."""
         work = role_demand.RecentWork(
-            requests=60,
+            requests=requests,
             prompt_tokens=int(2000 * mix.prefill),
             decode_tokens=200.0 * mix.decode,
             oldest_s=2.0,
@@ -240,3 +242,40 @@
         found = role_pools.play(load, role_pools.PlannedWay(), seed=seed)
         assert found.reversals == 0
         assert found.orders <= 3
+
+
+@hypothesis.settings(max_examples=300, deadline=None)
+@hypothesis.given(
+    prefill=strategies.integers(2, 24),
+    decode=strategies.integers(4, 24),
+    mix=_MIXES,
+)
+@hypothesis.example(prefill=3, decode=10, mix=_Mix(0.1, 40.0))
+@hypothesis.example(prefill=6, decode=4, mix=_Mix(4.0, 6.0))
+def test_the_giving_pool_can_lose_an_endpoint(
+    prefill: int, decode: int, mix: _Mix
+) -> None:
+    """Its peak then fits, or is no larger for it than for the other."""
+    fleet = _Fleet(prefill, decode)
+    fleet.check(0.0, mix)
+    found = fleet.check(0.5, mix)
+    if found is None:
+        return
+    left, work, other = fleet.prefill, mix.prefill, mix.decode / fleet.decode
+    if found.role is PREFILL:
+        left, work = fleet.decode, mix.decode
+        other = mix.prefill / 0.7 / fleet.prefill
+    assert left >= 2
+    assert work <= max(1.0, other) * (left - 1) * 1.01
+
+
+def test_few_requests_move_fewer_endpoints() -> None:
+    """The same mix from 10 requests and from 120."""
+    given = []
+    for requests in (10, 120):
+        fleet = _Fleet(7, 12)
+        for tick in range(2):
+            found = fleet.check(tick * _CHECK_S, _Mix(2.0, 9.0), requests)
+        assert found is not None
+        given.append(found.changes)
+    assert given == [1, 2]
