--- a/rackpost/decide/role_demand.py
+++ b/rackpost/decide/role_demand.py
@@ -23,6 +23,9 @@
 _MEAN_S = 2.0
 # Fewest requests that show a mix.
 MIN_REQUESTS = 10
+# Demands over less than this are of the first requests: they are no peak that
+# lasts, since their level and their token times are inaccurate.
+_MIN_PEAK_S = 0.9 * RECENT_S
 # Shortest time over which a rate is computed.
 _MIN_COUNTED_S = 0.5
 # Peaks fall to 1/e in this time: they outlast a mix that takes turns with
@@ -108,6 +111,10 @@
         # Decaying maximum of each pool's demand; `requests` is the largest
         # number of requests from which a demand was computed.
         self.peak = NO_DEMAND
+        # The part of it that lasts.
+        self._lasting = NO_DEMAND
+        # Whether the last demand recorded is over long enough for it.
+        self._lasts = False
         self._recorded_at: float | None = None
         # The demands recorded within `_MEAN_S`.
         self._newest: collections.deque[tuple[float, PoolDemand]] = (
@@ -119,6 +126,7 @@
         requests = sum(item.work.requests for item in reports)
         times = _token_times(reports)
         self.current = NO_DEMAND
+        counted_s = 0.0
         if times is not None and requests >= MIN_REQUESTS:
             counted_s = _counted_s(now, reports)
             tokens = sum(item.work.prompt_tokens for item in reports)
@@ -128,20 +136,29 @@
                 decode=made * times[1] / counted_s,
                 requests=requests,
             )
-        self._update_peak(now)
+        self._update_peak(now, lasts=counted_s >= _MIN_PEAK_S)
 
-    def _update_peak(self, now: float) -> None:
+    def _update_peak(self, now: float, *, lasts: bool) -> None:
         passed_s = 0.0
         if self._recorded_at is not None:
             passed_s = now - self._recorded_at
         kept = math.exp(-passed_s / _PEAK_DECAY_S)
         self._recorded_at = now
+        if lasts and not self._lasts:
+            self._newest.clear()
+        self._lasts = lasts
         mean = self._mean(now)
+        kept_peak = PoolDemand(
+            prefill=kept * self._lasting.prefill,
+            decode=kept * self._lasting.decode,
+            requests=self._lasting.requests,
+        )
         self.peak = PoolDemand(
-            prefill=max(mean.prefill, kept * self.peak.prefill),
-            decode=max(mean.decode, kept * self.peak.decode),
-            requests=max(self.current.requests, self.peak.requests),
+            prefill=max(mean.prefill, kept_peak.prefill),
+            decode=max(mean.decode, kept_peak.decode),
+            requests=max(self.current.requests, kept_peak.requests),
         )
+        self._lasting = self.peak if lasts else kept_peak
 
     def _mean(self, now: float) -> PoolDemand:
         """Return the mean of the newest demands that show a mix."""
--- a/tests/test_role_plan.py
+++ b/tests/test_role_plan.py
@@ -286,3 +286,16 @@
     assert found.recent.decode_tokens == 100.0
     assert found.recent.oldest_s == 1.0
     assert found.decode == off.decode
+
+
+def test_the_first_requests_are_no_peak_that_lasts() -> None:
+    """Guards against a demand for prefill that first prefills inflate."""
+    planner = role_plan.RolePlanner()
+    first = _work(11, prefill_s=1.7, decode_s=3.5, oldest_s=0.7)
+    _record(planner, 0.7, first)
+    assert math.isclose(planner.history.peak.prefill, 1.7 / 0.7)
+    usual = _work(40, prefill_s=2.0, decode_s=9.0)
+    for tick in range(6):
+        _record(planner, 1.2 + 0.5 * tick, usual)
+    assert math.isclose(planner.history.peak.prefill, 1.0)
+    assert math.isclose(planner.history.peak.decode, 4.5)
