--- a/rackpost/decide/role_plan.py
+++ b/rackpost/decide/role_plan.py
@@ -270,21 +270,23 @@
         total = pools.prefill + pools.decode
         room = max(1, total // _ENDPOINTS_PER_CHANGE) - len(changing)
         room = min(room, self._most_donors(pools, role))
-        count, planned = self._best_count(settled, role, room)
-        if count == 0 or planned * self._min_gain(role, pools) >= utilisation:
+        # Both with the endpoints that are there and with those that may come
+        # back: these may also have changed their role.
+        count = self._best_count(pools, role, room)
+        count = self._best_count(settled, role, count)
+        if count == 0:
             return None
-        donor, taker, _ = self._expected_utilisation(
-            _moved(pools, role, count), role
+        *_, planned = self._expected_utilisation(
+            _moved(settled, role, count), role
         )
-        if donor > max(1.0, taker):
-            # The giving pool has lost endpoints.
+        if planned * self._min_gain(role, pools) >= utilisation:
             return None
         return Plan(role, count, demand, utilisation, planned)
 
     def _best_count(
         self, pools: role_balance.Pools, role: types.Role, room: int
-    ) -> tuple[int, float]:
-        """Return how many endpoints to change, and the utilisation then.
+    ) -> int:
+        """Return how many endpoints to change.
 
         `room` is the largest number.  Of the divisions in reach it is the one
         that serves the largest multiple of the peak, the uncertainty counted
@@ -304,7 +306,7 @@
             if not self._survives_loss(left, role, taker):
                 break
             best, found = busier, count
-        return found, best
+        return found
 
     def _survives_loss(
         self, left: int, role: types.Role, taker: float
--- a/tests/test_role_limits.py
+++ b/tests/test_role_limits.py
@@ -279,3 +279,27 @@
         assert found is not None
         given.append(found.changes)
     assert given == [1, 2]
+
+
+def test_an_order_of_a_former_leader_is_not_counted_as_a_loss() -> None:
+    """Two changes that a former leader ordered come into effect.
+
+    The pool that gave them counted as larger than it is, and gave one more.
+    """
+    planner = role_plan.RolePlanner()
+    work = role_demand.RecentWork(
+        requests=60,
+        prompt_tokens=5020,
+        decode_tokens=2062.0,
+        oldest_s=2.0,
+        prefill_token_s=0.001,
+        decode_token_s=0.01,
+    )
+    for tick in range(10):
+        now = _CHECK_S * tick
+        planner.history.record(now, [role_demand.WorkReport(now, work)])
+        prefill, decode = (7, 11) if tick < 3 else (5, 13)
+        pools = role_balance.Pools(prefill=prefill, decode=decode)
+        found = planner.plan(now, pools)
+        if tick >= 3:
+            assert found is None
