--- a/rackpost/decide/role_demand.py
+++ b/rackpost/decide/role_demand.py
@@ -74,7 +74,7 @@
     """Return the token times; None if no gateway knows both.
 
     Most gateways have seen only a few prefills at first, and delays only ever
-    make one too slow: the prefill time is the lower decile.
+    make one too slow: the prefill time is the lower quartile.
     """
     known = [
         item.work
@@ -85,7 +85,7 @@
         return None
     prefills = sorted(item.prefill_token_s for item in known)
     return (
-        prefills[len(prefills) // 10],
+        prefills[len(prefills) // 4],
         statistics.median(item.decode_token_s for item in known),
     )
 
