--- a/rackpost/coordinator/roles.py
+++ b/rackpost/coordinator/roles.py
@@ -13,6 +13,7 @@
 
 from rackpost.control import node as node_mod
 from rackpost.coordinator import directory as directory_mod
+from rackpost.coordinator import role_logs
 from rackpost.coordinator import role_orders
 from rackpost.decide import eligibility
 from rackpost.decide import features
@@ -111,6 +112,7 @@
         self._not_before: dict[types.ServiceName, float] = {}
         # The services whose roles change on first evidence.
         self._planners: dict[types.ServiceName, role_plan.RolePlanner] = {}
+        self._demand_log = role_logs.DemandLog()
 
     @property
     def changing(self) -> tuple[types.EndpointId, ...]:
@@ -269,6 +271,7 @@
             if item.service == service
         ]
         plan = planner.plan(now, pools, changing)
+        self._demand_log.record(now, service, planner.history, pools)
         if (
             plan is None
             or now < self._may_order_at
@@ -278,8 +281,9 @@
         order = _Order(
             service, plan.role, plan.changes, pools, plan.demand[:2]
         )
-        if await self._order_changes(order, members):
-            planner.record_order(plan.role)
+        ordered = await self._order_changes(order, members)
+        if ordered:
+            planner.record_order(now, plan.role, ordered)
 
     def _may_change(
         self,
@@ -358,8 +362,8 @@
 
     async def _order_changes(
         self, order: _Order, members: list[endpoints.Endpoint]
-    ) -> bool:
-        """Order endpoints to take a role; return whether any changes."""
+    ) -> int:
+        """Order endpoints to take a role; return how many change."""
         chosen = self._candidates(order.role, members)
         if order.service in self._planners:
             chosen = role_plan.spread(chosen)
@@ -367,11 +371,11 @@
         # A successor waits for longer than one lease from here.
         until = self._loop.time() + self._lease_s
         if not chosen or not await self._is_still_holder():
-            return False
+            return 0
         await asyncio.gather(
             *(self._order_change(order, item, until) for item in chosen)
         )
-        return any(item.id in self._changes for item in chosen)
+        return sum(1 for item in chosen if item.id in self._changes)
 
     async def _order_change(
         self, order: _Order, endpoint: endpoints.Endpoint, until: float
--- a/tests/role_pools.py
+++ b/tests/role_pools.py
@@ -14,6 +14,7 @@
 from rackpost.decide import role_balance
 from rackpost.decide import role_demand
 from rackpost.decide import role_plan
+from rackpost.decide import role_reports
 from rackpost.decide import token_timing
 from rackpost import types
 
@@ -31,12 +32,21 @@
 _LONG_PROMPTS, _LONG_ANSWERS = (9000.0, 500.0), (3000.0, 1600.0)
 
 
+class Loss(NamedTuple):
+    """A share of the endpoints of each role is lost for a time."""
+
+    at: float
+    until: float
+    share: float
+
+
 class Load(NamedTuple):
     """A load: the request rate and the kind of requests at a time."""
 
     name: str
     rate: Callable[[float], float]
     kind: Callable[[float], Kind] = lambda now: _USUAL
+    loss: Loss = Loss(math.inf, math.inf, 0.0)
 
 
 # Times of the gateways' reports, and what they said.
@@ -98,7 +108,7 @@
         self.planner.history.record(view.now, works)
         plan = self.planner.plan(*view[:3])
         if plan is not None:
-            self.planner.record_order(plan.role)
+            self.planner.record_order(view.now, plan.role, plan.changes)
         return plan and (plan.role, plan.changes)
 
 
@@ -163,16 +173,26 @@
 class _Gateway:
     """A gateway that has been running for some time without requests."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, is_early: bool) -> None:
+        self._is_early = is_early
+        self._evidence = role_reports.EvidenceReports()
         self.meter = role_balance.DemandMeter(started_at=-15.0)
         self._timing = token_timing.TokenTiming()
         self._first_at = math.inf
         self._next_report = rng.random()
+        self._next_check = self._next_report % role_reports.CHECK_INTERVAL_S
         self._report(-1.0)
 
     def _report(self, now: float) -> None:
         found = self.meter.demand(SERVICE, now, self._timing, with_recent=True)
         self.report = (now, found)
+        self._evidence.record(**self._known(now))
+
+    def _known(self, now: float) -> dict[str, bool]:
+        return {
+            "has_requests": self.meter.has_recent(now),
+            "knows_times": self._timing.is_known,
+        }
 
     def add(self, req: _Request) -> None:
         """Count a request."""
@@ -180,13 +200,16 @@
         self.meter.add(**req._asdict())
 
     def advance(self, now: float) -> None:
-        """Report once a second."""
-        if now < self._next_report:
-            return
-        self._next_report += 1.0
+        """Report once a second, and early on new evidence."""
         if not self._timing.is_known and now > self._first_at + _FIRST_TIMES_S:
             self._timing = known_token_timing()
-        self._report(now)
+        if now >= self._next_report:
+            self._next_report += 1.0
+            self._report(now)
+        if self._is_early and now >= self._next_check:
+            self._next_check += role_reports.CHECK_INTERVAL_S
+            if self._evidence.due(**self._known(now)):
+                self._report(now)
 
 
 class _Site:
@@ -195,6 +218,7 @@
     def __init__(self) -> None:
         roles = [PREFILL] * 7 + [DECODE] * 12
         self.endpoints = [_Endpoint(role) for role in roles]
+        self._lost: list[_Endpoint] = []
         self.waiting: collections.deque[_Request] = collections.deque()
         self.unserved, self.late, self.lost_s = 0, 0, 0.0
 
@@ -210,6 +234,19 @@
             self.unserved += is_over
             self.waiting.popleft()
 
+    def lose(self, now: float, loss: Loss) -> None:
+        """Lose endpoints, or let them restart in their role."""
+        if self._lost and now >= loss.until:
+            self.endpoints += [_Endpoint(item.role) for item in self._lost]
+            self._lost = []
+        elif loss.at <= now < loss.until and not self._lost:
+            for role in (PREFILL, DECODE):
+                group = [item for item in self.endpoints if item.role is role]
+                self._lost += group[: math.ceil(loss.share * len(group))]
+            self.endpoints = [
+                item for item in self.endpoints if item not in self._lost
+            ]
+
     def _in_role(self, role: types.Role) -> list[_Endpoint]:
         found = (item for item in self.endpoints if item.role is role)
         return [item for item in found if item.new_role is None]
@@ -274,7 +311,8 @@
     rng = random.Random(seed)
     arrivals = collections.deque(_arrivals(load, rng))
     requests = len(arrivals)
-    gateways = [_Gateway(rng) for _ in range(_GATEWAYS)]
+    is_early = isinstance(way, PlannedWay)
+    gateways = [_Gateway(rng, is_early) for _ in range(_GATEWAYS)]
     site = _Site()
     orders: list[tuple[float, types.Role, int]] = []
     for tick in range(int(SECONDS / _STEP_S)):
@@ -285,6 +323,7 @@
             site.waiting.append(req)
         for gateway in gateways:
             gateway.advance(now)
+        site.lose(now, load.loss)
         site.advance(now)
         if tick % int(_CHECK_S / _STEP_S) == 0:
             found = way(site.view(now, [item.report for item in gateways]))
@@ -332,6 +371,7 @@
     Load("mix shifts for good", lambda now: 19.0, _shifted_once),
     Load("idle", lambda now: 2.0),
 )
+LOADS_BY_NAME = {item.name: item for item in LOADS}
 WAYS: dict[str, Callable[[], Way]] = {
     "no changes": lambda: lambda view: None,
     "standing": StandingWay,
--- a/tests/test_role_plan.py
+++ b/tests/test_role_plan.py
@@ -2,6 +2,8 @@
 
 import math
 
+import msgspec
+
 from rackpost.decide import role_balance
 from rackpost.decide import role_demand
 from rackpost.decide import role_plan
@@ -10,7 +12,7 @@
 from tests import role_pools
 
 PREFILL, DECODE = types.Role.PREFILL, types.Role.DECODE
-_LOADS = {item.name: item for item in role_pools.LOADS}
+_LOADS = role_pools.LOADS_BY_NAME
 _SEEDS = range(6)
 
 
@@ -177,14 +179,14 @@
 
 def test_the_other_direction_needs_a_lasting_imbalance() -> None:
     planner = role_plan.RolePlanner()
-    planner.record_order(DECODE)
+    planner.record_order(0.0, DECODE)
     moderate = (_work(20, prefill_s=2.1, decode_s=3.0),) * 2
     found = _plan_until(planner, _pools(4, 15), *moderate)
     assert found is not None and found[1].role is PREFILL
     assert found[0] >= 6.0
     # A pool that is overloaded now is not left so.
     planner = role_plan.RolePlanner()
-    planner.record_order(DECODE)
+    planner.record_order(0.0, DECODE)
     found = _plan_until(
         planner, _pools(4, 15), *_LONG_PROMPTS, changing=(DECODE,)
     )
@@ -215,6 +217,17 @@
     assert history.current.requests == 20
 
 
+def test_slow_first_prefills_do_not_hide_long_answers() -> None:
+    """Half of the gateways saw a first prefill take twice the usual time."""
+    planner = role_plan.RolePlanner()
+    usual = _work(20, prefill_s=1.0, decode_s=4.5)
+    slow = msgspec.structs.replace(usual, prefill_token_s=0.002)
+    found = _plan_until(planner, _pools(7, 12), usual, slow, usual, slow)
+    assert found is not None
+    assert (found[1].role, found[1].changes) == (DECODE, 2)
+    assert math.isclose(planner.history.current.prefill, 2.0)
+
+
 def test_the_time_before_the_first_request_does_not_count() -> None:
     """Guards against a demand that is small because it is new."""
     history = role_demand.DemandHistory()
@@ -240,7 +253,7 @@
 
 def test_a_former_leader_forgets_its_orders() -> None:
     planner = role_plan.RolePlanner()
-    planner.record_order(PREFILL)
+    planner.record_order(0.0, PREFILL)
     planner.forget_orders()
     found = _plan_until(planner, _pools(7, 12), *_LONG_ANSWERS)
     assert found is not None and found[0] == 0.5
@@ -273,3 +286,16 @@
     assert found.recent.decode_tokens == 100.0
     assert found.recent.oldest_s == 1.0
     assert found.decode == off.decode
+
+
+def test_the_first_requests_are_no_peak_that_lasts() -> None:
+    """Guards against a demand for prefill that first prefills inflate."""
+    planner = role_plan.RolePlanner()
+    first = _work(11, prefill_s=1.7, decode_s=3.5, oldest_s=0.7)
+    _record(planner, 0.7, first)
+    assert math.isclose(planner.history.peak.prefill, 1.7 / 0.7)
+    usual = _work(40, prefill_s=2.0, decode_s=9.0)
+    for tick in range(6):
+        _record(planner, 1.2 + 0.5 * tick, usual)
+    assert math.isclose(planner.history.peak.prefill, 1.0)
+    assert math.isclose(planner.history.peak.decode, 4.5)
