Set capacity aside at the decode endpoint before a prefill

Change, with Feature.DECODE_HOLDS (held back): the gateway takes a lease at the endpoint before the prefill where the endpoint is more than 0.6 reserved or has rejected something lately, and sends the request with it. Without room the request returns to its place in the queue. Slow prefills are given up by what their request still has, and none begins whose client or gateway will have left before the first event.

Calls count neither as arrivals nor as probes. With the feature off nothing is called.

--- a/rackpost/decide/endpoint_health.py
+++ b/rackpost/decide/endpoint_health.py
@@ -135,6 +135,16 @@
         full_s = _MIN_FULL_S * 2 ** (record.rejections_in_row - 1)
         record.full_until = now + min(full_s, _MAX_FULL_S)
 
+    def record_no_room(self, endpoint: types.EndpointId, now: float) -> None:
+        """Record that the endpoint could not set capacity aside.
+
+        Nothing was prefilled for it, so that it may be asked again soon, and
+        other gateways are not told: a smaller request may have room.
+        """
+        record = self._record(endpoint)
+        record.rejected_at = now
+        record.full_until = max(record.full_until, now + _MIN_FULL_S)
+
     def record_reported_full(
         self, endpoint: types.EndpointId, now: float
     ) -> None:
--- a/rackpost/decide/features.py
+++ b/rackpost/decide/features.py
@@ -50,7 +50,7 @@
     # Load reports hold what has changed, within a share of the VM's link.
     LOAD_DELTAS = "load-deltas"
     # Capacity is set aside at the decode endpoint before a prompt is
-    # prefilled.
+    # prefilled; slow prefills are given up by what their request has left.
     DECODE_HOLDS = "decode-holds"
 
 
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -15,9 +15,12 @@
 from rackpost import exceptions
 from rackpost.gateway import attempt
 from rackpost.gateway import call as call_mod
+from rackpost.gateway import decode_hold
+from rackpost.gateway import demand_record
 from rackpost.gateway import forward
 from rackpost.gateway import prefill
 from rackpost.gateway import reservation as reservation_mod
+from rackpost.gateway import slow_prefill
 from rackpost.gateway import stream_pace
 from rackpost.gateway import stream_times
 from rackpost.platform import headers
@@ -27,12 +30,14 @@
 
 # A refusal is sent this long before the client would leave, in seconds.
 _REFUSAL_LEAD_S = 0.1
-# Average share of an answer's tokens for which memory is held while it is
-# generated: half would be used, and the rest is reserved.
-_AVERAGE_HELD_SHARE = 0.75
 # Times that a request is resumed at the endpoint where its connection broke;
 # another break there means that the endpoint is unhealthy.
 _MAX_RESUMES = 2
+# Ends of attempts after which the endpoint has not used a lease.
+_NOT_RUN = (
+    retry_decision.AttemptEnd.NOT_SENT,
+    retry_decision.AttemptEnd.NOT_RUN,
+)
 # Events after which a running stream counts for the decode timing, while no
 # stream has ended yet.
 _TIMING_EVENTS = 4
@@ -75,7 +80,10 @@
         # that the request was resumed at such an endpoint.
         self._broken_endpoint: endpoints.Endpoint | None = None
         self._resumes = 0
+        self._met_slow_hold = False
         self._progress = self._new_progress()
+        # The request as it was when its capacity was asked for.
+        self._reserved = self._waiting_request()
 
     def _new_progress(self) -> kv_forecast.Progress:
         return kv_forecast.Progress(
@@ -90,7 +98,12 @@
 
     async def run(self) -> None:
         """Answer the request."""
-        self._record_demand()
+        demand_record.record(
+            self._call,
+            self._engine,
+            prompt=self._prompt_tokens,
+            out=self._progress.run.remaining_tokens,
+        )
         try:
             await self._run()
         except asyncio.CancelledError:
@@ -214,23 +227,10 @@
                 self._prompt_tokens, site.loop_time() - reservation.reserved_at
             )
 
-    def _record_demand(self) -> None:
-        """Count what the request demands of each role of endpoint."""
-        site = self._call.site
-        out = self._progress.run.remaining_tokens
-        # More memory is reserved than a run holds on average.
-        held_tokens = self._prompt_tokens + _AVERAGE_HELD_SHARE * out
-        share = max(
-            held_tokens / max(1, self._engine.memory_tokens),
-            1.0 / max(1, self._engine.slots),
-        )
-        site.demand_meter(self._call.service.name).add(
-            self._call.began, prompt=self._prompt_tokens, out=out, share=share
-        )
-
     def _reservation_request(self) -> reservation_mod.ReservationRequest:
         call = self._call
         self._held_prompt = self._holds_prompt()
+        self._reserved = self._waiting_request()
         return reservation_mod.ReservationRequest(
             service=call.service.name,
             memory_tokens=self._engine.memory_tokens,
@@ -242,7 +242,7 @@
             in_place=self._in_place,
             large_reservations=self._reserves_for_large(),
             request_id=(call.request_id or b"").decode("latin-1"),
-            waiting_request=self._waiting_request(),
+            waiting_request=self._reserved,
         )
 
     def _holds_prompt(self) -> bool:
@@ -304,6 +304,17 @@
         try:
             async with contextlib.AsyncExitStack() as stack:
                 enter = stack.enter_async_context
+                hold = decode_hold.DecodeHold(
+                    call=call,
+                    endpoint=decode,
+                    engine=self._engine,
+                    run=self._progress.run,
+                    met_slow=self._met_slow_hold,
+                )
+                stack.callback(hold.free)
+                if self._splits(reservation) and not await hold.take():
+                    self._met_slow_hold = hold.met_slow
+                    return retry_decision.AttemptEnd.NOT_SENT
                 conn = await enter(attempt.connected(call, decode))
                 # The grant comes first, so that no prompt is prefilled for an
                 # endpoint whose rate is used up.
@@ -312,31 +323,29 @@
                     self._in_place = True
                     return retry_decision.AttemptEnd.NOT_SENT
                 self._in_place = False
+                await hold.renew()
                 began = call.site.loop_time()
                 call.times.record_stage(stream_times.Stage.PREFILLED, began)
+                hold.record_sent()
                 ended = await attempt.run_on_connection(
-                    call, decode, conn, self._prefill_state.headers(), grant
+                    call,
+                    decode,
+                    conn,
+                    self._prefill_state.headers() + hold.headers(),
+                    grant,
                 )
+                if ended in _NOT_RUN:
+                    hold.record_not_run()
         except exceptions.ExchangeError as exc:
             return attempt.record_not_connected(call, decode, exc)
         if ended is None:
             self._record_answer(call.site.loop_time() - began)
         else:
-            self._record_failed_attempt(ended)
+            self._prefill_state.record_failed_attempt(
+                ended, keeps=self._reserves_for_large()
+            )
         return ended
 
-    def _record_failed_attempt(self, ended: retry_decision.AttemptEnd) -> None:
-        """Keep or free the KV cache after an attempt without an answer."""
-        state = self._prefill_state
-        if ended is retry_decision.AttemptEnd.NOT_RUN:
-            state.record_rejected(keeps=self._reserves_for_large())
-        elif ended is retry_decision.AttemptEnd.BROKEN:
-            # The endpoint may have fetched it, and go on with it.
-            state.record_started()
-            state.release(prefill.VainReason.ENDPOINT_LOST)
-        elif ended is retry_decision.AttemptEnd.FAILED:
-            state.release(prefill.VainReason.DECODE_FAILED)
-
     def _record_answer(self, took_s: float) -> None:
         """Learn from a complete answer."""
         site = self._call.site
@@ -347,6 +356,15 @@
             guess=self._expected_tokens, actual=made
         )
 
+    def _splits(self, reservation: reservation_mod.DecodeReservation) -> bool:
+        """Whether a prefill endpoint prefills the prompt, or has done so.
+
+        A prompt that was prefilled may have expired since the reservation.
+        """
+        return self._prompt_tokens > 0 and (
+            reservation.prefill_endpoint is not None or self._held_prompt
+        )
+
     async def _ensure_prefilled(
         self, reservation: reservation_mod.DecodeReservation
     ) -> bool:
@@ -358,11 +376,7 @@
         if self._prefill_state.is_fresh(self._engine):
             return True
         self._prefill_state.release_stale()
-        # A prompt that was prefilled has expired since the reservation.
-        has_expired = self._held_prompt
-        if self._prompt_tokens == 0 or not (
-            reservation.prefill_endpoint or has_expired
-        ):
+        if not self._splits(reservation):
             return True
         await self._prefill(reservation)
         # Release the prefill endpoint, also after a failure.
@@ -383,8 +397,20 @@
                 reservation.prefill_endpoint,
                 self._prompt_tokens,
                 self._prefill_state,
+                self._patience(reservation.reserved_at),
             )
 
+    def _patience(self, reserved_at: float) -> slow_prefill.Patience | None:
+        if not decode_hold.applies(self._call, self._engine):
+            return None
+        return slow_prefill.Patience(
+            call=self._call,
+            prompt=self._prompt_tokens,
+            reserved=self._reserved,
+            reserved_at=reserved_at,
+            present=self._waiting_request,
+        )
+
     def _would_be_interrupted(self) -> bool:
         """Whether a planned stop leaves too little time for the answer."""
         claim = self._waiting_request()
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -3,12 +3,15 @@
 import asyncio
 import contextlib
 import enum
+from typing import Sequence
 
+from rackpost.decide import retry_decision
 from rackpost import exceptions
 from rackpost.gateway import answer_check
 from rackpost.gateway import attempt
 from rackpost.gateway import call as call_mod
 from rackpost.gateway import endpoint_calls
+from rackpost.gateway import slow_prefill
 from rackpost.http1 import message
 from rackpost.platform import headers
 from rackpost.platform import prefill as wire
@@ -129,6 +132,19 @@
         else:
             self.release(VainReason.DECODE_REJECTED)
 
+    def record_failed_attempt(
+        self, ended: retry_decision.AttemptEnd, *, keeps: bool
+    ) -> None:
+        """Keep or free the KV cache after an attempt without an answer."""
+        if ended is retry_decision.AttemptEnd.NOT_RUN:
+            self.record_rejected(keeps=keeps)
+        elif ended is retry_decision.AttemptEnd.BROKEN:
+            # The endpoint may have fetched it, and go on with it.
+            self.record_started()
+            self.release(VainReason.ENDPOINT_LOST)
+        elif ended is retry_decision.AttemptEnd.FAILED:
+            self.release(VainReason.DECODE_FAILED)
+
     def record_started(self) -> None:
         """Record that a decode endpoint has fetched the KV cache."""
         self._fetched = True
@@ -219,10 +235,12 @@
     preferred: endpoints.Endpoint | None,
     prompt: int,
     state: PrefillState,
+    patience: slow_prefill.Patience | None = None,
 ) -> None:
     """Prefill the prompt; without a result the decode endpoint does it.
 
-    `preferred` is tried first; its capacity is reserved already.
+    `preferred` is tried first; its capacity is reserved already.  Without
+    `patience`, slow prefills are given up after a fixed time.
     """
     site = call.site
     tried: list[types.EndpointId] = []
@@ -234,6 +252,8 @@
         if call.quarantine_left_s() > 0.0:
             call.log("Not prefilled.", reason="quarantined")
             return
+        if patience is not None and not patience.may_begin():
+            return
         endpoint = preferred
         if tried or endpoint is None:
             endpoint = site.chooser.choose_prefill(
@@ -246,7 +266,9 @@
         # Counts as a retry until it is known not to be one: all of many
         # concurrent requests may be refused, and those count.
         call.retry_budget.record_retry(now)
-        ended = await _prefill_at(call, endpoint, prompt, counted, state)
+        ended = await _prefill_at(
+            call, endpoint, prompt, counted, state, patience, tried
+        )
         if _costs_no_retry(ended, state):
             call.retry_budget.refund(now)
         if ended is _PrefillEnd.PREFILLED:
@@ -283,6 +305,8 @@
     prompt: int,
     counted: int,
     state: PrefillState,
+    patience: slow_prefill.Patience | None,
+    tried: Sequence[types.EndpointId],
 ) -> _PrefillEnd:
     """Prefill at one endpoint; `counted` tokens are in its load already."""
     site = call.site
@@ -297,7 +321,11 @@
             _counted_load(call, endpoint, prompt - counted),
             site.running_streams.watched(endpoint.id, usual_s, began),
         ):
-            async with asyncio.timeout(timeout_s):
+            async with (
+                asyncio.timeout(timeout_s)
+                if patience is None
+                else patience.limit(endpoint, timeout_s=timeout_s, tried=tried)
+            ):
                 result = await _request_prefill(call, endpoint)
     except (
         exceptions.ExchangeError,
@@ -323,6 +351,9 @@
     )
     site.token_timing.record_prefill(ahead + prompt, took)
     site.health.record_answer(endpoint.id, took, site.loop_time())
+    if patience is not None:
+        # A sign that the endpoint works, for prefills that are slow there.
+        site.loads.record_prefilled(endpoint.id, site.loop_time())
     state.store(endpoint, result)
     if call.sampled:
         call.log(
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -17,6 +17,7 @@
 from rackpost.decide import endpoint_load
 from rackpost.decide import features
 from rackpost.decide import gateway_groups
+from rackpost.decide import holds
 from rackpost.decide.pace import batch_timing
 from rackpost.decide.pace import endpoint_pace
 from rackpost.decide.pace import measured_pace
@@ -167,6 +168,7 @@
         )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
         self.planned_stop = planned_stop.PlannedStop()
+        self.hold_pauses = holds.Pauses()
         self._listed_vms: set[types.VmId] = set()
         # The decisions of the contention order that are on, by service.
         self._decisions: dict[
--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -17,6 +17,8 @@
 ANSWERED_BY = b"x-instance-id"
 STAGE = b"x-serving-stage"
 KV_SOURCE = b"x-kv-source"
+# The id of capacity set aside for the request.
+KV_HOLD = b"x-kv-hold"
 PRIORITY = b"x-request-priority"
 RESUME_AFTER = b"last-event-id"
 # The organisation of a request, where callers have keys.
@@ -48,10 +50,10 @@
         ENDPOINT_ID,
         STAGE,
         KV_SOURCE,
+        KV_HOLD,
         PRIORITY,
         b"x-expect-version",
         b"x-kv-backup",
-        b"x-kv-hold",
         b"x-pin-ms",
         b"kv-fetch",
     )
--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import math
 import random
@@ -21,6 +22,7 @@
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_health
 from rackpost.decide import endpoint_load
+from rackpost.decide import holds
 from rackpost.decide import kv_forecast
 from rackpost.decide.pace import batch_timing
 from rackpost.decide.pace import endpoint_pace
@@ -47,6 +49,8 @@
 _PATIENCE_TARGETS = 4.0
 # Prefill time at a decode endpoint over that at a prefill endpoint.
 _IN_PLACE_SLOWDOWN = 2.0
+# An attempt that ended as the endpoint could not set capacity aside.
+_NO_ROOM = -1.0
 
 
 class Kind(msgspec.Struct, frozen=True, kw_only=True):
@@ -121,6 +125,13 @@
     link_delay_s: float = 0.002
     # Share of the requests with a higher priority.
     urgent_share: float = 0.0
+    # Whether capacity is set aside at decode endpoints before a prefill,
+    # above this share of an endpoint's memory by forecast; None for never.
+    holds_above: float | None = None
+    # Memory set aside for an answer, as a share of its expected length.
+    held_answer: float = 0.5
+    # Without, calls tell whether there is room, and set nothing aside.
+    keeps_holds: bool = True
 
 
 class Tally(msgspec.Struct, kw_only=True):
@@ -171,6 +182,9 @@
     large: int = 0
     large_in_time: int = 0
     large_refused: int = 0
+    # Calls that set capacity aside, and those without room.
+    holds: int = 0
+    holds_refused: int = 0
     # Messages between gateways and the scheduler.
     link_messages: int = 0
     # Of the requests with a higher priority.
@@ -225,6 +239,7 @@
         self._loop = asyncio.get_running_loop()
         self._runs: list[_Stream] = []
         self._preempted: list[_Stream] = []
+        self.held: collections.Counter[int] = collections.Counter()
         # No tokens are generated during a prefill.
         self._prefilling_until = 0.0
 
@@ -232,9 +247,18 @@
     def _used(self) -> int:
         return sum(item.size for item in self._runs)
 
+    def set_aside(self, holder: int, tokens: int) -> bool:
+        """Set memory aside; return False if there is too little."""
+        held = sum(self.held.values())
+        if self._used + held + tokens > self._spec.memory_tokens:
+            return False
+        self.held[holder] = tokens
+        return True
+
     def start(self, stream: _Stream) -> bool:
         """Start a prefilled run; return False if memory is full."""
-        if self._used + stream.size > self._spec.memory_tokens:
+        held = sum(self.held.values())
+        if self._used + held + stream.size > self._spec.memory_tokens:
             return False
         stream.last_at = self._loop.time()
         self._runs.append(stream)
@@ -292,7 +316,9 @@
         stream.on_event()
 
     def _preempt_until_fits(self) -> None:
-        while self._used > self._spec.memory_tokens:
+        # What is set aside does not give way.
+        room = self._spec.memory_tokens - sum(self.held.values())
+        while self._runs and self._used > room:
             newest = self._runs.pop()
             self._preempted.append(newest)
             self._outcome.preempted += 1
@@ -603,6 +629,8 @@
             )
             if retry_after_s is None:
                 return
+            if retry_after_s == _NO_ROOM:
+                continue
             if retry_after_s > 0.0:
                 await asyncio.sleep(retry_after_s)
                 gateway = rng.choice(self._gateways)
@@ -619,7 +647,7 @@
     ) -> float | None:
         """Make one attempt; return when to retry, None if it is over.
 
-        0 if the endpoint rejects it.
+        0 if the endpoint rejects it, _NO_ROOM if it has none to set aside.
         """
         spec = self._spec
         progress = kv_forecast.Progress(
@@ -643,7 +671,11 @@
             if delay_s is None:
                 self.outcome.large_refused += prompt >= spec.large_prompt
             return delay_s
+        engine = self._decode_engines[reservation.endpoint.id]
+        holder = id(reservation)
         try:
+            if not await self._set_aside(gateway, reservation, progress):
+                return _NO_ROOM
             if reservation.prefill_endpoint is not None:
                 await self._prefill(
                     gateway, reservation.prefill_endpoint.id, prompt
@@ -651,7 +683,7 @@
             reservation.record_prefilled()
             stream = _Stream(prompt=prompt, answer=answer, progress=progress)
             clock = self._watch(gateway, reservation.endpoint.id, stream)
-            engine = self._decode_engines[reservation.endpoint.id]
+            del engine.held[holder]
             if not engine.start(stream):
                 self.outcome.wasted += prompt
                 gateway.health.record_rejection(
@@ -661,11 +693,46 @@
             await stream.ended.wait()
             clock.end()
         finally:
+            del engine.held[holder]
             reservation.release()
         gateway.lengths.record_answer(guess=guess, actual=answer)
         self._record_outcome(stream, caller)
         return None
 
+    async def _set_aside(
+        self,
+        gateway: _Gateway,
+        reservation: reservation_mod.DecodeReservation,
+        progress: kv_forecast.Progress,
+    ) -> bool:
+        """Set capacity aside where this is due; return whether to go on."""
+        spec = self._spec
+        key = reservation.endpoint.id
+        runs = gateway.loads.total(key).runs
+        if reservation.prefill_endpoint is None or spec.holds_above is None:
+            return True
+        if kv_forecast.peak_tokens(runs) <= (
+            spec.holds_above * spec.memory_tokens
+        ):
+            return True
+        tokens = holds.terms(
+            progress.run,
+            memory_tokens=spec.memory_tokens,
+            prefill_timeout_s=0.0,
+            max_ttl_s=0.0,
+            answer_share=spec.held_answer,
+        ).tokens
+        await asyncio.sleep(spec.link_delay_s)
+        granted = self._decode_engines[key].set_aside(id(reservation), tokens)
+        await asyncio.sleep(spec.link_delay_s)
+        self.outcome.holds += 1
+        if not spec.keeps_holds:
+            del self._decode_engines[key].held[id(reservation)]
+        if not granted:
+            self.outcome.holds_refused += 1
+            gateway.health.record_no_room(key, self._loop.time())
+        return granted
+
     def _refused(
         self, caller: _Caller, refusal: reservation_mod.NoCapacity
     ) -> float | None:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -170,6 +170,9 @@
         self.requests: list[message.Request] = []
         self.address = ""
         self.answer: Answer = self.default_answer
+        # Calls that set capacity aside or free it, apart from requests.
+        self.hold_calls: list[message.Request] = []
+        self.answer_hold: Answer = self.grant_hold
         # Additional headers of the default answers.
         self.extra_headers: list[message.Header] = []
 
@@ -187,6 +190,15 @@
         else:
             responder.send(200, self._headers(req), b"from " + req.body)
 
+    async def grant_hold(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        """Grant what is asked for; the ids are numbered from 1."""
+        number = sum(item.method == b"POST" for item in self.hold_calls)
+        responder.send(
+            200, [], b'{"hold":"%s-%d"}' % (self.ident.encode(), number)
+        )
+
     async def stream(
         self,
         req: message.Request,
@@ -205,12 +217,14 @@
     async def _handle(
         self, req: message.Request, responder: server.Responder
     ) -> None:
-        self.requests.append(req)
+        is_hold = req.path.startswith(b"/v1/hold-")
+        (self.hold_calls if is_hold else self.requests).append(req)
         expected = message.find(req.headers, b"x-expect-instance")
         if expected not in (None, self.ident.encode()):
             responder.send(421, [], b"")
             return
-        await self.answer(req, responder)
+        answer = self.answer_hold if is_hold else self.answer
+        await answer(req, responder)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["Endpoint"]:
