Compare the shown quarantine with the time that has passed

Cause: test_requests_that_are_held_back_are_shown failed once at a load of 20: the row ended in 3599 in place of 3600, since more than half a second passed between the evidence and the page.

Change: the shown seconds lie between what is left when they are read and the whole quarantine; on a machine that is not busy that is 3600 as before.

--- a/tests/test_site_overview.py
+++ b/tests/test_site_overview.py
@@ -62,6 +62,8 @@
                 )
                 for number in range(3)
             )
+            now = asyncio.get_running_loop().time
+            held_at = now()
             site.coordinator.quarantine.receive(
                 messages.Suspicions(items=items)
             )
@@ -74,7 +76,11 @@
             await asyncio.to_thread(cmd_operator.main, args)
             row = capsys.readouterr().out.splitlines()[1]
             assert row.split()[0] == "ab" * 16
-            assert "e0, e1, e2" in row and row.split()[-1] == "3600"
+            assert "e0, e1, e2" in row
+            # A busy machine takes longer to show it.
+            shown_s = float(row.split()[-1])
+            left_s = quarantine.QUARANTINE_S - (now() - held_at)
+            assert round(left_s) <= shown_s <= quarantine.QUARANTINE_S
 
     asyncio.run(main())
 
