--- a/rackpost/decide/features.py
+++ b/rackpost/decide/features.py
@@ -68,10 +68,7 @@
 _HELD_BACK = frozenset(
     {
         *_CONTENTION,
-        Feature.POOL_SCHEDULER,
         Feature.ENDPOINT_PACE,
-        Feature.EARLY_ROLES,
-        Feature.LOAD_DELTAS,
         Feature.DECODE_HOLDS,
     }
 )
