--- a/rackpost/decide/endpoint_health.py
+++ b/rackpost/decide/endpoint_health.py
@@ -88,7 +88,7 @@
         record.answer_s += _EWMA_WEIGHT * (took_s - record.answer_s)
 
     def _update_validity(self, record: _EndpointHealth, took_s: float) -> None:
-        """Set how long the answer time of a trial counts."""
+        """Set how long an answer time counts that follows a long pause."""
         is_slow = 0.0 < _SLOW_RATIO * record.usual_s < took_s
         record.valid_s = (
             min(2.0 * record.valid_s, _MAX_VALID_S)
