Join the set-up of tests in which one endpoint answers calls differently

Cause: four tests of holds repeated the same 20 lines; two comments were wordy.

Two comments of rackpost/ reworded.

--- a/rackpost/decide/slow_prefill.py
+++ b/rackpost/decide/slow_prefill.py
@@ -1,4 +1,4 @@
-"""Decide whether a slow prefill is given up, and whether one is begun.
+"""Decide whether to give up a slow prefill, and whether to begin one.
 
 A prefill that is given up goes on at its endpoint all the same, and is done
 again elsewhere.  In a burst prefills are slow because the queues before them
--- a/rackpost/scheduler/reporting.py
+++ b/rackpost/scheduler/reporting.py
@@ -121,7 +121,7 @@
         )
         progresses = tells or now >= self._progress_at + _PROGRESS_S
         for service, held in self._holdings.items():
-            # What nobody asked for is dropped: a scheduler gets it all first.
+            # Dropped where no scheduler has asked: it first gets all holdings.
             events = held.take_events()
             if not self._is_asked(service):
                 continue
--- a/tests/test_gateway_holds.py
+++ b/tests/test_gateway_holds.py
@@ -92,6 +92,35 @@
     return answer
 
 
+async def _silent(req: message.Request, responder: server.Responder) -> None:
+    await asyncio.Event().wait()
+
+
+def _first_asked_answers(
+    site: platform_site.Site, first_answer: platform_site.Answer
+) -> list[platform_site.Endpoint]:
+    """Let the first endpoint that is asked answer so, the others as usual.
+
+    Returns a list that holds that endpoint once it was asked.
+    """
+    found: list[platform_site.Endpoint] = []
+
+    async def answer(
+        req: message.Request, responder: server.Responder
+    ) -> None:
+        one = next(item for item in site.decode if req in item.hold_calls)
+        if not found:
+            found.append(one)
+        if one in found:
+            await first_answer(req, responder)
+        else:
+            await one.grant_hold(req, responder)
+
+    for one in site.decode:
+        one.answer_hold = answer
+    return found
+
+
 def test_capacity_is_set_aside_before_the_prefill_and_used(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -178,23 +207,7 @@
     async def main() -> None:
         async with _site(tmp_path) as site:
             gateway = site.gateway.site
-            full: list[platform_site.Endpoint] = []
-
-            async def answer(
-                req: message.Request, responder: server.Responder
-            ) -> None:
-                one = next(
-                    item for item in site.decode if req in item.hold_calls
-                )
-                if not full:
-                    full.append(one)
-                if one in full:
-                    await test_gateway.shed(req, responder)
-                else:
-                    await one.grant_hold(req, responder)
-
-            for one in site.decode:
-                one.answer_hold = answer
+            full = _first_asked_answers(site, test_gateway.shed)
             budget = gateway.retry_budget(types.ServiceName("model"))
             await _served(site)
             assert full[0].requests == []
@@ -336,23 +349,9 @@
 ) -> None:
     async def main() -> None:
         async with _site(tmp_path) as site:
-            gone: list[platform_site.Endpoint] = []
-
-            async def answer(
-                req: message.Request, responder: server.Responder
-            ) -> None:
-                one = next(
-                    item for item in site.decode if req in item.hold_calls
-                )
-                if not gone:
-                    gone.append(one)
-                if one in gone:
-                    responder.send(421, [(b"x-instance-id", b"new")], b"")
-                else:
-                    await one.grant_hold(req, responder)
-
-            for one in site.decode:
-                one.answer_hold = answer
+            gone = _first_asked_answers(
+                site, _status(421, (b"x-instance-id", b"new"))
+            )
             await _served(site)
             assert gone[0].requests == []
             assert _prefills(site) == 1
@@ -443,22 +442,7 @@
 
     async def main() -> None:
         async with _site(tmp_path) as site:
-            slow: list[platform_site.Endpoint] = []
-
-            async def answer(
-                req: message.Request, responder: server.Responder
-            ) -> None:
-                one = next(
-                    item for item in site.decode if req in item.hold_calls
-                )
-                if not slow:
-                    slow.append(one)
-                if one in slow:
-                    await asyncio.Event().wait()
-                await one.grant_hold(req, responder)
-
-            for one in site.decode:
-                one.answer_hold = answer
+            slow = _first_asked_answers(site, _silent)
             await _served(site)
             assert slow[0].requests == []
             assert _totals(site, "decode_holds") == {"slow": 1, "taken": 1}
@@ -516,23 +500,9 @@
 def test_a_back_off_in_the_answer_is_kept(tmp_path: pathlib.Path) -> None:
     async def main() -> None:
         async with _site(tmp_path) as site:
-            asked: list[platform_site.Endpoint] = []
-
-            async def answer(
-                req: message.Request, responder: server.Responder
-            ) -> None:
-                one = next(
-                    item for item in site.decode if req in item.hold_calls
-                )
-                if not asked:
-                    asked.append(one)
-                if one in asked:
-                    responder.send(503, [(b"retry-after", b"20")], b"")
-                else:
-                    await one.grant_hold(req, responder)
-
-            for one in site.decode:
-                one.answer_hold = answer
+            asked = _first_asked_answers(
+                site, _status(503, (b"retry-after", b"20"))
+            )
             for number in range(3):
                 await _served(site, f"r{number}")
                 await asyncio.sleep(0.3)
