Split the simulated fleet by job

Cause: testing/fleet.py had grown to 917 lines with three parts.

Change: the load and its outcome (fleet_load.py), the simulated endpoints (fleet_engines.py) and a gateway (fleet_gateway.py) are modules of their own; tests name the types where they are now.

--- a/rackpost/testing/fleet.py
+++ b/rackpost/testing/fleet.py
@@ -6,242 +6,40 @@
 """
 
 import asyncio
-import collections
 import contextlib
-import math
 import random
 from typing import AsyncIterator
-from typing import Callable
-from typing import Iterator
 
 import msgspec
 
-from rackpost.decide import answer_lengths
-from rackpost.decide import candidates
-from rackpost.decide import eligibility
-from rackpost.decide import endpoint_choice
-from rackpost.decide import endpoint_health
-from rackpost.decide import endpoint_load
 from rackpost.decide import holds
 from rackpost.decide import kv_forecast
-from rackpost.decide.pace import batch_timing
-from rackpost.decide.pace import endpoint_pace
-from rackpost.decide.pace import measured_pace
-from rackpost.decide.pace import running_streams
 from rackpost.decide.pace import stream_clock
 from rackpost.decide import queue_order
 from rackpost.decide import token_timing as token_timing_mod
-from rackpost.decide.waiting import decisions as decisions_mod
-from rackpost.decide.waiting import orders as orders_mod
-from rackpost.gateway import admission_queue as admission_queue_mod
-from rackpost.gateway import capacity_source
 from rackpost.gateway import reservation as reservation_mod
-from rackpost.routing import endpoints
+from rackpost.testing import fleet_engines
+from rackpost.testing import fleet_gateway
+from rackpost.testing import fleet_load
 from rackpost.testing import fleet_reports
 from rackpost.testing import fleet_scheduler
-from rackpost.testing import uneven
 from rackpost import types
 
-SERVICE = types.ServiceName("model")
-_HERE = types.DataCentre("here")
-# Time step of token generation.
-_STEP_S = 0.01
 # A client leaves after this multiple of the target without a first token.
 _PATIENCE_TARGETS = 4.0
-# Prefill time at a decode endpoint over that at a prefill endpoint.
-_IN_PLACE_SLOWDOWN = 2.0
 # An attempt that ended as the endpoint could not set capacity aside.
 _NO_ROOM = -1.0
 
 
-class Kind(msgspec.Struct, frozen=True, kw_only=True):
-    """A kind of request; times in seconds.
-
-    Attributes:
-        weight: its share of all requests, against the other kinds.
-        surge_weight: the same during the surge; None if unchanged.
-    """
-
-    name: str
-    priority: int
-    target_s: float
-    weight: float
-    surge_weight: float | None = None
-
-
-class Spec(msgspec.Struct, frozen=True, kw_only=True):
-    """A fleet and its load; times in seconds, sizes in tokens.
-
-    By default, nine typical requests fill the memory of a decode endpoint
-    for about three seconds.
-    """
-
-    gateways: int = 68
-    prefills: int = 4
-    decodes: int = 12
-    memory_tokens: int = 61640
-    slots: int = 32
-    event_tokens: int = 64
-    # A token takes token_s + n * token_each_s in a batch of `n` runs.
-    token_s: float = 0.00058
-    token_each_s: float = 0.00002
-    prefill_token_s: float = 0.000018
-    prompt: float = 5200.0
-    prompt_spread: float = 0.5
-    answer: float = 4400.0
-    answer_spread: float = 0.7
-    max_answer: int = 10880
-    # Log-normal spread of clients' length estimates around the true length.
-    guess_spread: float = 0.5
-    rate: float = 13.0
-    surge_factor: float = 2.3
-    surge_at: float = 4.0
-    surge_s: float = 4.0
-    seconds: float = 12.0
-    target_s: float = 0.92
-    max_pause_s: float = 0.3
-    # Delay of other gateways' load reports.
-    report_delay_s: float = 0.013
-    # With kinds, their targets and priorities replace `target_s` and 1.
-    kinds: tuple[Kind, ...] = ()
-    organisations: int = 1
-    # During the surge the first organisation sends this many times its usual.
-    hot_factor: float = 1.0
-    # How often a refused client comes back.
-    returns: int = 0
-    # The decisions of the contention order that gateways use.
-    decisions: frozenset[decisions_mod.Decision] = frozenset()
-    # Prompts are at most this long.
-    max_prompt: float = math.inf
-    # From this length on a prompt counts among the large ones.
-    large_prompt: float = math.inf
-    large_reservations: bool = False
-    # Speeds of prefill and of decode endpoints, and whether gateways measure
-    # them.
-    prefill_speeds: uneven.Speeds = uneven.Speeds()
-    decode_speeds: uneven.Speeds = uneven.Speeds()
-    measures_pace: bool = False
-    # Capacity is granted by a scheduler, over links with this delay.
-    scheduler: bool = False
-    link_delay_s: float = 0.002
-    # Share of the requests with a higher priority.
-    urgent_share: float = 0.0
-    # With a rate of the gateways' links, their load reports are messages that
-    # pass these; `report_delay_s` is not used.
-    link_mbps: float = 0.0
-    load_deltas: bool = False
-    # Plain requests a second, which only appear in load reports.
-    plain_rate: float = 0.0
-    plain_s: float = 0.04
-    # Whether capacity is set aside at decode endpoints before a prefill,
-    # above this share of an endpoint's memory by forecast; None for never.
-    holds_above: float | None = None
-    # Memory set aside for an answer, as a share of its expected length.
-    held_answer: float = 0.5
-    # Without, calls tell whether there is room, and set nothing aside.
-    keeps_holds: bool = True
-
-
-class Tally(msgspec.Struct, kw_only=True):
-    """The number of requests of one kind or organisation by outcome."""
-
-    requests: int = 0
-    in_time: int = 0
-    late: int = 0
-    refused: int = 0
-    # Started within the target; a pause later does not count.
-    started: int = 0
-
-    @property
-    def served(self) -> float:
-        """The share of the requests that was answered."""
-        return (self.in_time + self.late) / max(1, self.requests)
-
-    @property
-    def timely(self) -> float:
-        """The share of the requests without a late start or long pause."""
-        return self.in_time / max(1, self.requests)
-
-    @property
-    def prompt(self) -> float:
-        """The share of the requests that started in time."""
-        return self.started / max(1, self.requests)
-
-
-class Outcome(msgspec.Struct, kw_only=True):
-    """The number of requests by outcome, and the cost of the run."""
-
-    # By name of the kind, and by number of the organisation.
-    by_kind: dict[str, Tally] = msgspec.field(default_factory=dict)
-    by_organisation: dict[str, Tally] = msgspec.field(default_factory=dict)
-
-    requests: int = 0
-    in_time: int = 0
-    late_start: int = 0
-    long_pause: int = 0
-    refused: int = 0
-    preempted: int = 0
-    rejected: int = 0
-    # Prefilled or generated tokens that were discarded.
-    wasted: int = 0
-    # Load reports; each goes to all other gateways.
-    messages: int = 0
-    # The same counts of the requests with large prompts alone.
-    large: int = 0
-    large_in_time: int = 0
-    large_refused: int = 0
-    # Calls that set capacity aside, and those without room.
-    holds: int = 0
-    holds_refused: int = 0
-    # Messages between gateways and the scheduler.
-    link_messages: int = 0
-    # Of the requests with a higher priority.
-    urgent: int = 0
-    urgent_in_time: int = 0
-    # Sum of the times to the first token, in seconds.
-    start_s: float = 0.0
-    # Reservations of memory that was in use or reserved already.
-    overbooked: int = 0
-    # Sum over the reservations of the error of the gateway's forecast, as a
-    # share of the endpoint's memory.
-    forecast_error: float = 0.0
-    # With links: bytes a second on the busiest link in its busiest half
-    # second, all bytes, and the age at which reservations become known at
-    # other gateways.
-    peak_link_bytes: float = 0.0
-    report_bytes: int = 0
-    report_age_p50_s: float = 0.0
-    report_age_p99_s: float = 0.0
-
-
-class _Stream:
-    """A generation at an endpoint."""
-
-    def __init__(
-        self, *, prompt: int, answer: int, progress: kv_forecast.Progress
-    ) -> None:
-        self.prompt = prompt
-        self.answer = answer
-        self.generated = 0.0
-        self.events = 0
-        self.progress = progress
-        self.first_at = math.inf
-        self.last_at = 0.0
-        self.longest_pause_s = 0.0
-        self.ended = asyncio.Event()
-        self.on_event: Callable[[], None] = progress.record_event
-
-    @property
-    def size(self) -> int:
-        """Tokens that occupy KV memory."""
-        return self.prompt + int(self.generated)
-
-
 class _Caller:
     """Who sent a request, and how often it was refused."""
 
     def __init__(
-        self, *, kind: Kind, organisation: types.OrganisationName, began: float
+        self,
+        *,
+        kind: fleet_load.Kind,
+        organisation: types.OrganisationName,
+        began: float,
     ) -> None:
         self.kind = kind
         self.organisation = organisation
@@ -249,258 +47,23 @@
         self.refusals = 0
 
 
-class _DecodeEngine:
-    """A simulated decode endpoint."""
-
-    def __init__(self, *, spec: Spec, outcome: Outcome, number: int) -> None:
-        self._spec = spec
-        self._outcome = outcome
-        self._number = number
-        self._loop = asyncio.get_running_loop()
-        self._runs: list[_Stream] = []
-        self._preempted: list[_Stream] = []
-        self.held: collections.Counter[int] = collections.Counter()
-        # No tokens are generated during a prefill.
-        self._prefilling_until = 0.0
-
-    @property
-    def _used(self) -> int:
-        return sum(item.size for item in self._runs)
-
-    def set_aside(self, holder: int, tokens: int) -> bool:
-        """Set memory aside; return False if there is too little."""
-        held = sum(self.held.values())
-        if self._used + held + tokens > self._spec.memory_tokens:
-            return False
-        self.held[holder] = tokens
-        return True
-
-    def start(self, stream: _Stream) -> bool:
-        """Start a prefilled run; return False if memory is full."""
-        held = sum(self.held.values())
-        if self._used + held + stream.size > self._spec.memory_tokens:
-            return False
-        stream.last_at = self._loop.time()
-        self._runs.append(stream)
-        return True
-
-    async def run(self) -> None:
-        """Generate tokens until cancelled."""
-        while True:
-            await asyncio.sleep(_STEP_S)
-            now = self._loop.time()
-            self._resume_preempted(now)
-            if now >= self._prefilling_until:
-                self._generate(now)
-            self._preempt_until_fits()
-
-    def _resume_preempted(self, now: float) -> None:
-        """Prefill a preempted run again if there is memory for it."""
-        if not self._preempted or now < self._prefilling_until:
-            return
-        first = self._preempted[0]
-        if self._used + first.size > 0.98 * self._spec.memory_tokens:
-            return
-        self._preempted.pop(0)
-        self._runs.append(first)
-        factor = self._spec.decode_speeds.factor(self._number, now)
-        token_s = self._spec.prefill_token_s * factor
-        took = first.size * token_s * _IN_PLACE_SLOWDOWN
-        self._prefilling_until = now + took
-
-    def _generate(self, now: float) -> None:
-        spec = self._spec
-        count = len(self._runs)
-        token_s = spec.token_s + count * spec.token_each_s
-        token_s *= spec.decode_speeds.factor(self._number, now)
-        for stream in list(self._runs):
-            stream.generated += _STEP_S / token_s
-            ended = stream.generated >= stream.answer
-            if (
-                ended
-                or stream.generated >= (stream.events + 1) * spec.event_tokens
-            ):
-                self._record_event(stream, now)
-            if ended:
-                self._runs.remove(stream)
-                stream.ended.set()
-
-    def _record_event(self, stream: _Stream, now: float) -> None:
-        if stream.events:
-            pause = now - stream.last_at
-            stream.longest_pause_s = max(stream.longest_pause_s, pause)
-        else:
-            stream.first_at = now
-        stream.events += 1
-        stream.last_at = now
-        stream.on_event()
-
-    def _preempt_until_fits(self) -> None:
-        # What is set aside does not give way.
-        room = self._spec.memory_tokens - sum(self.held.values())
-        while self._runs and self._used > room:
-            newest = self._runs.pop()
-            self._preempted.append(newest)
-            self._outcome.preempted += 1
-            self._outcome.wasted += newest.size
-
-
-class _PrefillEngine:
-    """A simulated prefill endpoint, which prefills prompts in sequence."""
-
-    def __init__(self, *, spec: Spec, number: int) -> None:
-        self._spec = spec
-        self._number = number
-        self._loop = asyncio.get_running_loop()
-        self._free_at = 0.0
-
-    async def prefill(self, prompt: int) -> float:
-        """Prefill a prompt; return the seconds that this took."""
-        now = self._loop.time()
-        factor = self._spec.prefill_speeds.factor(self._number, now)
-        took = prompt * self._spec.prefill_token_s * factor
-        self._free_at = max(now, self._free_at) + took
-        await asyncio.sleep(self._free_at - now)
-        return self._free_at - now
-
-
-class Gateway:
-    """One gateway's production queue, choice and load table."""
-
-    def __init__(self, *, number: int, spec: Spec) -> None:
-        self.vm = types.VmId(f"g{number}")
-        self.load_changed = asyncio.Event()
-        self.capacity_changed = asyncio.Event()
-        self.loads = endpoint_load.LoadTable(on_change=self.load_changed.set)
-        self.health = endpoint_health.HealthTracker()
-        self.token_timing = token_timing_mod.TokenTiming()
-        self.lengths = answer_lengths.AnswerLengths()
-        self.sequence = 0
-        self.batch_timing = batch_timing.BatchTiming()
-        self.running_streams = running_streams.RunningStreams()
-        self.pace: endpoint_pace.EndpointPace = endpoint_pace.EqualPace()
-        if spec.measures_pace:
-            self.pace = measured_pace.MeasuredPace(
-                streams=self.running_streams
-            )
-        rng = random.Random(number)
-        table = endpoints.EndpointTable()
-        for item in (*_endpoints(spec), *_plain_endpoints()):
-            table.update(item, 0.0)
-        chooser = endpoint_choice.Chooser(
-            candidates=candidates.Candidates(
-                table=table,
-                eligible=eligibility.Eligibility(
-                    table=table, rng=random.Random(1)
-                ),
-                silent_after_s=math.inf,
-                health=self.health,
-            ),
-            loads=self.loads,
-            health=self.health,
-            data_centre=_HERE,
-            rng=rng,
-            pace_of=lambda _: self.pace,
-        )
-        chooser.set_gateways(spec.gateways)
-        self.orders = orders_mod.Orders(
-            vm=self.vm, decisions_of=lambda _: spec.decisions
-        )
-        self.chooser = chooser
-        self.table = table
-        self.admission_queue = admission_queue_mod.AdmissionQueue(
-            chooser=chooser,
-            loads=self.loads,
-            token_timing=self.token_timing,
-            rng=rng,
-            vm=self.vm,
-            capacity_changed=self.capacity_changed,
-            on_waiters_changed=self.load_changed.set,
-            orders=self.orders,
-        )
-        self.capacity: capacity_source.CapacitySource = self.admission_queue
-        # Timings of a gateway that has served for some time.
-        self.token_timing.record_prefill(1000, 1000 * spec.prefill_token_s)
-        token_s = spec.token_s + 8 * spec.token_each_s
-        self.token_timing.record_decode(4000, 4000 * token_s)
-
-    def reported_loads(
-        self,
-    ) -> dict[types.EndpointId, endpoint_load.EndpointLoad]:
-        """Return a copy of this gateway's loads, to publish."""
-        return {
-            key: endpoint_load.EndpointLoad(
-                requests=use.requests,
-                prompt_tokens=use.prompt_tokens,
-                runs=[
-                    kv_forecast.Run(
-                        held_tokens=run.held_tokens,
-                        remaining_tokens=run.remaining_tokens,
-                        error_tokens=run.error_tokens,
-                    )
-                    for run in use.runs
-                ],
-            )
-            for key, use in self.loads.own.items()
-        }
-
-
-def _endpoints(spec: Spec) -> Iterator[endpoints.Endpoint]:
-    roles = [("p", types.Role.PREFILL, spec.prefills)]
-    roles.append(("d", types.Role.DECODE, spec.decodes))
-    for letter, role, count in roles:
-        for number in range(count):
-            yield endpoints.Endpoint(
-                id=types.EndpointId(f"{letter}{number}"),
-                service=SERVICE,
-                address=f"{letter}{number}:1",
-                data_centre=_HERE,
-                role=role,
-                slots=spec.slots,
-                sequence=1,
-            )
-
-
-def _plain_endpoints() -> list[endpoints.Endpoint]:
-    return [
-        endpoints.Endpoint(
-            id=types.EndpointId(f"q{number}"),
-            service=types.ServiceName("plain"),
-            address=f"q{number}:1",
-            data_centre=_HERE,
-            role=types.Role.PLAIN,
-            slots=8,
-            sequence=1,
-        )
-        for number in range(5)
-    ]
-
-
-def _size(rng: random.Random, mean: float, spread: float) -> float:
-    """Return a sample of a log-normal distribution."""
-    variance = math.log(1.0 + spread * spread)
-    return rng.lognormvariate(
-        math.log(mean) - variance / 2.0, math.sqrt(variance)
-    )
-
-
 class Fleet:
     """Simulated gateways and endpoints that serve a load."""
 
-    def __init__(self, *, spec: Spec, seed: int) -> None:
+    def __init__(self, *, spec: fleet_load.Spec, seed: int) -> None:
         self._spec = spec
         self._rng = random.Random(seed)
         self._loop = asyncio.get_running_loop()
-        self.outcome = Outcome()
+        self.outcome = fleet_load.Outcome()
         self._scheduler: fleet_scheduler.FleetScheduler | None = None
         self._gateways = [
-            Gateway(number=number, spec=spec)
+            fleet_gateway.Gateway(number=number, spec=spec)
             for number in range(spec.gateways)
         ]
         if spec.scheduler:
             self._scheduler = fleet_scheduler.FleetScheduler(
-                endpoints=list(_endpoints(spec)),
-                service=SERVICE,
+                endpoints=list(fleet_gateway.model_endpoints(spec)),
+                service=fleet_gateway.SERVICE,
                 delay_s=spec.link_delay_s,
             )
             for gateway in self._gateways:
@@ -522,19 +85,21 @@
                 has_deltas=spec.load_deltas,
             )
         self._prefill_engines = {
-            item.id: _PrefillEngine(spec=spec, number=int(item.id[1:]))
-            for item in _endpoints(spec)
+            item.id: fleet_engines.PrefillEngine(
+                spec=spec, number=int(item.id[1:])
+            )
+            for item in fleet_gateway.model_endpoints(spec)
             if item.role is types.Role.PREFILL
         }
         self._decode_engines = {
-            item.id: _DecodeEngine(
+            item.id: fleet_engines.DecodeEngine(
                 spec=spec, outcome=self.outcome, number=int(item.id[1:])
             )
-            for item in _endpoints(spec)
+            for item in fleet_gateway.model_endpoints(spec)
             if item.role is types.Role.DECODE
         }
 
-    async def serve(self) -> Outcome:
+    async def serve(self) -> fleet_load.Outcome:
         """Serve the whole load; return the outcome."""
         async with self._running(), asyncio.TaskGroup() as group:
             end = self._loop.time() + self._spec.seconds
@@ -591,13 +156,15 @@
                 await asyncio.sleep(rng.expovariate(self._spec.plain_rate))
                 group.create_task(self._plain(rng.choice(self._gateways), rng))
 
-    async def _plain(self, gateway: Gateway, rng: random.Random) -> None:
-        endpoint = rng.choice(_plain_endpoints()).id
+    async def _plain(
+        self, gateway: fleet_gateway.Gateway, rng: random.Random
+    ) -> None:
+        endpoint = rng.choice(fleet_gateway.plain_endpoints()).id
         with gateway.loads.request_added(endpoint):
             await asyncio.sleep(self._spec.plain_s)
 
     def _record_reservation(
-        self, gateway: Gateway, endpoint: types.EndpointId
+        self, gateway: fleet_gateway.Gateway, endpoint: types.EndpointId
     ) -> None:
         """Compare what the gateway knows with what is reserved."""
         memory = self._spec.memory_tokens
@@ -611,7 +178,7 @@
         self.outcome.forecast_error += abs(known - actual) / memory
         self.outcome.overbooked += actual > memory
 
-    async def _publish_loop(self, gateway: Gateway) -> None:
+    async def _publish_loop(self, gateway: fleet_gateway.Gateway) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(1.0):
@@ -620,7 +187,7 @@
             gateway.load_changed.clear()
             self._publish(gateway)
 
-    def _publish(self, gateway: Gateway) -> None:
+    def _publish(self, gateway: fleet_gateway.Gateway) -> None:
         self.outcome.messages += 1
         gateway.sequence += 1
         now = self._loop.time()
@@ -649,7 +216,9 @@
         spec = self._spec
         since = self._loop.time() - spec.surge_at
         surge = 0.0 <= since < spec.surge_s
-        kind = Kind(name="", priority=1, target_s=spec.target_s, weight=1.0)
+        kind = fleet_load.Kind(
+            name="", priority=1, target_s=spec.target_s, weight=1.0
+        )
         if spec.kinds:
             weights = [
                 (
@@ -676,11 +245,13 @@
             began=self._loop.time(),
         )
 
-    def _tallies(self, caller: _Caller) -> list[Tally]:
+    def _tallies(self, caller: _Caller) -> list[fleet_load.Tally]:
         outcome = self.outcome
         return [
-            outcome.by_kind.setdefault(caller.kind.name, Tally()),
-            outcome.by_organisation.setdefault(caller.organisation, Tally()),
+            outcome.by_kind.setdefault(caller.kind.name, fleet_load.Tally()),
+            outcome.by_organisation.setdefault(
+                caller.organisation, fleet_load.Tally()
+            ),
         ]
 
     async def _request(self) -> None:
@@ -689,12 +260,18 @@
         self.outcome.requests += 1
         gateway = rng.choice(self._gateways)
         prompt = int(
-            min(spec.max_prompt, _size(rng, spec.prompt, spec.prompt_spread))
+            min(
+                spec.max_prompt,
+                fleet_load.sample_size(rng, spec.prompt, spec.prompt_spread),
+            )
         )
         self.outcome.large += prompt >= spec.large_prompt
         answer = min(
             spec.max_answer,
-            1 + int(_size(rng, spec.answer, spec.answer_spread)),
+            1
+            + int(
+                fleet_load.sample_size(rng, spec.answer, spec.answer_spread)
+            ),
         )
         off = rng.lognormvariate(0.0, spec.guess_spread)
         guess = min(spec.max_answer, int(answer * off))
@@ -718,7 +295,7 @@
 
     async def _attempt(
         self,
-        gateway: Gateway,
+        gateway: fleet_gateway.Gateway,
         prompt: int,
         answer: int,
         guess: int,
@@ -761,7 +338,9 @@
                     gateway, reservation.prefill_endpoint.id, prompt
                 )
             reservation.record_prefilled()
-            stream = _Stream(prompt=prompt, answer=answer, progress=progress)
+            stream = fleet_engines.Stream(
+                prompt=prompt, answer=answer, progress=progress
+            )
             clock = self._watch(gateway, reservation.endpoint.id, stream)
             del engine.held[holder]
             if not engine.start(stream):
@@ -781,7 +360,7 @@
 
     async def _set_aside(
         self,
-        gateway: Gateway,
+        gateway: fleet_gateway.Gateway,
         reservation: reservation_mod.DecodeReservation,
         progress: kv_forecast.Progress,
     ) -> bool:
@@ -826,7 +405,10 @@
         return None
 
     async def _prefill(
-        self, gateway: Gateway, endpoint: types.EndpointId, prompt: int
+        self,
+        gateway: fleet_gateway.Gateway,
+        endpoint: types.EndpointId,
+        prompt: int,
     ) -> None:
         """Prefill a prompt, and let the gateway learn from it."""
         load = gateway.loads.total(endpoint)
@@ -841,7 +423,10 @@
         gateway.token_timing.record_prefill(prompt, took)
 
     def _watch(
-        self, gateway: Gateway, endpoint: types.EndpointId, stream: _Stream
+        self,
+        gateway: fleet_gateway.Gateway,
+        endpoint: types.EndpointId,
+        stream: fleet_engines.Stream,
     ) -> stream_clock.StreamClock:
         """Let the gateway time the events of a stream."""
         clock = stream_clock.StreamClock(
@@ -859,7 +444,9 @@
         stream.on_event = on_event
         return clock
 
-    def _record_outcome(self, stream: _Stream, caller: _Caller) -> None:
+    def _record_outcome(
+        self, stream: fleet_engines.Stream, caller: _Caller
+    ) -> None:
         late = stream.first_at - caller.began > caller.kind.target_s
         paused = stream.longest_pause_s > self._spec.max_pause_s
         for tally in self._tallies(caller):
@@ -877,7 +464,7 @@
 
 
 def _reservation_request(
-    spec: Spec,
+    spec: fleet_load.Spec,
     pace: token_timing_mod.TokenTiming,
     run: kv_forecast.Run,
     caller: _Caller,
@@ -892,7 +479,7 @@
     start_by = now if returned else began
     start_s = pace.start_s(run.held_tokens)
     return reservation_mod.ReservationRequest(
-        service=SERVICE,
+        service=fleet_gateway.SERVICE,
         memory_tokens=spec.memory_tokens,
         run=run,
         exclude=(),
@@ -912,6 +499,6 @@
     )
 
 
-async def serve(spec: Spec, seed: int) -> Outcome:
+async def serve(spec: fleet_load.Spec, seed: int) -> fleet_load.Outcome:
     """Simulate a fleet under its load."""
     return await Fleet(spec=spec, seed=seed).serve()
--- a/tests/test_backfill.py
+++ b/tests/test_backfill.py
@@ -20,6 +20,7 @@
 from rackpost.gateway import reservation as reservation_mod
 from rackpost.routing import endpoints
 from rackpost.testing import fleet
+from rackpost.testing import fleet_load
 from rackpost.testing import virtual
 from rackpost import types
 
@@ -406,8 +407,8 @@
     }
     seeds = (1, 2, 3, 4, 5, 6, 7, 8)
 
-    def outcomes(self, on: bool) -> list[fleet.Outcome]:
-        spec = fleet.Spec(
+    def outcomes(self, on: bool) -> list[fleet_load.Outcome]:
+        spec = fleet_load.Spec(
             large_reservations=on,
             **self.spec,  # type: ignore[arg-type]
         )
@@ -418,10 +419,10 @@
     ) -> None:
         before, after = self.outcomes(False), self.outcomes(True)
 
-        def total(found: list[fleet.Outcome], name: str) -> int:
+        def total(found: list[fleet_load.Outcome], name: str) -> int:
             return sum(getattr(one, name) for one in found)
 
-        def small_in_time(found: list[fleet.Outcome]) -> int:
+        def small_in_time(found: list[fleet_load.Outcome]) -> int:
             return total(found, "in_time") - total(found, "large_in_time")
 
         refused = total(after, "large_refused")
--- a/tests/test_contention_loads.py
+++ b/tests/test_contention_loads.py
@@ -11,14 +11,15 @@
 
 from rackpost.decide.waiting import decisions
 from rackpost.testing import fleet
+from rackpost.testing import fleet_load
 from rackpost.testing import virtual
 
 _SEEDS = (1, 2)
-_URGENT = fleet.Kind(name="urgent", priority=0, target_s=0.8, weight=5.24)
-_USUAL = fleet.Kind(name="usual", priority=1, target_s=1.0, weight=7.07)
-_BASIC = fleet.Kind(name="basic", priority=2, target_s=2.0, weight=9.42)
+_URGENT = fleet_load.Kind(name="urgent", priority=0, target_s=0.8, weight=5.24)
+_USUAL = fleet_load.Kind(name="usual", priority=1, target_s=1.0, weight=7.07)
+_BASIC = fleet_load.Kind(name="basic", priority=2, target_s=2.0, weight=9.42)
 _KINDS = (_URGENT, _USUAL, _BASIC)
-_POOL = fleet.Spec(
+_POOL = fleet_load.Spec(
     gateways=21,
     prefills=5,
     decodes=9,
@@ -32,15 +33,15 @@
 class Totals:
     """Tallies over the seeds, by kind and organisation."""
 
-    def __init__(self, spec: fleet.Spec) -> None:
+    def __init__(self, spec: fleet_load.Spec) -> None:
         self._outcomes = [
             virtual.run(fleet.serve(spec, seed)) for seed in _SEEDS
         ]
 
-    def kind(self, item: fleet.Kind) -> fleet.Tally:
+    def kind(self, item: fleet_load.Kind) -> fleet_load.Tally:
         return _sum([one.by_kind[item.name] for one in self._outcomes])
 
-    def organisations(self, *, hot: bool) -> fleet.Tally:
+    def organisations(self, *, hot: bool) -> fleet_load.Tally:
         return _sum(
             [
                 tally
@@ -51,8 +52,8 @@
         )
 
 
-def _sum(tallies: list[fleet.Tally]) -> fleet.Tally:
-    return fleet.Tally(
+def _sum(tallies: list[fleet_load.Tally]) -> fleet_load.Tally:
+    return fleet_load.Tally(
         requests=sum(item.requests for item in tallies),
         in_time=sum(item.in_time for item in tallies),
         late=sum(item.late for item in tallies),
@@ -62,7 +63,7 @@
 
 
 @functools.cache
-def _totals(spec: fleet.Spec) -> Totals:
+def _totals(spec: fleet_load.Spec) -> Totals:
     return Totals(spec)
 
 
@@ -79,7 +80,9 @@
     """The figures are those of the code without the contention order."""
     found = [
         virtual.run(
-            fleet.serve(fleet.Spec(gateways=12, decodes=7, seconds=8.0), seed)
+            fleet.serve(
+                fleet_load.Spec(gateways=12, decodes=7, seconds=8.0), seed
+            )
         )
         for seed in _SEEDS
     ]
--- a/tests/test_holds.py
+++ b/tests/test_holds.py
@@ -9,6 +9,7 @@
 from rackpost import exceptions
 from rackpost.platform import holds as wire
 from rackpost.testing import fleet
+from rackpost.testing import fleet_load
 from rackpost.testing import virtual
 from rackpost import types
 
@@ -124,7 +125,7 @@
 
 # Three kinds of streams at 18 decode endpoints of 48,649 tokens: 32 requests
 # a second, and 2.3 times as many for 4 s, at 30 gateways.
-_BURST = fleet.Spec(
+_BURST = fleet_load.Spec(
     gateways=30,
     prefills=10,
     decodes=18,
@@ -145,9 +146,9 @@
     seconds=7.0,
     returns=1,
     kinds=(
-        fleet.Kind(name="a", priority=0, target_s=0.8, weight=0.23),
-        fleet.Kind(name="b", priority=1, target_s=1.0, weight=0.3),
-        fleet.Kind(name="c", priority=2, target_s=2.0, weight=0.47),
+        fleet_load.Kind(name="a", priority=0, target_s=0.8, weight=0.23),
+        fleet_load.Kind(name="b", priority=1, target_s=1.0, weight=0.3),
+        fleet_load.Kind(name="c", priority=2, target_s=2.0, weight=0.47),
     ),
 )
 
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -10,6 +10,7 @@
 from rackpost.decide import kv_forecast
 from rackpost.gateway import load_exchange
 from rackpost.testing import fleet
+from rackpost.testing import fleet_load
 from rackpost.testing import virtual
 
 _SEEDS = (1, 2, 3)
@@ -19,7 +20,7 @@
     """The means of the simulation's figures over the seeds."""
 
     def __init__(self, **spec: float) -> None:
-        self._spec = fleet.Spec(**spec)  # type: ignore[arg-type]
+        self._spec = fleet_load.Spec(**spec)  # type: ignore[arg-type]
         self._outcomes = [
             virtual.run(fleet.serve(self._spec, seed)) for seed in _SEEDS
         ]
--- a/tests/test_load_deltas.py
+++ b/tests/test_load_deltas.py
@@ -23,13 +23,15 @@
 from rackpost.link import codec
 from rackpost.routing import model
 from rackpost.testing import fleet
+from rackpost.testing import fleet_gateway
+from rackpost.testing import fleet_load
 from rackpost.testing import fleet_reports
 from rackpost.testing import virtual
 from rackpost import types
 
 _LINK_MBPS = 5.0
 _LINK_BYTES_PER_S = _LINK_MBPS * 125_000.0
-_BURST = fleet.Spec(
+_BURST = fleet_load.Spec(
     gateways=30,
     prefills=6,
     decodes=15,
@@ -48,7 +50,7 @@
 
 
 @functools.cache
-def _played(spec: fleet.Spec, *, deltas: bool) -> fleet.Outcome:
+def _played(spec: fleet_load.Spec, *, deltas: bool) -> fleet_load.Outcome:
     changed = msgspec.structs.replace(spec, load_deltas=deltas)
     return virtual.run(fleet.serve(changed, 1))
 
@@ -63,7 +65,7 @@
     ids=["30", "70", "370"],
 )
 def test_reports_of_changes_are_known_sooner_and_leave_the_link_to_requests(
-    spec: fleet.Spec, share_of_complete: float
+    spec: fleet_load.Spec, share_of_complete: float
 ) -> None:
     complete = _played(spec, deltas=False)
     changes = _played(spec, deltas=True)
@@ -89,7 +91,7 @@
     """Some gateways with load reports of changes."""
 
     def __init__(self, *, count: int = 3, has_deltas: bool = True) -> None:
-        self._spec = fleet.Spec(gateways=count, prefills=1, decodes=2)
+        self._spec = fleet_load.Spec(gateways=count, prefills=1, decodes=2)
         self.lost: set[tuple[type, str, str]] = set()
         self.late_s: dict[tuple[type, str, str], float] = {}
         self.sent: list[tuple[type, str, str]] = []
@@ -102,8 +104,8 @@
         )
         self.gateways = [self.gateway(number) for number in range(count)]
 
-    def gateway(self, number: int) -> fleet.Gateway:
-        return fleet.Gateway(number=number, spec=self._spec)
+    def gateway(self, number: int) -> fleet_gateway.Gateway:
+        return fleet_gateway.Gateway(number=number, spec=self._spec)
 
     def _delay_of(
         self, data: bytes, sender: types.VmId, receiver: types.VmId
@@ -132,7 +134,7 @@
     return kv_forecast.Run(held_tokens=5200, remaining_tokens=4400)
 
 
-def _runs(gateway: fleet.Gateway, endpoint: types.EndpointId) -> int:
+def _runs(gateway: fleet_gateway.Gateway, endpoint: types.EndpointId) -> int:
     return len(gateway.loads.total(endpoint).runs)
 
 
@@ -351,7 +353,7 @@
             told = iter([contender.ContentionReport(loads=())])
             queue = first.admission_queue
             queue.contention_reports = lambda now: {  # type: ignore
-                fleet.SERVICE: item for item in told
+                fleet_gateway.SERVICE: item for item in told
             }
             # Complete reports to some come first, and don't hold them.
             await asyncio.sleep(1.1)
@@ -359,7 +361,7 @@
             first.load_changed.set()
             await asyncio.sleep(0.022)
         assert sorted(found) == [
-            (item.vm, fleet.SERVICE) for item in (second, third)
+            (item.vm, fleet_gateway.SERVICE) for item in (second, third)
         ]
 
     virtual.run(main())
@@ -373,7 +375,7 @@
     link_mbps: float, has_deltas: bool, used: bool
 ) -> None:
     async def main() -> None:
-        gateway = fleet.Gateway(number=0, spec=fleet.Spec())
+        gateway = fleet_gateway.Gateway(number=0, spec=fleet_load.Spec())
         site = fleet_reports.ReportSite(
             gateway=gateway, link_mbps=link_mbps, has_deltas=has_deltas
         )
--- a/tests/test_pool_fleet.py
+++ b/tests/test_pool_fleet.py
@@ -5,13 +5,14 @@
 """
 
 from rackpost.testing import fleet
+from rackpost.testing import fleet_load
 from rackpost.testing import virtual
 
 _SEEDS = (1, 2)
 
 
-def _serve(*, scheduler: bool) -> list[fleet.Outcome]:
-    spec = fleet.Spec(
+def _serve(*, scheduler: bool) -> list[fleet_load.Outcome]:
+    spec = fleet_load.Spec(
         gateways=30, rate=17.0, urgent_share=0.3, scheduler=scheduler
     )
     return [virtual.run(fleet.serve(spec, seed)) for seed in _SEEDS]
@@ -48,7 +49,7 @@
     """
     found = []
     for scheduler in (False, True):
-        spec = fleet.Spec(
+        spec = fleet_load.Spec(
             gateways=30,
             rate=13.0,
             surge_factor=5.5,
