Log endpoints' software versions and streams that clients resume

Cause: no log line told the version of an endpoint's software, where a broken stream went on, or that a request resumes a stream, so that the hypotheses could not be told apart.

Change: the version in a heartbeat is kept with the endpoint and logged where an endpoint changes, is sent a request or breaks one; a request with an event id is logged with the request that began its stream. No decision uses it yet.

--- a/rackpost/coordinator/directory.py
+++ b/rackpost/coordinator/directory.py
@@ -65,6 +65,7 @@
                 address=item.address,
                 sequence=item.sequence,
                 born=item.born,
+                software=item.software,
             )
             self.send_to_gateways(update_for(item))
         return changed
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -183,7 +183,7 @@
 ) -> retry_decision.AttemptEnd | None:
     """Do as `run` on an open connection, with additional headers."""
     began = call.site.loop_time()
-    if call.sampled or call.tried:
+    if call.sampled or call.tried or call.resumes_stream:
         _log_choice(call, endpoint, began)
     ran_before = call.may_have_run
     if call.charge is not None:
@@ -222,6 +222,7 @@
     call.log(
         "Sent.",
         endpoint=endpoint.id,
+        software=endpoint.software,
         sequence=endpoint.sequence,
         heard_s=round(now - last_heartbeat_at, 2),
         under_way=load.requests,
@@ -249,6 +250,8 @@
         "Attempt broke.",
         endpoint=endpoint.id,
         born=endpoint.born,
+        software=endpoint.software,
+        after_event=call.last_event_id,
         why=str(exc),
         fingerprint=call.fingerprint.hex(),
         sent_s=None if began is None else round(now - began, 3),
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -114,6 +114,11 @@
             ]
         )
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the client has events of the stream from an earlier try."""
+        return message.find(self.req.headers, headers.RESUME_AFTER) is not None
+
     def record_broken(
         self, endpoint: endpoints.Endpoint, *, began: float
     ) -> None:
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -222,6 +222,7 @@
                 role=item.role.value,
                 sequence=item.sequence,
                 born=item.born,
+                software=item.software,
                 told_by=host,
             )
         if changed:
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -186,7 +186,11 @@
         if reservation is None:
             self._prefill_state.record_lost(endpoint)
         else:
-            self._call.log("Goes on where it broke.", endpoint=endpoint.id)
+            self._call.log(
+                "Goes on where it broke.",
+                endpoint=endpoint.id,
+                software=endpoint.software,
+            )
         return reservation
 
     def _on_event(
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -142,6 +142,8 @@
             deadline=deadline,
         )
         call.retry_budget.record_request(self._site.loop_time())
+        if call.resumes_stream:
+            _log_resumed(call)
         if call.end_if_blocked() or self._is_over_quota(call):
             return
         try:
@@ -219,6 +221,18 @@
             call.refuse(call_mod.Reason.TIME_UP, forward.retry_after_s(call))
 
 
+def _log_resumed(call: call_mod.Call) -> None:
+    """Log that a client resumes a stream, and which request began it."""
+    first = message.find(call.req.headers, headers.RESUMES) or b""
+    after = message.find(call.req.headers, headers.RESUME_AFTER) or b""
+    call.log(
+        "Client resumes a stream.",
+        service=call.service.name,
+        first_request=first.decode("latin-1"),
+        after_event=after.decode("latin-1"),
+    )
+
+
 def _client_timeout_s(req: message.Request) -> float:
     """Return how long the client waits for its answer, in seconds."""
     deadline_ms = headers.parse_int(
--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -21,6 +21,8 @@
 KV_HOLD = b"x-kv-hold"
 PRIORITY = b"x-request-priority"
 RESUME_AFTER = b"last-event-id"
+# The request that brought the first event of a stream which is resumed.
+RESUMES = b"resumes"
 # The organisation of a request, where callers have keys.
 ORGANISATION = b"x-tenant-id"
 _KEY = b"authorization"
--- a/rackpost/platform/heartbeats.py
+++ b/rackpost/platform/heartbeats.py
@@ -65,6 +65,7 @@
         sequence=wire.sequence,
         cold_s=wire.cold_remaining_ms / _MS,
         born=wire.born,
+        software=types.SoftwareVersion(wire.version),
     )
 
 
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -49,6 +49,7 @@
     Attributes:
         sequence: number of the heartbeat within the incarnation.
         cold_s: remaining time of its slow warm-up, in seconds.
+        software: version of its software, not of its model's weights.
     """
 
     id: types.EndpointId
@@ -61,6 +62,7 @@
     sequence: int = 0
     cold_s: float = 0.0
     born: int = 0
+    software: types.SoftwareVersion = types.SoftwareVersion("")
 
     @property
     def incarnation(self) -> Incarnation:
--- a/rackpost/types.py
+++ b/rackpost/types.py
@@ -17,6 +17,8 @@
 # Identifies a request by its content, whatever its id.
 Fingerprint = NewType("Fingerprint", bytes)
 ServiceName = NewType("ServiceName", str)
+# Version of the software of an endpoint.
+SoftwareVersion = NewType("SoftwareVersion", str)
 KindName = NewType("KindName", str)
 Revision = NewType("Revision", int)
 Fence = NewType("Fence", int)
