Failing tests: streams go on at another software version

Cause: a gateway chooses any endpoint of the service for a broken stream, and treats a client that resumes a stream as a new request.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -166,6 +166,7 @@
         self.ident = ident
         self.service = service
         self.stage = stage
+        self.software = "v1"
         self.sequence = 0
         self.requests: list[message.Request] = []
         self.address = ""
@@ -241,7 +242,7 @@
             "service": self.service,
             "address": self.address,
             "zone": DATA_CENTRE,
-            "version": "v1",
+            "version": self.software,
             "slots": 6,
             "state": state,
             "coldRemainingMs": 0,
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,142 @@
+"""Streams must go on only at the software version that began them."""
+
+import asyncio
+import contextlib
+import pathlib
+from typing import AsyncIterator
+
+from tests import crashing_site
+from tests import versioned_site
+
+_STREAMS = 4
+
+
+@contextlib.asynccontextmanager
+async def _begun(
+    root: pathlib.Path,
+) -> AsyncIterator[versioned_site.Site]:
+    """A site with streams r0, r1, ... that began at the old version.
+
+    They began at gateway 31; endpoints of both versions are there, and those
+    of the old one are busy.
+    """
+    async with versioned_site.site(root) as site:
+        await site.take_away(*site.new)
+        for number in range(_STREAMS):
+            begun = await site.begin(31, f"r{number}")
+            assert begun.versions == {versioned_site.OLD}
+        async with site.old_endpoints_busy():
+            yield site
+
+
+async def _assert_resumed(site: versioned_site.Site, gateway: int) -> None:
+    for number in range(_STREAMS):
+        ident = f"again{gateway}-{number}"
+        got = await site.resume(gateway, ident, f"r{number}")
+        assert got.versions == {versioned_site.OLD}
+        assert got.ids == [2, 3, 4]
+
+
+def test_a_broken_stream_goes_on_at_its_version_within_the_answer(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Events of two software versions in one answer."""
+
+    async def main() -> None:
+        async with versioned_site.site(tmp_path) as site:
+            await site.take_away(*site.new)
+            client = await site.open(31, "r1")
+            await client.first_event()
+            ran = next(one for one in site.old if one.streams)
+            async with site.old_endpoints_busy():
+                await site.take_away(ran)
+                ran.breaks = True
+                ran.go_on.set()
+                got = await client.rest()
+            assert got.versions == {versioned_site.OLD}
+            assert got.ids == [1, 2, 3, 4]
+
+    asyncio.run(main())
+
+
+def test_a_stream_whose_version_is_gone_breaks_off(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Events of two software versions in one answer."""
+
+    async def main() -> None:
+        async with versioned_site.site(tmp_path) as site:
+            await site.take_away(*site.new)
+            client = await site.open(31, "r1")
+            await client.first_event()
+            await site.bring_back(*site.new)
+            await site.take_away(*site.old)
+            for one in site.old:
+                one.breaks = True
+                one.go_on.set()
+            got = await client.rest()
+            assert got.ids == [1]
+            assert not any(one.streams for one in site.new)
+
+    asyncio.run(main())
+
+
+def test_a_client_resumes_at_its_version_at_any_gateway(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Events of two software versions over a client's requests."""
+
+    async def main() -> None:
+        async with _begun(tmp_path) as site:
+            for gateway in crashing_site.GATEWAYS:
+                await _assert_resumed(site, gateway)
+
+    asyncio.run(main())
+
+
+def test_a_client_resumes_at_its_version_after_its_gateway_is_gone(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with _begun(tmp_path) as site:
+            await site.stop(31)
+            await _assert_resumed(site, 16)
+
+    asyncio.run(main())
+
+
+def test_a_client_resumes_at_its_version_after_its_gateway_has_restarted(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with _begun(tmp_path) as site:
+            await site.restart_gateway(31)
+            await _assert_resumed(site, 31)
+
+    asyncio.run(main())
+
+
+def test_a_resumed_stream_whose_version_is_gone_is_refused(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with _begun(tmp_path) as site:
+            await site.take_away(*site.old)
+            for gateway in crashing_site.GATEWAYS:
+                got = await site.resume(gateway, f"again{gateway}", "r1")
+                assert got.status == 503
+            assert not any(one.streams for one in site.new)
+
+    asyncio.run(main())
+
+
+def test_a_stream_that_nobody_knows_is_refused(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with versioned_site.site(tmp_path) as site:
+            got = await site.resume(31, "again", "unknown")
+            assert got.status == 503
+            assert not any(one.streams for one in site.decode)
+
+    asyncio.run(main())
