Resume streams only at the software version that began them

Callers saw streams whose events come from two software versions of a model endpoint. Cause: the version in a heartbeat was in no decision, and a client that resumes a stream at any gateway was a new request there.

Change: a stream's origin (service and software version) is fixed with its first event, and no endpoint of another version is chosen or sent the rest. The gateway tells it to all coordinators and two other gateways before the client has the event; a gateway where a client resumes the stream asks the coordinators, then the other gateways. A stream whose origin nobody knows, or whose version is gone, is refused at once as not run.

--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -16,6 +16,7 @@
 from rackpost.decide import quota_use
 from rackpost.decide import rate_grants
 from rackpost.decide import role_balance
+from rackpost.decide import stream_origins
 from rackpost.decide.waiting import backfill
 from rackpost.decide.waiting import contender
 from rackpost.decide.waiting import waiting_use
@@ -127,6 +128,28 @@
     items: tuple[quarantine.Suspicion, ...]
 
 
+class OriginNotice(_Message, frozen=True, tag="origins"):
+    """Origins of streams, from the gateway where they began."""
+
+    items: tuple[stream_origins.OriginRecord, ...]
+
+
+class OriginQuery(_Message, frozen=True, tag="find-origin"):
+    """Asks for the origin of a stream that a client resumes."""
+
+    stream: types.StreamKey
+
+
+class OriginAnswer(_Message, frozen=True, tag="origin"):
+    """The origin of a stream; `item` is None where it is not known.
+
+    A gateway sends no answer where it does not know the stream.
+    """
+
+    stream: types.StreamKey
+    item: stream_origins.OriginRecord | None = None
+
+
 class GatewayAddress(_Message, frozen=True):
     """The host:port at which a gateway receives `GatewayLoad`."""
 
@@ -240,8 +263,15 @@
     born: int
 
 
+AboutOrigins = OriginNotice | OriginQuery | OriginAnswer
+
 BetweenGateways = Union[
-    GatewayLoad, LoadDelta, GrantRequest, GrantAnswer, ReturnGrant
+    GatewayLoad,
+    LoadDelta,
+    GrantRequest,
+    GrantAnswer,
+    ReturnGrant,
+    AboutOrigins,
 ]
 
 FromGateway = Union[
@@ -251,6 +281,8 @@
     EndpointUpdate,
     HeartbeatNotice,
     Suspicions,
+    OriginNotice,
+    OriginQuery,
     scheduler.ToScheduler,
 ]
 ToGateway = Union[
@@ -262,6 +294,7 @@
     ChangingEndpoints,
     Peers,
     Suspicions,
+    OriginAnswer,
     scheduler.FromScheduler,
 ]
 FromReplica = Union[
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -25,6 +25,7 @@
 from rackpost.coordinator import roles
 from rackpost.coordinator import routing_feed
 from rackpost.decide import features
+from rackpost.decide import stream_origins
 from rackpost import exceptions
 from rackpost.http1 import message
 from rackpost.http1 import pages
@@ -106,6 +107,8 @@
             metrics=self.metrics,
             parts=parts,
         )
+        # Told by gateways, also again when they link.
+        self.stream_origins = stream_origins.OriginTable()
         self._parts = parts
         self.feed = routing_feed.RoutingFeed()
         self._decoder = documents.IncrementalDecoder()
@@ -219,6 +222,17 @@
             )
         elif isinstance(msg, messages.Suspicions):
             self.quarantine.receive(msg)
+        elif isinstance(msg, messages.OriginNotice):
+            self.stream_origins.record_all(msg.items, self._loop.time())
+        elif isinstance(msg, messages.OriginQuery):
+            conn.send(
+                messages.OriginAnswer(
+                    stream=msg.stream,
+                    item=self.stream_origins.find_record(
+                        msg.stream, self._loop.time()
+                    ),
+                )
+            )
         elif isinstance(msg, messages.FetchRouting):
             chunk = self.feed.chunk(msg)
             if chunk is not None:
--- /dev/null
+++ b/rackpost/decide/stream_origins.py
@@ -0,0 +1,129 @@
+"""Which service and software version began a stream.
+
+The events of two software versions do not fit together, so that a stream may
+only be resumed at the version that began it.  A client that resumes one names
+the request that brought its first event, and may do so at any gateway.
+
+Pure: times are readings of the holder's clock, in seconds; messages carry the
+time that is left.
+"""
+
+import hashlib
+from typing import Iterable
+
+import msgspec
+
+from rackpost.routing import endpoints
+from rackpost import types
+
+_KEY_BYTES = 8
+# Keeps these digests apart from other digests of the same bytes.
+_PURPOSE = b"rackpost stream"
+# Bounds the memory for streams; the oldest are dropped.
+_MAX_STREAMS = 50_000
+# Longest time for which a stream is remembered, in seconds.
+_MAX_LIFETIME_S = 3600.0
+
+
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Where a stream began; it can be resumed nowhere else."""
+
+    service: types.ServiceName
+    software: types.SoftwareVersion
+
+    def began_at(self, endpoint: endpoints.Endpoint) -> bool:
+        """Whether an endpoint has the service and version of the stream."""
+        return (
+            endpoint.service == self.service
+            and endpoint.software == self.software
+        )
+
+
+class OriginRecord(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """A stream's origin, and for how long a client may resume it.
+
+    In seconds, from when the record is made.
+    """
+
+    stream: types.StreamKey
+    origin: StreamOrigin
+    left_s: float
+
+
+def stream_key(
+    organisation: types.OrganisationName, first_request: bytes
+) -> types.StreamKey:
+    """Return the key of the stream that a request began.
+
+    Request ids are chosen by callers, and unique within an organisation only.
+    """
+    found = hashlib.blake2b(digest_size=_KEY_BYTES, person=_PURPOSE)
+    name = organisation.encode()
+    found.update(b"%d:" % len(name))
+    found.update(name)
+    found.update(first_request)
+    return types.StreamKey(found.digest())
+
+
+class OriginTable:
+    """The origins of streams that clients may still resume.
+
+    An origin never changes: it is recorded with the first event.
+    """
+
+    def __init__(self) -> None:
+        self._streams: dict[types.StreamKey, tuple[StreamOrigin, float]] = {}
+        # One copy of each origin, which many streams share.
+        self._origins: dict[StreamOrigin, StreamOrigin] = {}
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    def record(self, item: OriginRecord, now: float) -> bool:
+        """Record an origin; return whether the stream is new here."""
+        self._forget_expired(now)
+        if self.find(item.stream, now) is not None:
+            return False
+        origin = self._origins.setdefault(item.origin, item.origin)
+        lifetime_s = min(item.left_s, _MAX_LIFETIME_S)
+        self._streams[item.stream] = (origin, now + lifetime_s)
+        if len(self._streams) > _MAX_STREAMS:
+            del self._streams[next(iter(self._streams))]
+        return True
+
+    def record_all(self, items: Iterable[OriginRecord], now: float) -> None:
+        """Record several origins."""
+        for item in items:
+            self.record(item, now)
+
+    def find(self, stream: types.StreamKey, now: float) -> StreamOrigin | None:
+        """Return a stream's origin, None if it is not known."""
+        found = self.find_record(stream, now)
+        return None if found is None else found.origin
+
+    def find_record(
+        self, stream: types.StreamKey, now: float
+    ) -> OriginRecord | None:
+        """Return the record of a stream, None if there is none."""
+        origin, until = self._streams.get(stream, (None, now))
+        if origin is None or until <= now:
+            return None
+        return OriginRecord(stream=stream, origin=origin, left_s=until - now)
+
+    def records(self, now: float) -> tuple[OriginRecord, ...]:
+        """Return the records of all streams that can still be resumed."""
+        found = (self.find_record(stream, now) for stream in self._streams)
+        return tuple(item for item in found if item is not None)
+
+    def _forget_expired(self, now: float) -> None:
+        """Forget the oldest streams whose time is over.
+
+        Lifetimes are much alike, so that those behind an unexpired one are
+        forgotten soon after.
+        """
+        while self._streams:
+            stream = next(iter(self._streams))
+            if self._streams[stream][1] > now:
+                return
+            del self._streams[stream]
+        self._origins.clear()
--- a/rackpost/gateway/answer_relay.py
+++ b/rackpost/gateway/answer_relay.py
@@ -1,10 +1,13 @@
 """Relaying an endpoint's answer to the client, whole or as a stream."""
 
+import asyncio
+
 from rackpost import exceptions
 from rackpost.gateway import call as call_mod
 from rackpost.http1 import client
 from rackpost.http1 import events
 from rackpost.http1 import message
+from rackpost.routing import endpoints
 
 
 def relay_whole(call: call_mod.Call, head: message.Head, body: bytes) -> None:
@@ -20,7 +23,10 @@
 
 
 async def relay_stream(
-    call: call_mod.Call, head: message.Head, conn: client.ClientConnection
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    head: message.Head,
+    conn: client.ClientConnection,
 ) -> None:
     """Send a stream's events to the client as they come, each once.
 
@@ -36,6 +42,11 @@
             if _is_new(call, event):
                 fresh.append(event.data)
             _record_event(call, event)
+        if call.last_event_id is not None and call.record_first_event(
+            endpoint
+        ):
+            # Lets the links send the origin before the client has the event.
+            await asyncio.sleep(0)
         began = call.site.loop_time()
         await responder.send_chunk(b"".join(fresh))
         call.times.client_s += call.site.loop_time() - began
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -49,6 +49,7 @@
     call: call_mod.Call, endpoint: endpoints.Endpoint
 ) -> contextlib.AbstractAsyncContextManager[client.ClientConnection]:
     """Open a connection to an endpoint; raises ExchangeError."""
+    call.check_version(endpoint)
     return endpoint_calls.connected(call.site, call.service, endpoint)
 
 
@@ -99,6 +100,8 @@
     extra_headers: list[message.Header],
     grant: rate_grants.Grant | None,
 ) -> Reply:
+    # It may have restarted with other software since it was chosen.
+    call.check_version(endpoint)
     request_lines = (
         request_headers(call, endpoint, call.site.loop_time()) + extra_headers
     )
@@ -183,7 +186,7 @@
 ) -> retry_decision.AttemptEnd | None:
     """Do as `run` on an open connection, with additional headers."""
     began = call.site.loop_time()
-    if call.sampled or call.tried or call.resumes_stream:
+    if call.sampled or call.tried or call.origin is not None:
         _log_choice(call, endpoint, began)
     ran_before = call.may_have_run
     if call.charge is not None:
@@ -282,7 +285,7 @@
         call.on_answer()
         now = call.site.loop_time()
         call.site.health.record_answer(endpoint.id, now - began, now)
-        await answer_relay.relay_stream(call, head, reply.conn)
+        await answer_relay.relay_stream(call, endpoint, head, reply.conn)
         call.record_delivered(endpoint, head)
         return None
     return await _receive_whole(call, endpoint, reply, began)
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -7,6 +7,8 @@
 
 from rackpost.decide import fingerprint
 from rackpost.decide import retry_decision
+from rackpost.decide import stream_origins
+from rackpost import exceptions
 from rackpost.gateway import callers
 from rackpost.gateway import charge as charge_mod
 from rackpost.gateway import site as site_mod
@@ -25,6 +27,8 @@
 # Refusals with a back-off after which a request no longer returns to the
 # endpoints that sent them: each costs a retry.
 _MAX_BACKOFFS = 3
+# Bounds what a client may claim, in milliseconds.
+_MAX_DEADLINE_MS = 3_600_000
 # Retry-After of requests that a stopping gateway refuses, in seconds; other
 # gateways can serve them at once.
 STOPPING_RETRY_AFTER_S = 0.05
@@ -44,6 +48,8 @@
     REJECTED = "rejected"
     OVER_QUOTA = "over-quota"
     ENDS_ENDPOINTS = "ends-endpoints"
+    ORIGIN_UNKNOWN = "origin-unknown"
+    VERSION_GONE = "version-gone"
     TIME_UP = "time-up"
     BROKEN = "broken"
     BAD_REQUEST = "bad-request"
@@ -74,7 +80,9 @@
         caller: callers.Caller,
         began: float,
         deadline: float,
+        origin: stream_origins.StreamOrigin | None = None,
     ) -> None:
+        """`origin` is where the stream began that the request resumes."""
         self.site = site
         self.req = req
         self.responder = responder
@@ -104,6 +112,8 @@
         # Called once an endpoint's answer is about to be passed on.
         self.on_answer: Callable[[], None] = ignore
         self.times = stream_times.StreamTimes(began=began)
+        # Where the stream began, once it has an event.
+        self.origin = origin
         # Id of the last event sent to the client, for resuming the stream.
         self.last_event_id: int | None = None
         self.forwarded_headers = caller.passed_on(
@@ -114,11 +124,6 @@
             ]
         )
 
-    @property
-    def resumes_stream(self) -> bool:
-        """Whether the client has events of the stream from an earlier try."""
-        return message.find(self.req.headers, headers.RESUME_AFTER) is not None
-
     def record_broken(
         self, endpoint: endpoints.Endpoint, *, began: float
     ) -> None:
@@ -136,9 +141,51 @@
         An endpoint that asked for a back-off may get it once more afterwards,
         but not after several refusals: each one costs a retry.
         """
-        if len(self.backoff_endpoints) >= _MAX_BACKOFFS:
-            return self.tried
-        return [key for key in self.tried if key not in self.backoff_endpoints]
+        found = self.tried
+        if len(self.backoff_endpoints) < _MAX_BACKOFFS:
+            found = [key for key in found if key not in self.backoff_endpoints]
+        if self.origin is None:
+            return found
+        return found + self.site.table.other_versions(
+            self.origin.service, self.origin.software
+        )
+
+    def check_version(self, endpoint: endpoints.Endpoint) -> None:
+        """Raise EndpointIneligible where a stream that began can't go on."""
+        known = self.site.table.alive.get(endpoint.id, endpoint)
+        if self.origin is not None and not self.origin.began_at(known):
+            raise exceptions.EndpointIneligible("other software version")
+
+    def record_first_event(self, endpoint: endpoints.Endpoint) -> bool:
+        """Record where the stream began, before its first event is sent.
+
+        Returns whether others are being told, so that any gateway can resume
+        it.
+        """
+        if self.origin is not None:
+            return False
+        known = self.site.table.alive.get(endpoint.id, endpoint)
+        self.origin = stream_origins.StreamOrigin(
+            service=known.service, software=known.software
+        )
+        if not self.route.resumable or self.request_id is None:
+            return False
+        self.site.stream_origins.record(
+            stream_origins.stream_key(
+                types.OrganisationName(self.caller.name), self.request_id
+            ),
+            self.origin,
+            self._stream_lifetime_s(),
+        )
+        return True
+
+    def _stream_lifetime_s(self) -> float:
+        """Return for how long the client may resume the stream."""
+        left_ms = headers.parse_int(
+            message.find(self.req.headers, headers.DEADLINE_MS)
+        )
+        client_s = min(left_ms or 0, _MAX_DEADLINE_MS) / 1000.0
+        return max(self.route.timeout_s, client_s)
 
     @property
     def is_head(self) -> bool:
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -261,6 +261,22 @@
     return False
 
 
+def end_if_version_gone(call: call_mod.Call) -> bool:
+    """End a begun stream if no endpoint of its version is left.
+
+    Returns whether it was ended.
+    """
+    if call.origin is None or _available_in_s(call) is not None:
+        return False
+    call.log(
+        "No endpoint has the stream's version.",
+        software=call.origin.software,
+        after_event=call.last_event_id,
+    )
+    give_up(call, call_mod.Reason.VERSION_GONE)
+    return True
+
+
 def give_up(call: call_mod.Call, reason: call_mod.Reason) -> None:
     """Answer the client after the last attempt."""
     if call.failure is not None and not call.responder.started:
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -120,7 +120,9 @@
         call = self._call
         while True:
             self._progress = self._new_progress()
-            reservation = self._reserve_again() or await self._reserve()
+            reservation = await self._next_reservation()
+            if reservation is None:
+                return
             if isinstance(reservation, reservation_mod.NoCapacity):
                 self._refuse_no_capacity(reservation)
                 return
@@ -146,6 +148,17 @@
             if ended is retry_decision.AttemptEnd.BROKEN:
                 self._broken_endpoint = reservation.endpoint
 
+    async def _next_reservation(
+        self,
+    ) -> reservation_mod.DecodeReservation | reservation_mod.NoCapacity | None:
+        """Wait for a decode endpoint; None if the request was answered."""
+        again = self._reserve_again()
+        if again is not None:
+            return again
+        if forward.end_if_version_gone(self._call):
+            return None
+        return await self._reserve()
+
     async def _reserve(
         self,
     ) -> reservation_mod.DecodeReservation | reservation_mod.NoCapacity:
@@ -243,12 +256,25 @@
             event_interval_s=call.site.token_timing.decode_s(
                 self._engine.event_tokens
             ),
-            in_place=self._in_place,
+            in_place=self._in_place or self._lacks_prefill_version(),
             large_reservations=self._reserves_for_large(),
             request_id=(call.request_id or b"").decode("latin-1"),
             waiting_request=self._reserved,
         )
 
+    def _lacks_prefill_version(self) -> bool:
+        """Whether no prefill endpoint has the version of a begun stream."""
+        call = self._call
+        return call.origin is not None and not (
+            call.site.chooser.candidates.find(
+                call.service.name,
+                types.Role.PREFILL,
+                exclude=call.excluded_endpoints,
+                now=call.site.loop_time(),
+                healthy_only=True,
+            )
+        )
+
     def _holds_prompt(self) -> bool:
         """Whether the prompt is prefilled, where that counts in the order."""
         return (
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import math
+import random
+from typing import NamedTuple
 
 from rackpost.decide import quota
+from rackpost.decide import stream_origins
 from rackpost.gateway import call as call_mod
 from rackpost.gateway import callers
 from rackpost.gateway import charge
@@ -16,12 +19,16 @@
 from rackpost.platform import headers
 from rackpost.routing import match
 from rackpost.routing import model
+from rackpost import types
 
 # A gateway receives its routing document within this time after its start, in
 # seconds; earlier requests wait for it.
 _DOCUMENT_WAIT_S = 2.0
 # Retry-After where there is still no document, in seconds.
 _NO_DOCUMENT_RETRY_AFTER_S = 0.5
+# Retry-After of a resumed stream that can go on at no endpoint, in seconds:
+# what is known of it does not change soon.
+_NOT_RESUMED_RETRY_AFTER_S = 1.0
 # Bounds the requests whose bodies are in memory meanwhile.
 _MAX_WAITING = 256
 # Time for an answer to reach its client, in seconds.
@@ -34,6 +41,13 @@
 _MIN_QUOTA_RETRY_AFTER_S = 0.4
 
 
+class _Routed(NamedTuple):
+    """The route of a request, and who sent it."""
+
+    route: model.Route
+    caller: callers.Caller
+
+
 class Handler:
     """Answers the clients of a gateway."""
 
@@ -52,21 +66,73 @@
             self._count_own_answer(call_mod.Reason.NO_DOCUMENT, req)
             call_mod.refuse(responder, _NO_DOCUMENT_RETRY_AFTER_S)
             return
+        routed = self._route(routes, req, responder)
+        if routed is None:
+            return
+        origin = None
+        if _resumes_stream(routed.route, req):
+            origin = await self._find_origin(routed, req)
+            if origin is None:
+                self._refuse_resumed(
+                    call_mod.Reason.ORIGIN_UNKNOWN, req, responder
+                )
+                return
+            # The routes may have changed meanwhile.
+            routed = self._route(routes, req, responder)
+            if routed is None:
+                return
+        name = _choose_service(routed.route, origin, self._site.rng)
+        if name is None:
+            self._refuse_resumed(call_mod.Reason.VERSION_GONE, req, responder)
+            return
+        await self._handle_routed(
+            req, responder, routed, routes.services[name], began, origin
+        )
+
+    def _route(
+        self,
+        routes: match.RouteTable,
+        req: message.Request,
+        responder: server.Responder,
+    ) -> _Routed | None:
+        """Return a request's route and caller; None if it was answered."""
         host = message.find(req.headers, b"host") or b""
         route = routes.find(host.decode("latin-1"), req.path.decode("latin-1"))
         if route is None:
             self._count_own_answer(call_mod.Reason.NO_ROUTE, req)
             responder.send(404, [], b"")
-            return
+            return None
         caller = callers.Caller(routes=routes, req=req)
         if not caller.may_use(route):
             self._record_no_key(req, route)
             call_mod.require_key(responder)
-            return
-        name = match.choose_service(route, self._site.rng)
-        service = routes.services[name]
-        await self._handle_routed(
-            req, responder, route, service, caller, began
+            return None
+        return _Routed(route, caller)
+
+    def _refuse_resumed(
+        self,
+        reason: call_mod.Reason,
+        req: message.Request,
+        responder: server.Responder,
+    ) -> None:
+        """Refuse a request whose stream can't be resumed."""
+        self._site.metrics.count("own_answers", reason)
+        self._log_own_answer(
+            reason, req, first_request=_header(req, headers.RESUMES)
+        )
+        call_mod.refuse(responder, _NOT_RESUMED_RETRY_AFTER_S)
+
+    async def _find_origin(
+        self, routed: _Routed, req: message.Request
+    ) -> stream_origins.StreamOrigin | None:
+        """Return where the stream began that a request resumes."""
+        first = message.find(req.headers, headers.RESUMES)
+        if first is None:
+            return None
+        return await self._site.stream_origins.find(
+            stream_origins.stream_key(
+                types.OrganisationName(routed.caller.name), first
+            )
         )
 
     async def _wait_for_routes(
@@ -120,11 +186,12 @@
         self,
         req: message.Request,
         responder: server.Responder,
-        route: model.Route,
+        routed: _Routed,
         service: model.Service,
-        caller: callers.Caller,
         began: float,
+        origin: stream_origins.StreamOrigin | None,
     ) -> None:
+        route = routed.route
         deadline = began + min(route.timeout_s, _client_timeout_s(req))
         if not self._site.planned_stop.may_start(deadline):
             # It might be interrupted at the end of the grace time.
@@ -137,13 +204,21 @@
             responder=responder,
             route=route,
             service=service,
-            caller=caller,
+            caller=routed.caller,
             began=began,
             deadline=deadline,
+            origin=origin,
         )
         call.retry_budget.record_request(self._site.loop_time())
-        if call.resumes_stream:
-            _log_resumed(call)
+        if origin is not None:
+            call.log(
+                "Client resumes a stream.",
+                service=origin.service,
+                software=origin.software,
+                first_request=_header(req, headers.RESUMES),
+                after_event=_header(req, headers.RESUME_AFTER),
+                found_after_s=round(self._site.loop_time() - began, 3),
+            )
         if call.end_if_blocked() or self._is_over_quota(call):
             return
         try:
@@ -221,18 +296,38 @@
             call.refuse(call_mod.Reason.TIME_UP, forward.retry_after_s(call))
 
 
-def _log_resumed(call: call_mod.Call) -> None:
-    """Log that a client resumes a stream, and which request began it."""
-    first = message.find(call.req.headers, headers.RESUMES) or b""
-    after = message.find(call.req.headers, headers.RESUME_AFTER) or b""
-    call.log(
-        "Client resumes a stream.",
-        service=call.service.name,
-        first_request=first.decode("latin-1"),
-        after_event=after.decode("latin-1"),
+def _resumes_stream(route: model.Route, req: message.Request) -> bool:
+    """Whether the client has events of the stream from an earlier request."""
+    return (
+        route.kind is model.RouteKind.STREAM
+        and message.find(req.headers, headers.RESUME_AFTER) is not None
     )
 
 
+def _choose_service(
+    route: model.Route,
+    origin: stream_origins.StreamOrigin | None,
+    rng: random.Random,
+) -> types.ServiceName | None:
+    """Return the service of a request, for a resumed stream where it began.
+
+    None if the route does not lead there any more.
+    """
+    if origin is None:
+        return match.choose_service(route, rng)
+    if any(
+        item.service == origin.service and item.weight > 0.0
+        for item in route.targets
+    ):
+        return origin.service
+    return None
+
+
+def _header(req: message.Request, name: bytes) -> str:
+    """Return a header's value for the log."""
+    return (message.find(req.headers, name) or b"").decode("latin-1")
+
+
 def _client_timeout_s(req: message.Request) -> float:
     """Return how long the client waits for its answer, in seconds."""
     deadline_ms = headers.parse_int(
--- a/rackpost/gateway/load_exchange.py
+++ b/rackpost/gateway/load_exchange.py
@@ -3,7 +3,8 @@
 Each report is complete and repeated with each change and at least once a
 second, so that a lost datagram does little harm.  Where `LOAD_DELTAS` is on,
 changes go in smaller reports (`delta_reports.py`).  Grants of endpoints' rates
-(`rate_grants.py`) use the same socket.
+(`rate_grants.py`) and origins of streams (`stream_origins.py`) use the same
+socket.
 """
 
 import asyncio
@@ -64,7 +65,7 @@
         )
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
-        """Handle a load report or a message about grants."""
+        """Handle a load report, or a message about grants or origins."""
         try:
             msg = _DECODER.decode(data)
         except exceptions.CodecError as exc:
@@ -76,6 +77,9 @@
             self._receive_load(msg, self._site.loop_time())
         elif isinstance(msg, messages.LoadDelta):
             self._receive_delta(msg, self._site.loop_time())
+        elif isinstance(msg, messages.AboutOrigins):
+            sender = address.Address(*addr[:2])
+            self._site.stream_origins.receive(msg, sender)
         else:
             self._site.rate_grants.receive(msg, address.Address(*addr[:2]))
 
@@ -258,6 +262,7 @@
         """Send and receive reports by `transport` until the block ends."""
         self._transport = transport
         self._site.rate_grants.send = transport.sendto
+        self._site.stream_origins.send = transport.sendto
         task = asyncio.create_task(self._publish())
         try:
             yield
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -39,6 +39,7 @@
 from rackpost.gateway import planned_stop
 from rackpost.gateway import policy as policy_mod
 from rackpost.gateway import rate_grants
+from rackpost.gateway import stream_origins
 from rackpost.http1 import pool as pool_mod
 from rackpost import logs
 from rackpost import metrics as metrics_mod
@@ -167,6 +168,9 @@
             window_s=host.bounds.quota_window_s
         )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
+        self.stream_origins = stream_origins.StreamOrigins(
+            vm=host.vm, gateways=self.gateways, rng=self.rng
+        )
         self.planned_stop = planned_stop.PlannedStop()
         self.hold_pauses = holds.Pauses()
         self._listed_vms: set[types.VmId] = set()
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -222,6 +222,16 @@
             key for key, at in self.last_heartbeat_at.items() if at > since
         )
 
+    def other_versions(
+        self, service: types.ServiceName, software: types.SoftwareVersion
+    ) -> list[types.EndpointId]:
+        """Return the endpoints of a service with other software."""
+        return [
+            item.id
+            for item in self.alive.values()
+            if item.service == service and item.software != software
+        ]
+
     def silent(self, before: float) -> list[types.EndpointId]:
         """Return the endpoints whose last heartbeat came before `before`."""
         return [
--- a/rackpost/types.py
+++ b/rackpost/types.py
@@ -16,6 +16,8 @@
 KeyDigest = NewType("KeyDigest", bytes)
 # Identifies a request by its content, whatever its id.
 Fingerprint = NewType("Fingerprint", bytes)
+# Identifies a stream by the request that began it.
+StreamKey = NewType("StreamKey", bytes)
 ServiceName = NewType("ServiceName", str)
 # Version of the software of an endpoint.
 SoftwareVersion = NewType("SoftwareVersion", str)
