Resume streams of clients that name no request while one version serves

Change: such a stream goes on if all known endpoints of its service have one software version, and is refused if they have several. The test of resumed streams under quarantine is as it was.

--- a/rackpost/decide/stream_origins.py
+++ b/rackpost/decide/stream_origins.py
@@ -9,6 +9,7 @@
 """
 
 import hashlib
+from typing import Collection
 from typing import Iterable
 
 import msgspec
@@ -65,6 +66,19 @@
     return types.StreamKey(found.digest())
 
 
+def sole_origin(
+    service: types.ServiceName, versions: Collection[types.SoftwareVersion]
+) -> StreamOrigin | None:
+    """Return the origin that all streams of a service have.
+
+    For clients that do not name the request that began their stream.  None
+    if the known endpoints have several versions, or there are none.
+    """
+    if len(versions) != 1:
+        return None
+    return StreamOrigin(service=service, software=next(iter(versions)))
+
+
 class OriginTable:
     """The origins of streams that clients may still resume.
 
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -70,12 +70,11 @@
         if routed is None:
             return
         origin = None
-        if _resumes_stream(routed.route, req):
+        if _names_first_request(routed.route, req):
             origin = await self._find_origin(routed, req)
             if origin is None:
-                self._refuse_resumed(
-                    call_mod.Reason.ORIGIN_UNKNOWN, req, responder
-                )
+                reason = call_mod.Reason.ORIGIN_UNKNOWN
+                self._refuse_resumed(reason, req, responder)
                 return
             # The routes may have changed meanwhile.
             routed = self._route(routes, req, responder)
@@ -83,8 +82,16 @@
                 return
         name = _choose_service(routed.route, origin, self._site.rng)
         if name is None:
-            self._refuse_resumed(call_mod.Reason.VERSION_GONE, req, responder)
+            reason = call_mod.Reason.VERSION_GONE
+            self._refuse_resumed(reason, req, responder)
             return
+        if origin is None and _resumes_stream(routed.route, req):
+            versions = self._site.table.versions(name)
+            if len(versions) > 1:
+                reason = call_mod.Reason.ORIGIN_UNKNOWN
+                self._refuse_resumed(reason, req, responder)
+                return
+            origin = stream_origins.sole_origin(name, versions)
         await self._handle_routed(
             req, responder, routed, routes.services[name], began, origin
         )
@@ -126,9 +133,7 @@
         self, routed: _Routed, req: message.Request
     ) -> stream_origins.StreamOrigin | None:
         """Return where the stream began that a request resumes."""
-        first = message.find(req.headers, headers.RESUMES)
-        if first is None:
-            return None
+        first = message.find(req.headers, headers.RESUMES) or b""
         return await self._site.stream_origins.find(
             stream_origins.stream_key(
                 types.OrganisationName(routed.caller.name), first
@@ -304,6 +309,14 @@
     )
 
 
+def _names_first_request(route: model.Route, req: message.Request) -> bool:
+    """Whether a client names the request that began the stream it resumes."""
+    return (
+        _resumes_stream(route, req)
+        and message.find(req.headers, headers.RESUMES) is not None
+    )
+
+
 def _choose_service(
     route: model.Route,
     origin: stream_origins.StreamOrigin | None,
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -222,6 +222,16 @@
             key for key, at in self.last_heartbeat_at.items() if at > since
         )
 
+    def versions(
+        self, service: types.ServiceName
+    ) -> set[types.SoftwareVersion]:
+        """Return the software versions of a service's endpoints."""
+        return {
+            item.software
+            for item in self.alive.values()
+            if item.service == service
+        }
+
     def other_versions(
         self, service: types.ServiceName, software: types.SoftwareVersion
     ) -> list[types.EndpointId]:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -140,3 +140,21 @@
             assert not any(one.streams for one in site.decode)
 
     asyncio.run(main())
+
+
+def test_a_client_that_does_not_name_its_stream_needs_one_version(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Older clients resume streams while no two versions are there."""
+
+    async def main() -> None:
+        async with versioned_site.site(tmp_path) as site:
+            await site.take_away(*site.new, site.prefill[1])
+            await site.begin(31, "r1")
+            got = await site.resume(16, "again1", None)
+            assert got.ids == [2, 3, 4]
+            await site.bring_back(*site.new)
+            got = await site.resume(16, "again2", None)
+            assert got.status == 503
+
+    asyncio.run(main())
