--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -144,9 +144,14 @@
         found = self.tried
         if len(self.backoff_endpoints) < _MAX_BACKOFFS:
             found = [key for key in found if key not in self.backoff_endpoints]
+        return found + self.other_versions if self.origin else found
+
+    @property
+    def other_versions(self) -> list[types.EndpointId]:
+        """Endpoints at which a stream that has begun can't go on."""
         if self.origin is None:
-            return found
-        return found + self.site.table.other_versions(
+            return []
+        return self.site.table.other_versions(
             self.origin.service, self.origin.software
         )
 
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -266,7 +266,15 @@
 
     Returns whether it was ended.
     """
-    if call.origin is None or _available_in_s(call) is not None:
+    if call.origin is None:
+        return False
+    available_in_s = call.site.chooser.candidates.available_in_s(
+        call.service.name,
+        _role(call),
+        exclude=call.other_versions,
+        now=call.site.loop_time(),
+    )
+    if available_in_s is not None:
         return False
     call.log(
         "No endpoint has the stream's version.",
