Test resumed streams without coordinators, after restarts, and by service

Cause: the first tests had coordinators all along and one service.

Change: streams that are found at other gateways, that began while no coordinator ran, that a restarted coordinator is told of, and whose route leads to another service meanwhile. A gateway that is stopped within a prefill is remembered with that load for a while, which the tests wait out.

--- a/rackpost/gateway/stream_origins.py
+++ b/rackpost/gateway/stream_origins.py
@@ -89,6 +89,11 @@
         if items:
             conn.send(messages.OriginNotice(items=items))
 
+    @property
+    def is_linked(self) -> bool:
+        """Whether a coordinator is linked."""
+        return bool(self._coordinators)
+
     def unlink(self, conn: channel.Channel) -> None:
         """Record that the link to a coordinator is lost."""
         self._coordinators.discard(conn)
@@ -132,7 +137,7 @@
     ) -> stream_origins.StreamOrigin | None:
         query = messages.OriginQuery(stream=stream)
         for number, wait_s in enumerate(_ROUNDS_S):
-            asks_gateways = number > 0 or not self._coordinators
+            asks_gateways = number > 0 or not self.is_linked
             # Gateways that do not know the stream send no answer.
             search.begin_round(
                 None if asks_gateways else len(self._coordinators)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,6 +6,7 @@
 from typing import AsyncIterator
 
 from tests import crashing_site
+from tests import platform_site
 from tests import versioned_site
 
 _STREAMS = 4
@@ -13,19 +14,19 @@
 
 @contextlib.asynccontextmanager
 async def _begun(
-    root: pathlib.Path,
+    root: pathlib.Path, *, busy_at: int = 16
 ) -> AsyncIterator[versioned_site.Site]:
     """A site with streams r0, r1, ... that began at the old version.
 
     They began at gateway 31; endpoints of both versions are there, and those
-    of the old one are busy.
+    of the old one are busy with streams of gateway `busy_at`.
     """
     async with versioned_site.site(root) as site:
         await site.take_away(*site.new)
         for number in range(_STREAMS):
             begun = await site.begin(31, f"r{number}")
             assert begun.versions == {versioned_site.OLD}
-        async with site.old_endpoints_busy():
+        async with site.old_endpoints_busy(busy_at):
             yield site
 
 
@@ -48,7 +49,7 @@
             client = await site.open(31, "r1")
             await client.first_event()
             ran = next(one for one in site.old if one.streams)
-            async with site.old_endpoints_busy():
+            async with site.old_endpoints_busy(16):
                 await site.take_away(ran)
                 ran.breaks = True
                 ran.go_on.set()
@@ -158,3 +159,75 @@
             assert got.status == 503
 
     asyncio.run(main())
+
+
+def test_streams_are_found_at_other_gateways_without_coordinators(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with _begun(tmp_path, busy_at=31) as site:
+            await site.restart_gateway(16)
+            await site.stop(11)
+            await platform_site.until(
+                lambda: not site.gateways[16].site.stream_origins.is_linked
+            )
+            await _assert_resumed(site, 16)
+
+    asyncio.run(main())
+
+
+def test_streams_that_begin_without_coordinators_outlive_their_gateway(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with versioned_site.site(tmp_path) as site:
+            await site.take_away(*site.new)
+            await site.stop(11)
+            for number in range(_STREAMS):
+                await site.begin(31, f"r{number}")
+            await site.stop(31)
+            await _assert_resumed(site, 16)
+
+    asyncio.run(main())
+
+
+def test_a_restarted_coordinator_is_told_of_the_streams(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with _begun(tmp_path) as site:
+            await site.stop(11)
+            await site.start(11)
+            await platform_site.until(
+                lambda: len(site.coordinators[11].stream_origins) >= _STREAMS
+            )
+            await site.stop(31)
+            await site.stop(16)
+            await site.start(16)
+            await site.wait_until_known()
+            await _assert_resumed(site, 16)
+
+    asyncio.run(main())
+
+
+def test_a_resumed_stream_stays_at_its_service(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A route may lead to several services, or to another one meanwhile."""
+
+    async def main() -> None:
+        async with versioned_site.site(tmp_path) as site:
+            await site.begin(31, "r1")
+            doc = platform_site.document(version=2)
+            for route in doc["routes"]:
+                if route["name"] == "res":
+                    route["service"] = "plain"
+            await site.operator.put_until_accepted(11, doc)
+            await platform_site.until(
+                lambda: site.gateways[16].site.version == 2
+            )
+            got = await site.resume(16, "again", "r1")
+            assert got.status == 503
+            assert not any(one.requests for one in site.plain)
+
+    asyncio.run(main())
--- a/tests/versioned_site.py
+++ b/tests/versioned_site.py
@@ -160,9 +160,18 @@
         """Begin a stream at a gateway, and leave after its first event."""
         client = await self.open(number, ident)
         try:
-            return await client.first_event()
+            begun = await client.first_event()
         finally:
             client.close()
+        # What a stopped gateway last reported counts for a while.
+        for running in self.gateways.values():
+            loads = running.site.loads
+            await platform_site.until(
+                lambda: not any(
+                    loads.total(one.ident).requests for one in self.prefill
+                )
+            )
+        return begun
 
     async def take_away(self, *gone: crashing_site.Endpoint) -> None:
         """Let endpoints leave, and wait until the gateways know it."""
@@ -191,13 +200,13 @@
         )
 
     @contextlib.asynccontextmanager
-    async def old_endpoints_busy(self) -> AsyncIterator[None]:
+    async def old_endpoints_busy(self, gateway: int) -> AsyncIterator[None]:
         """Keep streams running at all endpoints of the old version.
 
         Those of the new version, which are away, come back idle: a choice
         without regard to the version takes them.
         """
-        clients = [await self.open(16, f"busy{n}") for n in range(4)]
+        clients = [await self.open(gateway, f"busy{n}") for n in range(4)]
         for client in clients:
             await client.first_event()
         assert all(one.streams for one in self.old)
@@ -223,4 +232,8 @@
         for endpoint in found.endpoints:
             await enter(endpoint.running())
         await enter(found.powered(first=True))
+        for running in found.gateways.values():
+            await platform_site.until(
+                lambda: running.site.gateway_count == len(found.gateways)
+            )
         yield found
