Fetch no KV cache from an address that another endpoint has taken over

Callers: a stream could go on from another request's KV cache, as endpoints do not check whose handle they are given. Cause: only a restart under the same id made a prefill result stale; an endpoint that crashed and whose address was taken over by one with another id was taken to be there still.

Change: a result is stale once any other process is known at the address.

--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -103,10 +103,9 @@
             return False
         age = self._call.site.loop_time() - self._prefilled_at
         fresh = age < _FETCHABLE_SHARE * engine.handle_ttl_s
-        # A restarted prefill endpoint has lost the KV cache.
-        return fresh and not self._call.site.table.has_restarted(
-            self._endpoint
-        )
+        # The KV cache is lost with the process.  Another one at the address
+        # may know the handle as that of another request.
+        return fresh and not self._call.site.table.is_replaced(self._endpoint)
 
     @property
     def is_fetched(self) -> bool:
@@ -190,9 +189,9 @@
         """Free a KV cache that is no longer fresh."""
         if self._endpoint is None:
             return
-        restarted = self._call.site.table.has_restarted(self._endpoint)
+        replaced = self._call.site.table.is_replaced(self._endpoint)
         self.release(
-            VainReason.ENDPOINT_LOST if restarted else VainReason.HANDLE_LAPSED
+            VainReason.ENDPOINT_LOST if replaced else VainReason.HANDLE_LAPSED
         )
 
 
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -179,6 +179,16 @@
         known = self.alive.get(endpoint.id)
         return known is not None and _is_later(endpoint.born, known.born)
 
+    def is_replaced(self, endpoint: Endpoint) -> bool:
+        """Whether another process is known at an endpoint's address.
+
+        It is a later incarnation, or another endpoint.
+        """
+        if self.has_restarted(endpoint):
+            return True
+        dropped = self._dropped.get(endpoint.id)
+        return dropped is not None and dropped.born == endpoint.born
+
     def has_left(self, endpoint: Endpoint) -> bool:
         """Whether an endpoint left, or announced it, in this incarnation."""
         known = self.alive.get(endpoint.id)
