Hand a prompt's KV cache only to an endpoint of the same software version

Callers: what two software versions write does not fit together, and endpoints do not check whose KV cache they fetch. Cause: the prefill and the decode endpoint of a prompt were chosen each by itself.

Change: while a service has several versions, a prompt is prefilled at one that a decode endpoint with capacity shares; decode endpoints whose version no prefill endpoint has prefill in place. A prompt that waits prefilled, and a second prefill after a failure, are bound in the same way. With one version nothing changes.

--- a/rackpost/decide/candidates.py
+++ b/rackpost/decide/candidates.py
@@ -86,6 +86,28 @@
             if item.service == service and item.role is role
         ]
 
+    def versions(
+        self, service: types.ServiceName
+    ) -> set[types.SoftwareVersion]:
+        """Return the software versions of a service's endpoints."""
+        return self._table.versions(service)
+
+    def of_version(
+        self, service: types.ServiceName, software: types.SoftwareVersion
+    ) -> list[types.EndpointId]:
+        """Return the endpoints of a service with this software."""
+        return [
+            item.id
+            for item in self._table.alive.values()
+            if item.service == service and item.software == software
+        ]
+
+    def other_versions(
+        self, service: types.ServiceName, software: types.SoftwareVersion
+    ) -> list[types.EndpointId]:
+        """Return the endpoints of a service with other software."""
+        return self._table.other_versions(service, software)
+
     def available_in_s(
         self,
         service: types.ServiceName,
--- a/rackpost/gateway/endpoint_reserver.py
+++ b/rackpost/gateway/endpoint_reserver.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Callable
 from typing import NamedTuple
+from typing import Sequence
 
 from rackpost.decide import endpoint_choice
 from rackpost.decide import endpoint_load
@@ -12,6 +13,7 @@
 from rackpost.gateway import waiters as waiters_mod
 from rackpost import metrics as metrics_mod
 from rackpost.routing import endpoints
+from rackpost import types
 
 # Share of an endpoint's KV memory that is reserved.  The rest absorbs
 # reservations that two gateways make at the same moment; the KV forecast
@@ -35,11 +37,13 @@
 class PrefillPlan(NamedTuple):
     """A prefill endpoint, or the terms of a prefill in place.
 
-    Without either the prompt is prefilled already.
+    Without either the prompt is prefilled already.  `other_versions` are
+    endpoints that can't use the prompt's KV cache.
     """
 
     prefill_endpoint: endpoints.Endpoint | None
     in_place: endpoint_choice.InPlacePrefill | None
+    other_versions: Sequence[types.EndpointId] = ()
 
 
 class EndpointReserver:
@@ -103,13 +107,62 @@
         in_place = self.in_place_terms(request, now)
         if in_place is not None:
             return PrefillPlan(None, in_place)
-        prefill_endpoint = self._find_prefill_endpoint(request, now)
+        if len(self._chooser.candidates.versions(request.service)) > 1:
+            return self._plan_at_one_version(request, now)
+        prefill_endpoint = self._find_prefill_endpoint(
+            request, request.exclude, now
+        )
         return (
             None
             if prefill_endpoint is None
             else PrefillPlan(prefill_endpoint, None)
         )
 
+    def _plan_at_one_version(
+        self, request: reservation_mod.ReservationRequest, now: float
+    ) -> PrefillPlan | None:
+        """Plan a prefill for a decode endpoint of the same software version.
+
+        The KV cache that one version writes can't be read by another.  A
+        decode endpoint whose version no prefill endpoint has prefills itself.
+        """
+        candidates = self._chooser.candidates
+        service = request.service
+        exclude = list(request.exclude)
+        while prefill_endpoint := self._find_prefill_endpoint(
+            request, exclude, now
+        ):
+            software = prefill_endpoint.software
+            plan = PrefillPlan(
+                prefill_endpoint,
+                None,
+                candidates.other_versions(service, software),
+            )
+            if self._choose_decode(request, plan, now) is not None:
+                return plan
+            exclude += candidates.of_version(service, software)
+        plan = PrefillPlan(
+            None,
+            self._in_place(request),
+            [
+                key
+                for software in self._prefilled_versions(service, now)
+                for key in candidates.of_version(service, software)
+            ],
+        )
+        if self._choose_decode(request, plan, now) is None:
+            return None
+        return plan
+
+    def _prefilled_versions(
+        self, service: types.ServiceName, now: float
+    ) -> set[types.SoftwareVersion]:
+        """Return the versions that have a prefill endpoint in use."""
+        found = self._chooser.candidates.find(
+            service, types.Role.PREFILL, now=now, healthy_only=True
+        )
+        return {item.software for item in found}
+
     def in_place_terms(
         self, request: reservation_mod.ReservationRequest, now: float
     ) -> endpoint_choice.InPlacePrefill | None:
@@ -119,12 +172,20 @@
             request.service, now
         ):
             return None
+        return self._in_place(request)
+
+    def _in_place(
+        self, request: reservation_mod.ReservationRequest
+    ) -> endpoint_choice.InPlacePrefill:
         return endpoint_choice.InPlacePrefill(
             min_interval_s=request.event_interval_s
         )
 
     def _find_prefill_endpoint(
-        self, request: reservation_mod.ReservationRequest, now: float
+        self,
+        request: reservation_mod.ReservationRequest,
+        exclude: Sequence[types.EndpointId],
+        now: float,
     ) -> endpoints.Endpoint | None:
         """Return a prefill endpoint with a short queue, None without one."""
         return self._chooser.choose_prefill(
@@ -133,24 +194,21 @@
             max_ahead_tokens=self._token_timing.prefill_tokens_in(
                 _MAX_PREFILL_QUEUE_S
             ),
-            exclude=request.exclude,
+            exclude=exclude,
             data_centre=request.data_centre,
             now=now,
         )
 
-    def reserve(
+    def _choose_decode(
         self,
         request: reservation_mod.ReservationRequest,
         plan: PrefillPlan,
         now: float,
         *,
         claimed_only: bool = False,
-    ) -> reservation_mod.DecodeReservation | None:
-        """Reserve an endpoint that has capacity; None if there is none.
-
-        With `claimed_only` only the endpoint that the request claims.
-        """
-        endpoint = self._chooser.choose_decode(
+    ) -> endpoints.Endpoint | None:
+        """Return a decode endpoint with capacity for a planned prefill."""
+        return self._chooser.choose_decode(
             request.service,
             request.run,
             reservable_tokens(request),
@@ -161,10 +219,26 @@
                 now,
                 claimed_only=claimed_only,
             ),
-            exclude=request.exclude,
+            exclude=[*request.exclude, *plan.other_versions],
             data_centre=request.data_centre,
             now=now,
         )
+
+    def reserve(
+        self,
+        request: reservation_mod.ReservationRequest,
+        plan: PrefillPlan,
+        now: float,
+        *,
+        claimed_only: bool = False,
+    ) -> reservation_mod.DecodeReservation | None:
+        """Reserve an endpoint that has capacity; None if there is none.
+
+        With `claimed_only` only the endpoint that the request claims.
+        """
+        endpoint = self._choose_decode(
+            request, plan, now, claimed_only=claimed_only
+        )
         if endpoint is None:
             return None
         release_capacity = self._add_run(request, endpoint)
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -246,40 +246,31 @@
 
     def _reservation_request(self) -> reservation_mod.ReservationRequest:
         call = self._call
+        exclude = call.excluded_endpoints
         self._held_prompt = self._holds_prompt()
+        if self._held_prompt:
+            exclude = exclude + self._prefill_state.other_versions
         self._reserved = self._waiting_request()
         return reservation_mod.ReservationRequest(
             service=call.service.name,
             memory_tokens=self._engine.memory_tokens,
             run=self._progress.run,
-            exclude=call.excluded_endpoints,
+            exclude=exclude,
             event_interval_s=call.site.token_timing.decode_s(
                 self._engine.event_tokens
             ),
-            in_place=self._in_place or self._lacks_prefill_version(),
+            in_place=self._in_place,
             large_reservations=self._reserves_for_large(),
             request_id=(call.request_id or b"").decode("latin-1"),
             waiting_request=self._reserved,
         )
 
-    def _lacks_prefill_version(self) -> bool:
-        """Whether no prefill endpoint has the version of a begun stream."""
-        call = self._call
-        return call.origin is not None and not (
-            call.site.chooser.candidates.find(
-                call.service.name,
-                types.Role.PREFILL,
-                exclude=call.excluded_endpoints,
-                now=call.site.loop_time(),
-                healthy_only=True,
-            )
-        )
-
     def _holds_prompt(self) -> bool:
         """Whether the prompt is prefilled, where that counts in the order."""
         return (
             self._prefill_state.is_fresh(self._engine)
             and not self._prefill_state.is_fetched
+            and self._prefill_state.has_decode_endpoint
             and (
                 self._reserves_for_large()
                 or self._call.site.orders.contends(self._call.service.name)
@@ -403,7 +394,8 @@
         False if no prefill endpoint succeeded: the request then has to wait
         for a prefill in place.
         """
-        if self._prefill_state.is_fresh(self._engine):
+        decode = reservation.endpoint
+        if self._prefill_state.is_usable_at(decode, self._engine):
             return True
         self._prefill_state.release_stale()
         if not self._splits(reservation):
@@ -411,7 +403,7 @@
         await self._prefill(reservation)
         # Release the prefill endpoint, also after a failure.
         reservation.record_prefilled()
-        return self._prefill_state.is_fresh(self._engine)
+        return self._prefill_state.is_usable_at(decode, self._engine)
 
     async def _prefill(
         self, reservation: reservation_mod.DecodeReservation
@@ -428,6 +420,9 @@
                 self._prompt_tokens,
                 self._prefill_state,
                 self._patience(reservation.reserved_at),
+                exclude=call.site.table.other_versions(
+                    call.service.name, reservation.endpoint.software
+                ),
             )
 
     def _patience(self, reserved_at: float) -> slow_prefill.Patience | None:
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -107,6 +107,37 @@
         # may know the handle as that of another request.
         return fresh and not self._call.site.table.is_replaced(self._endpoint)
 
+    def is_usable_at(
+        self, decode: endpoints.Endpoint, engine: model.Engine
+    ) -> bool:
+        """Whether a decode endpoint can fetch and read the KV cache."""
+        return (
+            self.is_fresh(engine)
+            and self._endpoint is not None
+            and self._endpoint.software == decode.software
+        )
+
+    @property
+    def other_versions(self) -> list[types.EndpointId]:
+        """Endpoints whose software can't read the KV cache."""
+        if self._endpoint is None:
+            return []
+        return self._call.site.table.other_versions(
+            self._call.service.name, self._endpoint.software
+        )
+
+    @property
+    def has_decode_endpoint(self) -> bool:
+        """Whether a decode endpoint can read the KV cache."""
+        candidates = self._call.site.chooser.candidates
+        available_in_s = candidates.available_in_s(
+            self._call.service.name,
+            types.Role.DECODE,
+            exclude=self.other_versions,
+            now=self._call.site.loop_time(),
+        )
+        return available_in_s is not None
+
     @property
     def is_fetched(self) -> bool:
         """Whether a decode endpoint has fetched the KV cache."""
@@ -235,11 +266,13 @@
     prompt: int,
     state: PrefillState,
     patience: slow_prefill.Patience | None = None,
+    exclude: Sequence[types.EndpointId] = (),
 ) -> None:
     """Prefill the prompt; without a result the decode endpoint does it.
 
     `preferred` is tried first; its capacity is reserved already.  Without
-    `patience`, slow prefills are given up after a fixed time.
+    `patience`, slow prefills are given up after a fixed time.  `exclude` are
+    endpoints whose KV cache the decode endpoint can't read.
     """
     site = call.site
     tried: list[types.EndpointId] = []
@@ -256,7 +289,7 @@
         endpoint = preferred
         if tried or endpoint is None:
             endpoint = site.chooser.choose_prefill(
-                call.service.name, prompt, exclude=tried, now=now
+                call.service.name, prompt, exclude=[*exclude, *tried], now=now
             )
         if endpoint is None:
             return
@@ -266,7 +299,13 @@
         # concurrent requests may be refused, and those count.
         call.retry_budget.record_retry(now)
         ended = await _prefill_at(
-            call, endpoint, prompt, counted, state, patience, tried
+            call,
+            endpoint,
+            prompt,
+            counted,
+            state,
+            patience,
+            [*exclude, *tried],
         )
         if _costs_no_retry(ended, state):
             call.retry_budget.refund(now)
