Tell fewer coordinators of a stream, and wait for a crashed version

Cause: each stream was told to all coordinators, also where fewer copies outlive what the site bears losing; and a stream whose endpoints had all crashed was ended although one of its version could come back in seconds.

Change: a stream is told to one coordinator more than may be lost, drawn for each stream; it is ended at once only where another version has taken over and each endpoint of its own has left.

--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -262,17 +262,23 @@
 
 
 def end_if_version_gone(call: call_mod.Call) -> bool:
-    """End a begun stream if no endpoint of its version is left.
+    """End a begun stream if its version was replaced by another.
 
-    Returns whether it was ended.
+    Returns whether it was ended.  While no other version is there, or the
+    gateway has just started, an endpoint may still come back.
     """
-    if call.origin is None:
+    site = call.site
+    if (
+        call.origin is None
+        or not call.other_versions
+        or site.loop_time() < site.started_at + _STARTUP_WAIT_S
+    ):
         return False
-    available_in_s = call.site.chooser.candidates.available_in_s(
+    available_in_s = site.chooser.candidates.available_in_s(
         call.service.name,
         _role(call),
         exclude=call.other_versions,
-        now=call.site.loop_time(),
+        now=site.loop_time(),
     )
     if available_in_s is not None:
         return False
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -169,7 +169,11 @@
         )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
         self.stream_origins = stream_origins.StreamOrigins(
-            vm=host.vm, gateways=self.gateways, rng=self.rng
+            vm=host.vm,
+            gateways=self.gateways,
+            # Outlives the loss of as many coordinators as the site bears.
+            copies=host.tolerance.vms + 1,
+            rng=self.rng,
         )
         self.planned_stop = planned_stop.PlannedStop()
         self.hold_pauses = holds.Pauses()
--- a/rackpost/gateway/stream_origins.py
+++ b/rackpost/gateway/stream_origins.py
@@ -1,8 +1,8 @@
 """Shares the origins of streams, and finds those of resumed ones.
 
-The gateway where a stream begins tells all coordinators and a few gateways,
+The gateway where a stream begins tells some coordinators and other gateways,
 before it sends the first event to the client.  A gateway where the stream is
-resumed asks the coordinators, and the other gateways where they do not know.
+resumed asks all coordinators, and the other gateways where they do not know.
 """
 
 import asyncio
@@ -11,6 +11,7 @@
 import random
 from typing import Callable
 from typing import Mapping
+from typing import TypeVar
 
 from rackpost.coordinator import messages
 from rackpost.decide import stream_origins
@@ -19,13 +20,14 @@
 from rackpost.link import codec
 from rackpost import types
 
-# Other gateways that keep a copy, for streams that begin while the
+# Other gateways that are told of a stream, in case it begins while the
 # coordinators can't be reached.
-_COPIES = 2
+_GATEWAY_COPIES = 2
 # How long each round of questions waits for an answer, in seconds.  The first
 # asks the coordinators alone; the last repeats datagrams that may be lost.
 _ROUNDS_S = (0.1, 0.2, 0.4)
 
+_Item = TypeVar("_Item")
 _Send = Callable[[bytes, tuple[str, int]], None]
 
 
@@ -67,12 +69,17 @@
         *,
         vm: types.VmId,
         gateways: Mapping[types.VmId, messages.GatewayAddress],
+        copies: int,
         rng: random.Random,
     ) -> None:
-        """`gateways` are the addresses of all gateways, this one included."""
+        """`gateways` are the addresses of all gateways, this one included.
+
+        `copies` is the number of coordinators that are told of a stream.
+        """
         self._loop = asyncio.get_running_loop()
         self._vm = vm
         self._gateways = gateways
+        self._copies = copies
         self._rng = rng
         self._table = stream_origins.OriginTable()
         self._coordinators: set[channel.Channel] = set()
@@ -110,12 +117,15 @@
         )
         self._table.record(item, self._loop.time())
         notice = messages.OriginNotice(items=(item,))
-        self._send_to_coordinators(notice)
-        peers = self._peers()
+        for conn in self._sample(list(self._coordinators), self._copies):
+            conn.send(notice)
         self._send_to_gateways(
-            notice, self._rng.sample(peers, min(_COPIES, len(peers)))
+            notice, self._sample(self._peers(), _GATEWAY_COPIES)
         )
 
+    def _sample(self, items: list[_Item], count: int) -> list[_Item]:
+        return self._rng.sample(items, min(count, len(items)))
+
     async def find(
         self, stream: types.StreamKey
     ) -> stream_origins.StreamOrigin | None:
@@ -142,7 +152,8 @@
             search.begin_round(
                 None if asks_gateways else len(self._coordinators)
             )
-            self._send_to_coordinators(query)
+            for conn in list(self._coordinators):
+                conn.send(query)
             if asks_gateways:
                 self._send_to_gateways(query, self._peers())
             await search.wait(wait_s)
@@ -177,12 +188,6 @@
             item for item in self._gateways.values() if item.vm != self._vm
         ]
 
-    def _send_to_coordinators(
-        self, msg: messages.OriginNotice | messages.OriginQuery
-    ) -> None:
-        for conn in list(self._coordinators):
-            conn.send(msg)
-
     def _send_to_gateways(
         self,
         msg: messages.OriginNotice | messages.OriginQuery,
