--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -19,13 +19,13 @@
 from rackpost.coordinator import links
 from rackpost.coordinator import members
 from rackpost.coordinator import messages
+from rackpost.coordinator import origin_store
 from rackpost.coordinator import overview
 from rackpost.coordinator import peers
 from rackpost.coordinator import quarantine_keeper
 from rackpost.coordinator import roles
 from rackpost.coordinator import routing_feed
 from rackpost.decide import features
-from rackpost.decide import stream_origins
 from rackpost import exceptions
 from rackpost.http1 import message
 from rackpost.http1 import pages
@@ -107,8 +107,7 @@
             metrics=self.metrics,
             parts=parts,
         )
-        # Told by gateways, also again when they link.
-        self.stream_origins = stream_origins.OriginTable()
+        self.stream_origins = origin_store.OriginStore()
         self._parts = parts
         self.feed = routing_feed.RoutingFeed()
         self._decoder = documents.IncrementalDecoder()
@@ -222,17 +221,8 @@
             )
         elif isinstance(msg, messages.Suspicions):
             self.quarantine.receive(msg)
-        elif isinstance(msg, messages.OriginNotice):
-            self.stream_origins.record_all(msg.items, self._loop.time())
-        elif isinstance(msg, messages.OriginQuery):
-            conn.send(
-                messages.OriginAnswer(
-                    stream=msg.stream,
-                    item=self.stream_origins.find_record(
-                        msg.stream, self._loop.time()
-                    ),
-                )
-            )
+        elif isinstance(msg, messages.OriginNotice | messages.OriginQuery):
+            self.stream_origins.receive(conn, msg)
         elif isinstance(msg, messages.FetchRouting):
             chunk = self.feed.chunk(msg)
             if chunk is not None:
--- a/rackpost/gateway/stream_origins.py
+++ b/rackpost/gateway/stream_origins.py
@@ -70,16 +70,19 @@
         vm: types.VmId,
         gateways: Mapping[types.VmId, messages.GatewayAddress],
         copies: int,
+        gateway_copies: int = _GATEWAY_COPIES,
         rng: random.Random,
     ) -> None:
         """`gateways` are the addresses of all gateways, this one included.
 
-        `copies` is the number of coordinators that are told of a stream.
+        `copies` is the number of coordinators that are told of a stream,
+        `gateway_copies` that of other gateways.
         """
         self._loop = asyncio.get_running_loop()
         self._vm = vm
         self._gateways = gateways
         self._copies = copies
+        self._gateway_copies = gateway_copies
         self._rng = rng
         self._table = stream_origins.OriginTable()
         self._coordinators: set[channel.Channel] = set()
@@ -120,7 +123,7 @@
         for conn in self._sample(list(self._coordinators), self._copies):
             conn.send(notice)
         self._send_to_gateways(
-            notice, self._sample(self._peers(), _GATEWAY_COPIES)
+            notice, self._sample(self._peers(), self._gateway_copies)
         )
 
     def _sample(self, items: list[_Item], count: int) -> list[_Item]:
