Failing tests: an entry resumes a stream at another software version

Cause: looked for elsewhere. Entries and agents, the other way to run a site, resume a broken stream at any agent of the service; no agent knows the version of its engine.

--- a/rackpost/testing/engine.py
+++ b/rackpost/testing/engine.py
@@ -115,6 +115,7 @@
         self.ledger = ledger or Ledger()
         self.slowness = 1.0
         self.dead = False
+        self.software_version = types.SoftwareVersion("")
         self.fence = types.Fence(0)
         self.orders: list[str] = []
         self.link_free_at = 0.0
@@ -145,6 +146,11 @@
         taken = {key.req for key in self._occupied}
         return kept | taken | {key.req for key in self._turns}
 
+    @property
+    def streams_now(self) -> int:
+        """The number of answers that are being streamed."""
+        return len(self._active)
+
     def kill(self) -> None:
         """Simulate the engine's death: lose all state and fail all calls."""
         self.dead = True
