Resume an entry's stream only at the engine version that began it

Cause: agents did not tell the version of their engine, and an entry resumes a broken stream at any of them.

--- a/rackpost/agent/core.py
+++ b/rackpost/agent/core.py
@@ -390,6 +390,7 @@
             while True:
                 await asyncio.sleep(self.cfg.summary_s)
                 await self._read_cache_events()
+                await self._read_software()
                 self._send_summaries()
         finally:
             checking.cancel()
@@ -411,6 +412,20 @@
             if isinstance(self.ledger, reservations.ReservationLedger):
                 self.ledger.record_cache_events(events.stored, events.removed)
 
+    async def _read_software(self) -> None:
+        """Read the engine's version: it may have been replaced."""
+        if self.ledger.role is types.Role.PLAIN:
+            return
+        with contextlib.suppress(exceptions.EngineError):
+            software = await self._engine.software()
+            if software != self.ledger.software:
+                self.ledger.software = software
+                logs.say(
+                    logs.Part.AGENT,
+                    "Engine has another version.",
+                    software=software,
+                )
+
     def _send_summaries(self) -> None:
         now = self._loop.time()
         load = self.load()
@@ -459,6 +474,7 @@
         or abs(load.backlog_s - reported.backlog_s) >= _MIN_BACKLOG_CHANGE_S
         or (load.leaving, load.avoided) != (reported.leaving, reported.avoided)
         or load.revision != reported.revision
+        or load.software != reported.software
     )
 
 
--- a/rackpost/agent/engine.py
+++ b/rackpost/agent/engine.py
@@ -91,6 +91,10 @@
     ) -> AsyncGenerator[CallHead | bytes, None]:
         """Call a plain service; yields the head, then chunks of the body."""
 
+    async def software(self) -> types.SoftwareVersion:
+        """Return the version of the engine's software, "" if not known."""
+        return types.SoftwareVersion("")
+
     @abc.abstractmethod
     async def events(self) -> CacheEvents:
         """Return the cache events since the last call."""
--- a/rackpost/agent/engine_http.py
+++ b/rackpost/agent/engine_http.py
@@ -63,6 +63,12 @@
     error: str | None = None
 
 
+class _Version(msgspec.Struct):
+    """The version of an engine's software."""
+
+    version: str
+
+
 class _PrefillAnswer(msgspec.Struct):
     """The answer to a prefill."""
 
@@ -284,6 +290,17 @@
             removed=_blocks(found, "BlockRemoved"),
         )
 
+    async def software(self) -> types.SoftwareVersion:
+        """Return the version that the engine's `/version` names."""
+        async with self._call("GET", "/version") as resp:
+            if resp.status != 200:
+                return types.SoftwareVersion("")
+            try:
+                found = msgspec.json.decode(await resp.read(), type=_Version)
+            except msgspec.MsgspecError:
+                return types.SoftwareVersion("")
+        return types.SoftwareVersion(found.version)
+
     async def order(self, *, fence: types.Fence, what: str) -> bool:
         """Send a fenced order; False if the endpoint refused it."""
         payload = msgspec.json.encode({"fence": fence, "what": what})
--- a/rackpost/decide/reservations.py
+++ b/rackpost/decide/reservations.py
@@ -65,6 +65,7 @@
         self.role = spec.role
         self.revision = types.Revision(0)
         self.leaving = False
+        self.software = types.SoftwareVersion("")
         self.breaker = circuit_breaker.CircuitBreaker(rng=random.Random(0))
 
     @abc.abstractmethod
@@ -348,6 +349,7 @@
             prefill_base_s=spec.prefill_base_s * self._slowness,
             link_bytes_s=spec.link_bytes_s,
             longest_job_s=self._longest_jobs_s(now),
+            software=self.software,
         )
 
     def _longest_jobs_s(self, now: float) -> tuple[float, ...]:
--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -64,8 +64,11 @@
         revision: types.Revision,
         priority: int,
         retained_kv: outcome.RetainedKvCache | None = None,
+        software: types.SoftwareVersion | None = None,
     ) -> None:
+        """`software` is the version at which the stream has to go on."""
         self._retained_kv = retained_kv
+        self._software = software
         self.req = req
         self.number = number
         self.result: outcome.Result = outcome.RefusedAttempt(
@@ -104,6 +107,23 @@
         if agent in self._active_peers:
             self._inbox.put_nowait(_LinkLost(agent=agent))
 
+    @property
+    def software(self) -> types.SoftwareVersion | None:
+        """The software version of the engine that decodes, if any."""
+        granted = self._granted.get(types.Role.DECODE)
+        return None if granted is None else granted.load.software
+
+    def exclude_other_versions(self) -> None:
+        """Exclude the decode engines where the stream can't go on."""
+        for view in self._pool.views_of(self.req.service):
+            if view.load.role is types.Role.DECODE and not self._has_version(
+                view.load
+            ):
+                self.excluded.add(view.agent)
+
+    def _has_version(self, load: messages.Load) -> bool:
+        return self._software in (None, load.software)
+
     def answering_peer(self) -> pool_mod.Peer | None:
         """Return the agent that gives the answer, once it is reserved."""
         agent = self._agents.get(self._answering_role)
@@ -264,6 +284,12 @@
         if isinstance(msg, messages.Granted):
             agent = self._agents[msg.part]
             pending.pop(agent, None)
+            if msg.part is types.Role.DECODE and not self._has_version(
+                msg.load
+            ):
+                # Its engine has been replaced since the last report.
+                self._exclude(agent)
+                return types.Refusal.NO_ENDPOINT
             self._granted[msg.part] = msg
             self._record_step("promised", agent, f"in {msg.ready_in_s:.3f} s")
             return None
--- a/rackpost/entry/core.py
+++ b/rackpost/entry/core.py
@@ -276,6 +276,8 @@
             async with contextlib.aclosing(attempt.run()) as events:
                 async for event in events:
                     if not isinstance(event, request.PlainHead):
+                        if not item.delivered:
+                            item.software = attempt.software
                         item.delivered += 1
                     yield event
             attempt.release()
@@ -331,8 +333,10 @@
             revision=self._settings.revision(),
             priority=-int(req.terms.weight * 100),
             retained_kv=kept,
+            software=item.software,
         )
         attempt.excluded |= excluded
+        attempt.exclude_other_versions()
         item.attempt = attempt
         return attempt
 
--- a/rackpost/entry/open_request.py
+++ b/rackpost/entry/open_request.py
@@ -3,6 +3,7 @@
 from rackpost.entry import attempt as attempt_mod
 from rackpost.entry import claims as claims_mod
 from rackpost.entry import request
+from rackpost import types
 
 __all__ = ["OpenRequest"]
 
@@ -17,6 +18,8 @@
         claim_holder: the attempt that holds the request's claim key.
         stored_answer: for a resend, the answer that an earlier attempt
             with the same key gave.
+        software: software version of the engine that began the stream, which
+            can go on at no other.
     """
 
     def __init__(self, *, req: request.Request, started_at: float) -> None:
@@ -29,6 +32,7 @@
         self.first_event_at: float | None = None
         self.claim_holder: claims_mod.Holder | None = None
         self.stored_answer: list[request.Event] = []
+        self.software: types.SoftwareVersion | None = None
 
     def remaining_s(self, now: float) -> float:
         """Return the time left until the next token is due, in seconds."""
--- a/rackpost/link/messages.py
+++ b/rackpost/link/messages.py
@@ -40,6 +40,7 @@
         prefill_tokens_s: tokens prefilled per second.
         prefill_base_s: fixed cost of one prefill.
         link_bytes_s: transfer rate of the endpoint's link.
+        software: version of the endpoint's software; "" if it tells none.
     """
 
     role: types.Role
@@ -56,6 +57,7 @@
     prefill_base_s: float = 0.01
     link_bytes_s: float = 1e9
     longest_job_s: tuple[float, ...] = ()
+    software: types.SoftwareVersion = types.SoftwareVersion("")
 
 
 class Hello(Message, frozen=True, tag="hello"):
--- a/rackpost/testing/engine.py
+++ b/rackpost/testing/engine.py
@@ -252,6 +252,10 @@
             due = asyncio.get_running_loop().time() + self.spec.event_lag_s
             self._events.append((due, blocks))
 
+    async def software(self) -> types.SoftwareVersion:
+        """Return the version that a test has set."""
+        return self.software_version
+
     async def events(self) -> engine.CacheEvents:
         """Return the cache events that are due; some are lost."""
         now = asyncio.get_running_loop().time()
--- a/rackpost/testing/engine_http.py
+++ b/rackpost/testing/engine_http.py
@@ -71,6 +71,7 @@
                     "/abort_requests", self._abort, methods=["POST"]
                 ),
                 routing.Route("/kv_events", self._kv_events),
+                routing.Route("/version", self._version),
                 routing.Route("/orders", self._order, methods=["POST"]),
             ]
         )
@@ -152,6 +153,11 @@
         ]
         return responses.JSONResponse({"last": self._last, "events": found})
 
+    async def _version(self, req: requests.Request) -> responses.Response:
+        return responses.JSONResponse(
+            {"version": await self._engine.software()}
+        )
+
     async def _order(self, req: requests.Request) -> responses.Response:
         body_json = await req.json()
         taken = self._engine.order(
--- a/tests/test_entry_versions.py
+++ b/tests/test_entry_versions.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from rackpost.agent import engine_http
+from rackpost.http1 import message
+from rackpost.http1 import server
 from rackpost.testing import site as site_mod
 from rackpost.testing import virtual
 from rackpost import types
@@ -77,3 +80,27 @@
         site.close()
 
     virtual.run(main())
+
+
+def test_an_agent_reads_the_version_that_its_engine_names() -> None:
+    async def answer(
+        req: message.Request, responder: server.Responder
+    ) -> None:
+        known = req.path == b"/version"
+        body = b'{"version":"0.9"}' if known else b""
+        responder.send(200 if known else 404, [], body)
+
+    async def main() -> None:
+        listening = server.Server(handler=answer, failed=lambda req, exc: None)
+        async with listening.serving("127.0.0.1", 0) as port:
+            url = f"http://127.0.0.1:{port}"
+            one, other = (
+                engine_http.HttpEngine(url=url),
+                engine_http.HttpEngine(url=url + "/elsewhere"),
+            )
+            assert await one.software() == _OLD
+            assert await other.software() == ""
+            await one.close()
+            await other.close()
+
+    asyncio.run(main())
