Prefill in place where a version's prefill endpoints are all busy

Cause: in a release, decode endpoints of a version with few prefill endpoints stood idle while prompts waited for those.

Change: in place at once where no prefill endpoint of the version takes the prompt; the fleet in virtual time has two versions.

--- a/rackpost/gateway/endpoint_reserver.py
+++ b/rackpost/gateway/endpoint_reserver.py
@@ -123,14 +123,16 @@
     ) -> PrefillPlan | None:
         """Plan a prefill for a decode endpoint of the same software version.
 
-        The KV cache that one version writes can't be read by another.  A
-        decode endpoint whose version no prefill endpoint has prefills itself.
+        The KV cache that one version writes can't be read by another.  Where
+        no prefill endpoint of a version takes the prompt now, the decode
+        endpoint prefills it: a version may have few of them for its share of
+        the decode endpoints.
         """
         candidates = self._chooser.candidates
         service = request.service
-        exclude = list(request.exclude)
+        found: list[types.EndpointId] = []
         while prefill_endpoint := self._find_prefill_endpoint(
-            request, exclude, now
+            request, [*request.exclude, *found], now
         ):
             software = prefill_endpoint.software
             plan = PrefillPlan(
@@ -140,29 +142,12 @@
             )
             if self._choose_decode(request, plan, now) is not None:
                 return plan
-            exclude += candidates.of_version(service, software)
-        plan = PrefillPlan(
-            None,
-            self._in_place(request),
-            [
-                key
-                for software in self._prefilled_versions(service, now)
-                for key in candidates.of_version(service, software)
-            ],
-        )
+            found += candidates.of_version(service, software)
+        plan = PrefillPlan(None, self._in_place(request), found)
         if self._choose_decode(request, plan, now) is None:
             return None
         return plan
 
-    def _prefilled_versions(
-        self, service: types.ServiceName, now: float
-    ) -> set[types.SoftwareVersion]:
-        """Return the versions that have a prefill endpoint in use."""
-        found = self._chooser.candidates.find(
-            service, types.Role.PREFILL, now=now, healthy_only=True
-        )
-        return {item.software for item in found}
-
     def in_place_terms(
         self, request: reservation_mod.ReservationRequest, now: float
     ) -> endpoint_choice.InPlacePrefill | None:
--- a/rackpost/testing/fleet_gateway.py
+++ b/rackpost/testing/fleet_gateway.py
@@ -110,9 +110,9 @@
 
 
 def model_endpoints(spec: fleet_load.Spec) -> Iterator[endpoints.Endpoint]:
-    roles = [("p", types.Role.PREFILL, spec.prefills)]
-    roles.append(("d", types.Role.DECODE, spec.decodes))
-    for letter, role, count in roles:
+    roles = [("p", types.Role.PREFILL, spec.prefills, spec.new_prefills)]
+    roles.append(("d", types.Role.DECODE, spec.decodes, spec.new_decodes))
+    for letter, role, count, new in roles:
         for number in range(count):
             yield endpoints.Endpoint(
                 id=types.EndpointId(f"{letter}{number}"),
@@ -122,6 +122,7 @@
                 role=role,
                 slots=spec.slots,
                 sequence=1,
+                software=types.SoftwareVersion("2" if number < new else "1"),
             )
 
 
--- a/rackpost/testing/fleet_load.py
+++ b/rackpost/testing/fleet_load.py
@@ -34,6 +34,9 @@
     gateways: int = 68
     prefills: int = 4
     decodes: int = 12
+    # How many of these have a later software version.
+    new_prefills: int = 0
+    new_decodes: int = 0
     memory_tokens: int = 61640
     slots: int = 32
     event_tokens: int = 64
