--- a/tests/versioned_site.py
+++ b/tests/versioned_site.py
@@ -107,11 +107,16 @@
     """Prefill and decode endpoints of two software versions."""
 
     def __init__(
-        self, *, plan: platform_site.Plan, core: tuple[int, ...], lost: int
+        self,
+        *,
+        plan: platform_site.Plan,
+        core: tuple[int, ...],
+        lost: int,
+        endpoint: type[Endpoint] = Endpoint,
     ) -> None:
         super().__init__(plan=plan, core=core, lost=lost)
-        self.old = [Endpoint(ident=f"old{n}") for n in range(2)]
-        self.new = [Endpoint(ident=f"new{n}", software=NEW) for n in range(2)]
+        self.old = [endpoint(ident=f"old{n}") for n in range(2)]
+        self.new = [endpoint(ident=f"new{n}", software=NEW) for n in range(2)]
         self.decode = [*self.old, *self.new]
         self._away: set[str] = set()
         self.prefill = [
@@ -219,19 +224,25 @@
 
 
 @contextlib.asynccontextmanager
-async def site(
-    root: pathlib.Path, *, core: tuple[int, ...] = (11,), lost: int = 0
+async def unpowered(
+    root: pathlib.Path, endpoint: type[Endpoint] = Endpoint
 ) -> AsyncIterator[Site]:
-    """A running site with two gateways."""
+    """A site whose endpoints run; no coordinator or gateway does yet."""
     plan = platform_site.Plan(root=root)
-    found = Site(plan=plan, core=core, lost=lost)
+    found = Site(plan=plan, core=(11,), lost=0, endpoint=endpoint)
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_async_context
         http = await enter(aiohttp.ClientSession())
         found.operator = platform_site.Operator(plan=plan, http=http)
-        for endpoint in found.endpoints:
-            await enter(endpoint.running())
-        await enter(found.powered(first=True))
+        for one in found.endpoints:
+            await enter(one.running())
+        yield found
+
+
+@contextlib.asynccontextmanager
+async def site(root: pathlib.Path) -> AsyncIterator[Site]:
+    """A running site with two gateways, which know each other."""
+    async with unpowered(root) as found, found.powered(first=True):
         for running in found.gateways.values():
             await platform_site.until(
                 lambda: running.site.gateway_count == len(found.gateways)
