Name the exchange of origins, and split the handler's choice of a service

Cause: a read of the whole diff as one who did not write it.

Change: two modules of one name are OriginExchange and stream_origins now; the handler's choice of a service is a method of its own; lookups by version are in the table of endpoints; one bound on what clients claim in place of two. The check of a held prompt's version costs nothing with one version.

--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -107,7 +107,7 @@
             metrics=self.metrics,
             parts=parts,
         )
-        self.stream_origins = origin_store.OriginStore()
+        self.origins = origin_store.OriginStore()
         self._parts = parts
         self.feed = routing_feed.RoutingFeed()
         self._decoder = documents.IncrementalDecoder()
@@ -222,7 +222,7 @@
         elif isinstance(msg, messages.Suspicions):
             self.quarantine.receive(msg)
         elif isinstance(msg, messages.OriginNotice | messages.OriginQuery):
-            self.stream_origins.receive(conn, msg)
+            self.origins.receive(conn, msg)
         elif isinstance(msg, messages.FetchRouting):
             chunk = self.feed.chunk(msg)
             if chunk is not None:
--- a/rackpost/decide/candidates.py
+++ b/rackpost/decide/candidates.py
@@ -96,11 +96,7 @@
         self, service: types.ServiceName, software: types.SoftwareVersion
     ) -> list[types.EndpointId]:
         """Return the endpoints of a service with this software."""
-        return [
-            item.id
-            for item in self._table.alive.values()
-            if item.service == service and item.software == software
-        ]
+        return self._table.of_version(service, software)
 
     def other_versions(
         self, service: types.ServiceName, software: types.SoftwareVersion
--- a/rackpost/decide/stream_origins.py
+++ b/rackpost/decide/stream_origins.py
@@ -22,8 +22,6 @@
 _PURPOSE = b"rackpost stream"
 # Bounds the memory for streams; the oldest are dropped.
 _MAX_STREAMS = 50_000
-# Longest time for which a stream is remembered, in seconds.
-_MAX_LIFETIME_S = 3600.0
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -32,7 +30,7 @@
     service: types.ServiceName
     software: types.SoftwareVersion
 
-    def began_at(self, endpoint: endpoints.Endpoint) -> bool:
+    def matches(self, endpoint: endpoints.Endpoint) -> bool:
         """Whether an endpoint has the service and version of the stream."""
         return (
             endpoint.service == self.service
@@ -99,8 +97,7 @@
         if self.find(item.stream, now) is not None:
             return False
         origin = self._origins.setdefault(item.origin, item.origin)
-        lifetime_s = min(item.left_s, _MAX_LIFETIME_S)
-        self._streams[item.stream] = (origin, now + lifetime_s)
+        self._streams[item.stream] = (origin, now + item.left_s)
         if len(self._streams) > _MAX_STREAMS:
             del self._streams[next(iter(self._streams))]
         return True
--- a/rackpost/entry/attempt.py
+++ b/rackpost/entry/attempt.py
@@ -107,23 +107,6 @@
         if agent in self._active_peers:
             self._inbox.put_nowait(_LinkLost(agent=agent))
 
-    @property
-    def software(self) -> types.SoftwareVersion | None:
-        """The software version of the engine that decodes, if any."""
-        granted = self._granted.get(types.Role.DECODE)
-        return None if granted is None else granted.load.software
-
-    def exclude_other_versions(self) -> None:
-        """Exclude the decode engines where the stream can't go on."""
-        for view in self._pool.views_of(self.req.service):
-            if view.load.role is types.Role.DECODE and not self._has_version(
-                view.load
-            ):
-                self.excluded.add(view.agent)
-
-    def _has_version(self, load: messages.Load) -> bool:
-        return self._software in (None, load.software)
-
     def answering_peer(self) -> pool_mod.Peer | None:
         """Return the agent that gives the answer, once it is reserved."""
         agent = self._agents.get(self._answering_role)
@@ -142,6 +125,23 @@
 
     # Reservation.
 
+    @property
+    def software(self) -> types.SoftwareVersion | None:
+        """The software version of the engine that decodes, if any."""
+        granted = self._granted.get(types.Role.DECODE)
+        return None if granted is None else granted.load.software
+
+    def exclude_other_versions(self) -> None:
+        """Exclude the decode engines where the stream can't go on."""
+        for view in self._pool.views_of(self.req.service):
+            if view.load.role is types.Role.DECODE and not self._has_version(
+                view.load
+            ):
+                self.excluded.add(view.agent)
+
+    def _has_version(self, load: messages.Load) -> bool:
+        return self._software in (None, load.software)
+
     async def reserve(self) -> types.Refusal | None:
         """Reserve all endpoints; return None, or why it was refused."""
         while True:
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -158,7 +158,7 @@
     def check_version(self, endpoint: endpoints.Endpoint) -> None:
         """Raise EndpointIneligible where a stream that began can't go on."""
         known = self.site.table.alive.get(endpoint.id, endpoint)
-        if self.origin is not None and not self.origin.began_at(known):
+        if self.origin is not None and not self.origin.matches(known):
             raise exceptions.EndpointIneligible("other software version")
 
     def record_first_event(self, endpoint: endpoints.Endpoint) -> bool:
@@ -175,7 +175,7 @@
         )
         if not self.route.resumable or self.request_id is None:
             return False
-        self.site.stream_origins.record(
+        self.site.origins.record(
             stream_origins.stream_key(
                 types.OrganisationName(self.caller.name), self.request_id
             ),
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -116,7 +116,7 @@
         """Send the known suspicions to a newly linked coordinator."""
         self._linked.add(conn)
         self._site.capacity.link(host, conn)
-        self._site.stream_origins.link(conn)
+        self._site.origins.link(conn)
         items = self._site.crash_tracker.quarantine.suspicions(1)
         if items:
             conn.send(messages.Suspicions(items=items))
@@ -151,7 +151,7 @@
 
     def _closed(self, host: str, conn: websocket.WebSocketChannel) -> None:
         self._linked.discard(conn)
-        self._site.stream_origins.unlink(conn)
+        self._site.origins.unlink(conn)
         self._updates.link_lost(conn)
         self._site.capacity.unlink(host, conn)
         if self._changing.pop(host, None):
@@ -181,7 +181,7 @@
         elif isinstance(msg, messages.Suspicions):
             self._site.crash_tracker.receive(msg.items, self._loop.time())
         elif isinstance(msg, messages.OriginAnswer):
-            self._site.stream_origins.receive_answer(msg)
+            self._site.origins.receive_answer(msg)
         elif isinstance(msg, messages.ChangingEndpoints):
             self._on_changing_roles(host, msg)
         elif isinstance(msg, messages.Peers):
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -270,11 +270,11 @@
         return (
             self._prefill_state.is_fresh(self._engine)
             and not self._prefill_state.is_fetched
-            and self._prefill_state.has_decode_endpoint
             and (
                 self._reserves_for_large()
                 or self._call.site.orders.contends(self._call.service.name)
             )
+            and self._prefill_state.has_decode_endpoint
         )
 
     def _waiting_request(self) -> queue_order.WaitingRequest:
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import random
 from typing import NamedTuple
 
 from rackpost.decide import quota
@@ -49,6 +48,13 @@
     caller: callers.Caller
 
 
+class _Target(NamedTuple):
+    """The service of a request, and where the stream began that it resumes."""
+
+    service: types.ServiceName
+    origin: stream_origins.StreamOrigin | None
+
+
 class Handler:
     """Answers the clients of a gateway."""
 
@@ -81,22 +87,38 @@
             routed = self._route(routes, req, responder)
             if routed is None:
                 return
-        name = _choose_service(routed.route, origin, self._site.rng)
-        if name is None:
-            reason = call_mod.Reason.VERSION_GONE
-            self._refuse_resumed(reason, req, responder)
+        target = self._target(routed.route, req, origin)
+        if isinstance(target, call_mod.Reason):
+            self._refuse_resumed(target, req, responder)
             return
-        if origin is None and _resumes_stream(routed.route, req):
-            versions = self._site.table.versions(name)
-            if len(versions) > 1:
-                reason = call_mod.Reason.ORIGIN_UNKNOWN
-                self._refuse_resumed(reason, req, responder)
-                return
-            origin = stream_origins.sole_origin(name, versions)
+        service = routes.services[target.service]
         await self._handle_routed(
-            req, responder, routed, routes.services[name], began, origin
+            req, responder, routed, service, target.origin, began
         )
 
+    def _target(
+        self,
+        route: model.Route,
+        req: message.Request,
+        origin: stream_origins.StreamOrigin | None,
+    ) -> _Target | call_mod.Reason:
+        """Return where a request goes, or why its stream can't be resumed.
+
+        `origin` is where the stream began of which the client named the first
+        request.
+        """
+        if origin is not None:
+            if origin.service in route.services:
+                return _Target(origin.service, origin)
+            return call_mod.Reason.VERSION_GONE
+        name = match.choose_service(route, self._site.rng)
+        if not _resumes_stream(route, req):
+            return _Target(name, None)
+        versions = self._site.table.versions(name)
+        if len(versions) > 1:
+            return call_mod.Reason.ORIGIN_UNKNOWN
+        return _Target(name, stream_origins.sole_origin(name, versions))
+
     def _route(
         self,
         routes: match.RouteTable,
@@ -135,7 +157,7 @@
     ) -> stream_origins.StreamOrigin | None:
         """Return where the stream began that a request resumes."""
         first = message.find(req.headers, headers.RESUMES) or b""
-        return await self._site.stream_origins.find(
+        return await self._site.origins.find(
             stream_origins.stream_key(
                 types.OrganisationName(routed.caller.name), first
             )
@@ -194,8 +216,8 @@
         responder: server.Responder,
         routed: _Routed,
         service: model.Service,
-        began: float,
         origin: stream_origins.StreamOrigin | None,
+        began: float,
     ) -> None:
         route = routed.route
         deadline = began + min(route.timeout_s, _client_timeout_s(req))
@@ -318,25 +340,6 @@
     )
 
 
-def _choose_service(
-    route: model.Route,
-    origin: stream_origins.StreamOrigin | None,
-    rng: random.Random,
-) -> types.ServiceName | None:
-    """Return the service of a request, for a resumed stream where it began.
-
-    None if the route does not lead there any more.
-    """
-    if origin is None:
-        return match.choose_service(route, rng)
-    if any(
-        item.service == origin.service and item.weight > 0.0
-        for item in route.targets
-    ):
-        return origin.service
-    return None
-
-
 def _header(req: message.Request, name: bytes) -> str:
     """Return a header's value for the log."""
     return (message.find(req.headers, name) or b"").decode("latin-1")
--- a/rackpost/gateway/load_exchange.py
+++ b/rackpost/gateway/load_exchange.py
@@ -3,7 +3,7 @@
 Each report is complete and repeated with each change and at least once a
 second, so that a lost datagram does little harm.  Where `LOAD_DELTAS` is on,
 changes go in smaller reports (`delta_reports.py`).  Grants of endpoints' rates
-(`rate_grants.py`) and origins of streams (`stream_origins.py`) use the same
+(`rate_grants.py`) and origins of streams (`origin_exchange.py`) use the same
 socket.
 """
 
@@ -80,7 +80,7 @@
             self._receive_delta(msg, self._site.loop_time())
         elif isinstance(msg, messages.AboutOrigins):
             sender = address.Address(*addr[:2])
-            self._site.stream_origins.receive(msg, sender)
+            self._site.origins.receive(msg, sender)
         else:
             self._site.rate_grants.receive(msg, address.Address(*addr[:2]))
 
@@ -263,7 +263,7 @@
         """Send and receive reports by `transport` until the block ends."""
         self._transport = transport
         self._site.rate_grants.send = transport.sendto
-        self._site.stream_origins.send = transport.sendto
+        self._site.origins.send = transport.sendto
         task = asyncio.create_task(self._publish())
         try:
             yield
--- a/rackpost/gateway/stream_origins.py
+++ b/rackpost/gateway/origin_exchange.py
@@ -61,7 +61,7 @@
                 await self._ended.wait()
 
 
-class StreamOrigins:
+class OriginExchange:
     """The origins of streams that one gateway knows or can find."""
 
     def __init__(
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -129,12 +129,15 @@
     @property
     def has_decode_endpoint(self) -> bool:
         """Whether a decode endpoint can read the KV cache."""
-        candidates = self._call.site.chooser.candidates
-        available_in_s = candidates.available_in_s(
+        others = self.other_versions
+        if not others:
+            return True
+        site = self._call.site
+        available_in_s = site.chooser.candidates.available_in_s(
             self._call.service.name,
             types.Role.DECODE,
-            exclude=self.other_versions,
-            now=self._call.site.loop_time(),
+            exclude=others,
+            now=site.loop_time(),
         )
         return available_in_s is not None
 
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -36,10 +36,10 @@
 from rackpost.decide.waiting import waiting_use
 from rackpost.gateway import admission_queue as admission_queue_mod
 from rackpost.gateway import crash_tracker as crash_tracker_mod
+from rackpost.gateway import origin_exchange
 from rackpost.gateway import planned_stop
 from rackpost.gateway import policy as policy_mod
 from rackpost.gateway import rate_grants
-from rackpost.gateway import stream_origins
 from rackpost.http1 import pool as pool_mod
 from rackpost import logs
 from rackpost import metrics as metrics_mod
@@ -168,7 +168,7 @@
             window_s=host.bounds.quota_window_s
         )
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
-        self.stream_origins = stream_origins.StreamOrigins(
+        self.origins = origin_exchange.OriginExchange(
             vm=host.vm,
             gateways=self.gateways,
             # Outlives the loss of as many coordinators as the site bears.
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -242,6 +242,16 @@
             if item.service == service
         }
 
+    def of_version(
+        self, service: types.ServiceName, software: types.SoftwareVersion
+    ) -> list[types.EndpointId]:
+        """Return the endpoints of a service with this software."""
+        return [
+            item.id
+            for item in self.alive.values()
+            if item.service == service and item.software == software
+        ]
+
     def other_versions(
         self, service: types.ServiceName, software: types.SoftwareVersion
     ) -> list[types.EndpointId]:
--- a/rackpost/routing/model.py
+++ b/rackpost/routing/model.py
@@ -68,6 +68,11 @@
         """The route's unique key."""
         return RouteKey(self.host.lower(), self.prefix)
 
+    @property
+    def services(self) -> set[types.ServiceName]:
+        """The services that requests may go to."""
+        return {item.service for item in self.targets if item.weight > 0.0}
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/rackpost/testing/origin_world.py
+++ b/rackpost/testing/origin_world.py
@@ -10,7 +10,7 @@
 from rackpost.coordinator import messages
 from rackpost.coordinator import origin_store
 from rackpost.decide import stream_origins
-from rackpost.gateway import stream_origins as gateway_origins
+from rackpost.gateway import origin_exchange
 from rackpost.http1 import address
 from rackpost.link import channel
 from rackpost.link import codec
@@ -63,14 +63,14 @@
         self._links: dict[
             tuple[int, int], tuple[channel.LocalChannel, channel.LocalChannel]
         ] = {}
-        self.gateways: dict[int, gateway_origins.StreamOrigins] = {}
+        self.gateways: dict[int, origin_exchange.OriginExchange] = {}
         for number in range(gateways):
             self.start_gateway(number)
 
     def start_gateway(self, number: int) -> None:
         """Start a gateway, also anew, and link it to all coordinators."""
         self.stop_gateway(number)
-        running = gateway_origins.StreamOrigins(
+        running = origin_exchange.OriginExchange(
             vm=types.VmId(f"g{number}"),
             gateways=self._addresses,
             copies=self._copies,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -169,7 +169,7 @@
             await site.restart_gateway(16)
             await site.stop(11)
             await platform_site.until(
-                lambda: not site.gateways[16].site.stream_origins.is_linked
+                lambda: not site.gateways[16].site.origins.is_linked
             )
             await _assert_resumed(site, 16)
 
@@ -199,7 +199,7 @@
             await site.stop(11)
             await site.start(11)
             await platform_site.until(
-                lambda: len(site.coordinators[11].stream_origins) >= _STREAMS
+                lambda: len(site.coordinators[11].origins) >= _STREAMS
             )
             await site.stop(31)
             await site.stop(16)
