Share the set-up of test sites, and reword two comments

Cause: the duplicates tool and a read of the diff: versioned_site repeated the set-up of crashing_site.

Change: crashing_site.site makes any site of its kind.

Result: 29 tests of streams, KV caches and quarantine pass.

--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -100,7 +100,7 @@
     extra_headers: list[message.Header],
     grant: rate_grants.Grant | None,
 ) -> Reply:
-    # It may have restarted with other software since it was chosen.
+    # It may have restarted with other software meanwhile.
     call.check_version(endpoint)
     request_lines = (
         request_headers(call, endpoint, call.site.loop_time()) + extra_headers
--- a/rackpost/gateway/origin_exchange.py
+++ b/rackpost/gateway/origin_exchange.py
@@ -132,7 +132,7 @@
     async def find(
         self, stream: types.StreamKey
     ) -> stream_origins.StreamOrigin | None:
-        """Return a stream's origin; None if nobody within reach knows it."""
+        """Return a stream's origin; None if no process in reach has it."""
         found = self._table.find(stream, self._loop.time())
         if found is not None:
             return found
--- a/tests/crashing_site.py
+++ b/tests/crashing_site.py
@@ -5,6 +5,8 @@
 import json
 import pathlib
 from typing import AsyncIterator
+from typing import Callable
+from typing import TypeVar
 
 import aiohttp
 
@@ -230,17 +232,24 @@
             writer.close()
 
 
+_Site = TypeVar("_Site", bound=Site)
+
+
 def _document() -> dict:
     return platform_site.document()
 
 
 @contextlib.asynccontextmanager
 async def site(
-    root: pathlib.Path, *, core: tuple[int, ...] = (11,), lost: int = 0
-) -> AsyncIterator[Site]:
+    root: pathlib.Path,
+    *,
+    core: tuple[int, ...] = (11,),
+    lost: int = 0,
+    make_site: Callable[..., _Site] = Site,
+) -> AsyncIterator[_Site]:
     """A site whose endpoints run; no coordinator or gateway does yet."""
     plan = platform_site.Plan(root=root)
-    found = Site(plan=plan, core=core, lost=lost)
+    found = make_site(plan=plan, core=core, lost=lost)
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_async_context
         http = await enter(aiohttp.ClientSession())
--- a/tests/versioned_site.py
+++ b/tests/versioned_site.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import contextlib
+import functools
 import pathlib
 import re
 from typing import AsyncIterator
 
-import aiohttp
-
 from rackpost.http1 import message
 from rackpost.http1 import server
 from tests import crashing_site
@@ -223,20 +222,13 @@
                 client.close()
 
 
-@contextlib.asynccontextmanager
-async def unpowered(
+def unpowered(
     root: pathlib.Path, endpoint: type[Endpoint] = Endpoint
-) -> AsyncIterator[Site]:
+) -> contextlib.AbstractAsyncContextManager[Site]:
     """A site whose endpoints run; no coordinator or gateway does yet."""
-    plan = platform_site.Plan(root=root)
-    found = Site(plan=plan, core=(11,), lost=0, endpoint=endpoint)
-    async with contextlib.AsyncExitStack() as stack:
-        enter = stack.enter_async_context
-        http = await enter(aiohttp.ClientSession())
-        found.operator = platform_site.Operator(plan=plan, http=http)
-        for one in found.endpoints:
-            await enter(one.running())
-        yield found
+    return crashing_site.site(
+        root, make_site=functools.partial(Site, endpoint=endpoint)
+    )
 
 
 @contextlib.asynccontextmanager
