--- a/rackpost/testing/fleet_reports.py
+++ b/rackpost/testing/fleet_reports.py
@@ -128,7 +128,8 @@
             started_at=self._loop.time(),
             limit_of=lambda name: QUOTA,
         )
-        self.rate_grants = _NoGrants()
+        self.rate_grants = _Unused()
+        self.origins = _Unused()
         self.gateways: dict[types.VmId, messages.GatewayAddress] = {}
 
     @property
@@ -147,8 +148,8 @@
         return self._has_deltas and feature is features.Feature.LOAD_DELTAS
 
 
-class _NoGrants:
-    """Grants of rates, which the simulated endpoints don't name."""
+class _Unused:
+    """Another user of the socket, which sends nothing in the simulation."""
 
     send: Callable[..., None]
 
