Log a prompt's parts and the attempt's own events where an attempt breaks

Cause: logs could not tell whether requests under which endpoints ended share a part of their prompt, nor whether a broken attempt had brought an event.

Change: the ids of a prompt's parts and the time since the attempt's first event in `Attempt broke.`, the parts in `Prefill failed.`. Parts are parsed in one place, of a bounded number.

--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -189,6 +189,7 @@
     if call.sampled or call.tried or call.origin is not None:
         _log_choice(call, endpoint, began)
     ran_before = call.may_have_run
+    call.first_event_at = None
     if call.charge is not None:
         call.charge.record_sent(began)
     call.tried.append(endpoint.id)
@@ -237,6 +238,11 @@
     )
 
 
+def logged_parts(call: call_mod.Call) -> list[str]:
+    """Return the ids of a prompt's parts for the log."""
+    return [ident.decode("latin-1") for ident in call.prompt_parts]
+
+
 def _record_broken(
     call: call_mod.Call,
     endpoint: endpoints.Endpoint,
@@ -257,7 +263,9 @@
         after_event=call.last_event_id,
         why=str(exc),
         fingerprint=call.fingerprint.hex(),
+        prompt_parts=logged_parts(call),
         sent_s=None if began is None else round(now - began, 3),
+        writing_s=None if began is None else call.writing_s(now),
         others=site.loads.total(endpoint.id).requests,
     )
     if not exc.sent:
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -116,6 +116,8 @@
         self.origin = origin
         # Id of the last event sent to the client, for resuming the stream.
         self.last_event_id: int | None = None
+        # When the present attempt's answer brought its first event.
+        self.first_event_at: float | None = None
         self.forwarded_headers = caller.passed_on(
             [
                 item
@@ -134,6 +136,20 @@
             self.fingerprint, endpoint, ran_s=now - began, now=now
         )
 
+    @functools.cached_property
+    def prompt_parts(self) -> tuple[bytes, ...]:
+        """Ids of the parts of its prompt, of which the last is its own."""
+        return headers.prompt_parts(self.req.headers)
+
+    def writing_s(self, now: float) -> float | None:
+        """Return how long the present answer has had events, in seconds.
+
+        None before its first event.
+        """
+        if self.first_event_at is None:
+            return None
+        return now - self.first_event_at
+
     @property
     def excluded_endpoints(self) -> list[types.EndpointId]:
         """Endpoints that the request must not be sent to again.
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -434,6 +434,7 @@
         born=endpoint.born,
         why=str(exc) or "slow",
         fingerprint=call.fingerprint.hex(),
+        prompt_parts=attempt.logged_parts(call),
         patience_s=round(timeout_s, 3),
     )
     if isinstance(exc, exceptions.ExchangeError):
--- a/rackpost/platform/headers.py
+++ b/rackpost/platform/headers.py
@@ -37,6 +37,8 @@
 _TOKENS = b"x-token-usage"
 # ID:TOKENS of each part of the prompt, separated by commas.
 _PROMPT_PARTS = b"x-prompt-prefix"
+# Bounds the work for one request; further parts in the middle are ignored.
+_MAX_PROMPT_PARTS = 64
 _LENGTH_GUESS = b"x-length-hint"
 
 PREFILL = b"prefill"
@@ -132,13 +134,25 @@
     return endpoint_rates.AnswerRate(per_s=float(number))
 
 
-def own_prompt_part(headers: Sequence[message.Header]) -> bytes:
-    """Return the id of the prompt's last part, b"" if there is none.
+def prompt_parts(headers: Sequence[message.Header]) -> tuple[bytes, ...]:
+    """Return the ids of the prompt's parts in order, of a bounded number.
 
-    The last part is the one that belongs to the request alone.
+    The last part belongs to the request alone, or to its session; the others
+    are shared between requests.
     """
-    parts = message.find(headers, _PROMPT_PARTS) or b""
-    return parts.rpartition(b",")[2].partition(b":")[0].strip()
+    value = b",".join(
+        value for name, value in headers if name == _PROMPT_PARTS
+    )
+    items = value.split(b",")
+    if len(items) > _MAX_PROMPT_PARTS:
+        items = [*items[: _MAX_PROMPT_PARTS - 1], items[-1]]
+    ids = (item.partition(b":")[0].strip().lower() for item in items)
+    return tuple(ident for ident in ids if ident)
+
+
+def own_prompt_part(headers: Sequence[message.Header]) -> bytes:
+    """Return the id of the prompt's last part, b"" if there is none."""
+    return (prompt_parts(headers) or (b"",))[-1]
 
 
 def key_digest(headers: Sequence[message.Header]) -> types.KeyDigest | None:
