Quarantine parts of prompts under which endpoints crash

Callers: requests that share one part of their prompt crashed one model endpoint after the other, with up to nine other requests each; a third to a half of the decode endpoints were down at a time, so that the sound requests of the same kind failed too.

Cause: the quarantine knew a request by a digest of all of it. Requests with the part differ in their last part, so that each had one end against it.

Change: each part of a prompt but the last is a subject of its own beside the request, in the same table, on the same links and disks. Parts that sound requests share are told apart by answers that run well: they clear a part of ends before the answer began, and more and older ends are needed against a part that is known to run well. Checked also before each send, so that a request that is under way when its part is quarantined is not prefilled.

--- a/rackpost/coordinator/overview.py
+++ b/rackpost/coordinator/overview.py
@@ -90,14 +90,16 @@
 
 
 class QuarantineLine(msgspec.Struct, frozen=True, kw_only=True):
-    """A request that stays quarantined for another `left_s` seconds.
+    """A subject that stays quarantined for another `left_s` seconds.
 
-    `endpoints` are those that ended under it.
+    `endpoints` are those that ended under it; `part` is the number of the
+    part in its prompt, None for a whole request.
     """
 
     fingerprint: str
     endpoints: tuple[types.EndpointId, ...]
     left_s: float
+    part: int | None = None
 
 
 class Overview(msgspec.Struct, frozen=True, kw_only=True):
@@ -106,7 +108,7 @@
     Attributes:
         version: version of the routing document that it holds; 0 if none.
         hears_quorum: it leads, or was lately in contact with the leader.
-        held: quarantined requests.
+        held: quarantined requests and parts of prompts.
         waiting: generations that wait for capacity.
     """
 
@@ -238,12 +240,13 @@
 
 
 def _quarantine_line(
-    item: quarantine_mod.QuarantinedRequest,
+    item: quarantine_mod.QuarantinedSubject,
 ) -> QuarantineLine:
     return QuarantineLine(
-        fingerprint=item.request.hex(),
+        fingerprint=item.subject.hex(),
         endpoints=tuple(incarnation.id for incarnation in item.incarnations),
         left_s=round(item.remaining_s),
+        part=None if item.place is None else item.place + 1,
     )
 
 
--- a/rackpost/coordinator/quarantine_keeper.py
+++ b/rackpost/coordinator/quarantine_keeper.py
@@ -1,11 +1,11 @@
-"""Shares evidence on requests under which endpoints ended.
+"""Shares evidence on requests and prompt parts under which endpoints ended.
 
 Each gateway reports the ends of endpoints under its requests to every
-coordinator; coordinators publish a request to all gateways once enough
+coordinator; coordinators publish a subject to all gateways once enough
 endpoints have ended under it.  Ends seen by several gateways add up.
 
 The evidence is not replicated by consensus: coordinators with the same
-evidence quarantine the same requests, also during a partition or without a
+evidence quarantine the same subjects, also during a partition or without a
 quorum.
 """
 
@@ -18,12 +18,17 @@
 from rackpost.decide import quarantine
 from rackpost import exceptions
 from rackpost import logs
+from rackpost.routing import endpoints
 from rackpost import types
 
 # Pause before a failed write is retried.
 _RETRY_PAUSE_S = 1.0
 # How often expired evidence is removed.
 _EXPIRY_INTERVAL_S = 60.0
+# Delay with which evidence against subjects that are known to run well is
+# published, in seconds.  It is seldom urgent, and every end of an endpoint
+# brings some.
+_SOUND_DELAY_S = 0.1
 
 Send = Callable[[messages.Suspicions], None]
 
@@ -78,6 +83,8 @@
         self._send_to_gateways = send_to_gateways
         self._send_to_replicas = send_to_replicas
         self._changed = asyncio.Event()
+        # Incarnations reported of sound subjects and not yet published.
+        self._delayed: dict[types.Fingerprint, set[endpoints.Incarnation]] = {}
         loaded = self._file.load()
         self.table.add(loaded, self._loop.time())
         if loaded:
@@ -91,41 +98,85 @@
     def receive(self, msg: messages.Suspicions) -> None:
         """Apply evidence from a gateway or another coordinator.
 
-        Publishes each changed request with enough evidence.
+        Publishes each changed subject with enough evidence.
         """
-        for request in self.table.add(msg.items, self._loop.time()):
-            known = self.table.suspicions_of(request)
+        now = self._loop.time()
+        reported: dict[types.Fingerprint, set[endpoints.Incarnation]] = {}
+        for item in msg.items:
+            reported.setdefault(item.subject, set()).add(item.incarnation)
+        urgent = {}
+        for subject in self.table.add(msg.items, now):
+            known = self.table.suspicions_of(subject, now)
             if len(known) < quarantine.MIN_ENDED_TO_REPORT:
                 continue
-            self._log_request(request)
             self._changed.set()
-            # Gateways decide on the same evidence as coordinators.
-            self._send_to_gateways(messages.Suspicions(items=known))
+            if self.table.is_sound(subject):
+                self._delay(subject, reported[subject])
+            else:
+                urgent[subject] = reported[subject]
+        self._publish(urgent)
+
+    def _delay(
+        self,
+        subject: types.Fingerprint,
+        incarnations: set[endpoints.Incarnation],
+    ) -> None:
+        """Publish a subject a little later, with others."""
+        if not self._delayed:
+            self._loop.call_later(_SOUND_DELAY_S, self._publish_delayed)
+        self._delayed.setdefault(subject, set()).update(incarnations)
+
+    def _publish_delayed(self) -> None:
+        delayed, self._delayed = self._delayed, {}
+        self._publish(delayed)
 
-    def _log_request(self, request: types.Fingerprint) -> None:
+    def _publish(
+        self, subjects: dict[types.Fingerprint, set[endpoints.Incarnation]]
+    ) -> None:
+        """Send gateways what they need to decide as this process does.
+
+        These are all ends under a subject that are not cleared, and the given
+        ones.
+        """
         now = self._loop.time()
+        items = []
+        for subject, incarnations in subjects.items():
+            self._log_subject(subject, now)
+            items += [
+                item
+                for item in self.table.suspicions_of(subject, now)
+                if not item.cleared or item.incarnation in incarnations
+            ]
+        if items:
+            self._send_to_gateways(messages.Suspicions(items=tuple(items)))
+
+    def _log_subject(self, subject: types.Fingerprint, now: float) -> None:
         logs.say(
             logs.Part.COORDINATOR,
             "Endpoints ended under a request.",
-            fingerprint=request.hex(),
-            endpoints=self.table.ended_endpoints(request),
-            held_s=round(self.table.remaining_s(request, now)),
+            fingerprint=subject.hex(),
+            place=self.table.place(subject),
+            runs_well=self.table.is_sound(subject),
+            endpoints=self.table.ended_endpoints(subject),
+            held_s=round(self.table.remaining_s(subject, now)),
         )
 
     def initial_evidence(self) -> messages.Suspicions | None:
         """Return the evidence for a newly linked gateway; None if none."""
-        items = self.table.suspicions(quarantine.MIN_ENDED_TO_REPORT)
+        items = self.table.suspicions(
+            quarantine.MIN_ENDED_TO_REPORT, self._loop.time()
+        )
         return messages.Suspicions(items=items) if items else None
 
-    def release(self, request: types.Fingerprint) -> bool:
-        """Release a request from quarantine on behalf of an operator.
+    def release(self, subject: types.Fingerprint) -> bool:
+        """Release a subject from quarantine on behalf of an operator.
 
         Also informs the other coordinators, since some gateways may not be
-        linked to this one.  Returns whether the request was quarantined.
+        linked to this one.  Returns whether the subject was quarantined.
         """
-        if not self.table.is_quarantined(request, self._loop.time()):
+        if not self.table.is_quarantined(subject, self._loop.time()):
             return False
-        msg = messages.Suspicions(items=self.table.clearances(request))
+        msg = messages.Suspicions(items=self.table.clearances(subject))
         self.receive(msg)
         self._send_to_replicas(msg)
         return True
@@ -144,7 +195,9 @@
 
     async def _save(self) -> None:
         msg = messages.Suspicions(
-            items=self.table.suspicions(quarantine.MIN_ENDED_TO_REPORT)
+            items=self.table.suspicions(
+                quarantine.MIN_ENDED_TO_REPORT, self._loop.time()
+            )
         )
         try:
             await self._file.save(msg)
--- a/rackpost/decide/fingerprint.py
+++ b/rackpost/decide/fingerprint.py
@@ -1,5 +1,6 @@
-"""Identify a request that is repeated under another id."""
+"""Identify requests that are repeated, and parts that prompts share."""
 
+import functools
 import hashlib
 
 from rackpost import types
@@ -9,6 +10,9 @@
 _DIGEST_BYTES = 16
 # Keeps these digests apart from other digests of the same bytes.
 _PURPOSE = b"rackpost request"
+_PART_PURPOSE = b"rackpost part"
+# Digests of recent parts; most prompts share some.
+_CACHED_PARTS = 4096
 
 
 def fingerprint(
@@ -30,3 +34,19 @@
         found.update(field)
     found.update(body)
     return types.Fingerprint(found.digest())
+
+
+@functools.lru_cache(maxsize=_CACHED_PARTS)
+def part_fingerprint(
+    service: types.ServiceName, part: bytes
+) -> types.Fingerprint:
+    """Return a digest of a part of prompts to a service.
+
+    Organisations may share parts, so that theirs is not included.
+    """
+    found = hashlib.blake2b(digest_size=_DIGEST_BYTES, person=_PART_PURPOSE)
+    name = service.encode()
+    found.update(b"%d:" % len(name))
+    found.update(name)
+    found.update(part)
+    return types.Fingerprint(found.digest())
--- a/rackpost/entry/crash_tracker.py
+++ b/rackpost/entry/crash_tracker.py
@@ -40,7 +40,7 @@
         if failure.reason not in _CRASH_FAILURES:
             return
         suspicion = quarantine.Suspicion(
-            request=_fingerprint(req),
+            subject=_fingerprint(req),
             endpoint=types.EndpointId(failure.agent),
             born=int(now),
         )
--- a/rackpost/gateway/answer_relay.py
+++ b/rackpost/gateway/answer_relay.py
@@ -66,9 +66,7 @@
     """Record an event, and its time if it is new to the client."""
     if event.id is None:
         return
-    if call.first_event_at is None:
-        call.first_event_at = call.site.loop_time()
-    call.on_event()
+    call.record_event()
     if _is_new(call, event):
         call.last_event_id = event.id
         call.times.record_event(call.site.loop_time())
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -3,6 +3,7 @@
 import contextlib
 from typing import NamedTuple
 
+from rackpost.decide import part_soundness
 from rackpost.decide import retry_decision
 from rackpost import exceptions
 from rackpost.gateway import answer_check
@@ -100,8 +101,10 @@
     extra_headers: list[message.Header],
     grant: rate_grants.Grant | None,
 ) -> Reply:
-    # It may have restarted with other software meanwhile.
+    # It may have restarted with other software meanwhile, and the request may
+    # have been quarantined.
     call.check_version(endpoint)
+    call.check_not_quarantined()
     request_lines = (
         request_headers(call, endpoint, call.site.loop_time()) + extra_headers
     )
@@ -189,7 +192,7 @@
     if call.sampled or call.tried or call.origin is not None:
         _log_choice(call, endpoint, began)
     ran_before = call.may_have_run
-    call.first_event_at = None
+    call.progress = part_soundness.AnswerProgress()
     if call.charge is not None:
         call.charge.record_sent(began)
     call.tried.append(endpoint.id)
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -6,11 +6,13 @@
 from typing import NamedTuple
 
 from rackpost.decide import fingerprint
+from rackpost.decide import part_soundness
 from rackpost.decide import retry_decision
 from rackpost.decide import stream_origins
 from rackpost import exceptions
 from rackpost.gateway import callers
 from rackpost.gateway import charge as charge_mod
+from rackpost.gateway import crash_tracker
 from rackpost.gateway import site as site_mod
 from rackpost.gateway import stream_times
 from rackpost.http1 import message
@@ -116,8 +118,8 @@
         self.origin = origin
         # Id of the last event sent to the client, for resuming the stream.
         self.last_event_id: int | None = None
-        # When the present attempt's answer brought its first event.
-        self.first_event_at: float | None = None
+        # The events of the present attempt's answer.
+        self.progress = part_soundness.AnswerProgress()
         self.forwarded_headers = caller.passed_on(
             [
                 item
@@ -133,22 +135,46 @@
         now = self.site.loop_time()
         self.connection_broke = True
         self.site.crash_tracker.record_broken(
-            self.fingerprint, endpoint, ran_s=now - began, now=now
+            self.subjects,
+            endpoint,
+            ran_s=now - began,
+            now=now,
+            progress=self.progress,
         )
 
+    def record_event(self) -> None:
+        """Record an event of the present attempt's answer."""
+        now = self.site.loop_time()
+        if self.progress.record_event(now):
+            self.site.crash_tracker.record_running(
+                self.subjects.parts, self.progress, now
+            )
+        self.on_event()
+
     @functools.cached_property
     def prompt_parts(self) -> tuple[bytes, ...]:
         """Ids of the parts of its prompt, of which the last is its own."""
         return headers.prompt_parts(self.req.headers)
 
+    @functools.cached_property
+    def subjects(self) -> crash_tracker.Subjects:
+        """What it is recognised by if endpoints crash under it."""
+        return crash_tracker.Subjects(
+            request=self.fingerprint,
+            parts=tuple(
+                fingerprint.part_fingerprint(self.service.name, ident)
+                for ident in dict.fromkeys(self.prompt_parts[:-1])
+            ),
+        )
+
     def writing_s(self, now: float) -> float | None:
         """Return how long the present answer has had events, in seconds.
 
         None before its first event.
         """
-        if self.first_event_at is None:
+        if self.progress.first_at is None:
             return None
-        return now - self.first_event_at
+        return round(now - self.progress.first_at, 3)
 
     @property
     def excluded_endpoints(self) -> list[types.EndpointId]:
@@ -278,33 +304,36 @@
         """
         return self._end_if_revoked() or self._end_if_quarantined()
 
-    def quarantine_left_s(self) -> float:
-        """Return how much longer it is quarantined, in seconds; 0 if not."""
+    def quarantined(self) -> crash_tracker.QuarantinedSubject | None:
+        """Return why it is quarantined; None if it is not."""
         tracker = self.site.crash_tracker
         if not tracker.quarantine.may_hold_any():
             # Usually nothing is quarantined, which saves the fingerprint.
-            return 0.0
-        return tracker.quarantine_left_s(
-            self.fingerprint, self.site.loop_time()
-        )
+            return None
+        return tracker.quarantined(self.subjects, self.site.loop_time())
+
+    def check_not_quarantined(self) -> None:
+        """Raise EndpointIneligible if it may be sent to no endpoint."""
+        if self.quarantined() is not None:
+            raise exceptions.EndpointIneligible("quarantined")
 
     def _end_if_quarantined(self) -> bool:
         """End the request if it is quarantined; return whether it is."""
-        left_s = self.quarantine_left_s()
-        if left_s <= 0.0:
+        found = self.quarantined()
+        if found is None:
             return False
+        table = self.site.crash_tracker.quarantine
         self.log(
             "Held back.",
-            fingerprint=self.fingerprint.hex(),
-            endpoints=self.site.crash_tracker.quarantine.ended_endpoints(
-                self.fingerprint
-            ),
-            left_s=round(left_s),
+            fingerprint=found.subject.hex(),
+            place=table.place(found.subject),
+            endpoints=table.ended_endpoints(found.subject),
+            left_s=round(found.remaining_s),
         )
         if self.may_have_run:
             self.fail(Reason.ENDS_ENDPOINTS, 502)
         else:
-            self.refuse(Reason.ENDS_ENDPOINTS, left_s)
+            self.refuse(Reason.ENDS_ENDPOINTS, found.remaining_s)
         return True
 
     def _end_if_revoked(self) -> bool:
@@ -356,11 +385,18 @@
         An answer that ends with its connection may be truncated, and a request
         whose attempt broke may crash only the endpoint that prefills it.
         """
-        if (
-            not self.connection_broke
-            and head.framing is not message.Framing.CLOSE
-        ):
-            self.site.crash_tracker.record_served(self.fingerprint, now)
+        if self.connection_broke or head.framing is message.Framing.CLOSE:
+            return
+        subjects = self.subjects
+        if head.status >= 300:
+            # An error says nothing of the parts of a prompt.
+            subjects = subjects._replace(parts=())
+        began_at = self.progress.first_at
+        self.site.crash_tracker.record_served(
+            subjects,
+            began_at=self.began if began_at is None else began_at,
+            now=now,
+        )
 
     def _is_late(self, took_s: float) -> bool:
         """Whether the answer, or an event of it, missed its target."""
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -117,7 +117,9 @@
         self._linked.add(conn)
         self._site.capacity.link(host, conn)
         self._site.origins.link(conn)
-        items = self._site.crash_tracker.quarantine.suspicions(1)
+        items = self._site.crash_tracker.quarantine.suspicions(
+            1, self._loop.time()
+        )
         if items:
             conn.send(messages.Suspicions(items=items))
 
--- a/rackpost/gateway/crash_tracker.py
+++ b/rackpost/gateway/crash_tracker.py
@@ -1,8 +1,9 @@
 """Tracks requests that were in flight when endpoints crashed.
 
-Each broken connection is a suspicion against its request, shared with all
-gateways through the coordinators.  It is cleared when the request is answered
-or the endpoint turns out to be alive.
+Each broken connection is a suspicion against its request and the parts of its
+prompt, shared with all gateways through the coordinators.  It is cleared when
+the request is answered, the part turns out to run well, or the endpoint turns
+out to be alive.
 """
 
 from typing import Callable
@@ -11,6 +12,7 @@
 
 import msgspec
 
+from rackpost.decide import part_soundness
 from rackpost.decide import quarantine
 from rackpost import logs
 from rackpost.routing import endpoints
@@ -33,21 +35,44 @@
 # Bounds the broken connections that are watched; the oldest are dropped.
 _MAX_WATCHED = 4096
 
-# Reasons in the log for clearing a request.
+# Reasons in the log for clearing a subject.
 _ANSWERED_IN_FULL = "answered in full"
+_RUNS_WELL = "runs well"
 _ENDPOINT_ALIVE = "endpoint is alive"
 
 Publish = Callable[[tuple[quarantine.Suspicion, ...]], None]
 
 
+class Subjects(NamedTuple):
+    """What a request can be recognised by when it comes again.
+
+    `parts` are those of its prompt that other requests may share, in order.
+    """
+
+    request: types.Fingerprint
+    parts: tuple[types.Fingerprint, ...] = ()
+
+    @property
+    def all(self) -> tuple[types.Fingerprint, ...]:
+        """The request, and the parts of its prompt."""
+        return (self.request, *self.parts)
+
+
+class QuarantinedSubject(NamedTuple):
+    """Why a request is quarantined, for another `remaining_s` seconds."""
+
+    subject: types.Fingerprint
+    remaining_s: float
+
+
 class _WatchedSuspicion(NamedTuple):
-    """A suspicion whose endpoint may turn out to be alive.
+    """Suspicions whose endpoint may turn out to be alive.
 
     `first_heartbeat_at` is the time of its first heartbeat after the
     connection broke.
     """
 
-    suspicion: quarantine.Suspicion
+    suspicions: tuple[quarantine.Suspicion, ...]
     endpoint: endpoints.Endpoint
     broke_at: float
     first_heartbeat_at: float | None = None
@@ -63,35 +88,61 @@
         self._table = table
         self._watched: list[_WatchedSuspicion] = []
         self._served_at: dict[types.Fingerprint, float] = {}
+        self._sound_parts = part_soundness.SoundParts()
 
     def record_broken(
         self,
-        request: types.Fingerprint,
+        subjects: Subjects,
         endpoint: endpoints.Endpoint,
         *,
         ran_s: float,
         now: float,
+        progress: part_soundness.AnswerProgress | None = None,
     ) -> None:
         """Record that a connection broke while an endpoint ran a request.
 
-        Ignored for endpoints that have announced that they leave.
+        Ignored for endpoints that have announced that they leave.  The parts
+        of a prompt are not suspected if `progress`, the answer until then,
+        ran well.
         """
         if self._table.has_left(endpoint):
             return
-        found = quarantine.Suspicion(
-            request=request,
-            endpoint=endpoint.id,
-            born=endpoint.born,
-            ran_ms=int(ran_s * 1000),
-        )
+        parts = subjects.parts
+        if progress is not None and progress.runs_well:
+            self.record_running(parts, progress, now)
+            parts = ()
+        ran_ms = int(ran_s * 1000)
+        found = [_suspicion(subjects.request, endpoint, ran_ms=ran_ms)]
+        for place, part in enumerate(parts):
+            sound = self._sound_parts.began_at(part, now) is not None
+            found.append(
+                _suspicion(
+                    part, endpoint, ran_ms=ran_ms, place=place, sound=sound
+                )
+            )
         self._watched.append(
-            _WatchedSuspicion(suspicion=found, endpoint=endpoint, broke_at=now)
+            _WatchedSuspicion(
+                suspicions=tuple(found), endpoint=endpoint, broke_at=now
+            )
         )
         del self._watched[:-_MAX_WATCHED]
-        self._add((found,), now)
+        self._add(tuple(found), now)
+
+    def record_running(
+        self,
+        parts: tuple[types.Fingerprint, ...],
+        progress: part_soundness.AnswerProgress,
+        now: float,
+    ) -> None:
+        """Record that an answer runs well."""
+        if progress.first_at is not None:
+            self._record_sound(parts, progress.first_at, now)
 
-    def record_served(self, request: types.Fingerprint, now: float) -> None:
-        """Clear a request that was answered in full."""
+    def record_served(
+        self, subjects: Subjects, *, began_at: float, now: float
+    ) -> None:
+        """Clear a request that was answered in full since `began_at`."""
+        request = subjects.request
         self._served_at.pop(request, None)
         self._served_at[request] = now
         while len(self._served_at) > _MAX_SERVED:
@@ -99,28 +150,72 @@
         self._clear(
             self.quarantine.clearances(request), _ANSWERED_IN_FULL, now
         )
+        self._record_sound(subjects.parts, began_at, now)
+
+    def _record_sound(
+        self,
+        parts: tuple[types.Fingerprint, ...],
+        began_at: float,
+        now: float,
+    ) -> None:
+        self._sound_parts.record(parts, began_at)
+        for part in parts:
+            if part in self.quarantine:
+                self._vouch(part, now)
+
+    def _vouch(self, part: types.Fingerprint, now: float) -> None:
+        """Clear a part of ends before its latest answer that ran well."""
+        began_at = self._sound_parts.began_at(part, now)
+        if began_at is None:
+            return
+        cleared = self.quarantine.clearances(part, ended_before=began_at)
+        if cleared:
+            self._clear(
+                tuple(
+                    msgspec.structs.replace(item, sound=True)
+                    for item in cleared
+                ),
+                _RUNS_WELL,
+                now,
+            )
+        elif not self.quarantine.is_sound(part):
+            self._add(
+                tuple(
+                    msgspec.structs.replace(item, sound=True)
+                    for item in self.quarantine.suspicions_of(part, now)[:1]
+                ),
+                now,
+            )
 
     def receive(
         self, items: Iterable[quarantine.Suspicion], now: float
     ) -> None:
         """Add suspicions that a coordinator has sent."""
-        for request in self.quarantine.add(items, now):
-            served_at = self._served_at.get(request)
+        for subject in self.quarantine.add(items, now):
+            self._vouch(subject, now)
+            served_at = self._served_at.get(subject)
             if served_at is not None and now - served_at < _CLEARED_S:
                 self._clear(
-                    self.quarantine.clearances(request), _ANSWERED_IN_FULL, now
+                    self.quarantine.clearances(subject), _ANSWERED_IN_FULL, now
                 )
-            elif self.quarantine.is_quarantined(request, now):
-                self._log_quarantined(request, now)
+            elif self.quarantine.is_quarantined(subject, now):
+                self._log_quarantined(subject, now)
 
-    def quarantine_left_s(
-        self, request: types.Fingerprint, now: float
-    ) -> float:
-        """Return how long a request stays quarantined, 0 if it is not."""
-        return self.quarantine.remaining_s(request, now)
+    def quarantined(
+        self, subjects: Subjects, now: float
+    ) -> QuarantinedSubject | None:
+        """Return why a request is quarantined; None if it is not."""
+        found = (
+            QuarantinedSubject(
+                subject, self.quarantine.remaining_s(subject, now)
+            )
+            for subject in subjects.all
+        )
+        longest = max(found, key=lambda item: item.remaining_s)
+        return longest if longest.remaining_s > 0.0 else None
 
     def recheck(self, now: float) -> None:
-        """Clear requests whose endpoint is alive; call about each second.
+        """Clear subjects whose endpoint is alive; call about each second.
 
         An endpoint is alive if its heartbeats go on in the same incarnation
         after the connection broke.
@@ -146,8 +241,11 @@
             return item._replace(first_heartbeat_at=last_heartbeat_at)
         if last_heartbeat_at < item.first_heartbeat_at + _MIN_HEARTBEAT_GAP_S:
             return item
-        cleared = msgspec.structs.replace(item.suspicion, cleared=True)
-        self._clear((cleared,), _ENDPOINT_ALIVE, now)
+        cleared = tuple(
+            msgspec.structs.replace(one, cleared=True)
+            for one in item.suspicions
+        )
+        self._clear(cleared, _ENDPOINT_ALIVE, now)
         return None
 
     def _clear(
@@ -162,29 +260,53 @@
         logs.say(
             logs.Part.GATEWAY,
             "Request cleared.",
-            fingerprint=items[0].request.hex(),
+            fingerprint=items[0].subject.hex(),
+            place=items[0].place,
             why=why,
             endpoints=[one.endpoint for one in items],
+            parts=sum(one.place is not None for one in items),
         )
         self._add(items, now)
 
     def _add(
         self, items: tuple[quarantine.Suspicion, ...], now: float
     ) -> None:
-        for request in self.quarantine.add(items, now):
-            if self.quarantine.is_quarantined(request, now):
-                self._log_quarantined(request, now)
-        self.publish(items)
+        changed = self.quarantine.add(items, now)
+        for subject in changed:
+            if self.quarantine.is_quarantined(subject, now):
+                self._log_quarantined(subject, now)
+        new = tuple(item for item in items if item.subject in changed)
+        if new:
+            self.publish(new)
 
-    def _log_quarantined(self, request: types.Fingerprint, now: float) -> None:
+    def _log_quarantined(self, subject: types.Fingerprint, now: float) -> None:
         logs.say(
             logs.Part.GATEWAY,
             "Request is held back.",
-            fingerprint=request.hex(),
-            endpoints=self.quarantine.ended_endpoints(request),
-            left_s=round(self.quarantine.remaining_s(request, now)),
+            fingerprint=subject.hex(),
+            place=self.quarantine.place(subject),
+            endpoints=self.quarantine.ended_endpoints(subject),
+            left_s=round(self.quarantine.remaining_s(subject, now)),
         )
 
 
+def _suspicion(
+    subject: types.Fingerprint,
+    endpoint: endpoints.Endpoint,
+    *,
+    ran_ms: int,
+    place: int | None = None,
+    sound: bool = False,
+) -> quarantine.Suspicion:
+    return quarantine.Suspicion(
+        subject=subject,
+        endpoint=endpoint.id,
+        born=endpoint.born,
+        ran_ms=ran_ms,
+        place=place,
+        sound=sound,
+    )
+
+
 def _publish_nothing(items: tuple[quarantine.Suspicion, ...]) -> None:
     """Send nothing: no coordinator is linked yet."""
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -120,6 +120,8 @@
         call = self._call
         while True:
             self._progress = self._new_progress()
+            if call.end_if_blocked():
+                return
             reservation = await self._next_reservation()
             if reservation is None:
                 return
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -284,7 +284,7 @@
         if not _may_prefill(call, state, now):
             call.log("Read in place.", reason="retry budget")
             return
-        if call.quarantine_left_s() > 0.0:
+        if call.quarantined() is not None:
             call.log("Not prefilled.", reason="quarantined")
             return
         if patience is not None and not patience.may_begin():
--- a/rackpost/site_overview.py
+++ b/rackpost/site_overview.py
@@ -170,12 +170,18 @@
 
 
 def quarantined(found: overview.Overview) -> str:
-    """Return a table of the quarantined requests."""
+    """Return a table of the quarantined requests and parts of prompts."""
     rows = [
-        (item.fingerprint, ", ".join(item.endpoints), f"{item.left_s:g}")
+        (
+            item.fingerprint,
+            "request" if item.part is None else f"prompt part {item.part}",
+            ", ".join(item.endpoints),
+            f"{item.left_s:g}",
+        )
         for item in found.held
     ]
-    return _table(("fingerprint", "ended endpoints", "quarantined s"), rows)
+    head = ("fingerprint", "what", "ended endpoints", "quarantined s")
+    return _table(head, rows)
 
 
 def _table(head: tuple[str, ...], rows: Iterable[tuple[str, ...]]) -> str:
--- a/rackpost/types.py
+++ b/rackpost/types.py
@@ -14,7 +14,7 @@
 OrganisationName = NewType("OrganisationName", str)
 # Identifies a caller's key without containing it.
 KeyDigest = NewType("KeyDigest", bytes)
-# Identifies a request by its content, whatever its id.
+# Identifies a request by its content, whatever its id, or a part of prompts.
 Fingerprint = NewType("Fingerprint", bytes)
 # Identifies a stream by the request that began it.
 StreamKey = NewType("StreamKey", bytes)
--- a/spec/quarantine.py
+++ b/spec/quarantine.py
@@ -71,7 +71,7 @@
 
 def _suspicion(incarnation: int) -> quarantine.Suspicion:
     return quarantine.Suspicion(
-        request=_REQUEST, endpoint=types.EndpointId("e"), born=incarnation + 1
+        subject=_REQUEST, endpoint=types.EndpointId("e"), born=incarnation + 1
     )
 
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -157,7 +157,7 @@
                     await site.wait_until_known()
                 assert site.crashes == _MAX_CRASHES
                 quarantined = [
-                    item.request
+                    item.subject
                     for item in site.quarantine_tables()[0].quarantined(
                         site.now()
                     )
@@ -198,14 +198,14 @@
                 tracker = site.gateways[31].site.crash_tracker
                 suspicions = [
                     quarantine.Suspicion(
-                        request=fingerprinted,
+                        subject=fingerprinted,
                         endpoint=types.EndpointId(f"e{number}"),
                     )
                     for number in range(3)
                 ]
                 tracker.receive(suspicions, site.now())
-                is_quarantined = (
-                    tracker.quarantine_left_s(fingerprinted, site.now()) > 0.0
+                is_quarantined = tracker.quarantine.is_quarantined(
+                    fingerprinted, site.now()
                 )
                 assert is_quarantined is not framed
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -24,7 +24,7 @@
     request: types.Fingerprint, number: int, *, ran_ms: int = 90
 ) -> quarantine.Suspicion:
     return quarantine.Suspicion(
-        request=request,
+        subject=request,
         endpoint=types.EndpointId(f"e{number}"),
         ran_ms=ran_ms,
     )
@@ -43,7 +43,7 @@
     assert not table.is_quarantined(_BAD, 0.0)
     # Another incarnation of the same endpoint.
     again = quarantine.Suspicion(
-        request=_BAD, endpoint=types.EndpointId("e2"), born=5
+        subject=_BAD, endpoint=types.EndpointId("e2"), born=5
     )
     assert table.add([again], 1.0) == {_BAD}
     assert table.is_quarantined(_BAD, 1.0)
@@ -101,7 +101,7 @@
 ) -> None:
     one = strategies.builds(
         quarantine.Suspicion,
-        request=strategies.sampled_from([_BAD, _SECOND_BAD, _INNOCENT]),
+        subject=strategies.sampled_from([_BAD, _SECOND_BAD, _INNOCENT]),
         endpoint=strategies.sampled_from(
             [types.EndpointId(f"e{n}") for n in range(4)]
         ),
@@ -130,7 +130,7 @@
     assert len(table) <= 4096
     assert all(table.is_quarantined(request, 2000.0) for request in bad)
     # A gateway that has just started receives all in one message.
-    msg = messages.Suspicions(items=table.suspicions(2))
+    msg = messages.Suspicions(items=table.suspicions(2, 2000.0))
     data = codec.encode(msg)
     assert len(data) < 200_000
     decoded = codec.Decoder(kinds=messages.Suspicions).decode(data)
@@ -163,10 +163,22 @@
         self, request: types.Fingerprint, number: int, now: float
     ) -> None:
         endpoint = self.table.alive[types.EndpointId(f"e{number}")]
-        self.tracker.record_broken(request, endpoint, ran_s=0.1, now=now)
+        self.tracker.record_broken(
+            crash_tracker_mod.Subjects(request=request),
+            endpoint,
+            ran_s=0.1,
+            now=now,
+        )
+
+    def serve(self, request: types.Fingerprint, now: float) -> None:
+        self.tracker.record_served(
+            crash_tracker_mod.Subjects(request=request),
+            began_at=now,
+            now=now,
+        )
 
     def is_quarantined(self, request: types.Fingerprint, now: float) -> bool:
-        return self.tracker.quarantine_left_s(request, now) > 0.0
+        return self.tracker.quarantine.is_quarantined(request, now)
 
 
 def test_heartbeats_clear_connection_resets() -> None:
@@ -222,7 +234,12 @@
             gateway.receive_heartbeat(
                 number, 2.0, state=endpoints.EndpointState.GONE
             )
-        gateway.tracker.record_broken(_INNOCENT, endpoint, ran_s=1.0, now=3.0)
+        gateway.tracker.record_broken(
+            crash_tracker_mod.Subjects(request=_INNOCENT),
+            endpoint,
+            ran_s=1.0,
+            now=3.0,
+        )
     assert not gateway.is_quarantined(_INNOCENT, 3.0)
     assert not gateway.published
 
@@ -233,7 +250,7 @@
     for number in range(3):
         one.receive_heartbeat(number, 0.0)
         one.break_connection(_INNOCENT, number, 0.5)
-    other.tracker.record_served(_INNOCENT, 0.4)
+    other.serve(_INNOCENT, 0.4)
     other.tracker.receive(one.published, 0.6)
     assert not other.is_quarantined(_INNOCENT, 0.7)
     one.tracker.receive(other.published, 0.8)
@@ -242,7 +259,7 @@
 
 def test_an_old_answer_clears_nothing() -> None:
     one, other = _Gateway(), _Gateway()
-    other.tracker.record_served(_BAD, 0.0)
+    other.serve(_BAD, 0.0)
     for number in range(3):
         one.receive_heartbeat(number, 60.0)
         one.break_connection(_BAD, number, 60.5)
--- a/tests/test_site_overview.py
+++ b/tests/test_site_overview.py
@@ -57,7 +57,7 @@
         async with platform_site.small_site(tmp_path) as site:
             items = tuple(
                 quarantine.Suspicion(
-                    request=types.Fingerprint(b"\xab" * 16),
+                    subject=types.Fingerprint(b"\xab" * 16),
                     endpoint=types.EndpointId(f"e{number}"),
                 )
                 for number in range(3)
