Take an unframed stream without an event as broken off

Callers: a stream with neither a length nor chunks, whose endpoint ended before the first event, reached its client as complete and empty; it was not resumed, and its end was held against neither the request nor its prompt.

Cause: such a stream ends with its connection, and only a rest of an event showed that it was cut.

Change: without any event it is broken off.

--- a/rackpost/gateway/answer_relay.py
+++ b/rackpost/gateway/answer_relay.py
@@ -30,18 +30,21 @@
 ) -> None:
     """Send a stream's events to the client as they come, each once.
 
-    Raises ExchangeError where the stream is cut within an event.
+    Raises ExchangeError where the stream is cut within an event, or ends with
+    its connection before there was one.
     """
     responder = call.responder
     if not responder.started:
         responder.start(200, message.end_to_end(head.headers))
     splitter = events.Splitter()
+    has_event = False
     while chunk := await conn.read():
         fresh = []
         for event in splitter.feed(chunk):
             if _is_new(call, event):
                 fresh.append(event.data)
             _record_event(call, event)
+            has_event = True
         if call.last_event_id is not None and call.record_first_event(
             endpoint
         ):
@@ -52,6 +55,8 @@
         call.times.client_s += call.site.loop_time() - began
     if splitter.rest:
         raise exceptions.ExchangeError("ended within an event")
+    if not has_event and head.framing is message.Framing.CLOSE:
+        raise exceptions.ExchangeError("ended before its first event")
     responder.finish()
 
 
