Recognise messages that crash engines at entries

Callers of a site with entries and agents: the same fault as at the gateways. Cause: an entry knew a chat by a digest of its whole body, so that one message in chats that differ crashed an engine each time.

Change: each message but the last is a part, and entries use the crash tracker of the gateways, which moves out of their package, in place of a second one. Entries still count each by itself: agents do not tell which incarnation of their engine crashed, without which one crash would count once for each entry.

--- a/rackpost/gateway/crash_tracker.py
+++ b/rackpost/crash_tracker.py
@@ -1,7 +1,7 @@
 """Tracks requests that were in flight when endpoints crashed.
 
 Each broken connection is a suspicion against its request and the parts of its
-prompt, shared with all gateways through the coordinators.  It is cleared when
+prompt; gateways share them through the coordinators.  It is cleared when
 the request is answered, the part turns out to run well, or the endpoint turns
 out to be alive.
 """
@@ -79,9 +79,15 @@
 
 
 class CrashTracker:
-    """One gateway's quarantine table, and the suspicions that it adds."""
+    """One process's quarantine table, and the suspicions that it adds."""
 
-    def __init__(self, *, table: endpoints.EndpointTable) -> None:
+    def __init__(
+        self,
+        *,
+        table: endpoints.EndpointTable,
+        part: logs.Part = logs.Part.GATEWAY,
+    ) -> None:
+        self._part = part
         self.quarantine = quarantine.Quarantine()
         # Sends suspicions to the coordinators; set by ControlLinks.
         self.publish: Publish = _publish_nothing
@@ -256,7 +262,7 @@
         if not items:
             return
         logs.say(
-            logs.Part.GATEWAY,
+            self._part,
             "Request cleared.",
             fingerprint=items[0].subject.hex(),
             place=items[0].place,
@@ -279,7 +285,7 @@
 
     def _log_quarantined(self, subject: types.Fingerprint, now: float) -> None:
         logs.say(
-            logs.Part.GATEWAY,
+            self._part,
             "Request is held back.",
             fingerprint=subject.hex(),
             place=self.quarantine.place(subject),
--- a/rackpost/decide/fingerprint.py
+++ b/rackpost/decide/fingerprint.py
@@ -11,8 +11,10 @@
 # Keeps these digests apart from other digests of the same bytes.
 _PURPOSE = b"rackpost request"
 _PART_PURPOSE = b"rackpost part"
-# Digests of recent parts; most prompts share some.
-_CACHED_PARTS = 4096
+# Digests of recent parts are cached, as most prompts share some; not those of
+# long ones, which would take much memory.
+_MAX_CACHED = 4096
+_MAX_CACHED_BYTES = 64
 
 
 def fingerprint(
@@ -36,17 +38,26 @@
     return types.Fingerprint(found.digest())
 
 
-@functools.lru_cache(maxsize=_CACHED_PARTS)
 def part_fingerprint(
     service: types.ServiceName, part: bytes
 ) -> types.Fingerprint:
     """Return a digest of a part of prompts to a service.
 
-    Organisations may share parts, so that theirs is not included.
+    `part` is its id or its content.  Organisations may share parts, so that
+    theirs is not included.
     """
+    if len(part) > _MAX_CACHED_BYTES:
+        return _digest_part(service, part)
+    return _cached_part(service, part)
+
+
+def _digest_part(service: types.ServiceName, part: bytes) -> types.Fingerprint:
     found = hashlib.blake2b(digest_size=_DIGEST_BYTES, person=_PART_PURPOSE)
     name = service.encode()
     found.update(b"%d:" % len(name))
     found.update(name)
     found.update(part)
     return types.Fingerprint(found.digest())
+
+
+_cached_part = functools.lru_cache(maxsize=_MAX_CACHED)(_digest_part)
--- a/rackpost/entry/attempt_result.py
+++ b/rackpost/entry/attempt_result.py
@@ -77,7 +77,9 @@
         """
         result = attempt.result
         if isinstance(result, outcome.CompletedAttempt):
-            self._crash_tracker.record_answer(item.req, self._loop.time())
+            self._crash_tracker.record_answer(
+                item.req, began_at=item.started_at, now=self._loop.time()
+            )
             self._metrics.count(
                 "requests", types.Outcome.ANSWERED, item.req.kind
             )
--- a/rackpost/entry/http.py
+++ b/rackpost/entry/http.py
@@ -192,6 +192,7 @@
             kind=types.KindName(context.kind),
             terms=context.terms,
             body=parsed.body,
+            parts=parsed.parts,
             prompt_tokens=tokens,
             max_tokens=parsed.max_tokens,
             blocks=prefix.block_hashes(parsed.prompt),
--- a/rackpost/entry/openai.py
+++ b/rackpost/entry/openai.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from rackpost.decide import fingerprint
 from rackpost.decide import prefix
 from rackpost.entry import request
 from rackpost import exceptions
@@ -19,6 +20,8 @@
 MAX_BODY_BYTES = 4 << 20
 # Protects the JSON parser, which recurses.
 MAX_DEPTH = 64
+# Bounds the evidence for one request if an engine crashes.
+_MAX_SHARED_PARTS = 64
 _MAX_MESSAGES = 2048
 
 _TokenCount = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
@@ -58,7 +61,11 @@
 
 
 class Parsed(msgspec.Struct, frozen=True, kw_only=True):
-    """A validated request; `body` is what the engine receives."""
+    """A validated request; `body` is what the engine receives.
+
+    `parts` are digests of the messages but the last, which other requests may
+    share.
+    """
 
     model: str
     chat: bool
@@ -67,6 +74,7 @@
     prompt: bytes
     max_tokens: int
     body: bytes
+    parts: tuple[types.Fingerprint, ...] = ()
 
 
 def _check_depth(data: bytes) -> None:
@@ -134,6 +142,7 @@
         prompt=prompt,
         max_tokens=limit,
         body=msgspec.json.encode(raw),
+        parts=_shared_parts(fields) if chat else (),
     )
 
 
@@ -150,6 +159,18 @@
     return "\n".join(texts).encode()
 
 
+def _shared_parts(fields: _RequestFields) -> tuple[types.Fingerprint, ...]:
+    """Return digests of all messages but the last, of a bounded number."""
+    service = types.ServiceName(fields.model)
+    shared = (fields.messages or [])[:-1][:_MAX_SHARED_PARTS]
+    texts = dict.fromkeys(_text(msg) for msg in shared)
+    return tuple(
+        fingerprint.part_fingerprint(service, text.encode())
+        for text in texts
+        if text
+    )
+
+
 def _text(msg: _ChatMessage) -> str:
     if msg.content is None:
         return ""
--- a/rackpost/entry/request.py
+++ b/rackpost/entry/request.py
@@ -24,6 +24,7 @@
         body: what the endpoint receives.
         claim: claim key of a request that may not be freely repeated.
         plain: the call, for a plain service; None for a model.
+        parts: digests of the parts of the prompt that others may share.
     """
 
     req: types.RequestId
@@ -38,6 +39,7 @@
     kv_bytes: int = 0
     claim: types.ClaimKey | None = None
     plain: PlainCall | None = None
+    parts: tuple[types.Fingerprint, ...] = ()
 
 
 class TextChunk(msgspec.Struct, frozen=True, kw_only=True):
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -5,6 +5,7 @@
 from typing import Callable
 from typing import NamedTuple
 
+from rackpost import crash_tracker
 from rackpost.decide import fingerprint
 from rackpost.decide import part_soundness
 from rackpost.decide import retry_decision
@@ -12,7 +13,6 @@
 from rackpost import exceptions
 from rackpost.gateway import callers
 from rackpost.gateway import charge as charge_mod
-from rackpost.gateway import crash_tracker
 from rackpost.gateway import site as site_mod
 from rackpost.gateway import stream_times
 from rackpost.http1 import message
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -9,6 +9,7 @@
 
 from rackpost import background
 from rackpost.coordinator import messages
+from rackpost import crash_tracker as crash_tracker_mod
 from rackpost.decide import answer_lengths
 from rackpost.decide import candidates
 from rackpost.decide import eligibility
@@ -35,7 +36,6 @@
 from rackpost.decide.waiting import orders as orders_mod
 from rackpost.decide.waiting import waiting_use
 from rackpost.gateway import admission_queue as admission_queue_mod
-from rackpost.gateway import crash_tracker as crash_tracker_mod
 from rackpost.gateway import origin_exchange
 from rackpost.gateway import planned_stop
 from rackpost.gateway import policy as policy_mod
--- a/rackpost/testing/part_world.py
+++ b/rackpost/testing/part_world.py
@@ -15,9 +15,9 @@
 
 from rackpost.coordinator import messages
 from rackpost.coordinator import quarantine_keeper
+from rackpost import crash_tracker
 from rackpost.decide import fingerprint
 from rackpost.decide import part_soundness
-from rackpost.gateway import crash_tracker
 from rackpost.link import codec
 from rackpost.routing import endpoints
 from rackpost import types
--- a/tests/test_part_soundness.py
+++ b/tests/test_part_soundness.py
@@ -1,9 +1,9 @@
 """Evidence that parts of prompts run well, and what it clears."""
 
+from rackpost import crash_tracker as crash_tracker_mod
 from rackpost.decide import fingerprint
 from rackpost.decide import part_soundness
 from rackpost.decide import quarantine
-from rackpost.gateway import crash_tracker as crash_tracker_mod
 from rackpost.routing import endpoints
 from rackpost import types
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies
 
 from rackpost.coordinator import messages
+from rackpost import crash_tracker as crash_tracker_mod
 from rackpost.decide import quarantine
-from rackpost.gateway import crash_tracker as crash_tracker_mod
 from rackpost.link import codec
 from rackpost.routing import endpoints
 from rackpost import types
