--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -213,3 +213,41 @@
                 assert site.crashes <= _MAX_CRASHES
 
     asyncio.run(main())
+
+
+# Guards against: sound requests with the same first part begin less often
+# while crashing ones still come.
+def test_sound_requests_begin_as_often_while_bad_ones_come(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with crashing_site.site(tmp_path) as site:
+            async with site.powered(first=True):
+                callers = _Callers(site=site, place=1)
+                before = [await callers.send_sound() for _ in range(_SENDS)]
+                for _ in range(_MAX_CRASHES):
+                    await callers.send_bad()
+                after = []
+                for number in range(_SENDS):
+                    gateway = crashing_site.GATEWAYS[number % 2]
+                    got = await asyncio.gather(
+                        site.send(
+                            gateway,
+                            "/gen/x",
+                            b"sound %d" % number,
+                            _prompt(500 + number, None),
+                        ),
+                        *(
+                            site.send(
+                                gateway,
+                                "/gen/x",
+                                b"bad %d-%d" % (number, n),
+                                _prompt(9000 + 10 * number + n, 1),
+                            )
+                            for n in range(3)
+                        ),
+                    )
+                    after.append(got[0])
+                assert all(b" 200 " in one for one in before + after)
+
+    asyncio.run(main())
