Describe parts of prompts that are held back, and log them sparingly

Cause: each end of an endpoint is held against, and cleared of, all parts that its requests share, which would be a line each at every process.

Change: lines on parts that run well only where they are held back or were suspected at all gateways; `rackpost site held` says what a fingerprint is and what it is held back together with.

--- a/lab/part_ways.py
+++ b/lab/part_ways.py
@@ -39,6 +39,21 @@
     ),
 }
 SEEDS = 5
+# The full load with ten parts a prompt, at two numbers of gateways.
+SIZES = {
+    f"{gateways} gateways, 1,600 requests/s": part_world.Load(
+        gateways=gateways,
+        endpoints=600,
+        sound_per_s=1600.0,
+        bad_per_s=5.0,
+        prompt=10,
+        place=4,
+        organisations=200,
+        seconds=8.0,
+        heartbeats=False,
+    )
+    for gateways in (30, 370)
+}
 
 
 def play(
@@ -56,20 +71,27 @@
 
 def _main() -> None:
     for load_name, load in LOADS.items():
-        for way_name, way in WAYS.items():
-            found = [play(load, way, seed) for seed in range(SEEDS)]
-            crashes = [item.crashes for item in found]
-            sent = sum(item.sound for item in found)
-            refused = sum(item.sound_refused for item in found)
-            broken = sum(item.sound_broken for item in found)
-            kilobytes = sum(item.bytes for item in found) / 1000 / SEEDS
-            count = sum(item.messages for item in found) / SEEDS
-            sys.stdout.write(
-                f"{load_name} | {way_name} | crashes {crashes} | sound"
-                f" refused {refused} and broken {broken} of {sent + refused}"
-                f" | {count:.0f} messages, {kilobytes:.0f} KB\n"
-            )
-            sys.stdout.flush()
+        _compare(load_name, load, SEEDS)
+    for load_name, load in SIZES.items():
+        _compare(load_name, load, 1)
+
+
+def _compare(load_name: str, load: part_world.Load, seeds: int) -> None:
+    """Print what a load costs with each way."""
+    for way_name, way in WAYS.items():
+        found = [play(load, way, seed) for seed in range(seeds)]
+        crashes = [item.crashes for item in found]
+        sent = sum(item.sound for item in found)
+        refused = sum(item.sound_refused for item in found)
+        broken = sum(item.sound_broken for item in found)
+        kilobytes = sum(item.bytes for item in found) / 1000 / seeds
+        count = sum(item.messages for item in found) / seeds
+        sys.stdout.write(
+            f"{load_name} | {way_name} | crashes {crashes} | sound"
+            f" refused {refused} and broken {broken} of {sent + refused}"
+            f" | {count:.0f} messages, {kilobytes:.0f} KB\n"
+        )
+        sys.stdout.flush()
 
 
 if __name__ == "__main__":
--- a/rackpost/coordinator/quarantine_keeper.py
+++ b/rackpost/coordinator/quarantine_keeper.py
@@ -155,6 +155,11 @@
             self._send_to_gateways(messages.Suspicions(items=tuple(items)))
 
     def _log_subject(self, subject: types.Fingerprint, now: float) -> None:
+        held_s = self.table.remaining_s(subject, now)
+        if self.table.is_sound(subject) and not held_s:
+            # Each end of an endpoint is held against all parts that its
+            # requests share.
+            return
         logs.say(
             logs.Part.COORDINATOR,
             "Endpoints ended under a request.",
@@ -162,7 +167,7 @@
             place=self.table.place(subject),
             runs_well=self.table.is_sound(subject),
             endpoints=self.table.ended_endpoints(subject),
-            held_s=round(self.table.remaining_s(subject, now)),
+            held_s=round(held_s),
         )
 
     def initial_evidence(self) -> messages.Suspicions | None:
--- a/rackpost/crash_tracker.py
+++ b/rackpost/crash_tracker.py
@@ -261,16 +261,23 @@
         """Add suspicions marked as cleared, if there are any."""
         if not items:
             return
+        # Each end of an endpoint clears all parts that its requests share.
+        if why != _RUNS_WELL or len(items) >= quarantine.MIN_ENDED_TO_REPORT:
+            self._log_cleared(items, why)
+        self._add(items, now)
+
+    def _log_cleared(
+        self, items: tuple[quarantine.Suspicion, ...], why: str
+    ) -> None:
         logs.say(
             self._part,
             "Request cleared.",
             fingerprint=items[0].subject.hex(),
             place=items[0].place,
             why=why,
-            endpoints=[one.endpoint for one in items],
+            endpoints=sorted({one.endpoint for one in items}),
             parts=sum(one.place is not None for one in items),
         )
-        self._add(items, now)
 
     def _add(
         self, items: tuple[quarantine.Suspicion, ...], now: float
--- a/rackpost/decide/quarantine.py
+++ b/rackpost/decide/quarantine.py
@@ -58,7 +58,7 @@
 # How long a quarantined subject is remembered, in seconds, so that one more
 # end quarantines it again.  Others are forgotten after `QUARANTINE_S`.
 _MEMORY_S = 24 * QUARANTINE_S
-# Bounds memory to some 2 MB.
+# Bounds memory to some 6 MB.
 _MAX_SUBJECTS = 4096
 # One in this many subjects, the least suspected, is dropped at the bound.
 _DROP_DIVISOR = 8
--- a/rackpost/testing/part_world.py
+++ b/rackpost/testing/part_world.py
@@ -56,7 +56,8 @@
 
     `bad_from_s` is the time from which the bad part crashes endpoints, and
     `prompt` the number of parts of a prompt, of which `place` is the bad one.
-    `resets_at_s` are times at which half of the connections are reset.
+    `resets_at_s` are times at which half of the connections are reset; without
+    `heartbeats` no suspicion is cleared by an endpoint that is alive.
     """
 
     gateways: int = 5
@@ -70,6 +71,7 @@
     place: int = 1
     organisations: int = 4
     seconds: float = 30.0
+    heartbeats: bool = True
 
 
 @dataclasses.dataclass
@@ -203,7 +205,10 @@
         )
         for table in self._tables:
             table.update(item, now)
-        self._loop.call_later(_HEARTBEAT_S, self._beat, endpoint, sequence + 1)
+        if self._load.heartbeats:
+            self._loop.call_later(
+                _HEARTBEAT_S, self._beat, endpoint, sequence + 1
+            )
 
     def _subjects(self, bad: bool) -> crash_tracker.Subjects:
         """Return the subjects of a request; all have a part of their own."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,6 +7,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from rackpost.coordinator import messages
 from rackpost import crash_tracker as crash_tracker_mod
@@ -323,3 +324,13 @@
     assert len(table) == 1
     table.add([_suspicion(_BAD, 9)], quarantine.QUARANTINE_S + 2)
     assert table.is_quarantined(_BAD, quarantine.QUARANTINE_S + 3)
+
+
+def test_suspicions_of_an_older_release_are_read() -> None:
+    """They lack what is said of parts, and are of whole requests."""
+    old = [_BAD, "e1", 5, 90, False]
+    found = msgspec.convert(old, quarantine.Suspicion)
+    assert found.incarnation == endpoints.Incarnation(
+        types.EndpointId("e1"), 5
+    )
+    assert found.place is None and not found.sound and not found.age_ms
--- a/tests/test_site_overview.py
+++ b/tests/test_site_overview.py
@@ -85,6 +85,43 @@
     asyncio.run(main())
 
 
+def test_prompt_parts_that_are_held_back_are_shown(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Two parts that only came together are held back together."""
+    parts = [types.Fingerprint(b"\xab" * 16), types.Fingerprint(b"\xcd" * 16)]
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            items = tuple(
+                quarantine.Suspicion(
+                    subject=part,
+                    endpoint=types.EndpointId(f"e{number}"),
+                    place=place,
+                )
+                for place, part in enumerate(parts)
+                for number in range(3)
+            )
+            site.coordinator.quarantine.receive(
+                messages.Suspicions(items=items)
+            )
+            args = [
+                "site",
+                "held",
+                "--coordinators",
+                coordinator_address(site),
+            ]
+            await asyncio.to_thread(cmd_operator.main, args)
+            head, row, *more = capsys.readouterr().out.splitlines()
+            assert "only together with" in head
+            assert row.split()[0] == "cd" * 16
+            assert "prompt part 2" in row and "e0, e1, e2" in row
+            assert row.split()[-1] == "ab" * 16
+            assert not more
+
+    asyncio.run(main())
+
+
 def test_no_coordinator_is_one_clear_line(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
