Split the evidence from the quarantine, and share the set-up of crashing sites

Cause: reading the change as a newcomer. One module held the evidence against a subject and the decision over all of them; a record took the place of its first suspicion, so that processes told in another order could differ.

Change: decide/suspicions.py; the lowest place counts; one name for each of the two reasons to hold back; tests share their set-up, the table of what is held back and an engine that crashes.

--- a/rackpost/crash_tracker.py
+++ b/rackpost/crash_tracker.py
@@ -58,7 +58,7 @@
         return (self.request, *self.parts)
 
 
-class QuarantinedSubject(NamedTuple):
+class QuarantineReason(NamedTuple):
     """Why a request is quarantined, for another `remaining_s` seconds."""
 
     subject: types.Fingerprint
@@ -209,12 +209,12 @@
 
     def quarantined(
         self, subjects: Subjects, now: float
-    ) -> QuarantinedSubject | None:
+    ) -> QuarantineReason | None:
         """Return why a request is quarantined; None if it is not."""
         subject = self.quarantine.holding(subjects.all, now)
         if subject is None:
             return None
-        return QuarantinedSubject(
+        return QuarantineReason(
             subject, self.quarantine.remaining_s(subject, now)
         )
 
--- a/rackpost/decide/quarantine.py
+++ b/rackpost/decide/quarantine.py
@@ -22,7 +22,6 @@
 that received the same suspicions, in any order, quarantine the same subjects.
 """
 
-import dataclasses
 import math
 from typing import Collection
 from typing import Iterable
@@ -30,31 +29,31 @@
 
 import msgspec
 
+from rackpost.decide import suspicions
 from rackpost.routing import endpoints
 from rackpost import types
 
-# Incarnations that end under a subject before it is quarantined.  A request
-# that is repeated once by its caller and once by the gateway reaches this
-# only if three endpoints end within one deadline.
-MIN_ENDED_TO_QUARANTINE = 3
-# The same for a subject that is known to run well.  Most of the requests that
-# run at an endpoint share such a part, and many endpoints may end at once.
-MIN_ENDED_IF_SOUND = 5
-# Time from the first of these ends until it is quarantined, in seconds.  A
-# request that starts after the end has run well by then, and clears it.
-MIN_SUSPECTED_IF_SOUND_S = 2.0
-# Its first quarantine, in seconds; each further end doubles it.  While it is
-# quarantined no request can clear it.
-FIRST_QUARANTINE_IF_SOUND_S = 30.0
-# Of these, incarnations whose end no other quarantined subject explains.
+__all__ = [
+    "MIN_ENDED_IF_SOUND",
+    "MIN_ENDED_TO_QUARANTINE",
+    "MIN_ENDED_TO_REPORT",
+    "QUARANTINE_S",
+    "Quarantine",
+    "QuarantinedSubject",
+    "Suspicion",
+]
+
+Suspicion = suspicions.Suspicion
+MIN_ENDED_TO_QUARANTINE = suspicions.MIN_ENDED_TO_QUARANTINE
+MIN_ENDED_IF_SOUND = suspicions.MIN_ENDED_IF_SOUND
+QUARANTINE_S = suspicions.QUARANTINE_S
+
+# Of the ends under a subject to blame, how many no other one explains.
 _MIN_UNEXPLAINED = 2
 # Coordinators store the suspicions of a subject, and send them to all
 # gateways, from this many incarnations on.  A gateway then recognises the
 # third end before it repeats the request.
 MIN_ENDED_TO_REPORT = 2
-# Duration of a quarantine after the last end, in seconds; the fault may have
-# been mended since.
-QUARANTINE_S = 3600.0
 # How long a quarantined subject is remembered, in seconds, so that one more
 # end quarantines it again.  Others are forgotten after `QUARANTINE_S`.
 _MEMORY_S = 24 * QUARANTINE_S
@@ -62,50 +61,6 @@
 _MAX_SUBJECTS = 4096
 # One in this many subjects, the least suspected, is dropped at the bound.
 _DROP_DIVISOR = 8
-# Incarnations remembered of one subject, the newest.
-_MAX_SUSPICIONS = 16
-
-
-class Suspicion(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """An incarnation of an endpoint seems to have ended under a subject.
-
-    Attributes:
-        born: start time that identifies the incarnation.
-        ran_ms: how long a request with the subject had run there at most, in
-            milliseconds.
-        cleared: the subject is known not to be the cause.
-        place: index of the part in its prompt; None for a whole request.
-        sound: requests with the subject are known to run well elsewhere.
-        age_ms: time since the end, in milliseconds, when this was sent.
-    """
-
-    subject: types.Fingerprint
-    endpoint: types.EndpointId
-    born: int = 0
-    ran_ms: int = 0
-    cleared: bool = False
-    place: int | None = None
-    sound: bool = False
-    age_ms: int = 0
-
-    @property
-    def incarnation(self) -> endpoints.Incarnation:
-        """The incarnation that ended."""
-        return endpoints.Incarnation(self.endpoint, self.born)
-
-    def merged(self, other: "Suspicion") -> "Suspicion":
-        """Return what both say of the same subject and incarnation."""
-        return msgspec.structs.replace(
-            self,
-            ran_ms=max(self.ran_ms, other.ran_ms),
-            cleared=self.cleared or other.cleared,
-            sound=self.sound or other.sound,
-            place=(
-                self.place
-                if self.place is None or other.place is None
-                else min(self.place, other.place)
-            ),
-        )
 
 
 class QuarantinedSubject(NamedTuple):
@@ -122,113 +77,11 @@
     remaining_s: float
 
 
-class _Known(NamedTuple):
-    """A suspicion, and when the incarnation ended."""
-
-    suspicion: Suspicion
-    ended_at: float
-
-
-@dataclasses.dataclass
-class _Record:
-    """The suspicions against a subject; `at` is when the last one arose."""
-
-    at: float
-    known: dict[endpoints.Incarnation, _Known] = dataclasses.field(
-        default_factory=dict
-    )
-
-    @property
-    def uncleared(self) -> list[Suspicion]:
-        """The suspicions that are not cleared."""
-        return [
-            item.suspicion
-            for item in self.known.values()
-            if not item.suspicion.cleared
-        ]
-
-    @property
-    def is_sound(self) -> bool:
-        """Whether requests with the subject are known to run well."""
-        return any(item.suspicion.sound for item in self.known.values())
-
-    @property
-    def place(self) -> int | None:
-        """Index of the part in its prompt; None for a whole request."""
-        return next(iter(self.known.values())).suspicion.place
-
-    @property
-    def first_ended_at(self) -> float:
-        """When the first incarnation ended whose end is not cleared."""
-        return min(
-            (
-                item.ended_at
-                for item in self.known.values()
-                if not item.suspicion.cleared
-            ),
-            default=math.inf,
-        )
-
-    def add(self, new: Suspicion, now: float) -> bool:
-        """Add a suspicion; return whether it changed anything."""
-        ended_at = now - new.age_ms / 1000.0
-        new = msgspec.structs.replace(new, age_ms=0)
-        old = self.known.get(new.incarnation)
-        if old is None:
-            if not new.cleared:
-                self.at = max(self.at, ended_at)
-            self.known[new.incarnation] = _Known(new, ended_at)
-            while len(self.known) > _MAX_SUSPICIONS:
-                del self.known[next(iter(self.known))]
-            return True
-        merged = old.suspicion.merged(new)
-        self.known[new.incarnation] = _Known(
-            merged, min(old.ended_at, ended_at)
-        )
-        return merged != old.suspicion
-
-    def is_suspect(self) -> bool:
-        """Whether enough incarnations ended to blame the subject."""
-        needed = (
-            MIN_ENDED_IF_SOUND if self.is_sound else MIN_ENDED_TO_QUARANTINE
-        )
-        return len(self.uncleared) >= needed
-
-    def blamed_from(self) -> float:
-        """Return the time from which a suspect may be blamed."""
-        if self.is_sound:
-            return self.first_ended_at + MIN_SUSPECTED_IF_SOUND_S
-        return -math.inf
-
-    @property
-    def quarantine_s(self) -> float:
-        """Duration of a quarantine after the last end, in seconds."""
-        if not self.is_sound:
-            return QUARANTINE_S
-        doublings = max(0, len(self.uncleared) - MIN_ENDED_IF_SOUND)
-        return min(QUARANTINE_S, FIRST_QUARANTINE_IF_SOUND_S * 2**doublings)
-
-    def blame_order(self) -> tuple[float, ...]:
-        """Sort key: the likeliest cause first.
-
-        Subjects that are known to run well come last.  Otherwise the most
-        incarnations count, then the shortest run: a crash follows soon after
-        the start of its cause, while others had run there for any time.  Then
-        the most specific, which is a request or the last part.
-        """
-        found = self.uncleared
-        ran_ms = sum(item.ran_ms for item in found) / max(1, len(found))
-        generality = -math.inf if self.place is None else -self.place
-        if self.is_sound:
-            return (1, ran_ms, -len(found), generality)
-        return (0, -len(found), ran_ms, generality)
-
-
 class Quarantine:
     """The suspicions that one process knows, and the quarantined subjects."""
 
     def __init__(self) -> None:
-        self._records: dict[types.Fingerprint, _Record] = {}
+        self._records: dict[types.Fingerprint, suspicions.Record] = {}
         # Subjects with enough incarnations to be quarantined.
         self._suspects: set[types.Fingerprint] = set()
         # Those to blame, each with its companions.
@@ -254,7 +107,7 @@
         for item in items:
             record = self._records.get(item.subject)
             if record is None:
-                record = _Record(at=now - item.age_ms / 1000.0)
+                record = suspicions.Record(at=now - item.age_ms / 1000.0)
                 self._records[item.subject] = record
             if record.add(item, now):
                 changed.add(item.subject)
@@ -310,7 +163,7 @@
                     self._blamed_until, record.blamed_from()
                 )
                 continue
-            incarnations = {item.incarnation for item in record.uncleared}
+            incarnations = record.incarnations
             if len(incarnations - explained) >= _MIN_UNEXPLAINED:
                 self._blamed[subject] = self._companions(subject)
                 explained |= incarnations
@@ -325,7 +178,7 @@
         which more endpoints have ended than such parts are worth.
         """
         record = self._records[subject]
-        incarnations = {item.incarnation for item in record.uncleared}
+        incarnations = record.incarnations
         if (
             record.place is None
             or record.is_sound
@@ -338,10 +191,7 @@
             if other != subject
             and self._records[other].place is not None
             and not self._records[other].is_sound
-            and len(
-                incarnations
-                - {item.incarnation for item in self._records[other].uncleared}
-            )
+            and len(incarnations - self._records[other].incarnations)
             < _MIN_UNEXPLAINED
         )
 
@@ -391,8 +241,8 @@
                 place=self._records[subject].place,
                 companions=companions,
                 incarnations=tuple(
-                    suspicion.incarnation
-                    for suspicion in self._records[subject].uncleared
+                    item.incarnation
+                    for item in self._records[subject].uncleared
                 ),
                 remaining_s=self.remaining_s(subject, now),
             )
@@ -406,7 +256,7 @@
     ) -> tuple[Suspicion, ...]:
         """Return all suspicions against a subject, with their age."""
         record = self._records.get(subject)
-        return () if record is None else _with_ages(record, now)
+        return () if record is None else record.with_ages(now)
 
     def ended_endpoints(
         self, subject: types.Fingerprint
@@ -433,7 +283,7 @@
             item
             for record in self._records.values()
             if len(record.known) >= min_ended and record.uncleared
-            for item in _with_ages(record, now)
+            for item in record.with_ages(now)
         )
 
     def clearances(
@@ -463,12 +313,3 @@
             memory_s = _MEMORY_S if subject in self._suspects else QUARANTINE_S
             if now - record.at > memory_s:
                 self._drop(subject)
-
-
-def _with_ages(record: _Record, now: float) -> tuple[Suspicion, ...]:
-    return tuple(
-        msgspec.structs.replace(
-            item.suspicion, age_ms=max(0, int((now - item.ended_at) * 1000))
-        )
-        for item in record.known.values()
-    )
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -304,7 +304,7 @@
         """
         return self._end_if_revoked() or self._end_if_quarantined()
 
-    def quarantined(self) -> crash_tracker.QuarantinedSubject | None:
+    def quarantined(self) -> crash_tracker.QuarantineReason | None:
         """Return why it is quarantined; None if it is not."""
         tracker = self.site.crash_tracker
         if not tracker.quarantine.may_hold_any():
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -7,6 +7,7 @@
 from rackpost.decide import prefix
 from rackpost.entry import core as entry_core
 from rackpost.entry import request
+from rackpost import exceptions
 from rackpost.state import terms as terms_mod
 from rackpost.testing import engine
 from rackpost.testing import plain
@@ -18,6 +19,8 @@
 HALL = types.DataCentre("hall-nord")
 PREFILL = types.Role.PREFILL
 DECODE = types.Role.DECODE
+# From an engine's crash until it has restarted.
+_DOWN_S = 0.5
 
 
 class Got(NamedTuple):
@@ -59,6 +62,26 @@
     return site
 
 
+def crash_on(engine: object, text: bytes, crashes: list[str]) -> None:
+    """Let an engine crash under requests with a text, and restart soon.
+
+    Each crash is added to `crashes`.
+    """
+    decode = engine.decode  # type: ignore[attr-defined]
+
+    async def fatal(**call: object) -> object:
+        if text in call["body"]:  # type: ignore[operator]
+            crashes.append("one")
+            engine.kill()  # type: ignore[attr-defined]
+            loop = asyncio.get_running_loop()
+            loop.call_later(_DOWN_S, setattr, engine, "dead", False)
+            raise exceptions.EngineError("engine died", ran=True)
+        async for event in decode(**call):
+            yield event
+
+    engine.decode = fatal  # type: ignore[attr-defined]
+
+
 def ask(
     name: str,
     *,
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import contextlib
 import pathlib
+from typing import AsyncIterator
 
 import pytest
 
@@ -59,6 +61,16 @@
         return answer
 
 
+@contextlib.asynccontextmanager
+async def _running(
+    root: pathlib.Path, *, place: int = 1, size: int = 4
+) -> AsyncIterator[tuple[crashing_site.Site, _Callers]]:
+    """A running site and its callers."""
+    async with crashing_site.site(root) as site:
+        async with site.powered(first=True):
+            yield site, _Callers(site=site, place=place, size=size)
+
+
 async def _play(
     site: crashing_site.Site, callers: _Callers, *, path: str = "/gen/x"
 ) -> list[bytes]:
@@ -81,14 +93,12 @@
     tmp_path: pathlib.Path, place: int
 ) -> None:
     async def main() -> None:
-        async with crashing_site.site(tmp_path) as site:
-            async with site.powered(first=True):
-                callers = _Callers(site=site, place=place)
-                answers = await _play(site, callers)
-                assert site.crashes <= _MAX_CRASHES
-                late = answers[_MAX_CRASHES:]
-                assert all(b" 503 " in one for one in late)
-                assert all(b"retry-after" in one for one in late)
+        async with _running(tmp_path, place=place) as (site, callers):
+            answers = await _play(site, callers)
+            assert site.crashes <= _MAX_CRASHES
+            late = answers[_MAX_CRASHES:]
+            assert all(b" 503 " in one for one in late)
+            assert all(b"retry-after" in one for one in late)
 
     asyncio.run(main())
 
@@ -98,15 +108,13 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        async with crashing_site.site(tmp_path) as site:
-            async with site.powered(first=True):
-                callers = _Callers(site=site, place=1)
-                for _ in range(_MAX_CRASHES):
-                    await callers.send_bad()
-                before = site.bad_part_arrivals
-                for _ in range(_SENDS):
-                    await callers.send_bad()
-                assert site.bad_part_arrivals == before
+        async with _running(tmp_path) as (site, callers):
+            for _ in range(_MAX_CRASHES):
+                await callers.send_bad()
+            before = site.bad_part_arrivals
+            for _ in range(_SENDS):
+                await callers.send_bad()
+            assert site.bad_part_arrivals == before
 
     asyncio.run(main())
 
@@ -116,13 +124,11 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        async with crashing_site.site(tmp_path) as site:
-            async with site.powered(first=True):
-                callers = _Callers(site=site, place=1)
-                for number in range(_SENDS):
-                    more = f"Last-Event-Id: {number}\r\n"
-                    await callers.send_bad("/res/x", more)
-                assert site.crashes <= _MAX_CRASHES
+        async with _running(tmp_path) as (site, callers):
+            for number in range(_SENDS):
+                more = f"Last-Event-Id: {number}\r\n"
+                await callers.send_bad("/res/x", more)
+            assert site.crashes <= _MAX_CRASHES
 
     asyncio.run(main())
 
@@ -133,11 +139,9 @@
     tmp_path: pathlib.Path, place: int
 ) -> None:
     async def main() -> None:
-        async with crashing_site.site(tmp_path) as site:
-            async with site.powered(first=True):
-                callers = _Callers(site=site, place=place, size=10)
-                await _play(site, callers)
-                assert site.crashes <= _MAX_CRASHES
+        async with _running(tmp_path, place=place, size=10) as (site, callers):
+            await _play(site, callers)
+            assert site.crashes <= _MAX_CRASHES
 
     asyncio.run(main())
 
@@ -147,17 +151,15 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        async with crashing_site.site(tmp_path) as site:
-            async with site.powered(first=True):
-                callers = _Callers(site=site, place=1)
-                for number in range(_SENDS):
-                    await callers.send_bad()
-                    gateway = crashing_site.GATEWAYS[number % 2]
-                    await site.stop(gateway)
-                    await site.start(gateway)
-                    await site.wait_until_known()
-                    assert b" 200 " in await callers.send_sound()
-                assert site.crashes <= _MAX_CRASHES
+        async with _running(tmp_path) as (site, callers):
+            for number in range(_SENDS):
+                await callers.send_bad()
+                gateway = crashing_site.GATEWAYS[number % 2]
+                await site.stop(gateway)
+                await site.start(gateway)
+                await site.wait_until_known()
+                assert b" 200 " in await callers.send_sound()
+            assert site.crashes <= _MAX_CRASHES
 
     asyncio.run(main())
 
@@ -188,29 +190,27 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        async with crashing_site.site(tmp_path) as site:
-            async with site.powered(first=True):
-                callers = _Callers(site=site, place=1)
-                for number in range(_SENDS):
-                    beside = [
-                        asyncio.create_task(
-                            site.send(
-                                crashing_site.GATEWAYS[number % 2],
-                                "/gen/y",
-                                b"slow %d" % (1000 * number + n),
-                                _prompt(1000 * number + n, None),
-                            )
+        async with _running(tmp_path) as (site, callers):
+            for number in range(_SENDS):
+                beside = [
+                    asyncio.create_task(
+                        site.send(
+                            crashing_site.GATEWAYS[number % 2],
+                            "/gen/y",
+                            b"slow %d" % (1000 * number + n),
+                            _prompt(1000 * number + n, None),
                         )
-                        for n in range(6)
-                    ]
-                    await site.wait_until_running(len(beside))
-                    await callers.send_bad()
-                    for task in beside:
-                        task.cancel()
-                    await site.wait_until_running(0)
-                    await site.wait_until_known()
-                    assert b" 200 " in await callers.send_sound()
-                assert site.crashes <= _MAX_CRASHES
+                    )
+                    for n in range(6)
+                ]
+                await site.wait_until_running(len(beside))
+                await callers.send_bad()
+                for task in beside:
+                    task.cancel()
+                await site.wait_until_running(0)
+                await site.wait_until_known()
+                assert b" 200 " in await callers.send_sound()
+            assert site.crashes <= _MAX_CRASHES
 
     asyncio.run(main())
 
@@ -221,33 +221,31 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
-        async with crashing_site.site(tmp_path) as site:
-            async with site.powered(first=True):
-                callers = _Callers(site=site, place=1)
-                before = [await callers.send_sound() for _ in range(_SENDS)]
-                for _ in range(_MAX_CRASHES):
-                    await callers.send_bad()
-                after = []
-                for number in range(_SENDS):
-                    gateway = crashing_site.GATEWAYS[number % 2]
-                    got = await asyncio.gather(
+        async with _running(tmp_path) as (site, callers):
+            before = [await callers.send_sound() for _ in range(_SENDS)]
+            for _ in range(_MAX_CRASHES):
+                await callers.send_bad()
+            after = []
+            for number in range(_SENDS):
+                gateway = crashing_site.GATEWAYS[number % 2]
+                got = await asyncio.gather(
+                    site.send(
+                        gateway,
+                        "/gen/x",
+                        b"sound %d" % number,
+                        _prompt(500 + number, None),
+                    ),
+                    *(
                         site.send(
                             gateway,
                             "/gen/x",
-                            b"sound %d" % number,
-                            _prompt(500 + number, None),
-                        ),
-                        *(
-                            site.send(
-                                gateway,
-                                "/gen/x",
-                                b"bad %d-%d" % (number, n),
-                                _prompt(9000 + 10 * number + n, 1),
-                            )
-                            for n in range(3)
-                        ),
-                    )
-                    after.append(got[0])
-                assert all(b" 200 " in one for one in before + after)
+                            b"bad %d-%d" % (number, n),
+                            _prompt(9000 + 10 * number + n, 1),
+                        )
+                        for n in range(3)
+                    ),
+                )
+                after.append(got[0])
+            assert all(b" 200 " in one for one in before + after)
 
     asyncio.run(main())
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,7 +12,6 @@
 
 from rackpost.decide import fingerprint
 from rackpost.decide import quarantine
-from rackpost import exceptions
 from rackpost.http1 import message
 from rackpost.http1 import server
 from rackpost.testing import virtual
@@ -262,26 +261,11 @@
     """Without sockets: engines crash on a request and restart soon."""
     crashes: list[str] = []
 
-    def make_fatal(engine: object) -> None:
-        decode = engine.decode  # type: ignore[attr-defined]
-
-        async def fatal(**call: object) -> object:
-            if b"fatal" in call["body"]:  # type: ignore[operator]
-                crashes.append("one")
-                engine.kill()  # type: ignore[attr-defined]
-                loop = asyncio.get_running_loop()
-                loop.call_later(0.5, setattr, engine, "dead", False)
-                raise exceptions.EngineError("engine died", ran=True)
-            async for event in decode(**call):
-                yield event
-
-        engine.decode = fatal  # type: ignore[attr-defined]
-
     async def main() -> None:
         site = driver.small_site()
         for name, engine in site.engines.items():
             if name.startswith("t"):
-                make_fatal(engine)
+                driver.crash_on(engine, b"fatal", crashes)
         entry = site.entries[0]
         await asyncio.sleep(0.1)
         for number in range(_SENDS):
--- a/tests/test_entry_parts.py
+++ b/tests/test_entry_parts.py
@@ -10,7 +10,6 @@
 
 from rackpost.entry import openai
 from rackpost.entry import request
-from rackpost import exceptions
 from rackpost.testing import virtual
 from rackpost import types
 from tests import driver
@@ -18,7 +17,6 @@
 # Engines that may crash before the message has to be held back.
 _MAX_CRASHES = 5
 _SENDS = 12
-_DOWN_S = 0.5
 
 
 def _chat(number: int, *shared: str) -> request.Request:
@@ -39,23 +37,6 @@
     )
 
 
-def _crash_on_message(engine: object, crashes: list[str]) -> None:
-    """Let an engine crash on a message, and restart soon."""
-    decode = engine.decode  # type: ignore[attr-defined]
-
-    async def fatal(**call: object) -> object:
-        if b"fatal" in call["body"]:  # type: ignore[operator]
-            crashes.append("one")
-            engine.kill()  # type: ignore[attr-defined]
-            loop = asyncio.get_running_loop()
-            loop.call_later(_DOWN_S, setattr, engine, "dead", False)
-            raise exceptions.EngineError("engine died", ran=True)
-        async for event in decode(**call):
-            yield event
-
-    engine.decode = fatal  # type: ignore[attr-defined]
-
-
 # Guards against: each chat with the message counts by itself, and sound chats
 # that share the others are refused with it.
 def test_a_message_that_crashes_engines_is_held_back() -> None:
@@ -65,7 +46,7 @@
         site = driver.small_site()
         for name, engine in site.engines.items():
             if name.startswith("t"):
-                _crash_on_message(engine, crashes)
+                driver.crash_on(engine, b"fatal", crashes)
         entry = site.entries[0]
         await asyncio.sleep(0.1)
         for number in range(_SENDS):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -120,6 +120,36 @@
         assert len(quarantined) == 1
 
 
+@hypothesis.given(strategies.data())
+def test_the_order_of_suspicions_of_parts_does_not_matter(
+    data: strategies.DataObject,
+) -> None:
+    subjects = [_BAD, _SECOND_BAD, _INNOCENT]
+    one = strategies.builds(
+        quarantine.Suspicion,
+        subject=strategies.sampled_from(subjects),
+        endpoint=strategies.sampled_from(
+            [types.EndpointId(f"e{n}") for n in range(6)]
+        ),
+        ran_ms=strategies.sampled_from([90, 900]),
+        place=strategies.sampled_from([0, 1, 2]),
+        cleared=strategies.booleans(),
+        sound=strategies.booleans(),
+    )
+    published = data.draw(strategies.lists(one, max_size=24))
+    other = data.draw(strategies.permutations(published + published))
+    tables = [quarantine.Quarantine(), quarantine.Quarantine()]
+    tables[0].add(published, 0.0)
+    for item in other:
+        tables[1].add([item], 0.0)
+    for now in (1.0, 10.0):
+        held = [
+            [table.holding(subjects[:count], now) for count in (1, 2, 3)]
+            for table in tables
+        ]
+        assert held[0] == held[1]
+
+
 def test_the_least_suspected_requests_are_dropped_first() -> None:
     table = quarantine.Quarantine()
     bad = [types.Fingerprint(b"%16d" % n) for n in range(1000)]
--- a/tests/test_site_overview.py
+++ b/tests/test_site_overview.py
@@ -50,6 +50,15 @@
     asyncio.run(main())
 
 
+async def _held_table(
+    site: platform_site.Site, capsys: pytest.CaptureFixture[str]
+) -> list[str]:
+    """Return the lines of the table of what is held back."""
+    args = ["site", "held", "--coordinators", coordinator_address(site)]
+    await asyncio.to_thread(cmd_operator.main, args)
+    return capsys.readouterr().out.splitlines()
+
+
 def test_requests_that_are_held_back_are_shown(
     tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
@@ -67,14 +76,7 @@
             site.coordinator.quarantine.receive(
                 messages.Suspicions(items=items)
             )
-            args = [
-                "site",
-                "held",
-                "--coordinators",
-                coordinator_address(site),
-            ]
-            await asyncio.to_thread(cmd_operator.main, args)
-            row = capsys.readouterr().out.splitlines()[1]
+            row = (await _held_table(site, capsys))[1]
             assert row.split()[0] == "ab" * 16
             assert "e0, e1, e2" in row
             # A busy machine takes longer to show it.
@@ -105,14 +107,7 @@
             site.coordinator.quarantine.receive(
                 messages.Suspicions(items=items)
             )
-            args = [
-                "site",
-                "held",
-                "--coordinators",
-                coordinator_address(site),
-            ]
-            await asyncio.to_thread(cmd_operator.main, args)
-            head, row, *more = capsys.readouterr().out.splitlines()
+            head, row, *more = await _held_table(site, capsys)
             assert "only together with" in head
             assert row.split()[0] == "cd" * 16
             assert "prompt part 2" in row and "e0, e1, e2" in row
