Say in each suspicion that is sent whether its subject runs well

Cause: a gateway that links later is sent what is new of a subject, and not the cleared end that said that requests with the part run well; it would have held the part back after three ends where the others need five.

Change: what is sent says so each time. Heads of three test modules shortened.

--- a/rackpost/decide/suspicions.py
+++ b/rackpost/decide/suspicions.py
@@ -183,10 +183,16 @@
         return (0, -len(found), ran_ms, generality)
 
     def with_ages(self, now: float) -> tuple[Suspicion, ...]:
-        """Return all suspicions, with their age."""
+        """Return all suspicions, with their age.
+
+        Each says whether the subject runs well, as the receiver may not know
+        the others.
+        """
+        sound = self.is_sound
         return tuple(
             msgspec.structs.replace(
                 item.suspicion,
+                sound=sound,
                 age_ms=max(0, int((now - item.ended_at) * 1000)),
             )
             for item in self.known.values()
--- a/tests/test_crashing_soak.py
+++ b/tests/test_crashing_soak.py
@@ -1,7 +1,4 @@
-"""Requests that crash endpoints, under restarts, power and disk losses.
-
-Two requests come again and again; others differ, but for one part of their
-prompts, and share the rest with sound requests.
+"""Requests and prompt parts that crash endpoints, under restarts and losses.
 
 Guards against repeated crashes and against failures of other requests.
 By hand: python -m tests.test_crashing_soak FIRST_SEED LAST_SEED
--- a/tests/test_endpoint_requests.py
+++ b/tests/test_endpoint_requests.py
@@ -1,8 +1,6 @@
-"""What endpoints ask of the one gateway that passed on their answers.
+"""Gateways that send requests to endpoints whose answers ask for none.
 
-Guards against requests to an endpoint that has said that it leaves, by a
-gateway that is cut off from the coordinators, and against requests to one that
-has asked for a time without any.
+Guards against requests to an endpoint that leaves or wants a back-off.
 """
 
 import asyncio
--- a/tests/test_part_ways.py
+++ b/tests/test_part_ways.py
@@ -1,9 +1,6 @@
-"""Parts of prompts that crash endpoints, at many gateways in virtual time.
+"""Ways to recognise prompt parts that crash endpoints, under each load.
 
-Guards against crashes without bound and against sound requests that are
-refused.  The loads and ways are those of `lab/part_ways.py`: the standing way
-knows whole requests only, others count at each gateway by itself or hold all
-parts alike.
+Guards against crashes without bound, and refused requests that share parts.
 """
 
 import pytest
@@ -11,6 +8,8 @@
 from lab import part_ways
 from rackpost.testing import part_world
 
+# The ways and loads of `lab/part_ways.py`; the standing one knows whole
+# requests only.
 _STANDING = part_ways.WAYS["requests"]
 _ALONE = part_ways.WAYS["parts, each gateway"]
 _ALL_ALIKE = part_ways.WAYS["parts, all alike"]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -356,6 +356,15 @@
     assert table.is_quarantined(_BAD, quarantine.QUARANTINE_S + 3)
 
 
+def test_what_is_sent_says_whether_the_subject_runs_well() -> None:
+    """A gateway that links later is not sent the end that said so."""
+    sound = quarantine.Suspicion(
+        subject=_BAD, endpoint=types.EndpointId("e0"), sound=True, place=0
+    )
+    table = _quarantine(sound, *(_suspicion(_BAD, n) for n in (1, 2)))
+    assert all(item.sound for item in table.suspicions_of(_BAD, 0.0))
+
+
 def test_suspicions_of_an_older_release_are_read() -> None:
     """They lack what is said of parts, and are of whole requests."""
     old = [_BAD, "e1", 5, 90, False]
