--- a/review/kit.py
+++ b/review/kit.py
@@ -68,10 +68,15 @@
         return time.monotonic() - self._began
 
     def say(self, text):
+        """Write a line, also to standard output."""
+        self.note(text)
+        print(f"{self.now():8.3f}  {text}", flush=True)
+
+    def note(self, text, at=None):
+        """Write a line to the record alone; `at` is a reading of `now`."""
         with self._lock:
-            line = f"{self.now():8.3f}  {text}"
-            print(line, file=self._file, flush=True)
-            print(line, flush=True)
+            when = self.now() if at is None else at
+            print(f"{when:8.3f}  {text}", file=self._file, flush=True)
 
 
 def _is_free(ips, base):
@@ -258,6 +263,10 @@
             got = http_call(address, method, "/v1/config", body, headers)
             place = got.headers.get("Location", "")
             if got.status != 307 or "//" not in place:
+                self._site.record.note(
+                    f"operator: {method} /v1/config at machine {number}: "
+                    f"{got.status or 'no answer'}"
+                )
                 return got
             host, _, port = place.split("/")[2].rpartition(":")
             address = (host, int(port))
@@ -299,8 +308,15 @@
     return ", ".join(f"{key}: {found[key]}" for key in sorted(found))
 
 
+def _stop(number, frame):
+    # Raised in the main thread, so that all processes are ended.
+    sys.exit(NOT_RUN)
+
+
 def main(folder, play):
     """Run `play(record, trouble)`; exits with what it returns."""
+    signal.signal(signal.SIGTERM, _stop)
+    signal.signal(signal.SIGINT, _stop)
     record = Record(pathlib.Path(folder).resolve())
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"trouble: {'yes' if trouble else 'no'}")
