Hand a leaving coordinator's vote over, and keep silent voters as learners

What callers saw: after a planned replacement and two lost disks no leader could be elected. Every read and change of the document got 503, for good, with the acknowledged document on two good disks.

Cause: a spare replica took the vote of any voter that was silent for 1.5 s, and that voter, whose disk was sound, was dropped. A coordinator that got SIGTERM kept its vote. Two votes of five were left where three are needed.

Change: a coordinator that stops announces it, and where a spare is there it resigns and waits, at most 3 s, until the spare votes in its place; in an ordinary restart there is no spare and it keeps its vote. A silent voter becomes a learner when its vote is taken, so that it votes again as soon as a voter leaves, even before it is heard again: one more than an even number of voters does not raise the quorum.

--- a/rackpost/cmd_coordinator.py
+++ b/rackpost/cmd_coordinator.py
@@ -28,6 +28,7 @@
         if coordinator.tasks.vital_failed.is_set():
             # The state in memory is unreliable; a restart reads the disk.
             raise exceptions.StorageError("the replica has failed")
+        await coordinator.hand_over()
 
 
 async def _wait_for_any(*events: asyncio.Event) -> None:
--- a/rackpost/consensus/membership.py
+++ b/rackpost/consensus/membership.py
@@ -2,7 +2,9 @@
 
 A replica's id lasts as long as its disk.  A replica that lost its disk
 rejoins from the same host under a new id, as a learner, which proves that
-the old id will not return.  The config changes by one replica at a time.
+the old id will not return.  A silent voter may have a sound disk: it becomes
+a learner when another one takes its place, and votes again as soon as it is
+needed.  The config changes by one replica at a time.
 """
 
 from typing import Collection
@@ -27,6 +29,7 @@
         silence_s: seconds since the last reply of each replica.
         caught_up: replicas that hold all committed records.
         joining: ids outside the config that recently requested to join.
+        leaving: replicas that have announced that they stop.
         target: how many voters there should be.
         min_copies: voters that must store a record before it is committed.
     """
@@ -38,6 +41,11 @@
     joining: tuple[m.ReplicaId, ...]
     target: int
     min_copies: int
+    leaving: frozenset[m.ReplicaId] = frozenset()
+
+    def is_silent(self, peer: m.ReplicaId) -> bool:
+        """Whether a replica has not replied for a while."""
+        return self.silence_s.get(peer, 0.0) >= REPLACE_AFTER_S
 
 
 def host_of(replica: m.ReplicaId) -> str:
@@ -62,10 +70,12 @@
     """
     if len(set(old.voters) ^ set(new.voters)) > 1:
         return "only one voter may come or go at a time"
+    # One more than an even number of voters does not raise the quorum.
+    raises_quorum = new.quorum > old.quorum
     for peer in set(new.voters) - set(old.voters):
         if peer not in old.learners:
             return f"{peer} must be a learner first"
-        if peer not in caught_up:
+        if peer not in caught_up and raises_quorum:
             return f"{peer} has not caught up"
     return None if new.voters else "there must be a voter"
 
@@ -77,15 +87,33 @@
 
 def _ready_learner(view: ClusterView) -> m.ReplicaId | None:
     for learner in view.config.learners:
-        is_alive = view.silence_s.get(learner, 0.0) < REPLACE_AFTER_S
-        if is_alive and learner in view.caught_up:
+        if (
+            not view.is_silent(learner)
+            and learner in view.caught_up
+            and learner not in view.leaving
+        ):
+            return learner
+    return None
+
+
+def _silent_learner(view: ClusterView) -> m.ReplicaId | None:
+    """Return a silent learner that may vote without raising the quorum.
+
+    Most likely it has voted before and its disk is sound.
+    """
+    if len(view.config.voters) % 2:
+        return None
+    for learner in view.config.learners:
+        if view.is_silent(learner) and learner not in view.leaving:
             return learner
     return None
 
 
 def _promote(view: ClusterView) -> m.Config | None:
-    learner = _ready_learner(view)
-    if learner is None or len(view.config.voters) >= view.target:
+    if len(view.config.voters) >= view.target:
+        return None
+    learner = _ready_learner(view) or _silent_learner(view)
+    if learner is None:
         return None
     return m.Config(
         voters=view.config.voters + (learner,),
@@ -98,27 +126,32 @@
     if gone is None:
         return None
     rest = _without(view.config.voters, gone)
-    alive = [
-        peer
-        for peer in rest
-        if view.silence_s.get(peer, 0.0) < REPLACE_AFTER_S
-    ]
-    config = m.Config(voters=rest, learners=view.config.learners)
+    alive = [peer for peer in rest if not view.is_silent(peer)]
+    learners = view.config.learners
+    if not _has_lost_disk(view, gone):
+        learners += (gone,)
+    config = m.Config(voters=rest, learners=learners)
     if len(alive) < max(config.quorum, min(view.min_copies, len(rest))):
         return None
     return config
 
 
-def _replaceable_voter(view: ClusterView) -> m.ReplicaId | None:
+def _has_lost_disk(view: ClusterView, voter: m.ReplicaId) -> bool:
+    """Whether another replica runs on a voter's host."""
     candidates = view.config.learners + view.joining
+    return any(host_of(item) == host_of(voter) for item in candidates)
+
+
+def _replaceable_voter(view: ClusterView) -> m.ReplicaId | None:
     has_spare = _ready_learner(view) is not None
+    if has_spare or any(view.is_silent(peer) for peer in view.config.learners):
+        for voter in view.config.voters:
+            if voter in view.leaving:
+                return voter
     for voter in view.config.voters:
-        if voter == view.me:
-            continue
-        if view.silence_s.get(voter, 0.0) < REPLACE_AFTER_S:
+        if voter == view.me or not view.is_silent(voter):
             continue
-        lost_disk = any(host_of(item) == host_of(voter) for item in candidates)
-        if lost_disk or has_spare:
+        if _has_lost_disk(view, voter) or has_spare:
             return voter
     return None
 
--- a/rackpost/consensus/raft.py
+++ b/rackpost/consensus/raft.py
@@ -21,6 +21,8 @@
 # The election timeout is between this and twice as long.
 ELECTION_S = 0.6
 _FAST_ELECTION_S = 0.2
+# A leader that has resigned asks for no votes for this long.
+_RESIGNED_S = 4.0 * ELECTION_S
 
 
 class Role(enum.Enum):
@@ -153,6 +155,12 @@
         if progress is not None:
             progress.reset_install()
 
+    def resign(self, now: float) -> None:
+        """Stop to lead, and let another replica be elected first."""
+        if self.role is Role.LEADER:
+            self._become_follower(self.term, None, now)
+            self._election_at = now + _RESIGNED_S
+
     def propose(self, data: bytes, now: float) -> m.Index | None:
         """Append a command; return its index, or None if not the leader."""
         if self.role is not Role.LEADER:
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -351,6 +351,11 @@
         if reason is not None:
             raise exceptions.ControlError(reason)
 
+    def resign(self) -> None:
+        """Stop to lead, if this replica does."""
+        self._raft.resign(self._loop.time())
+        self._wake.set()
+
     # Watchers and the status of processes.
 
     @contextlib.contextmanager
--- a/rackpost/coordinator/members.py
+++ b/rackpost/coordinator/members.py
@@ -21,8 +21,11 @@
 _CHECK_INTERVAL_S = 0.2
 # Time without contact with a leader after which a replica asks to join.
 _JOIN_AFTER_S = 0.8
-# How long a request to join remains valid.
+# How long a request to join, or the notice of a stop, remains valid.
 _JOIN_REQUEST_VALID_S = 2.0
+# How long a replica that stops waits for another one to vote in its place.
+# Covers an election, and is well below the grace time.
+_HAND_OVER_S = 3.0
 
 
 class _Leadership(NamedTuple):
@@ -60,6 +63,7 @@
         self._seeds: set[str] = set()
         self.set_seeds(seeds)
         self._joining: dict[consensus.ReplicaId, float] = {}
+        self._leaving: dict[consensus.ReplicaId, float] = {}
         self._dialling_hosts: set[str] = set()
         self._leader_contact_at = self._loop.time()
         self._leadership: _Leadership | None = None
@@ -88,6 +92,38 @@
         elif self._node.leader is not None:
             self._node.send(self._node.leader, msg)
 
+    def receive_leave(self, msg: messages.Leave) -> None:
+        """Record that a replica stops, or forward it to the leader."""
+        if self._node.is_leader:
+            self._leaving[msg.replica] = self._loop.time()
+        elif self._node.leader is not None:
+            self._node.send(self._node.leader, msg)
+
+    async def hand_over(self) -> None:
+        """Wait until another replica votes in place of this one.
+
+        Returns at once where there is none, as in an ordinary restart: this
+        replica then keeps its vote.
+        """
+        me = self._node.me
+        config = self._node.config
+        if me not in config.voters or not config.learners:
+            return
+        target = membership.target_voters(self._copies)
+        until = self._loop.time() + _HAND_OVER_S
+        self._node.resign()
+        while self._loop.time() < until:
+            self._node.broadcast(messages.Leave(replica=me))
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+            voters = self._node.config.voters
+            if me not in voters and len(voters) >= target:
+                break
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Vote handed over." if me not in voters else "Vote kept.",
+            voters=list(voters),
+        )
+
     async def run(self) -> None:
         """Maintain links and membership until cancelled."""
         while True:
@@ -123,7 +159,8 @@
         self._on_change()
 
     def _change_config(self) -> None:
-        self._forget_joining()
+        _forget_old(self._joining, self._loop.time())
+        _forget_old(self._leaving, self._loop.time())
         new = membership.next_config(self._view())
         if new is None:
             return
@@ -134,12 +171,6 @@
                 logs.Part.COORDINATOR, "Replicas not changed.", why=str(exc)
             )
 
-    def _forget_joining(self) -> None:
-        now = self._loop.time()
-        for peer, at in list(self._joining.items()):
-            if now - at > _JOIN_REQUEST_VALID_S:
-                del self._joining[peer]
-
     def _view(self) -> membership.ClusterView:
         config = self._node.config
         return membership.ClusterView(
@@ -154,6 +185,16 @@
                 peer for peer in config.learners if self._node.caught_up(peer)
             ),
             joining=tuple(self._joining),
+            leaving=frozenset(self._leaving),
             min_copies=self._copies,
             target=membership.target_voters(self._copies),
         )
+
+
+def _forget_old(
+    received: dict[consensus.ReplicaId, float], now: float
+) -> None:
+    """Drop requests and notices that were not repeated."""
+    for peer, at in list(received.items()):
+        if now - at > _JOIN_REQUEST_VALID_S:
+            del received[peer]
--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -170,6 +170,12 @@
     replica: consensus.ReplicaId
 
 
+class Leave(_Message, frozen=True, tag="leave-site"):
+    """Announces that a replica stops, so that another one votes instead."""
+
+    replica: consensus.ReplicaId
+
+
 class GatewayLoad(_Message, frozen=True, tag="loads"):
     """What one gateway has in flight, sent to the other gateways.
 
@@ -298,6 +304,11 @@
     scheduler.FromScheduler,
 ]
 FromReplica = Union[
-    control.FromReplica, Join, EndpointUpdate, HeartbeatNotice, Suspicions
+    control.FromReplica,
+    Join,
+    Leave,
+    EndpointUpdate,
+    HeartbeatNotice,
+    Suspicions,
 ]
 FromAny = Union[FromGateway, FromReplica]
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -241,6 +241,8 @@
     ) -> None:
         if isinstance(msg, messages.Join):
             self._members.receive_join(msg)
+        elif isinstance(msg, messages.Leave):
+            self._members.receive_leave(msg)
         elif isinstance(msg, messages.HeartbeatNotice):
             self.directory.table.record_heartbeat_digests(
                 msg.digests, self._loop.time()
@@ -323,6 +325,10 @@
             seeds=sorted({links.host_of(item) for item in host.seeds}),
         )
 
+    async def hand_over(self) -> None:
+        """Let another coordinator vote in place of this one, if any may."""
+        await self._members.hand_over()
+
     async def _maintain_directory(self) -> None:
         while True:
             await asyncio.sleep(_HEARTBEAT_NOTICE_S)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -19,6 +19,7 @@
     silent: str = "",
     behind: str = "",
     joining: str = "",
+    leaving: str = "",
 ) -> membership.ClusterView:
     config = m.Config(
         voters=ids(*voters.split()), learners=ids(*learners.split())
@@ -35,6 +36,7 @@
         joining=ids(*joining.split()),
         target=5,
         min_copies=3,
+        leaving=frozenset(ids(*leaving.split())),
     )
 
 
@@ -69,6 +71,54 @@
     assert new is not None and new.voters == ids("a", "b", "c", "d")
 
 
+# Guards against a vote that is lost with a sound disk.
+def test_a_replaced_voter_stays_as_a_learner_unless_its_disk_is_lost() -> None:
+    silent = view("a b c d e", learners="f", silent="e")
+    new = membership.next_config(silent)
+    assert new == m.Config(voters=ids(*"abcd"), learners=ids("f", "e"))
+    lost = view("a b c d e", learners="f", silent="e", joining="e#1")
+    new = membership.next_config(lost)
+    assert new == m.Config(voters=ids(*"abcd"), learners=ids("f"))
+
+
+# Guards against a vote that stays with a coordinator which is gone.
+def test_a_voter_that_leaves_gives_way_to_a_spare() -> None:
+    for gone in "ae":
+        leaving = view("a b c d e", learners="f", leaving=gone)
+        new = membership.next_config(leaving)
+        assert new is not None and gone not in new.voters
+        assert new.learners == ids("f", gone)
+    gone = view("a b c d", learners="f e", leaving="e")
+    new = membership.next_config(gone)
+    assert new is not None and new.voters == ids("a", "b", "c", "d", "f")
+
+
+def test_a_voter_that_leaves_keeps_its_vote_without_a_spare() -> None:
+    assert membership.next_config(view("a b c d e", leaving="e")) is None
+    behind = view("a b c d e", learners="f", behind="f", leaving="e")
+    assert membership.next_config(behind) is None
+
+
+def test_a_silent_voter_votes_again_in_place_of_one_that_leaves() -> None:
+    found = view("a b c d e", learners="f", silent="f", leaving="e")
+    new = membership.next_config(found)
+    assert new is not None and new.voters == ids("a", "b", "c", "d")
+    found = view("a b c d", learners="f e", silent="f e", leaving="e")
+    new = membership.next_config(found)
+    assert new is not None and new.voters == ids("a", "b", "c", "d", "f")
+    # Another one would raise the quorum.
+    found = view("a b c", learners="d", silent="d")
+    assert membership.next_config(found) is None
+
+
+def test_a_voter_that_is_behind_may_not_raise_the_quorum() -> None:
+    three = m.Config(voters=ids(*"abc"), learners=ids("d"))
+    four = m.Config(voters=ids(*"abcd"), learners=ids("e"))
+    five = m.Config(voters=ids(*"abcde"))
+    assert membership.rejection_reason(three, four, ())
+    assert membership.rejection_reason(four, five, ()) is None
+
+
 def test_no_voter_is_removed_if_the_rest_would_have_no_quorum() -> None:
     two = view("a b c d", silent="c d", joining="d#1")
     new = membership.next_config(two)
