Clear suspicions wherever an endpoint is heard to live on

What callers saw: after streams without a length or chunks had broken for a moment, every stream of the route was refused for as long as it took heartbeats to come, and for an hour if the gateway that saw it restarted.

Cause: only the process that reported a broken connection watched whether its endpoint lived, in memory. Coordinators kept the report on disk for an hour, and nothing else could clear it, as the requests that would were refused. The class: a belief whose clearing ends with the process that published it.

Change: each process that knows a suspicion compares it with the heartbeats that it receives itself, coordinators too (decide/life_signs.py), for as long as it knows it. What an endpoint sends on a connection that is older than the one that broke shows the same at once.

--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -97,6 +97,7 @@
             file=quarantine_keeper.QuarantineFile(
                 folder=pathlib.Path(host.data_dir)
             ),
+            endpoint_table=self.directory.table,
             send_to_gateways=self.directory.send_to_gateways,
             send_to_replicas=self.node.broadcast,
         )
@@ -388,6 +389,7 @@
             tasks.spawn(self.node.run(), vital=True)
             tasks.keep(self.commit_marks.run)
             tasks.keep(self.quarantine.run)
+            tasks.keep(self.quarantine.watch)
             tasks.keep(self._members.run)
             tasks.keep(self._maintain_directory)
             tasks.keep(self._roles.run)
--- a/rackpost/coordinator/quarantine_keeper.py
+++ b/rackpost/coordinator/quarantine_keeper.py
@@ -15,6 +15,7 @@
 
 from rackpost.consensus import storage
 from rackpost.coordinator import messages
+from rackpost.decide import life_signs
 from rackpost.decide import quarantine
 from rackpost import exceptions
 from rackpost import logs
@@ -23,6 +24,8 @@
 
 # Pause before a failed write is retried.
 _RETRY_PAUSE_S = 1.0
+# How often endpoints are checked for signs of life.
+_WATCH_INTERVAL_S = 1.0
 # How often expired evidence is removed.
 _EXPIRY_INTERVAL_S = 60.0
 # Delay with which evidence against subjects that are known to run well is
@@ -74,11 +77,14 @@
         self,
         *,
         file: QuarantineFile,
+        endpoint_table: endpoints.EndpointTable,
         send_to_gateways: Send,
         send_to_replicas: Send,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self.table = quarantine.Quarantine()
+        self._endpoint_table = endpoint_table
+        self._life_signs = life_signs.LifeSigns()
         self._file = file
         self._send_to_gateways = send_to_gateways
         self._send_to_replicas = send_to_replicas
@@ -190,6 +196,31 @@
         self._send_to_replicas(msg)
         return True
 
+    async def watch(self) -> None:
+        """Clear subjects whose endpoints live on, until cancelled.
+
+        The gateways that saw the connections break may be gone.
+        """
+        while True:
+            await asyncio.sleep(_WATCH_INTERVAL_S)
+            if not len(self.table):
+                continue
+            self._life_signs.sample(self._endpoint_table)
+            cleared = self.table.clearances_by_life(
+                self._life_signs.lived_until()
+            )
+            if cleared:
+                self._log_alive(cleared)
+                self.receive(messages.Suspicions(items=cleared))
+
+    def _log_alive(self, items: tuple[quarantine.Suspicion, ...]) -> None:
+        logs.say(
+            logs.Part.COORDINATOR,
+            "Endpoints are alive, their requests are cleared.",
+            endpoints=sorted({item.endpoint for item in items}),
+            subjects=len({item.subject for item in items}),
+        )
+
     async def run(self) -> None:
         """Save changes and remove expired evidence until cancelled."""
         while True:
--- a/rackpost/crash_tracker.py
+++ b/rackpost/crash_tracker.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from rackpost.decide import life_signs
 from rackpost.decide import part_soundness
 from rackpost.decide import quarantine
 from rackpost import logs
@@ -23,17 +24,11 @@
 _CLEARED_S = 30.0
 # Bounds the memory for answered requests.
 _MAX_SERVED = 1024
-# Heartbeats that arrive sooner than this after a connection broke may have
-# been sent before, in seconds.
-_MIN_HEARTBEAT_DELAY_S = 2.0
-# A second heartbeat has to follow the first one after this long, in seconds,
-# as single heartbeats can be delayed on the way.
-_MIN_HEARTBEAT_GAP_S = 0.6
-# Without heartbeats for this long the endpoint has crashed, in seconds.
-_MAX_WATCH_S = 12.0
-
-# Bounds the broken connections that are watched; the oldest are dropped.
-_MAX_WATCHED = 4096
+# What arrives this long after a connection broke was sent afterwards, in
+# seconds.
+_MAX_TRANSIT_S = 0.25
+# Bounds the broken connections that are remembered; the oldest are dropped.
+_MAX_BROKEN = 4096
 
 # Reasons in the log for clearing a subject.
 _ANSWERED_IN_FULL = "answered in full"
@@ -65,17 +60,11 @@
     remaining_s: float
 
 
-class _WatchedSuspicion(NamedTuple):
-    """Suspicions whose endpoint may turn out to be alive.
+class Exchange(NamedTuple):
+    """A connection to an endpoint, opened at `opened_at`, and its request."""
 
-    `first_heartbeat_at` is the time of its first heartbeat after the
-    connection broke.
-    """
-
-    suspicions: tuple[quarantine.Suspicion, ...]
     endpoint: endpoints.Endpoint
-    broke_at: float
-    first_heartbeat_at: float | None = None
+    opened_at: float
 
 
 class CrashTracker:
@@ -92,7 +81,11 @@
         # Sends suspicions to the coordinators; set by ControlLinks.
         self.publish: Publish = _publish_nothing
         self._table = table
-        self._watched: list[_WatchedSuspicion] = []
+        self._life_signs = life_signs.LifeSigns()
+        # When the last connection to an incarnation broke, as far as known.
+        self._broke_at: dict[endpoints.Incarnation, float] = {}
+        # Those that this process has reported.
+        self._reported: set[endpoints.Incarnation] = set()
         self._served_at: dict[types.Fingerprint, float] = {}
         self._sound_parts = part_soundness.SoundParts()
 
@@ -126,14 +119,38 @@
                     part, endpoint, ran_ms=ran_ms, place=place, sound=sound
                 )
             )
-        self._watched.append(
-            _WatchedSuspicion(
-                suspicions=tuple(found), endpoint=endpoint, broke_at=now
-            )
-        )
-        del self._watched[:-_MAX_WATCHED]
+        self._record_broken_at(endpoint.incarnation, now)
+        self._reported.add(endpoint.incarnation)
         self._add(tuple(found), now)
 
+    def _record_broken_at(
+        self, incarnation: endpoints.Incarnation, at: float
+    ) -> None:
+        self._broke_at.pop(incarnation, None)
+        self._broke_at[incarnation] = at
+        while len(self._broke_at) > _MAX_BROKEN:
+            oldest = next(iter(self._broke_at))
+            del self._broke_at[oldest]
+            self._reported.discard(oldest)
+
+    def record_received(self, exchange: Exchange, now: float) -> None:
+        """Record that an endpoint has sent something on a connection.
+
+        It lives if that connection is older than the one that broke.
+        """
+        incarnation = exchange.endpoint.incarnation
+        broke_at = self._broke_at.get(incarnation)
+        if broke_at is None or not (
+            exchange.opened_at < broke_at <= now - _MAX_TRANSIT_S
+        ):
+            return
+        del self._broke_at[incarnation]
+        self._clear(
+            self.quarantine.clearances_by_life({incarnation: broke_at}),
+            _ENDPOINT_ALIVE,
+            now,
+        )
+
     def record_running(
         self,
         parts: tuple[types.Fingerprint, ...],
@@ -197,6 +214,12 @@
         self, items: Iterable[quarantine.Suspicion], now: float
     ) -> None:
         """Add suspicions that a coordinator has sent."""
+        items = tuple(items)
+        for item in items:
+            if not item.cleared:
+                self._record_broken_at(
+                    item.incarnation, now - item.age_ms / 1000.0
+                )
         for subject in self.quarantine.add(items, now):
             self._vouch(subject, now)
             served_at = self._served_at.get(subject)
@@ -222,35 +245,21 @@
         """Clear subjects whose endpoint is alive; call about each second.
 
         An endpoint is alive if its heartbeats go on in the same incarnation
-        after the connection broke.
+        after the connection broke, whichever process has reported that.
         """
-        self._watched = [
-            item
-            for item in (self._recheck_one(one, now) for one in self._watched)
-            if item is not None
-        ]
         self.quarantine.forget(now)
-
-    def _recheck_one(
-        self, item: _WatchedSuspicion, now: float
-    ) -> _WatchedSuspicion | None:
-        if not self._table.is_current(item.endpoint):
-            return None
-        last_heartbeat_at = self._table.last_heartbeat_at.get(
-            item.endpoint.id, item.broke_at
+        if not len(self.quarantine):
+            return
+        self._life_signs.sample(self._table)
+        cleared = self.quarantine.clearances_by_life(
+            self._life_signs.lived_until()
         )
-        if last_heartbeat_at < item.broke_at + _MIN_HEARTBEAT_DELAY_S:
-            return item if now - item.broke_at < _MAX_WATCH_S else None
-        if item.first_heartbeat_at is None:
-            return item._replace(first_heartbeat_at=last_heartbeat_at)
-        if last_heartbeat_at < item.first_heartbeat_at + _MIN_HEARTBEAT_GAP_S:
-            return item
-        cleared = tuple(
-            msgspec.structs.replace(one, cleared=True)
-            for one in item.suspicions
+        reported = tuple(
+            item for item in cleared if item.incarnation in self._reported
         )
-        self._clear(cleared, _ENDPOINT_ALIVE, now)
-        return None
+        self._clear(reported, _ENDPOINT_ALIVE, now)
+        # All processes hear the heartbeats; one report is enough.
+        self.quarantine.add(cleared, now)
 
     def _clear(
         self,
--- a/rackpost/decide/quarantine.py
+++ b/rackpost/decide/quarantine.py
@@ -16,7 +16,7 @@
 * unless other quarantined subjects explain all but one of these, and
 * unless the suspicions were cleared: the request was answered in full, a
   request with the part ran well after the end, an endpoint turned out to be
-  alive, or an operator released the subject.
+  alive (`life_signs.py`), or an operator released the subject.
 
 Suspicions are only ever added, and a cleared one stays cleared.  So processes
 that received the same suspicions, in any order, quarantine the same subjects.
@@ -25,6 +25,7 @@
 import math
 from typing import Collection
 from typing import Iterable
+from typing import Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -302,6 +303,22 @@
             if not item.suspicion.cleared and item.ended_at < ended_before
         )
 
+    def clearances_by_life(
+        self, lived_until: Mapping[endpoints.Incarnation, float]
+    ) -> tuple[Suspicion, ...]:
+        """Return what clears all subjects of ends that were none.
+
+        `lived_until` says up to when incarnations are known to have lived on.
+        """
+        return tuple(
+            msgspec.structs.replace(item.suspicion, cleared=True)
+            for record in self._records.values()
+            for item in record.known.values()
+            if not item.suspicion.cleared
+            and item.ended_at
+            <= lived_until.get(item.suspicion.incarnation, -math.inf)
+        )
+
     def is_sound(self, subject: types.Fingerprint) -> bool:
         """Whether requests with the subject are known to run well."""
         record = self._records.get(subject)
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -118,6 +118,8 @@
         self.origin = origin
         # Id of the last event sent to the client, for resuming the stream.
         self.last_event_id: int | None = None
+        # The connection of the present attempt.
+        self.exchange: crash_tracker.Exchange | None = None
         # The events of the present attempt's answer.
         self.progress = part_soundness.AnswerProgress()
         self.forwarded_headers = caller.passed_on(
@@ -142,9 +144,15 @@
             progress=self.progress,
         )
 
+    def record_received(self, now: float) -> None:
+        """Record that the endpoint of the present attempt sends something."""
+        if self.exchange is not None:
+            self.site.crash_tracker.record_received(self.exchange, now)
+
     def record_event(self) -> None:
         """Record an event of the present attempt's answer."""
         now = self.site.loop_time()
+        self.record_received(now)
         if self.progress.record_event(now):
             self.site.crash_tracker.record_running(
                 self.subjects.parts, self.progress, now
--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -34,6 +34,7 @@
         self._reusable = True
         self._open = False
         self._paused = False
+        self.opened_at = self._loop.time()
         self.idle_until = 0.0
         self.requests = 0
         self.skipped = 0
--- a/rackpost/testing/part_world.py
+++ b/rackpost/testing/part_world.py
@@ -151,6 +151,7 @@
             self.keepers.append(
                 quarantine_keeper.QuarantineKeeper(
                     file=quarantine_keeper.QuarantineFile(folder=path),
+                    endpoint_table=self._tables[0],
                     send_to_gateways=self._send_to_gateways,
                     send_to_replicas=lambda msg: None,
                 )
