--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -44,7 +44,7 @@
         self.eligible = eligibility.Eligibility(
             table=self.table, rng=random.Random(1)
         )
-        timing = token_timing.TokenTiming()
+        self.token_timing = timing = token_timing.TokenTiming()
         timing.record_decode(100, 3.0)
         self.queue = admission_queue.AdmissionQueue(
             chooser=endpoint_choice.Chooser(
--- a/tests/test_token_timing.py
+++ b/tests/test_token_timing.py
@@ -75,3 +75,56 @@
         group.close()
 
     virtual.run(main())
+
+
+# Tokens of a long generation and the time in which it is to end, in seconds.
+_LONG_TOKENS = 10_000
+_LONG_S = 14.0
+_USUAL_TOKEN_S = 0.001
+_SLOW_TOKEN_S = 0.0029
+# Long generations have to be admitted again within this time, in seconds.
+_MAX_RECOVERY_S = 6.0
+
+
+def _long_generation(
+    now: float, timing: token_timing.TokenTiming
+) -> reservation_mod.ReservationRequest:
+    found = test_admission_queue.reservation_request(now, 1.0)
+    waiting = msgspec.structs.replace(
+        found.waiting_request,
+        start_by=now + _LONG_S,
+        deadline=now + _LONG_S,
+        generation_s=timing.decode_s(_LONG_TOKENS),
+    )
+    return msgspec.structs.replace(found, waiting_request=waiting)
+
+
+# Guards against a started gateway that refuses generations for long since its
+# first ones were slow: refused requests give no samples.
+def test_generations_are_admitted_soon_after_a_slow_time() -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        group = test_admission_queue.Group(count=1)
+        gateway = group.gateways[0]
+        gateway.add_endpoint(0)
+        timing = gateway.token_timing
+        for _ in range(50):
+            timing.record_decode(_LONG_TOKENS, _LONG_TOKENS * _SLOW_TOKEN_S)
+        admitted_in_a_row = 0
+        while admitted_in_a_row < 10:
+            await asyncio.sleep(0.1)
+            assert loop.time() < _MAX_RECOVERY_S
+            reservation = await group.generate(
+                gateway, _long_generation(loop.time(), timing)
+            )
+            if isinstance(reservation, reservation_mod.DecodeReservation):
+                reservation.release()
+                timing.record_decode(
+                    _LONG_TOKENS, _LONG_TOKENS * _USUAL_TOKEN_S
+                )
+                admitted_in_a_row += 1
+            else:
+                admitted_in_a_row = 0
+        group.close()
+
+    virtual.run(main())
