--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -77,6 +77,7 @@
         seeds: tuple[int, ...] = (11, 12, 13),
         first: bool = True,
         lost: int = 2,
+        link_mbps: float = 0.0,
     ) -> settings.HostSettings:
         ip = self.ip(number)
         folder = self.root / f"{kind}-{number}"
@@ -94,6 +95,7 @@
             "bootstrap": first,
             "dataDir": str(folder) if kind == "core" else None,
             "heartbeatMs": 1200,
+            "limits": {"linkMbps": link_mbps},
             "faultTolerance": {"machines": lost, "zones": 0, "regions": 0},
             "bounds": {
                 "retryBudgetRatio": 0.2,
@@ -383,13 +385,15 @@
 
 @contextlib.asynccontextmanager
 async def small_site(
-    root: pathlib.Path, policy: policy_mod.Policy = policy_mod.Policy()
+    root: pathlib.Path,
+    policy: policy_mod.Policy = policy_mod.Policy(),
+    link_mbps: float = 0.0,
 ) -> AsyncIterator[Site]:
     """Run a site with a document and registered endpoints."""
     plan = Plan(root=root)
     site = Site(plan=plan)
     core = plan.host(11, kind="core", seeds=(11,), lost=0)
-    edge = plan.host(31, kind="edge", seeds=(11,))
+    edge = plan.host(31, kind="edge", seeds=(11,), link_mbps=link_mbps)
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_async_context
         http = await enter(aiohttp.ClientSession())
