Let a sample after refusals count half

What callers saw: generations refused as too late, with an expected wait of 0, for many seconds after a slow time of their gateway.

Cause: the time per token is learned from answers alone, and a request that it refuses gives none. One such request a second is admitted all the same, but its sample counts a tenth, as one of many does.

Change: after a refusal the next sample counts half. Two or three of them are enough, in place of ten.

Evidence: the test failed at 6.05 s of virtual time with a bound of 6 s, and passes; the 17 tests of the admission queue, the token timing and the contention order (loads and queue) pass.

--- a/rackpost/decide/token_timing.py
+++ b/rackpost/decide/token_timing.py
@@ -7,6 +7,9 @@
 
 # Weight of the newest sample in the running averages of decodes.
 _EWMA_WEIGHT = 0.1
+# The same after a request was refused by the estimate: refused requests give
+# no samples, so that the few that are left have to correct it.
+_REFUSED_WEIGHT = 0.5
 # Weights of a prefill that is faster or slower than the estimate.  Later
 # prefills at the same endpoint slow down a prefill, so faster samples are
 # more reliable.
@@ -37,17 +40,25 @@
         # Mean time that a generation holds its reservation; 0 if unknown.
         self.generation_s = 0.0
         self._runs = 0
+        # Whether a request was refused since the last decode.
+        self._has_refused = False
         # Time from reservation to first event beyond the prefill itself.
         self._start_overhead_s = 0.0
         self._starts = 0
 
+    def record_refused(self) -> None:
+        """Record that a request was refused by these estimates."""
+        self._has_refused = True
+
     def record_decode(self, tokens: int, seconds: float) -> None:
         """Record the length and duration of a complete generation."""
         if tokens <= 0:
             return
         self._runs += 1
+        base_weight = _REFUSED_WEIGHT if self._has_refused else _EWMA_WEIGHT
+        self._has_refused = False
         # A plain mean at first, so that no early sample dominates.
-        weight = max(_EWMA_WEIGHT, 1.0 / self._runs)
+        weight = max(base_weight, 1.0 / self._runs)
         self.generation_s += weight * (seconds - self.generation_s)
         token_s = seconds / tokens
         if (
@@ -55,7 +66,7 @@
             or token_s * _REPLACE_FACTOR < self._decode_token_s
         ):
             self._decode_token_s = token_s
-        self._decode_token_s += _EWMA_WEIGHT * (token_s - self._decode_token_s)
+        self._decode_token_s += base_weight * (token_s - self._decode_token_s)
 
     @property
     def is_known(self) -> bool:
--- a/rackpost/gateway/admission_queue.py
+++ b/rackpost/gateway/admission_queue.py
@@ -188,6 +188,7 @@
         reason: reservation_mod.RefusalReason,
     ) -> reservation_mod.NoCapacity:
         request = waiter.request
+        self._token_timing.record_refused()
         wait_s = self._waits.expected_wait_s(self._waiters, request, now)
         jitter = self._rng.random()
         place_s = None
