Send no request again on the connection where it was rejected

What callers saw: an unsafe request ran at two endpoints.

Cause: an endpoint's answer is known by the request's id. A gateway sent a rejected request again, under its id, on the same connection, so that a second, late copy of the rejection was taken for the answer to the second send.

Change: a connection remembers the ids that were rejected on it (the newest 128), and the pool takes another one for them.

--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -52,7 +52,9 @@
 ) -> contextlib.AbstractAsyncContextManager[client.ClientConnection]:
     """Open a connection to an endpoint; raises ExchangeError."""
     call.check_version(endpoint)
-    return endpoint_calls.connected(call.site, call.service, endpoint)
+    return endpoint_calls.connected(
+        call.site, call.service, endpoint, call.request_id
+    )
 
 
 def acquire_grant(
@@ -290,6 +292,8 @@
     head = reply.head
     if answer_check.is_not_run(head):
         await reply.conn.read_whole(_MAX_ANSWER_BYTES)
+        if call.request_id is not None:
+            reply.conn.record_rejected(call.request_id)
         _record_not_run(call, endpoint, head)
         return retry_decision.AttemptEnd.NOT_RUN
     why = answer_check.why_unsound(head, call.request_id)
--- a/rackpost/gateway/endpoint_calls.py
+++ b/rackpost/gateway/endpoint_calls.py
@@ -23,8 +23,9 @@
     site: site_mod.Site,
     service: model.Service,
     endpoint: endpoints.Endpoint,
+    request_id: bytes | None = None,
 ) -> AsyncIterator[client.ClientConnection]:
-    """Open a connection to an endpoint.
+    """Open a connection to an endpoint, for a request with an id.
 
     Raises ExchangeError if there is none, Barred if the endpoint is
     ineligible.
@@ -32,7 +33,7 @@
     check_eligible(site, endpoint)
     max_connections = site.max_connections_to(service)
     async with site.pool.connection(
-        endpoint.address, limit=max_connections
+        endpoint.address, limit=max_connections, request_id=request_id
     ) as conn:
         # Another request's answer may have made it ineligible meanwhile.
         check_eligible(site, endpoint)
--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -15,6 +15,8 @@
 
 # Reading pauses while more of an answer than this is unread.
 _MAX_BUFFERED_BYTES = 256 << 10
+# Ids of rejected requests that are remembered, the newest.
+_MAX_REJECTED = 128
 # Idle time of a connection whose endpoint sends no Keep-Alive timeout.
 _DEFAULT_IDLE_S = 0.8
 # Fraction of a Keep-Alive timeout that is used, so that this side closes
@@ -35,6 +37,9 @@
         self._open = False
         self._paused = False
         self.opened_at = self._loop.time()
+        self._rejected: collections.deque[bytes] = collections.deque(
+            maxlen=_MAX_REJECTED
+        )
         self.idle_until = 0.0
         self.requests = 0
         self.skipped = 0
@@ -60,6 +65,17 @@
         """Whether a request can be sent on this connection."""
         return self._open and self._reusable and not self._busy
 
+    def record_rejected(self, request_id: bytes) -> None:
+        """Record that a request was not run, and may be sent again."""
+        self._rejected.append(request_id)
+
+    def may_send(self, request_id: bytes | None) -> bool:
+        """Whether a request's answer could be told from an earlier one.
+
+        An answer that comes a second time is known by the request's id.
+        """
+        return request_id is None or request_id not in self._rejected
+
     async def request(
         self,
         *,
--- a/rackpost/http1/pool.py
+++ b/rackpost/http1/pool.py
@@ -31,17 +31,23 @@
 
     @contextlib.asynccontextmanager
     async def connection(
-        self, address: str, *, limit: int, fresh: bool = False
+        self,
+        address: str,
+        *,
+        limit: int,
+        fresh: bool = False,
+        request_id: bytes | None = None,
     ) -> AsyncIterator[client.ClientConnection]:
         """Yield a connection for one exchange; kept afterwards if reusable.
 
         At most `limit` connections are open to the address.  With `fresh`,
-        a new connection is opened.  Raises ExchangeError, with `sent`
-        false, if no connection is available.
+        a new connection is opened; `request_id` is not sent on one where it
+        was rejected.  Raises ExchangeError, with `sent` false, if no
+        connection is available.
         """
         await self._acquire_slot(address, limit)
         try:
-            conn = None if fresh else self._take_idle(address)
+            conn = None if fresh else self._take_idle(address, request_id)
             if conn is None:
                 conn = await self._connect(address)
             try:
@@ -81,15 +87,24 @@
         self._waiters.pop(address, None)
         self._open[address] -= 1
 
-    def _take_idle(self, address: str) -> client.ClientConnection | None:
+    def _take_idle(
+        self, address: str, request_id: bytes | None
+    ) -> client.ClientConnection | None:
+        """Take the connection that was used last, of those that may be."""
         idle = self._idle.get(address, [])
         now = self._loop.time()
-        while idle:
+        kept = []
+        found = None
+        while idle and found is None:
             conn = idle.pop()
-            if conn.is_open and conn.idle_until > now:
-                return conn
-            conn.abort()
-        return None
+            if not conn.is_open or conn.idle_until <= now:
+                conn.abort()
+            elif conn.may_send(request_id):
+                found = conn
+            else:
+                kept.append(conn)
+        idle.extend(reversed(kept))
+        return found
 
     async def _connect(self, address: str) -> client.ClientConnection:
         try:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -20,6 +20,9 @@
     is_open = True
     idle_until = 1e9
 
+    def may_send(self, request_id: bytes | None) -> bool:
+        return True
+
     def release(self) -> bool:
         return True
 
