Resume no stream at an endpoint that may have restarted unseen

What callers saw: streams with events of two software versions.

Cause: an endpoint's version was that of its last heartbeat. One that crashed and started again with other software, cut off from the coordinators, kept the old version at the gateways, although nothing had listened at its address meanwhile.

A stream that has begun does not go on there; one that begins there can be resumed nowhere else, and is told so.

Left: a gateway that sent nothing while the endpoint was down saw no refusal; prefill endpoints may restart unseen in the same way.

--- a/rackpost/crash_tracker.py
+++ b/rackpost/crash_tracker.py
@@ -6,8 +6,10 @@
 out to be alive.
 """
 
+import math
 from typing import Callable
 from typing import Iterable
+from typing import Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -84,6 +86,8 @@
         self._life_signs = life_signs.LifeSigns()
         # When the last connection to an incarnation broke, as far as known.
         self._broke_at: dict[endpoints.Incarnation, float] = {}
+        # When a connection to an incarnation was last refused.
+        self._refused_at: dict[endpoints.Incarnation, float] = {}
         # Those that this process has reported.
         self._reported: set[endpoints.Incarnation] = set()
         self._served_at: dict[types.Fingerprint, float] = {}
@@ -133,6 +137,17 @@
             del self._broke_at[oldest]
             self._reported.discard(oldest)
 
+    def record_refused(self, endpoint: endpoints.Endpoint, now: float) -> None:
+        """Record that nothing listened at an endpoint's address."""
+        self._refused_at[endpoint.incarnation] = now
+
+    def may_have_restarted(self, endpoint: endpoints.Endpoint) -> bool:
+        """Whether an endpoint may have ended since its last heartbeats.
+
+        It may run again at its address, under its id, with other software.
+        """
+        return endpoint.incarnation in self._refused_at
+
     def record_received(self, exchange: Exchange, now: float) -> None:
         """Record that an endpoint has sent something on a connection.
 
@@ -248,12 +263,12 @@
         after the connection broke, whichever process has reported that.
         """
         self.quarantine.forget(now)
-        if not len(self.quarantine):
+        if not len(self.quarantine) and not self._refused_at:
             return
         self._life_signs.sample(self._table)
-        cleared = self.quarantine.clearances_by_life(
-            self._life_signs.lived_until()
-        )
+        lived_until = self._life_signs.lived_until()
+        self._forget_refused(lived_until)
+        cleared = self.quarantine.clearances_by_life(lived_until)
         reported = tuple(
             item for item in cleared if item.incarnation in self._reported
         )
@@ -261,6 +276,18 @@
         # All processes hear the heartbeats; one report is enough.
         self.quarantine.add(cleared, now)
 
+    def _forget_refused(
+        self, lived_until: Mapping[endpoints.Incarnation, float]
+    ) -> None:
+        """Forget refusals by endpoints that live on, or are gone."""
+        current = {item.incarnation for item in self._table.alive.values()}
+        self._refused_at = {
+            incarnation: at
+            for incarnation, at in self._refused_at.items()
+            if incarnation in current
+            and lived_until.get(incarnation, -math.inf) < at
+        }
+
     def _clear(
         self,
         items: tuple[quarantine.Suspicion, ...],
--- a/rackpost/decide/stream_origins.py
+++ b/rackpost/decide/stream_origins.py
@@ -22,6 +22,9 @@
 _PURPOSE = b"rackpost stream"
 # Bounds the memory for streams; the oldest are dropped.
 _MAX_STREAMS = 50_000
+# The version of a stream that began at an endpoint which may have restarted
+# since its last heartbeat; no endpoint has it.
+UNKNOWN_SOFTWARE = types.SoftwareVersion("\0unknown")
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/rackpost/exceptions.py
+++ b/rackpost/exceptions.py
@@ -83,6 +83,13 @@
         super().__init__(reason, sent=False)
 
 
+class NotListening(ExchangeError):
+    """Nothing listens at the endpoint's address: its process has ended."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=False)
+
+
 class ConnectionLimitReached(ExchangeError):
     """All connections allowed to an endpoint are in use."""
 
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -194,7 +194,9 @@
         found = self.tried
         if len(self.backoff_endpoints) < _MAX_BACKOFFS:
             found = [key for key in found if key not in self.backoff_endpoints]
-        return found + self.other_versions if self.origin else found
+        if self.origin is None:
+            return found
+        return found + self.other_versions + self._maybe_restarted
 
     @property
     def other_versions(self) -> list[types.EndpointId]:
@@ -205,11 +207,25 @@
             self.origin.service, self.origin.software
         )
 
+    @property
+    def _maybe_restarted(self) -> list[types.EndpointId]:
+        """Endpoints whose software version is not known for sure."""
+        tracker = self.site.crash_tracker
+        return [
+            item.id
+            for item in self.site.table.alive.values()
+            if tracker.may_have_restarted(item)
+        ]
+
     def check_version(self, endpoint: endpoints.Endpoint) -> None:
         """Raise EndpointIneligible where a stream that began can't go on."""
+        if self.origin is None:
+            return
         known = self.site.table.alive.get(endpoint.id, endpoint)
-        if self.origin is not None and not self.origin.matches(known):
+        if not self.origin.matches(known):
             raise exceptions.EndpointIneligible("other software version")
+        if self.site.crash_tracker.may_have_restarted(known):
+            raise exceptions.EndpointIneligible("may have restarted")
 
     def record_first_event(self, endpoint: endpoints.Endpoint) -> bool:
         """Record where the stream began, before its first event is sent.
@@ -220,8 +236,11 @@
         if self.origin is not None:
             return False
         known = self.site.table.alive.get(endpoint.id, endpoint)
+        software = known.software
+        if self.site.crash_tracker.may_have_restarted(known):
+            software = stream_origins.UNKNOWN_SOFTWARE
         self.origin = stream_origins.StreamOrigin(
-            service=known.service, software=known.software
+            service=known.service, software=software
         )
         if not self.route.resumable or self.request_id is None:
             return False
--- a/rackpost/gateway/endpoint_calls.py
+++ b/rackpost/gateway/endpoint_calls.py
@@ -9,6 +9,7 @@
 from typing import AsyncIterator
 
 from rackpost import endpoint_notices
+from rackpost import exceptions
 from rackpost.gateway import rate_grants
 from rackpost.gateway import site as site_mod
 from rackpost.http1 import client
@@ -31,10 +32,18 @@
     ineligible.
     """
     check_eligible(site, endpoint)
-    max_connections = site.max_connections_to(service)
-    async with site.pool.connection(
-        endpoint.address, limit=max_connections, request_id=request_id
-    ) as conn:
+    async with contextlib.AsyncExitStack() as stack:
+        try:
+            conn = await stack.enter_async_context(
+                site.pool.connection(
+                    endpoint.address,
+                    limit=site.max_connections_to(service),
+                    request_id=request_id,
+                )
+            )
+        except exceptions.NotListening:
+            site.crash_tracker.record_refused(endpoint, site.loop_time())
+            raise
         # Another request's answer may have made it ineligible meanwhile.
         check_eligible(site, endpoint)
         yield conn
--- a/rackpost/http1/pool.py
+++ b/rackpost/http1/pool.py
@@ -119,6 +119,8 @@
             raise exceptions.ExchangeError(
                 "no connection in time", sent=False
             ) from exc
+        except ConnectionRefusedError as exc:
+            raise exceptions.NotListening(f"no connection: {exc}") from exc
         except (OSError, ValueError) as exc:
             raise exceptions.ExchangeError(
                 f"no connection: {exc}", sent=False
--- a/tests/versioned_site.py
+++ b/tests/versioned_site.py
@@ -232,9 +232,11 @@
 
 
 @contextlib.asynccontextmanager
-async def site(root: pathlib.Path) -> AsyncIterator[Site]:
+async def site(
+    root: pathlib.Path, endpoint: type[Endpoint] = Endpoint
+) -> AsyncIterator[Site]:
     """A running site with two gateways, which know each other."""
-    async with unpowered(root) as found, found.powered(first=True):
+    async with unpowered(root, endpoint) as found, found.powered(first=True):
         for running in found.gateways.values():
             await platform_site.until(
                 lambda: running.site.gateway_count == len(found.gateways)
