Close a part of new connections unread while one gateway is overloaded

What callers saw: at a gateway that got most connections, nothing in time.

Cause: nothing bounds what a gateway reads, and what its own processor and link delay counted as the endpoints' service times and as their requests in flight.

Change: the delay is observed, as the lag of timers and as the round trip to the nearest coordinator against its usual one (decide/overload.py). While it is long, the times measured are not learned, plain requests are not refused by them, and, if other gateways have less in flight, a part of the new connections is closed unread, so that their callers try another one at once.

--- a/rackpost/decide/endpoint_health.py
+++ b/rackpost/decide/endpoint_health.py
@@ -70,19 +70,28 @@
         return self._records.setdefault(endpoint, _EndpointHealth())
 
     def record_answer(
-        self, endpoint: types.EndpointId, took_s: float, now: float
+        self, endpoint: types.EndpointId, took_s: float | None, now: float
     ) -> None:
-        """Record a complete answer that is not the endpoint's own failure."""
+        """Record a complete answer that is not the endpoint's own failure.
+
+        `took_s` is None where the time says nothing of the endpoint.
+        """
         record = self._record(endpoint)
-        if record.is_outdated(now):
-            record.answer_s = None
-            self._update_validity(record, took_s)
-        record.answered_at = now
         record.failures_in_row = 0
         record.avoid_until = 0.0
         record.reported_avoid_until = 0.0
         record.rejections_in_row = 0
         record.failure_rate *= 1.0 - _EWMA_WEIGHT
+        if took_s is not None:
+            self._record_time(record, took_s, now)
+
+    def _record_time(
+        self, record: _EndpointHealth, took_s: float, now: float
+    ) -> None:
+        if record.is_outdated(now):
+            record.answer_s = None
+            self._update_validity(record, took_s)
+        record.answered_at = now
         if record.answer_s is None:
             record.answer_s = took_s
         record.answer_s += _EWMA_WEIGHT * (took_s - record.answer_s)
--- a/rackpost/decide/endpoint_load.py
+++ b/rackpost/decide/endpoint_load.py
@@ -271,6 +271,18 @@
         """The number of gateways that report, this one included."""
         return len(self._reports) + 1
 
+    @property
+    def own_requests(self) -> int:
+        """The requests that this gateway has in flight."""
+        return sum(load.requests for load in self.own.values())
+
+    def requests_elsewhere(self) -> list[int]:
+        """Return the requests in flight of each other gateway."""
+        return [
+            sum(load.requests for load in report.loads.values())
+            for report in self._reports.values()
+        ]
+
     def oldest_age_s(self, now: float) -> float:
         """Return the age of the oldest report, in seconds."""
         ages = (now - report.received_at for report in self._reports.values())
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -302,7 +302,9 @@
     if answer_check.is_stream(head):
         call.on_answer()
         now = call.site.loop_time()
-        call.site.health.record_answer(endpoint.id, now - began, now)
+        call.site.health.record_answer(
+            endpoint.id, call.site.endpoint_time_s(now - began), now
+        )
         await answer_relay.relay_stream(call, endpoint, head, reply.conn)
         call.record_delivered(endpoint, head)
         return None
@@ -346,7 +348,9 @@
         return retry_decision.AttemptEnd.FAILED
     now = call.site.loop_time()
     if call.route.kind is not model.RouteKind.STREAM:
-        call.site.health.record_answer(endpoint.id, now - began, now)
+        call.site.health.record_answer(
+            endpoint.id, call.site.endpoint_time_s(now - began), now
+        )
     call.on_answer()
     answer_relay.relay_whole(call, head, body)
     call.record_delivered(endpoint, head)
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -52,8 +52,15 @@
         # Links on which a coordinator has reported its document version.
         self._linked: set[websocket.WebSocketChannel] = set()
         site.crash_tracker.publish = self._publish_suspicions
+        site.overload.round_trip_s = self._round_trip_s
         self.reload(self._host)
 
+    def _round_trip_s(self) -> float | None:
+        """Return the latest round trip to the nearest coordinator."""
+        found = [conn.round_trip_s for conn in self._linked]
+        known = [seconds for seconds in found if seconds is not None]
+        return min(known, default=None)
+
     def reload(self, host: settings.HostSettings) -> None:
         """Apply new settings: other seeds."""
         self._seeds = {links.host_of(item) for item in host.seeds}
--- a/rackpost/gateway/forward.py
+++ b/rackpost/gateway/forward.py
@@ -72,17 +72,22 @@
             ended = await attempt.run(call, endpoint)
     if ended is not None:
         return not retry_or_answer(call, ended)
-    took = site.loop_time() - began
-    site.health.record_work(endpoint.id, took, ahead / max(1, endpoint.slots))
+    took = site.endpoint_time_s(site.loop_time() - began)
+    if took is not None:
+        rounds = ahead / max(1, endpoint.slots)
+        site.health.record_work(endpoint.id, took, rounds)
     return True
 
 
 def _refuse_if_late(call: call_mod.Call, endpoint: endpoints.Endpoint) -> bool:
     """Refuse a request that would be late or delay others too much.
 
-    Returns whether it was refused.
+    Returns whether it was refused.  Not while this gateway itself is delayed:
+    what is in flight does not show then that the endpoints are busy.
     """
     site = call.site
+    if site.overload.is_delayed:
+        return False
     now = site.loop_time()
     key = site.refusals.key(call.route.name, call.req.target, call.req.body)
     arrival = admission.Arrival(
--- a/rackpost/gateway/generate.py
+++ b/rackpost/gateway/generate.py
@@ -228,9 +228,11 @@
                 progress.generated_tokens
                 == _TIMING_EVENTS * self._engine.event_tokens
             ):
-                site.token_timing.record_partial_decode(
-                    progress.generated_tokens, site.loop_time() - began
-                )
+                took = site.endpoint_time_s(site.loop_time() - began)
+                if took is not None:
+                    site.token_timing.record_partial_decode(
+                        progress.generated_tokens, took
+                    )
             progress.record_event()
             pace.record_event()
 
@@ -240,11 +242,10 @@
         self, reservation: reservation_mod.DecodeReservation
     ) -> None:
         """Learn from the time to the first event."""
-        if reservation.prefill_endpoint is not None:
-            site = self._call.site
-            site.token_timing.record_start(
-                self._prompt_tokens, site.loop_time() - reservation.reserved_at
-            )
+        site = self._call.site
+        took = site.endpoint_time_s(site.loop_time() - reservation.reserved_at)
+        if reservation.prefill_endpoint is not None and took is not None:
+            site.token_timing.record_start(self._prompt_tokens, took)
 
     def _reservation_request(self) -> reservation_mod.ReservationRequest:
         call = self._call
@@ -374,7 +375,8 @@
         site = self._call.site
         made = self._progress.generated_tokens
         self._prefill_state.record_fetched()
-        site.token_timing.record_decode(made, took_s)
+        if site.endpoint_time_s(took_s) is not None:
+            site.token_timing.record_decode(made, took_s)
         site.answer_lengths.record_answer(
             guess=self._expected_tokens, actual=made
         )
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -386,12 +386,15 @@
         raise
     if result is None:
         return _PrefillEnd.REJECTED
-    took = site.loop_time() - began
-    pace.record_prefill(
-        endpoint.id, seconds=took, usual_s=usual_s, now=site.loop_time()
-    )
-    site.token_timing.record_prefill(ahead + prompt, took)
-    site.health.record_answer(endpoint.id, took, site.loop_time())
+    now = site.loop_time()
+    took = now - began
+    endpoint_s = site.endpoint_time_s(took)
+    if endpoint_s is not None:
+        pace.record_prefill(
+            endpoint.id, seconds=endpoint_s, usual_s=usual_s, now=now
+        )
+        site.token_timing.record_prefill(ahead + prompt, endpoint_s)
+    site.health.record_answer(endpoint.id, endpoint_s, now)
     if patience is not None:
         # A sign that the endpoint works, for prefills that are slow there.
         site.loads.record_prefilled(endpoint.id, site.loop_time())
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -63,9 +63,11 @@
                 )
             ),
             disconnected=self._on_slow_reader,
+            guard=self.site.overload,
         )
         self.stopping = False
         self._ready = False
+        self._closes_unread = False
         self._began = self.site.loop_time()
 
     def is_ready(self) -> bool:
@@ -120,6 +122,32 @@
             self.site.crash_tracker.recheck(self.site.loop_time())
             if self.site.routes is not None:
                 self._server.limits = self.site.routes.limits
+            self._log_overload()
+
+    def _log_overload(self) -> None:
+        """Log when the gateway starts or stops to close new connections."""
+        guard = self.site.overload
+        closes_unread = guard.share < 1.0
+        if closes_unread == self._closes_unread:
+            return
+        self._closes_unread = closes_unread
+        logs.say(
+            logs.Part.GATEWAY,
+            (
+                "Overloaded, new connections are closed."
+                if closes_unread
+                else "All new connections are taken."
+            ),
+            loop_lag_s=round(guard.loop_lag_s, 3),
+            link_delay_s=round(guard.link_delay_s, 3),
+            max_lag_s=round(guard.max_lag_s, 3),
+            admitted_share=round(guard.share, 2),
+            closed_unread=self._server.closed_unread,
+            busy=self._server.busy,
+            report_bytes=sum(
+                self.site.metrics.totals("load_report_bytes").values()
+            ),
+        )
 
     async def _report_new_demands(self) -> None:
         while True:
@@ -171,6 +199,8 @@
         self.site.metrics.gauge("document_version", self.site.version)
         self.site.metrics.gauge("connections_opened", self.site.pool.opened)
         self.site.metrics.gauge("unread_bytes", self._server.held_bytes)
+        self.site.metrics.gauge("closed_unread", self._server.closed_unread)
+        self.site.metrics.gauge("own_delay_s", self.site.overload.lag_s)
         return 200, self.site.metrics.text()
 
     async def stop(self) -> None:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -19,6 +19,7 @@
 from rackpost.decide import features
 from rackpost.decide import gateway_groups
 from rackpost.decide import holds
+from rackpost.decide import overload as overload_mod
 from rackpost.decide.pace import batch_timing
 from rackpost.decide.pace import endpoint_pace
 from rackpost.decide.pace import measured_pace
@@ -75,6 +76,7 @@
         self.rng = random.Random()
         self.metrics = metrics_mod.Metrics()
         self.started_at = self._loop.time()
+        self.overload = overload_mod.OverloadGuard()
         self.routes: match.RouteTable | None = None
         # Set once there are routes.
         self.routes_loaded = asyncio.Event()
@@ -82,6 +84,9 @@
         self.crash_tracker = crash_tracker_mod.CrashTracker(table=self.table)
         self.loads_changed = asyncio.Event()
         self.loads = endpoint_load.LoadTable(on_change=self.loads_changed.set)
+        self.overload.others_have_room = lambda: overload_mod.is_crowded(
+            self.loads.own_requests, self.loads.requests_elsewhere()
+        )
         self.capacity_changed = asyncio.Event()
         self.health = endpoint_health.HealthTracker()
         self.pool = pool_mod.Pool(id_header=headers.REQUEST_ID)
@@ -225,6 +230,13 @@
         """Return the loop's monotonic clock, in seconds."""
         return self._loop.time()
 
+    def endpoint_time_s(self, took_s: float) -> float | None:
+        """Return a measured time if it says something of an endpoint.
+
+        None where this gateway's own delays may be a part of it.
+        """
+        return None if self.overload.is_delayed else took_s
+
     def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine in the background."""
         self.tasks.spawn(coro)
@@ -286,6 +298,12 @@
         routes.apply(change)
         self.routes = routes
         self._update_features(routes)
+        self.overload.max_lag_s = overload_mod.max_lag_s(
+            min(
+                (item.target_s for item in routes if item.target_s > 0.0),
+                default=None,
+            )
+        )
         self.routes_loaded.set()
         return True
 
--- a/rackpost/http1/server.py
+++ b/rackpost/http1/server.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from rackpost.decide import overload
 from rackpost.decide import slow_readers
 from rackpost.http1 import message
 from rackpost.routing import model
@@ -23,6 +24,8 @@
 _BACKLOG = 1024
 # How often idle and slow connections are looked for.
 _SWEEP_INTERVAL_S = 0.25
+# Duration of the timer by which the lag of the event loop is measured.
+_LAG_TIMER_S = 0.01
 # Pipelined requests that may wait on one connection.
 _MAX_PIPELINED = 8
 # How long input is discarded after an early error answer; closing at once
@@ -203,8 +206,12 @@
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the new connection."""
+        """Register the new connection, or close it unread in an overload."""
         self._transport = cast(asyncio.Transport, transport)
+        if not self._server.admits():
+            self._server.closed_unread += 1
+            self._transport.abort()
+            return
         self._transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
         self._server.connections.add(self)
 
@@ -373,6 +380,17 @@
             self._transport.close()
 
 
+async def _measure_lag_s() -> float:
+    """Return how late a short timer fires, in seconds.
+
+    All that is ready to run at the same time comes before it.
+    """
+    loop = asyncio.get_running_loop()
+    due_at = loop.time() + _LAG_TIMER_S
+    await asyncio.sleep(_LAG_TIMER_S)
+    return max(0.0, loop.time() - due_at)
+
+
 def _is_continue(expect: bytes | None) -> bool:
     return expect is not None and expect.lower() == b"100-continue"
 
@@ -397,11 +415,13 @@
         disconnected: Callable[
             [message.Request, slow_readers.Reader], None
         ] = lambda req, reader: None,
+        guard: overload.OverloadGuard | None = None,
     ) -> None:
         """Create a server that does not listen yet.
 
         `failed` is called for a handler's exception, `disconnected` for a
-        client that reads too slowly, with its latest request.
+        client that reads too slowly, with its latest request.  `guard` limits
+        new connections in an overload; by default all are taken.
         """
         self.handler = handler
         self.failed = failed
@@ -414,6 +434,13 @@
         self.limits = limits or model.Limits()
         self.connections: set[ServerConnection] = set()
         self.stopping = False
+        self._guard = guard
+        # Connections that were closed before anything was read from them.
+        self.closed_unread = 0
+
+    def admits(self) -> bool:
+        """Whether to take a new connection."""
+        return self._guard is None or self._guard.admit()
 
     @property
     def busy(self) -> int:
@@ -445,6 +472,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
+            if self._guard is not None:
+                self._guard.record_lag(await _measure_lag_s())
             now = loop.time()
             for conn in list(self.connections):
                 conn.sweep(now)
--- a/rackpost/link/websocket.py
+++ b/rackpost/link/websocket.py
@@ -77,6 +77,11 @@
         self.end_reason = "closed here"
         self._closed_event = asyncio.Event()
 
+    @property
+    def round_trip_s(self) -> float | None:
+        """The latest round trip of a keepalive; None before the first."""
+        return self._conn.latency or None
+
     def send(self, msg: msgspec.Struct) -> None:
         """Queue a message; closes the link if too much is already queued."""
         if not self._open:
