Say in one line why a gateway refuses requests

Logs had a line for each refusal, and none that told whether a started gateway lacked coordinators, a document, endpoints or room, or held requests back. At most every 5 s while it refuses, a gateway now logs the counts by reason and the first obstacle that applies, with the figures behind it.

--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -61,6 +61,16 @@
         known = [seconds for seconds in found if seconds is not None]
         return min(known, default=None)
 
+    @property
+    def linked_count(self) -> int:
+        """How many coordinators are linked."""
+        return len(self._linked)
+
+    @property
+    def offered_version(self) -> int:
+        """The newest document version of linked coordinators; 0 if none."""
+        return self._updates.newest
+
     def reload(self, host: settings.HostSettings) -> None:
         """Apply new settings: other seeds."""
         self._seeds = {links.host_of(item) for item in host.seeds}
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -12,6 +12,7 @@
 from rackpost.gateway import handler as handler_mod
 from rackpost.gateway import load_exchange
 from rackpost.gateway import policy as policy_mod
+from rackpost.gateway import refusal_report
 from rackpost.gateway import site as site_mod
 from rackpost.http1 import address
 from rackpost.http1 import message
@@ -54,6 +55,7 @@
         self._host = host
         self.site = site_mod.Site(host=host, policy=policy)
         self._links = control_links.ControlLinks(site=self.site)
+        self._refusals = refusal_report.RefusalReport(site=self.site)
         self._server = server.Server(
             handler=handler_mod.Handler(site=self.site).handle,
             failed=_log_failure,
@@ -123,6 +125,9 @@
             if self.site.routes is not None:
                 self._server.limits = self.site.routes.limits
             self._log_overload()
+            self._refusals.log_if_due(
+                self._links.linked_count, self._links.offered_version
+            )
 
     def _log_overload(self) -> None:
         """Log when the gateway starts or stops to close new connections."""
--- a/rackpost/gateway/routing_updates.py
+++ b/rackpost/gateway/routing_updates.py
@@ -37,6 +37,11 @@
         self._timer: asyncio.TimerHandle | None = None
         self._hosts: dict[channel.Channel, str] = {}
 
+    @property
+    def newest(self) -> int:
+        """The newest version of linked coordinators; 0 if there is none."""
+        return self._fetch.newest
+
     def record_version(
         self, conn: channel.Channel, host: str, version: int
     ) -> None:
