--- a/rackpost/consensus/membership.py
+++ b/rackpost/consensus/membership.py
@@ -167,7 +167,9 @@
             )
             return m.Config(voters=config.voters, learners=kept + (peer,))
     for peer in config.learners:
-        if view.silence_s.get(peer, 0.0) > DROP_AFTER_S:
+        # One that has handed its vote over does not come back soon.
+        has_left = peer in view.leaving and len(config.voters) >= view.target
+        if has_left or view.silence_s.get(peer, 0.0) > DROP_AFTER_S:
             return m.Config(
                 voters=config.voters, learners=_without(config.learners, peer)
             )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -93,6 +93,13 @@
     assert new is not None and new.voters == ids("a", "b", "c", "d", "f")
 
 
+# Guards against a vote for a coordinator that is gone.
+def test_a_replica_that_has_handed_its_vote_over_is_dropped() -> None:
+    found = view("a b c d f", learners="e", leaving="e")
+    new = membership.next_config(found)
+    assert new == m.Config(voters=ids("a", "b", "c", "d", "f"))
+
+
 def test_a_voter_that_leaves_keeps_its_vote_without_a_spare() -> None:
     assert membership.next_config(view("a b c d e", leaving="e")) is None
     behind = view("a b c d e", learners="f", behind="f", leaving="e")
