--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -263,3 +263,13 @@
     assert leader.role is raft.Role.LEADER
     leader.tick(17.0)
     assert leader.role is raft.Role.FOLLOWER
+
+
+def test_a_leader_that_resigns_lets_another_one_be_elected_first() -> None:
+    leader = _leader(1, ("a", "b", "c"))
+    assert leader.role is raft.Role.LEADER
+    leader.resign(10.1)
+    leader.tick(10.1 + 2.0 * raft.ELECTION_S)
+    assert leader.role is raft.Role.FOLLOWER
+    leader.tick(10.1 + 5.0 * raft.ELECTION_S)
+    assert leader.role is raft.Role.CANDIDATE
