Take only what arrived late as a sign of life

A stream's events are handled when its client reads, perhaps seconds after they arrived, so that events from before a crash could clear what had crashed the endpoint. What counts is now when bytes arrived on the older connection, and nothing counts while the gateway itself is delayed. The test of four cases fails without the time of arrival.

--- a/rackpost/crash_tracker.py
+++ b/rackpost/crash_tracker.py
@@ -62,11 +62,15 @@
     remaining_s: float
 
 
-class Exchange(NamedTuple):
-    """A connection to an endpoint, opened at `opened_at`, and its request."""
+class LifeSign(NamedTuple):
+    """Something that an endpoint sent, on a connection opened at `opened_at`.
+
+    It arrived at `received_at`, and may be handled much later.
+    """
 
     endpoint: endpoints.Endpoint
     opened_at: float
+    received_at: float
 
 
 class CrashTracker:
@@ -130,7 +134,7 @@
     def _record_broken_at(
         self, incarnation: endpoints.Incarnation, at: float
     ) -> None:
-        self._broke_at.pop(incarnation, None)
+        at = max(at, self._broke_at.pop(incarnation, at))
         self._broke_at[incarnation] = at
         while len(self._broke_at) > _MAX_BROKEN:
             oldest = next(iter(self._broke_at))
@@ -148,15 +152,15 @@
         """
         return endpoint.incarnation in self._refused_at
 
-    def record_received(self, exchange: Exchange, now: float) -> None:
+    def record_received(self, sign: LifeSign, now: float) -> None:
         """Record that an endpoint has sent something on a connection.
 
         It lives if that connection is older than the one that broke.
         """
-        incarnation = exchange.endpoint.incarnation
+        incarnation = sign.endpoint.incarnation
         broke_at = self._broke_at.get(incarnation)
         if broke_at is None or not (
-            exchange.opened_at < broke_at <= now - _MAX_TRANSIT_S
+            sign.opened_at < broke_at <= sign.received_at - _MAX_TRANSIT_S
         ):
             return
         del self._broke_at[incarnation]
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -3,7 +3,6 @@
 import contextlib
 from typing import NamedTuple
 
-from rackpost import crash_tracker
 from rackpost.decide import part_soundness
 from rackpost.decide import retry_decision
 from rackpost import exceptions
@@ -196,14 +195,14 @@
         _log_choice(call, endpoint, began)
     ran_before = call.may_have_run
     call.progress = part_soundness.AnswerProgress()
-    call.exchange = crash_tracker.Exchange(endpoint, conn.opened_at)
+    call.exchange = call_mod.Exchange(endpoint, conn)
     if call.charge is not None:
         call.charge.record_sent(began)
     call.tried.append(endpoint.id)
     call.may_have_run = True
     try:
         reply = await send(call, endpoint, conn, extra_headers, grant)
-        call.record_received(call.site.loop_time())
+        call.record_life_sign()
         ended = await _receive_answer(call, endpoint, reply, began)
     except exceptions.EndpointIneligible as exc:
         call.tried.remove(endpoint.id)
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -15,6 +15,7 @@
 from rackpost.gateway import charge as charge_mod
 from rackpost.gateway import site as site_mod
 from rackpost.gateway import stream_times
+from rackpost.http1 import client
 from rackpost.http1 import message
 from rackpost.http1 import server
 from rackpost import logs
@@ -57,6 +58,13 @@
     BAD_REQUEST = "bad-request"
 
 
+class Exchange(NamedTuple):
+    """An attempt's endpoint and connection."""
+
+    endpoint: endpoints.Endpoint
+    conn: client.ClientConnection
+
+
 class Failure(NamedTuple):
     """An endpoint's 5xx answer, passed on if no attempt follows."""
 
@@ -118,8 +126,8 @@
         self.origin = origin
         # Id of the last event sent to the client, for resuming the stream.
         self.last_event_id: int | None = None
-        # The connection of the present attempt.
-        self.exchange: crash_tracker.Exchange | None = None
+        # The present attempt.
+        self.exchange: Exchange | None = None
         # The events of the present attempt's answer.
         self.progress = part_soundness.AnswerProgress()
         self.forwarded_headers = caller.passed_on(
@@ -144,15 +152,23 @@
             progress=self.progress,
         )
 
-    def record_received(self, now: float) -> None:
-        """Record that the endpoint of the present attempt sends something."""
-        if self.exchange is not None:
-            self.site.crash_tracker.record_received(self.exchange, now)
+    def record_life_sign(self) -> None:
+        """Record that the endpoint of the present attempt sends something.
+
+        Not while this gateway is delayed: it may have been sent long ago.
+        """
+        if self.exchange is None or self.site.overload.is_delayed:
+            return
+        endpoint, conn = self.exchange
+        self.site.crash_tracker.record_received(
+            crash_tracker.LifeSign(endpoint, conn.opened_at, conn.received_at),
+            self.site.loop_time(),
+        )
 
     def record_event(self) -> None:
         """Record an event of the present attempt's answer."""
         now = self.site.loop_time()
-        self.record_received(now)
+        self.record_life_sign()
         if self.progress.record_event(now):
             self.site.crash_tracker.record_running(
                 self.subjects.parts, self.progress, now
--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -37,6 +37,8 @@
         self._open = False
         self._paused = False
         self.opened_at = self._loop.time()
+        # When bytes arrived last.
+        self.received_at = self.opened_at
         self._rejected: collections.deque[bytes] = collections.deque(
             maxlen=_MAX_REJECTED
         )
@@ -180,6 +182,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
+        self.received_at = self._loop.time()
         if not self._busy or self._done:
             # Unsolicited bytes.
             self.abort()
--- a/tests/test_life_signs.py
+++ b/tests/test_life_signs.py
@@ -6,6 +6,9 @@
 
 import math
 
+import pytest
+
+from rackpost import crash_tracker
 from rackpost.decide import life_signs
 from rackpost.decide import quarantine
 from rackpost.routing import endpoints
@@ -85,3 +88,36 @@
     )
     assert [item.subject for item in found] == [b"0"]
     assert all(item.cleared for item in found)
+
+
+def _tracker_after_a_break() -> crash_tracker.CrashTracker:
+    table = endpoints.EndpointTable()
+    table.update(_endpoint(1), 0.0)
+    tracker = crash_tracker.CrashTracker(table=table)
+    subjects = crash_tracker.Subjects(request=types.Fingerprint(b"0"))
+    tracker.record_broken(subjects, _endpoint(1), ran_s=0.1, now=_BROKE_AT)
+    return tracker
+
+
+@pytest.mark.parametrize(
+    "opened_at, received_at, cleared",
+    [
+        # An older connection goes on.
+        (_BROKE_AT - 5.0, _BROKE_AT + 0.5, True),
+        # What arrived before, or just after, may have been sent before.
+        (_BROKE_AT - 5.0, _BROKE_AT - 0.1, False),
+        (_BROKE_AT - 5.0, _BROKE_AT + 0.1, False),
+        # A newer connection may be to a later start.
+        (_BROKE_AT + 0.1, _BROKE_AT + 0.5, False),
+    ],
+)
+def test_what_arrives_on_an_older_connection_shows_that_an_endpoint_lives(
+    opened_at: float, received_at: float, cleared: bool
+) -> None:
+    tracker = _tracker_after_a_break()
+    # A slow client's events are handled long after their arrival.
+    now = _BROKE_AT + 9.0
+    sign = crash_tracker.LifeSign(_endpoint(1), opened_at, received_at)
+    tracker.record_received(sign, now)
+    found = tracker.quarantine.suspicions(1, now)
+    assert (not found) is cleared
