Log and count answers that are skipped, and name connections in the log

What callers saw: nothing by itself. Of an unsafe request that ran at two endpoints the logs told which endpoints it was sent to, not whether a send shared its connection with an earlier one, nor that another answer came first.

Cause: the connection only kept a number of skipped answers that nothing read.

Change: `Skipped an answer.` with reason, status, connection and its number of requests; `rackpost_skipped_answers_total`; `Sent.` and `Endpoint did not run it.` name the connection by its local port, which the endpoint sees too.

--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -192,7 +192,7 @@
     """Do as `run` on an open connection, with additional headers."""
     began = call.site.loop_time()
     if call.sampled or call.tried or call.origin is not None:
-        _log_choice(call, endpoint, began)
+        _log_choice(call, endpoint, conn, began)
     ran_before = call.may_have_run
     call.progress = part_soundness.AnswerProgress()
     call.exchange = call_mod.Exchange(endpoint, conn)
@@ -224,7 +224,10 @@
 
 
 def _log_choice(
-    call: call_mod.Call, endpoint: endpoints.Endpoint, now: float
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    conn: client.ClientConnection,
+    now: float,
 ) -> None:
     """Log the chosen endpoint and the age of the data behind the choice."""
     site = call.site
@@ -233,6 +236,7 @@
     call.log(
         "Sent.",
         endpoint=endpoint.id,
+        connection=conn.local_port,
         software=endpoint.software,
         sequence=endpoint.sequence,
         heard_s=round(now - last_heartbeat_at, 2),
@@ -293,7 +297,7 @@
         await reply.conn.read_whole(_MAX_ANSWER_BYTES)
         if call.request_id is not None:
             reply.conn.record_rejected(call.request_id)
-        _record_not_run(call, endpoint, head)
+        _record_not_run(call, endpoint, reply)
         return retry_decision.AttemptEnd.NOT_RUN
     why = answer_check.why_unsound(head, call.request_id)
     if why:
@@ -311,11 +315,13 @@
 
 
 def _record_not_run(
-    call: call_mod.Call, endpoint: endpoints.Endpoint, head: message.Head
+    call: call_mod.Call, endpoint: endpoints.Endpoint, reply: Reply
 ) -> None:
+    head = reply.head
     call.log(
         "Endpoint did not run it.",
         endpoint=endpoint.id,
+        connection=reply.conn.local_port,
         status=head.status,
         backoff_s=headers.backoff_s(head),
         leaving=headers.announces_leaving(head),
--- a/rackpost/gateway/endpoint_calls.py
+++ b/rackpost/gateway/endpoint_calls.py
@@ -74,9 +74,13 @@
     """
     check_eligible(site, endpoint)
     site.rate_grants.spend(endpoint, grant)
-    answer = await conn.request(
-        head=head, body=body, request_id=request_id, is_head=is_head
-    )
+    try:
+        answer = await conn.request(
+            head=head, body=body, request_id=request_id, is_head=is_head
+        )
+    finally:
+        if conn.skipped:
+            _record_skipped(site, endpoint, conn, request_id)
     new_reasons = endpoint_notices.record_answer(
         site.eligibility,
         endpoint,
@@ -91,3 +95,27 @@
         # Tell the other gateways at once.
         site.loads_changed.set()
     return answer
+
+
+def _record_skipped(
+    site: site_mod.Site,
+    endpoint: endpoints.Endpoint,
+    conn: client.ClientConnection,
+    request_id: bytes | None,
+) -> None:
+    """Count and log the answers that arrived in place of the request's."""
+    for skipped in conn.skipped:
+        site.metrics.count("skipped_answers", skipped.reason, endpoint.service)
+    last = conn.skipped[-1]
+    logs.say(
+        logs.Part.GATEWAY,
+        "Skipped an answer.",
+        request=(request_id or b"").decode("latin-1"),
+        endpoint=endpoint.id,
+        born=endpoint.born,
+        connection=conn.local_port,
+        number=conn.requests,
+        reason=last.reason.value,
+        status=last.status,
+        count=len(conn.skipped),
+    )
--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -6,7 +6,9 @@
 
 import asyncio
 import collections
+import enum
 from typing import cast
+from typing import NamedTuple
 
 import httptools
 
@@ -24,6 +26,19 @@
 _IDLE_FRACTION = 0.6
 
 
+class SkipReason(enum.Enum):
+    """Why an answer was skipped."""
+
+    OTHER_ID = "other-id"
+
+
+class SkippedAnswer(NamedTuple):
+    """An answer that arrived in place of the request's own."""
+
+    reason: SkipReason
+    status: int
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection to an endpoint, used by one request at a time."""
 
@@ -44,7 +59,6 @@
         )
         self.idle_until = 0.0
         self.requests = 0
-        self.skipped = 0
         self._start_exchange(None, False)
 
     def _start_exchange(self, request_id: bytes | None, is_head: bool) -> None:
@@ -54,6 +68,8 @@
         self._has_headers = False
         self._head: message.Head | None = None
         self._skip = False
+        # Answers skipped in the present exchange.
+        self.skipped: list[SkippedAnswer] = []
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._done = False
@@ -62,6 +78,13 @@
 
     # For the user of the connection.
 
+    @property
+    def local_port(self) -> int:
+        """The port by which both ends' logs identify the connection."""
+        if self._transport is None:
+            return 0
+        return int(self._transport.get_extra_info("sockname")[1])
+
     @property
     def is_open(self) -> bool:
         """Whether a request can be sent on this connection."""
@@ -231,8 +254,7 @@
         echoed = message.find(self._headers, self._id_header)
         mismatch = echoed is not None and echoed != self._request_id
         if self._request_id is not None and mismatch:
-            self.skipped += 1
-            self._skip = True
+            self._skip_answer(SkipReason.OTHER_ID, status)
             return
         if status < 200:
             self._skip = True
@@ -240,6 +262,10 @@
         self._skip = False
         self._accept_head(status)
 
+    def _skip_answer(self, reason: SkipReason, status: int) -> None:
+        self._skip = True
+        self.skipped.append(SkippedAnswer(reason, status))
+
     def _accept_head(self, status: int) -> None:
         headers = self._headers
         framing = _framing(status, headers)
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -66,3 +66,31 @@
             assert len(runs) == _REQUESTS
 
     asyncio.run(main())
+
+
+def test_a_skipped_answer_is_counted(tmp_path: pathlib.Path) -> None:
+    """Without a count, late answers can't be seen at a gateway."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            for endpoint in site.plain:
+                endpoint.answer = _after_another(endpoint)
+            got = await site.raw(test_gateway.request("/unsafe/x"))
+            assert test_gateway.status(got) == 200
+            counts = site.gateway.site.metrics.totals("skipped_answers")
+            assert counts == {"other-id": 1}
+
+    asyncio.run(main())
+
+
+def _after_another(endpoint: platform_site.Endpoint) -> platform_site.Answer:
+    """Return the default answer, behind one to another request."""
+
+    async def answer(
+        req: message.Request, responder: server.Responder
+    ) -> None:
+        late = server.Responder(conn=responder._conn, is_http10=False)
+        late.send(503, [(b"x-request-id", b"other")], b"")
+        await endpoint.default_answer(req, responder)
+
+    return answer
