Count idle connections against an endpoint's connection limit

What callers saw: nothing in a quiet hour; in a crowd, requests that an endpoint resets because too many connections are open to it. A reset of an unsafe request fails it.

Cause: the pool counted exchanges in progress, not connections. Since idle connections that may not carry a request's id stay open beside a new one. A limit that falls, as gateways are added, never closed any either.

Change: the pool knows which connections are open until their transport has closed them. Before it opens one more, it closes those that were idle longest until there is room, and lets them close first; a connection that is over a lower limit is not kept. tests/test_roles.py waits until no connection is open, where it waited until none was idle: as strict, as all idle ones are open.

The endpoint of the test counts as each request arrives, and echoes the id.

--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import enum
+from typing import Callable
 from typing import cast
 from typing import NamedTuple
 
@@ -42,9 +43,16 @@
 class ClientConnection(asyncio.Protocol):
     """A connection to an endpoint, used by one request at a time."""
 
-    def __init__(self, *, id_header: bytes) -> None:
+    def __init__(
+        self,
+        *,
+        id_header: bytes,
+        on_closed: Callable[["ClientConnection"], None],
+    ) -> None:
+        """`on_closed` is called once the connection is closed."""
         self._loop = asyncio.get_running_loop()
         self._id_header = id_header
+        self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._busy = False
@@ -230,6 +238,7 @@
         """Fail a running exchange."""
         self._open = False
         self._fail(f"connection lost: {exc or 'closed'}")
+        self._on_closed(self)
 
     # Callbacks of the parser.
 
--- a/rackpost/http1/pool.py
+++ b/rackpost/http1/pool.py
@@ -18,17 +18,42 @@
 _SLOT_TIMEOUT_S = 0.25
 
 
+class _Address:
+    """The connections to one address."""
+
+    def __init__(self) -> None:
+        # Most connections that may be open, of the latest exchange.
+        self.limit = 0
+        # Exchanges that have a connection or may open one.
+        self.exchanges = 0
+        # Connections that are open or being opened, idle ones among them.
+        self.open: set[client.ClientConnection] = set()
+        # The one that was used last is at the end.
+        self.idle: list[client.ClientConnection] = []
+        self.waiters: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether nothing is known of the address but its limit."""
+        return not (self.exchanges or self.open or self.waiters)
+
+
 class Pool:
     """Connections by address, with a limit of open ones per address."""
 
     def __init__(self, *, id_header: bytes) -> None:
         self._loop = asyncio.get_running_loop()
         self._id_header = id_header
-        self._idle: dict[str, list[client.ClientConnection]] = {}
-        self._open: dict[str, int] = {}
-        self._waiters: dict[str, collections.deque[asyncio.Future[None]]] = {}
+        self._addresses: dict[str, _Address] = {}
         self.opened = 0
 
+    @property
+    def open_count(self) -> int:
+        """Connections that are open or being opened, to all addresses."""
+        return sum(len(found.open) for found in self._addresses.values())
+
     @contextlib.asynccontextmanager
     async def connection(
         self,
@@ -45,75 +70,76 @@
         was rejected.  Raises ExchangeError, with `sent` false, if no
         connection is available.
         """
-        await self._acquire_slot(address, limit)
+        found = self._addresses.setdefault(address, _Address())
+        found.limit = limit
+        await self._acquire_slot(found)
         try:
-            conn = None if fresh else self._take_idle(address, request_id)
+            conn = None if fresh else self._take_idle(found, request_id)
             if conn is None:
+                await _make_room(found)
                 conn = await self._connect(address)
             try:
                 yield conn
             finally:
-                if conn.release():
-                    self._idle.setdefault(address, []).append(conn)
+                _put_back(found, conn)
         finally:
-            self._release_slot(address)
+            _release_slot(found)
 
-    async def _acquire_slot(self, address: str, limit: int) -> None:
-        """Count one more open connection, or wait until one is released."""
-        if self._open.get(address, 0) < limit:
-            self._open[address] = self._open.get(address, 0) + 1
+    async def _acquire_slot(self, found: _Address) -> None:
+        """Count one more exchange, or wait until one ends."""
+        if found.exchanges < found.limit:
+            found.exchanges += 1
             return
         waiter: asyncio.Future[None] = self._loop.create_future()
-        self._waiters.setdefault(address, collections.deque()).append(waiter)
+        found.waiters.append(waiter)
         try:
             async with asyncio.timeout(_SLOT_TIMEOUT_S):
                 await waiter
         except (TimeoutError, asyncio.CancelledError) as exc:
             if not waiter.cancelled():
                 # The slot was handed over just as the wait ended.
-                self._release_slot(address)
+                _release_slot(found)
             if isinstance(exc, TimeoutError):
                 raise exceptions.ConnectionLimitReached from exc
             raise
 
-    def _release_slot(self, address: str) -> None:
-        """Hand the slot to the longest waiter, or count one open less."""
-        waiters = self._waiters.get(address)
-        while waiters:
-            waiter = waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
-                return
-        self._waiters.pop(address, None)
-        self._open[address] -= 1
-
     def _take_idle(
-        self, address: str, request_id: bytes | None
+        self, found: _Address, request_id: bytes | None
     ) -> client.ClientConnection | None:
         """Take the connection that was used last, of those that may be."""
-        idle = self._idle.get(address, [])
         now = self._loop.time()
         kept = []
-        found = None
-        while idle and found is None:
-            conn = idle.pop()
+        taken = None
+        while found.idle and taken is None:
+            conn = found.idle.pop()
             if not conn.is_open or conn.idle_until <= now:
                 conn.abort()
             elif conn.may_send(request_id):
-                found = conn
+                taken = conn
             else:
                 kept.append(conn)
-        idle.extend(reversed(kept))
-        return found
+        found.idle.extend(reversed(kept))
+        return taken
 
     async def _connect(self, address: str) -> client.ClientConnection:
+        found = self._addresses[address]
+        conn = client.ClientConnection(
+            id_header=self._id_header, on_closed=found.open.discard
+        )
+        found.open.add(conn)
+        try:
+            await self._open(conn, address)
+        except BaseException:
+            found.open.discard(conn)
+            raise
+        return conn
+
+    async def _open(self, conn: client.ClientConnection, address: str) -> None:
         try:
             target = address_mod.split(address)
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                transport, conn = await self._loop.create_connection(
-                    lambda: client.ClientConnection(id_header=self._id_header),
-                    target.host,
-                    target.port,
+                transport, _ = await self._loop.create_connection(
+                    lambda: conn, target.host, target.port
                 )
         except TimeoutError as exc:
             raise exceptions.ExchangeError(
@@ -129,26 +155,57 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return conn
 
     def sweep(self) -> None:
         """Close idle connections that have expired."""
         now = self._loop.time()
-        for address, idle in list(self._idle.items()):
+        for address, found in list(self._addresses.items()):
             kept = []
-            for conn in idle:
+            for conn in found.idle:
                 if conn.is_open and conn.idle_until > now:
                     kept.append(conn)
                 else:
                     conn.abort()
-            if kept:
-                self._idle[address] = kept
-            else:
-                del self._idle[address]
+            found.idle = kept
+            if found.is_unused:
+                del self._addresses[address]
 
     def close(self) -> None:
         """Close all idle connections."""
-        for idle in self._idle.values():
-            for conn in idle:
+        for found in self._addresses.values():
+            for conn in found.idle:
                 conn.abort()
-        self._idle.clear()
+            found.idle.clear()
+
+
+async def _make_room(found: _Address) -> None:
+    """Close idle connections until one more may be opened.
+
+    Returns once they are closed, so that the endpoint sees that first.
+    """
+    # Each exchange opens one connection at most, also after the limit fell.
+    while len(found.open) >= max(found.limit, found.exchanges):
+        if found.idle:
+            found.idle.pop(0).abort()
+        # An aborted connection is closed in the next turn of the loop.
+        await asyncio.sleep(0)
+
+
+def _put_back(found: _Address, conn: client.ClientConnection) -> None:
+    """Keep a connection after its exchange, if it can be reused."""
+    if not conn.release():
+        return
+    if len(found.open) <= found.limit:
+        found.idle.append(conn)
+    else:
+        conn.abort()
+
+
+def _release_slot(found: _Address) -> None:
+    """Hand the slot to the longest waiter, or count one exchange less."""
+    while found.waiters and found.exchanges <= found.limit:
+        waiter = found.waiters.popleft()
+        if not waiter.done():
+            waiter.set_result(None)
+            return
+    found.exchanges -= 1
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,7 +1,9 @@
 """The connection pool when an endpoint's connection limit is reached."""
 
 import asyncio
+import contextlib
 import pathlib
+from typing import AsyncIterator
 
 import pytest
 
@@ -57,7 +59,7 @@
         tasks = [exchange(found, 0.075) for _ in range(6)]
         acquired_at = [at - began for at in await asyncio.gather(*tasks)]
         assert acquired_at == pytest.approx([0, 0, 0.075, 0.075, 0.15, 0.15])
-        assert found._open[_ADDRESS] == 0
+        assert found._addresses[_ADDRESS].exchanges == 0
 
     virtual.run(main())
 
@@ -71,7 +73,7 @@
             await exchange(found, 0.1)
         assert not caught.value.sent
         await asyncio.gather(*busy)
-        assert found._open[_ADDRESS] == 0
+        assert found._addresses[_ADDRESS].exchanges == 0
         await exchange(found, 0.1)
 
     virtual.run(main())
@@ -98,7 +100,7 @@
         late[0].cancel()
         late[0].add_done_callback(lambda _: gone.cancel())
         await asyncio.wait([*late, gone])
-        assert found._open[_ADDRESS] == 0
+        assert found._addresses[_ADDRESS].exchanges == 0
 
     virtual.run(main())
 
@@ -108,9 +110,7 @@
 ) -> None:
     """Other gateways would avoid an endpoint that has not failed."""
 
-    async def fail_to_acquire(
-        self: pool_mod.Pool, address: str, limit: int
-    ) -> None:
+    async def fail_to_acquire(self: pool_mod.Pool, found: object) -> None:
         raise exceptions.ConnectionLimitReached
 
     async def main() -> None:
@@ -125,3 +125,114 @@
             assert not here.health.failed_endpoints(here.loop_time())
 
     asyncio.run(main())
+
+
+class _Rejecting:
+    """An endpoint that rejects each request and keeps its connections."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self._open = 0
+        # The connections that were open as each request arrived.
+        self.open_counts: list[int] = []
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["_Rejecting"]:
+        listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        async with listener:
+            port = listener.sockets[0].getsockname()[1]
+            self.address = f"127.0.0.1:{port}"
+            yield self
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._open += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.open_counts.append(self._open)
+                ident = head.partition(b"X-Id: ")[2].partition(b"\r\n")[0]
+                writer.write(
+                    b"HTTP/1.1 503 -\r\nX-Id: %b\r\nContent-Length: 0\r\n"
+                    b"Keep-Alive: timeout=60\r\n\r\n" % ident
+                )
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            self._open -= 1
+            writer.close()
+
+
+async def _reject(
+    found: pool_mod.Pool, address: str, ident: bytes, *, limit: int
+) -> None:
+    """Send a request that the endpoint rejects."""
+    async with found.connection(
+        address, limit=limit, request_id=ident
+    ) as conn:
+        await conn.request(
+            head=b"GET / HTTP/1.1\r\nX-Id: %b\r\n\r\n" % ident,
+            body=b"",
+            request_id=ident,
+        )
+        await conn.read_whole(100)
+        conn.record_rejected(ident)
+
+
+@pytest.mark.parametrize("limit", [1, 4])
+def test_idle_connections_count_against_the_limit(limit: int) -> None:
+    """An endpoint resets connections beyond its limit, with their requests.
+
+    The idle ones, on which the request was rejected before, stayed open.
+    """
+
+    async def main() -> None:
+        async with _Rejecting().running() as endpoint:
+            found = pool_mod.Pool(id_header=b"x-id")
+            for _ in range(6):
+                for number in range(limit):
+                    await _reject(
+                        found, endpoint.address, b"r%d" % number, limit=limit
+                    )
+            # Several at once, each where no idle connection may carry it.
+            for _ in range(6):
+                async with asyncio.TaskGroup() as group:
+                    for number in range(limit):
+                        group.create_task(
+                            _reject(
+                                found,
+                                endpoint.address,
+                                b"r%d" % number,
+                                limit=limit,
+                            )
+                        )
+            assert len(endpoint.open_counts) == 12 * limit
+            assert max(endpoint.open_counts) <= limit
+            found.close()
+
+    asyncio.run(main())
+
+
+def test_a_lower_limit_closes_connections() -> None:
+    """The limit is shared, and falls as gateways are added."""
+
+    async def main() -> None:
+        async with _Rejecting().running() as endpoint:
+            found = pool_mod.Pool(id_header=b"x-id")
+            async with asyncio.TaskGroup() as group:
+                for number in range(6):
+                    group.create_task(
+                        _reject(
+                            found, endpoint.address, b"a%d" % number, limit=6
+                        )
+                    )
+            assert max(endpoint.open_counts) == 6
+            for number in range(6):
+                await _reject(
+                    found, endpoint.address, b"b%d" % number, limit=2
+                )
+            assert endpoint.open_counts[-1] <= 2
+            found.close()
+
+    asyncio.run(main())
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -253,7 +253,7 @@
             assert SERVICE not in running._roles._imbalance_since
             # Idle connections of past orders must be closed.
             pool = running._roles._orders._pool
-            await platform_site.until(lambda: not pool._idle)
+            await platform_site.until(lambda: not pool.open_count)
             order = ordered_endpoints[0].orders[0]
             assert order["stage"] == "decode"
             assert order["fence"] == 1
