Close connections that were opened for one exchange

What callers saw: nothing. Endpoints held up to two more connections for each coordinator that asked for reports, until they had been idle for most of the endpoint's Keep-Alive time.

Cause: coordinators open a connection for each report and order, so that no late answer to another call can be taken for the answer. The pool kept it afterwards although nothing ever used it again.

Change: a fresh connection is closed after its exchange.

Evidence: tests/test_pool.py::test_a_connection_opened_for_one_exchange_is_not_kept failed before (1, 2 and 2 open as the requests arrived) and passes (1, 1, 1).

--- a/rackpost/coordinator/role_orders.py
+++ b/rackpost/coordinator/role_orders.py
@@ -55,7 +55,7 @@
         self._pool = pool_mod.Pool(id_header=headers.REQUEST_ID)
 
     def sweep(self) -> None:
-        """Close connections that have been idle for too long."""
+        """Forget addresses without connections."""
         self._pool.sweep()
 
     async def send_order(
--- a/rackpost/http1/pool.py
+++ b/rackpost/http1/pool.py
@@ -66,9 +66,9 @@
         """Yield a connection for one exchange; kept afterwards if reusable.
 
         At most `limit` connections are open to the address.  With `fresh`,
-        a new connection is opened; `request_id` is not sent on one where it
-        was rejected.  Raises ExchangeError, with `sent` false, if no
-        connection is available.
+        a new connection is opened and closed afterwards; `request_id` is not
+        sent on one where it was rejected.  Raises ExchangeError, with `sent`
+        false, if no connection is available.
         """
         found = self._addresses.setdefault(address, _Address())
         found.limit = limit
@@ -81,7 +81,7 @@
             try:
                 yield conn
             finally:
-                _put_back(found, conn)
+                _put_back(found, conn, keeps=not fresh)
         finally:
             _release_slot(found)
 
@@ -157,7 +157,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def sweep(self) -> None:
-        """Close idle connections that have expired."""
+        """Close expired idle connections; forget addresses without any."""
         now = self._loop.time()
         for address, found in list(self._addresses.items()):
             kept = []
@@ -191,11 +191,13 @@
         await asyncio.sleep(0)
 
 
-def _put_back(found: _Address, conn: client.ClientConnection) -> None:
-    """Keep a connection after its exchange, if it can be reused."""
+def _put_back(
+    found: _Address, conn: client.ClientConnection, *, keeps: bool
+) -> None:
+    """End an exchange; with `keeps`, keep the connection if it is reusable."""
     if not conn.release():
         return
-    if len(found.open) <= found.limit:
+    if keeps and len(found.open) <= found.limit:
         found.idle.append(conn)
     else:
         conn.abort()
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -236,3 +236,25 @@
             found.close()
 
     asyncio.run(main())
+
+
+def test_a_connection_opened_for_one_exchange_is_not_kept() -> None:
+    """It takes room at the endpoint, and nothing uses it again."""
+
+    async def main() -> None:
+        async with _Rejecting().running() as endpoint:
+            found = pool_mod.Pool(id_header=b"x-id")
+            for _ in range(3):
+                async with found.connection(
+                    endpoint.address, limit=2, fresh=True
+                ) as conn:
+                    await conn.request(
+                        head=b"GET / HTTP/1.1\r\n\r\n",
+                        body=b"",
+                        request_id=None,
+                    )
+                    await conn.read_whole(100)
+            assert endpoint.open_counts == [1, 1, 1]
+            found.close()
+
+    asyncio.run(main())
