Send no id twice on one connection, whatever was answered before

What callers saw: a client that uses an id for two attempts got the first attempt's answer for the second. A stream that went on after a failure was decoded from a KV cache that was gone; with other answers it can run at one endpoint while another still works on it.

Cause: an answer is told from a late one by its id alone, and only the newest 128 rejected ids were kept from being sent again on their connection. Other answers come twice too, and a busy connection rejects more within a back-off.

Evidence: of 6 streams whose decode endpoint failed with 500, 5 were prefilled again on the connection of their first prefill (on the code before). Failing before, passing now: tests/test_repeated_answers.py, the two tests of a prompt and of a client (the handle h2 in place of h3; the answer "from b0" to the request b1), and tests/test_pool.py::test_an_id_is_not_forgotten_while_its_ connection_is_open (4 ids came twice).

Change: a connection remembers each id that it carried, refuses it a second time, and is closed after 256 requests, so that it never has to forget one. Calls without an id no longer avoid connections that carried the request's. Why not a list of kinds of answer: each kind can come twice, and a list has to be right for kinds to come.

Cost: 256 ids take 18 KB (tracemalloc); a connection is opened for each 256 requests on a busy one, and for a request that meets its endpoint again while no other connection to it is idle.

--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -47,12 +47,21 @@
 
 
 def connected(
-    call: call_mod.Call, endpoint: endpoints.Endpoint
+    call: call_mod.Call,
+    endpoint: endpoints.Endpoint,
+    *,
+    sends_id: bool = True,
 ) -> contextlib.AbstractAsyncContextManager[client.ClientConnection]:
-    """Open a connection to an endpoint; raises ExchangeError."""
+    """Open a connection to an endpoint; raises ExchangeError.
+
+    With `sends_id`, it is one that has not carried the request's id.
+    """
     call.check_version(endpoint)
     return endpoint_calls.connected(
-        call.site, call.service, endpoint, call.request_id
+        call.site,
+        call.service,
+        endpoint,
+        call.request_id if sends_id else None,
     )
 
 
@@ -295,8 +304,6 @@
     head = reply.head
     if answer_check.is_not_run(head):
         await reply.conn.read_whole(_MAX_ANSWER_BYTES)
-        if call.request_id is not None:
-            reply.conn.record_rejected(call.request_id)
         _record_not_run(call, endpoint, reply)
         return retry_decision.AttemptEnd.NOT_RUN
     why = answer_check.why_unsound(head, call.request_id)
--- a/rackpost/gateway/decode_hold.py
+++ b/rackpost/gateway/decode_hold.py
@@ -266,7 +266,9 @@
         try:
             async with (
                 asyncio.timeout(_FREE_TIMEOUT_S),
-                attempt.connected(call, self._endpoint) as conn,
+                attempt.connected(
+                    call, self._endpoint, sends_id=False
+                ) as conn,
             ):
                 await endpoint_calls.request(
                     call.site, self._endpoint, conn, grant=None, head=head
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -244,7 +244,7 @@
         call.log("KV cache not released.", why="names a rate")
         return
     try:
-        async with attempt.connected(call, endpoint) as conn:
+        async with attempt.connected(call, endpoint, sends_id=False) as conn:
             await endpoint_calls.request(
                 call.site, endpoint, conn, grant=None, head=head
             )
@@ -454,8 +454,6 @@
     async with attempt.connected(call, endpoint) as conn:
         reply = await attempt.send(call, endpoint, conn, extra_headers)
         body = await conn.read_whole(_MAX_RESULT_BYTES)
-        if call.request_id is not None and answer_check.is_not_run(reply.head):
-            conn.record_rejected(call.request_id)
     if answer_check.is_not_run(reply.head) or reply.head.status != 200:
         attempt.record_replaced(call, endpoint, reply.head)
         if reply.head.status == 503:
--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -1,7 +1,8 @@
 """An HTTP/1.1 client connection that carries one request at a time.
 
-Endpoints echo the request id: an answer with another id is skipped.  A
-connection that receives unsolicited bytes is not reused.
+Endpoints echo the request id: an answer with another id is skipped.  An
+endpoint may send an answer a second time, late, so that no id is sent twice
+on one connection.  A connection that receives unsolicited bytes is not reused.
 """
 
 import asyncio
@@ -18,8 +19,8 @@
 
 # Reading pauses while more of an answer than this is unread.
 _MAX_BUFFERED_BYTES = 256 << 10
-# Ids of rejected requests that are remembered, the newest.
-_MAX_REJECTED = 128
+# Requests after which a connection is closed; bounds the ids it remembers.
+MAX_REQUESTS = 256
 # Idle time of a connection whose endpoint sends no Keep-Alive timeout.
 _DEFAULT_IDLE_S = 0.8
 # Fraction of a Keep-Alive timeout that is used, so that this side closes
@@ -62,9 +63,8 @@
         self.opened_at = self._loop.time()
         # When bytes arrived last.
         self.received_at = self.opened_at
-        self._rejected: collections.deque[bytes] = collections.deque(
-            maxlen=_MAX_REJECTED
-        )
+        # Hashes of the ids that were sent: ids may be as long as a header.
+        self._sent_ids: set[int] = set()
         self.idle_until = 0.0
         self.requests = 0
         self._start_exchange(None, False)
@@ -98,16 +98,9 @@
         """Whether a request can be sent on this connection."""
         return self._open and self._reusable and not self._busy
 
-    def record_rejected(self, request_id: bytes) -> None:
-        """Record that a request was not run, and may be sent again."""
-        self._rejected.append(request_id)
-
     def may_send(self, request_id: bytes | None) -> bool:
-        """Whether a request's answer could be told from an earlier one.
-
-        An answer that comes a second time is known by the request's id.
-        """
-        return request_id is None or request_id not in self._rejected
+        """Whether a request's answer could be told from earlier ones."""
+        return request_id is None or hash(request_id) not in self._sent_ids
 
     async def request(
         self,
@@ -123,6 +116,12 @@
         """
         if not self.is_open or self._transport is None:
             raise exceptions.ExchangeError("closed before use", sent=False)
+        if not self.may_send(request_id):
+            raise exceptions.ExchangeError(
+                "its id was sent before", sent=False
+            )
+        if request_id is not None:
+            self._sent_ids.add(hash(request_id))
         self._start_exchange(request_id, is_head)
         self._busy = True
         self.requests += 1
@@ -173,6 +172,8 @@
     def _can_reuse(self) -> bool:
         if not self._open or not self._reusable or self._transport is None:
             return False
+        if self.requests >= MAX_REQUESTS:
+            return False
         # An endpoint may answer before it has read the whole request.
         return self._transport.get_write_buffer_size() == 0
 
--- a/rackpost/http1/pool.py
+++ b/rackpost/http1/pool.py
@@ -66,8 +66,8 @@
         """Yield a connection for one exchange; kept afterwards if reusable.
 
         At most `limit` connections are open to the address.  With `fresh`,
-        a new connection is opened and closed afterwards; `request_id` is not
-        sent on one where it was rejected.  Raises ExchangeError, with `sent`
+        a new connection is opened and closed afterwards.  The connection has
+        not carried `request_id` before.  Raises ExchangeError, with `sent`
         false, if no connection is available.
         """
         found = self._addresses.setdefault(address, _Address())
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -8,6 +8,7 @@
 import pytest
 
 from rackpost import exceptions
+from rackpost.http1 import client
 from rackpost.http1 import pool as pool_mod
 from rackpost.testing import virtual
 from tests import platform_site
@@ -135,6 +136,8 @@
         self._open = 0
         # The connections that were open as each request arrived.
         self.open_counts: list[int] = []
+        # The ids that arrived on each connection.
+        self.arrivals: list[list[bytes]] = []
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["_Rejecting"]:
@@ -148,11 +151,14 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._open += 1
+        arrived: list[bytes] = []
+        self.arrivals.append(arrived)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.open_counts.append(self._open)
                 ident = head.partition(b"X-Id: ")[2].partition(b"\r\n")[0]
+                arrived.append(ident)
                 writer.write(
                     b"HTTP/1.1 503 -\r\nX-Id: %b\r\nContent-Length: 0\r\n"
                     b"Keep-Alive: timeout=60\r\n\r\n" % ident
@@ -177,7 +183,6 @@
             request_id=ident,
         )
         await conn.read_whole(100)
-        conn.record_rejected(ident)
 
 
 @pytest.mark.parametrize("limit", [1, 4])
@@ -258,3 +263,31 @@
             found.close()
 
     asyncio.run(main())
+
+
+def test_an_id_is_not_forgotten_while_its_connection_is_open() -> None:
+    """Only the newest 128 were, of a busy connection's rejected requests."""
+
+    async def main() -> None:
+        async with _Rejecting().running() as endpoint:
+            found = pool_mod.Pool(id_header=b"x-id")
+            count = 2 * client.MAX_REQUESTS + 10
+            for gap in (0, 1, 130, 200, client.MAX_REQUESTS, count - 1):
+                # The request returns after `gap` others.
+                for number in [*range(gap + 1), 0]:
+                    await _reject(
+                        found,
+                        endpoint.address,
+                        b"%d-%d" % (gap, number),
+                        limit=1,
+                    )
+            for arrived in endpoint.arrivals:
+                assert len(set(arrived)) == len(arrived)
+                assert len(arrived) <= client.MAX_REQUESTS
+            assert max(endpoint.open_counts) == 1
+            # Connections carry many requests all the same.
+            requests = len(endpoint.open_counts)
+            assert found.opened <= requests / client.MAX_REQUESTS + 7
+            found.close()
+
+    asyncio.run(main())
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import pathlib
 
 from rackpost.http1 import message
@@ -94,3 +95,119 @@
         await endpoint.default_answer(req, responder)
 
     return answer
+
+
+class _Repeating:
+    """Endpoints that send each answer again before the next to its id.
+
+    The first answer comes once more where the request's id arrives again on
+    the same connection.
+    """
+
+    def __init__(self, *, site: platform_site.Site) -> None:
+        self._heads: dict[tuple[int, bytes], bytes] = {}
+        # How often each id arrived on each connection.
+        self.arrivals: collections.Counter[tuple[int, bytes]] = (
+            collections.Counter()
+        )
+        for endpoint in site.endpoints:
+            endpoint.answer = self._answer_of(endpoint, endpoint.answer)
+
+    def _answer_of(
+        self, endpoint: platform_site.Endpoint, answer: platform_site.Answer
+    ) -> platform_site.Answer:
+        async def repeat(
+            req: message.Request, responder: server.Responder
+        ) -> None:
+            ident = message.find(req.headers, b"x-request-id")
+            if ident is None:
+                responder.send(200, [], b"")
+                return
+            conn = responder._conn
+            key = (id(conn), ident)
+            self.arrivals[key] += 1
+            if key in self._heads:
+                conn.write(self._heads[key])
+                await answer(req, responder)
+                return
+            written: list[bytes] = []
+            write = conn.write
+
+            def record(data: bytes) -> None:
+                written.append(data)
+                write(data)
+
+            conn.write = record  # type: ignore[method-assign]
+            try:
+                await answer(req, responder)
+            finally:
+                conn.write = write  # type: ignore[method-assign]
+            self._heads[key] = b"".join(written)
+
+        return repeat
+
+
+async def _fail(req: message.Request, responder: server.Responder) -> None:
+    responder.send(500, platform_site.vouching_headers(req), b"")
+
+
+def test_a_prompt_is_not_prefilled_twice_on_one_connection(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The first prefill's late answer was taken for the second one's.
+
+    Its KV cache is gone by then, and the true answer came to nobody.
+    """
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            handles: list[bytes] = []
+
+            async def prefill(
+                req: message.Request, responder: server.Responder
+            ) -> None:
+                handles.append(b"h%d" % len(handles))
+                responder.send(
+                    200,
+                    platform_site.vouching_headers(req),
+                    b'{"kvHandle":"%b","tokens":10,"version":1}' % handles[-1],
+                )
+
+            site.prefill.answer = prefill
+            # The stream goes on elsewhere, for which it is prefilled anew.
+            site.decode[0].answer = _fail
+            repeating = _Repeating(site=site)
+            for number in range(_REQUESTS):
+                got = await site.raw(
+                    test_gateway.generation("/res/x", f"r{number}")
+                )
+                assert test_gateway.status(got) == 200
+                (ran,) = [
+                    message.find(req.headers, b"x-kv-source") or b""
+                    for req in site.decode[1].requests
+                    if message.find(req.headers, b"x-request-id")
+                    == b"r%d" % number
+                ]
+                assert ran.endswith(b"/" + handles[-1])
+            assert len(handles) > _REQUESTS
+            assert set(repeating.arrivals.values()) == {1}
+
+    asyncio.run(main())
+
+
+def test_a_client_that_uses_an_id_twice_gets_each_answer(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The first attempt's late answer was taken for the second one's."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            repeating = _Repeating(site=site)
+            for number in range(_REQUESTS):
+                body = b"b%d" % number
+                got = await site.raw(test_gateway.request("/unsafe/x", body))
+                assert test_gateway.status(got) == 200
+                assert got.endswith(b"from " + body)
+            assert set(repeating.arrivals.values()) == {1}
+
+    asyncio.run(main())
