Skip answers that do not echo the request's id

What callers saw: unsafe requests that ran at two endpoints; a 500 or 404 that was not the answer to their request; a 502 while an endpoint worked on it.

Cause: the connection took an answer without `X-Request-Id` for the request's, and a rejection was believed before anything else was checked.

Change: a request with an id is answered by an answer with this id alone; another is skipped, whatever it says, and the connection waits for the next. PROTOCOL.md: "In their answers, replicas echo back X-Request-Id. Where the next answer is due, one answer too many may arrive late; the id shows which is which." So a rejection without the id proves nothing: the request is neither sent elsewhere nor refused as not run, and ends with 504 if nothing follows. `without an id` as the reason of a broken attempt can't occur any more.

Weighed: ending the attempt as broken. That is as safe, and fails unsafe requests whose answer follows. Believing the first answer on a new connection, on which nothing else can be answered: it needs a reason to trust an endpoint that breaks the protocol, and saves time only there.

Evidence: of tests/test_repeated_answers.py, eleven cases with a rejection, 421, 500, 404 or 200 without the id failed before and pass.

The stand-in of the tests, tests/platform_site.py, now echoes the id in each answer, as the protocol has it; tests of answers without it write them raw.

--- a/rackpost/gateway/answer_check.py
+++ b/rackpost/gateway/answer_check.py
@@ -1,4 +1,7 @@
-"""Checks of the head of an endpoint's answer."""
+"""Checks of the head of an endpoint's answer.
+
+The connection has passed it on only if it echoes the request's id.
+"""
 
 from rackpost.http1 import message
 from rackpost.platform import headers
@@ -21,20 +24,14 @@
     return head.status == 200 and kind.startswith(b"text/event-stream")
 
 
-def why_unsound(head: message.Head, request_id: bytes | None) -> str:
-    """Return why an answer may not be passed on; "" if it may.
-
-    `request_id` is the request's id, None if it has none.
-    """
+def why_unsound(head: message.Head) -> str:
+    """Return why an answer may not be passed on; "" if it may."""
     found = head.headers
     if head.status < 300:
         if message.find(found, headers.SIGNATURE) is None:
             return "not signed"
         if message.find(found, b"content-encoding") is not None:
             return "encoded"
-        echoed = message.find(found, headers.REQUEST_ID)
-        if request_id is not None and echoed is None:
-            return "without an id"
     elif head.status in _PROMISES:
         return f"a {head.status} that promises nothing"
     return ""
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -306,7 +306,7 @@
         await reply.conn.read_whole(_MAX_ANSWER_BYTES)
         _record_not_run(call, endpoint, reply)
         return retry_decision.AttemptEnd.NOT_RUN
-    why = answer_check.why_unsound(head, call.request_id)
+    why = answer_check.why_unsound(head)
     if why:
         raise exceptions.ExchangeError(why)
     if answer_check.is_stream(head):
--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -1,8 +1,9 @@
 """An HTTP/1.1 client connection that carries one request at a time.
 
-Endpoints echo the request id: an answer with another id is skipped.  An
-endpoint may send an answer a second time, late, so that no id is sent twice
-on one connection.  A connection that receives unsolicited bytes is not reused.
+Endpoints echo the request id: an answer with another id, or with none, is
+skipped.  An endpoint may send an answer a second time, late, so that no id is
+sent twice on one connection.  A connection that receives unsolicited bytes is
+not reused.
 """
 
 import asyncio
@@ -32,6 +33,7 @@
     """Why an answer was skipped."""
 
     OTHER_ID = "other-id"
+    NO_ID = "no-id"
 
 
 class SkippedAnswer(NamedTuple):
@@ -261,20 +263,25 @@
         if self._done:
             return
         status = self._parser.get_status_code()
-        echoed = message.find(self._headers, self._id_header)
-        mismatch = echoed is not None and echoed != self._request_id
-        if self._request_id is not None and mismatch:
-            self._skip_answer(SkipReason.OTHER_ID, status)
-            return
         if status < 200:
             self._skip = True
             return
+        reason = self._skip_reason()
+        if reason is not None:
+            self._skip = True
+            self.skipped.append(SkippedAnswer(reason, status))
+            return
         self._skip = False
         self._accept_head(status)
 
-    def _skip_answer(self, reason: SkipReason, status: int) -> None:
-        self._skip = True
-        self.skipped.append(SkippedAnswer(reason, status))
+    def _skip_reason(self) -> SkipReason | None:
+        """Return why the answer is not the request's; None if it is."""
+        if self._request_id is None:
+            return None
+        echoed = message.find(self._headers, self._id_header)
+        if echoed is None:
+            return SkipReason.NO_ID
+        return None if echoed == self._request_id else SkipReason.OTHER_ID
 
     def _accept_head(self, status: int) -> None:
         headers = self._headers
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -155,6 +155,19 @@
 Answer = Callable[[message.Request, server.Responder], Awaitable[None]]
 
 
+def _echo_id(req: message.Request, responder: server.Responder) -> None:
+    """Let each answer echo the request's id, as all endpoints do."""
+    ident = message.find(req.headers, b"x-request-id")
+    head = responder._head
+
+    def echo(status: int, lines: list[message.Header]) -> bytes:
+        if ident and message.find(lines, b"x-request-id") is None:
+            lines = [*lines, (b"x-request-id", ident)]
+        return head(status, lines)
+
+    responder._head = echo  # type: ignore[method-assign]
+
+
 def vouching_headers(req: message.Request) -> list[message.Header]:
     """Headers that an endpoint must set on each answer it vouches for."""
     ident = message.find(req.headers, b"x-request-id") or b""
@@ -222,6 +235,7 @@
     ) -> None:
         is_hold = req.path.startswith(b"/v1/hold-")
         (self.hold_calls if is_hold else self.requests).append(req)
+        _echo_id(req, responder)
         expected = message.find(req.headers, b"x-expect-instance")
         if expected not in (None, self.ident.encode()):
             responder.send(421, [], b"")
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -8,6 +8,8 @@
 import collections
 import pathlib
 
+import pytest
+
 from rackpost.http1 import message
 from rackpost.http1 import server
 from tests import platform_site
@@ -211,3 +213,80 @@
             assert set(repeating.arrivals.values()) == {1}
 
     asyncio.run(main())
+
+
+# Answers without an id, as of calls that carry none.
+_WITHOUT_ID = {
+    "rejected": b"HTTP/1.1 503 -\r\nX-Not-Executed: 1\r\nRetry-After: 0.1\r\n",
+    "replaced": b"HTTP/1.1 421 -\r\n",
+    "failed": b"HTTP/1.1 500 -\r\nX-Response-Seal: seal\r\n",
+    "unknown": b"HTTP/1.1 404 -\r\nX-Response-Seal: seal\r\n",
+    "served": b"HTTP/1.1 200 -\r\nX-Response-Seal: seal\r\n",
+}
+_EMPTY = b"Content-Length: 0\r\n\r\n"
+
+
+def _after_one_without_id(
+    endpoint: platform_site.Endpoint, late: bytes, runs: list[bytes]
+) -> platform_site.Answer:
+    """Return the default answer, behind one without an id."""
+
+    async def answer(
+        req: message.Request, responder: server.Responder
+    ) -> None:
+        runs.append(message.find(req.headers, b"x-request-id") or b"")
+        responder._conn.write(late + _EMPTY)
+        await endpoint.default_answer(req, responder)
+
+    return answer
+
+
+@pytest.mark.parametrize("kind", list(_WITHOUT_ID))
+@pytest.mark.parametrize("path", ["/unsafe/x", "/gen/x"])
+def test_an_answer_without_the_id_is_not_the_requests(
+    tmp_path: pathlib.Path, path: str, kind: str
+) -> None:
+    """A late rejection without an id let unsafe requests run twice."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            runs: list[bytes] = []
+            for endpoint in [*site.plain, *site.decode]:
+                endpoint.answer = _after_one_without_id(
+                    endpoint, _WITHOUT_ID[kind], runs
+                )
+            for number in range(_REQUESTS):
+                got = await site.raw(
+                    test_gateway.request(path, b"b", f"r{number}")
+                )
+                assert test_gateway.status(got) == 200
+            assert sorted(runs) == sorted(set(runs))
+            counts = site.gateway.site.metrics.totals("skipped_answers")
+            assert counts == {"no-id": _REQUESTS}
+
+    asyncio.run(main())
+
+
+def test_a_rejection_without_the_id_proves_nothing(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The request may still run, so that it is neither resent nor refused."""
+
+    async def reject(
+        req: message.Request, responder: server.Responder
+    ) -> None:
+        responder._conn.write(_WITHOUT_ID["rejected"] + _EMPTY)
+        await asyncio.Event().wait()
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            test_gateway.all_answer(site, reject)
+            got = await site.raw(
+                b"POST /unsafe/x HTTP/1.1\r\nHost: site.example\r\n"
+                b"X-Request-Id: r1\r\nX-Deadline-Ms: 300\r\n"
+                b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+            )
+            assert test_gateway.status(got) == 504
+            assert sum(len(one.requests) for one in site.plain) == 1
+
+    asyncio.run(main())
