Skip late answers to earlier requests where a call has no id

What callers saw: capacity at a decode endpoint was taken as refused or as failed, and generations waited for another endpoint.

Cause: calls of the gateway that carry no id (to set capacity aside, to free it or a KV cache) share connections with requests. Where such a call's answer is due, a late answer to an earlier request was taken for it; its id was not looked at.

Change: an answer with an id that the connection has carried is skipped. One with an id that the endpoint made up is the call's.

Evidence: tests/test_http1_client.py::test_a_call_without_an_id_skips_answers_ to_earlier_requests failed before (the late answer's empty body) and passes.

Open: a late answer to one call without an id, where the answer to another such call is due, can't be told from it.

--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -276,9 +276,11 @@
 
     def _skip_reason(self) -> SkipReason | None:
         """Return why the answer is not the request's; None if it is."""
-        if self._request_id is None:
-            return None
         echoed = message.find(self._headers, self._id_header)
+        if self._request_id is None:
+            # An endpoint may make an id up for a call without one.
+            is_earlier = not self.may_send(echoed)
+            return SkipReason.OTHER_ID if is_earlier else None
         if echoed is None:
             return SkipReason.NO_ID
         return None if echoed == self._request_id else SkipReason.OTHER_ID
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from rackpost.http1 import client
 from rackpost.http1 import message
 from rackpost.http1 import pool as pool_mod
@@ -42,3 +44,47 @@
             pool.close()
 
     asyncio.run(main())
+
+
+_CALL = b"GET / HTTP/1.1\r\n\r\n"
+_OWN_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+
+
+@pytest.mark.parametrize(
+    "before, expected",
+    [
+        (b"HTTP/1.1 503 -\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n", b"own"),
+        # An endpoint that makes an id up for a call without one.
+        (b"HTTP/1.1 200 -\r\nX-Id: e7\r\nContent-Length: 2\r\n\r\nok", b"ok"),
+    ],
+)
+def test_a_call_without_an_id_skips_answers_to_earlier_requests(
+    before: bytes, expected: bytes
+) -> None:
+    """A late answer to a request was taken for that of the next call."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 200 -\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n"
+        )
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(before + _OWN_ANSWER)
+
+    async def main() -> None:
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        pool = pool_mod.Pool(id_header=b"x-id")
+        address = f"127.0.0.1:{port}"
+        async with listener:
+            async with pool.connection(address, limit=1) as conn:
+                await conn.request(head=_CALL, body=b"", request_id=b"r1")
+                assert await conn.read_whole(100) == b""
+            async with pool.connection(address, limit=1) as conn:
+                await conn.request(head=_CALL, body=b"", request_id=None)
+                assert await conn.read_whole(100) == expected
+            pool.close()
+
+    asyncio.run(main())
