Keep no connection with unread bytes of an answer

What callers saw: a request that waits until its deadline, on the connection of an earlier one whose answer was too long to be read.

Cause: reading pauses while more than 256 KiB of an answer are unread. An answer that had arrived whole, and was given up as too long, left its connection paused in the pool, so that the next answer was never read. The review saw it by reading.

Change: a connection is kept only if all of its answer has been read.

Evidence: tests/test_http1_client.py::test_a_connection_with_unread_bytes_is_ not_kept failed before (kept) and passes. The four cases of late answers in one segment with the next one, new in the same file, held before and hold: a late answer is no part of the one behind or before it; between the head and the chunks of another it breaks that one off. Between a head with a length and its body it can't be told from the body.

--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -174,7 +174,8 @@
     def _can_reuse(self) -> bool:
         if not self._open or not self._reusable or self._transport is None:
             return False
-        if self.requests >= MAX_REQUESTS:
+        # Reading may be paused while bytes are unread.
+        if self._chunks or self.requests >= MAX_REQUESTS:
             return False
         # An endpoint may answer before it has read the whole request.
         return self._transport.get_write_buffer_size() == 0
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -1,9 +1,11 @@
 """How a client connection reads an endpoint's answer."""
 
 import asyncio
+import contextlib
 
 import pytest
 
+from rackpost import exceptions
 from rackpost.http1 import client
 from rackpost.http1 import message
 from rackpost.http1 import pool as pool_mod
@@ -88,3 +90,73 @@
             pool.close()
 
     asyncio.run(main())
+
+
+async def _exchange_whole(
+    sent: list[bytes], *, limit: int = 1 << 20, waits: bool = False
+) -> tuple[bytes | None, bool]:
+    """Let an endpoint send `sent` for one request with the id r1.
+
+    Returns the body, None if there was no whole answer of up to `limit`
+    bytes, and whether the connection was kept.  With `waits`, the body is
+    read once it has arrived whole.
+    """
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        for item in sent:
+            writer.write(item)
+            await writer.drain()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    pool = pool_mod.Pool(id_header=b"x-id")
+    body = None
+    async with listener:
+        with contextlib.suppress(exceptions.ExchangeError):
+            async with pool.connection(f"127.0.0.1:{port}", limit=1) as conn:
+                await conn.request(head=_CALL, body=b"", request_id=b"r1")
+                while waits and not conn._done:
+                    await asyncio.sleep(0)
+                body = await conn.read_whole(limit)
+        kept = conn.is_open
+        pool.close()
+    return body, kept
+
+
+_LATE = b"HTTP/1.1 503 -\r\nX-Id: r0\r\nContent-Length: 4\r\n\r\nlate"
+_OWN_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+_OWN_BODY = b"3\r\nown\r\n0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "sent, body, kept",
+    [
+        ([_LATE + _OWN_HEAD + _OWN_BODY], b"own", True),
+        ([_LATE[:9], _LATE[9:] + _OWN_HEAD, _OWN_BODY], b"own", True),
+        ([_OWN_HEAD + _OWN_BODY + _LATE], b"own", False),
+        ([_OWN_HEAD + _LATE + _OWN_BODY], None, False),
+    ],
+    ids=["before", "in parts", "behind", "between head and body"],
+)
+def test_a_late_answer_in_the_same_segment_is_no_part_of_the_answer(
+    sent: list[bytes], body: bytes | None, kept: bool
+) -> None:
+    """Another request's bytes would be passed on as the answer."""
+    assert asyncio.run(_exchange_whole(sent)) == (body, kept)
+
+
+def test_a_connection_with_unread_bytes_is_not_kept() -> None:
+    """Its reading stayed paused, so that the next answer never arrived."""
+    size = 300_000
+    answer = (
+        b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: %d\r\n\r\n" % size
+    )
+    found = asyncio.run(
+        _exchange_whole([answer + b"x" * size], limit=1000, waits=True)
+    )
+    assert found == (None, False)
