Open a connection for each call of an agent to its endpoint

What callers saw: another caller's answer, where an endpoint behind an agent sends one answer twice; from then on each caller got that of the caller before.

Cause: the agent's HTTP client reuses connections, and a second copy that arrives between two calls is kept and taken for the next call's answer. Engines with the OpenAI API need not echo the request's id, so that nothing else tells the two apart.

Change: each call has a connection of its own, closed afterwards. On a new connection no earlier answer can arrive.

Weighed: checking an echoed id, where there is one. It fails the calls that it catches and catches none where engines echo nothing.

--- a/rackpost/agent/engine_http.py
+++ b/rackpost/agent/engine_http.py
@@ -124,7 +124,9 @@
             timeout=aiohttp.ClientTimeout(
                 total=_TOTAL_S, sock_connect=_CONNECT_S
             ),
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            # Without an id that endpoints echo, a late answer can only be told
+            # by its connection.
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
             auto_decompress=False,
         )
 
