Keep counts of skipped answers in place of a list

What callers saw: nothing. An endpoint that sends answers without end while one is due made the gateway's memory grow until the request's deadline.

Cause: kept an entry for each skipped answer, where a number had stood.

Change: a count by reason and the last status; the line has both.

Evidence: tests/test_repeated_answers.py, test_http1_client.py and test_pool.py pass; what is sent and believed is as before.

--- a/rackpost/gateway/endpoint_calls.py
+++ b/rackpost/gateway/endpoint_calls.py
@@ -104,9 +104,10 @@
     request_id: bytes | None,
 ) -> None:
     """Count and log the answers that arrived in place of the request's."""
-    for skipped in conn.skipped:
-        site.metrics.count("skipped_answers", skipped.reason, endpoint.service)
-    last = conn.skipped[-1]
+    for reason, count in conn.skipped.items():
+        site.metrics.count(
+            "skipped_answers", reason, endpoint.service, by=count
+        )
     logs.say(
         logs.Part.GATEWAY,
         "Skipped an answer.",
@@ -115,7 +116,6 @@
         born=endpoint.born,
         connection=conn.local_port,
         number=conn.requests,
-        reason=last.reason.value,
-        status=last.status,
-        count=len(conn.skipped),
+        counts={reason.value: n for reason, n in conn.skipped.items()},
+        status=conn.skipped_status,
     )
--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -11,7 +11,6 @@
 import enum
 from typing import Callable
 from typing import cast
-from typing import NamedTuple
 
 import httptools
 
@@ -36,13 +35,6 @@
     NO_ID = "no-id"
 
 
-class SkippedAnswer(NamedTuple):
-    """An answer that arrived in place of the request's own."""
-
-    reason: SkipReason
-    status: int
-
-
 class ClientConnection(asyncio.Protocol):
     """A connection to an endpoint, used by one request at a time."""
 
@@ -78,8 +70,9 @@
         self._has_headers = False
         self._head: message.Head | None = None
         self._skip = False
-        # Answers skipped in the present exchange.
-        self.skipped: list[SkippedAnswer] = []
+        # Answers skipped in the present exchange, and the last one's status.
+        self.skipped: collections.Counter[SkipReason] = collections.Counter()
+        self.skipped_status = 0
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._done = False
@@ -270,7 +263,8 @@
         reason = self._skip_reason()
         if reason is not None:
             self._skip = True
-            self.skipped.append(SkippedAnswer(reason, status))
+            self.skipped[reason] += 1
+            self.skipped_status = status
             return
         self._skip = False
         self._accept_head(status)
