--- a/tests/endpoint_soak.py
+++ b/tests/endpoint_soak.py
@@ -53,9 +53,19 @@
     def report(self) -> str:
         """Return a summary of the run."""
 
-    @abc.abstractmethod
     async def restart(self, group: asyncio.TaskGroup, number: int) -> None:
         """Restart a gateway or the coordinator."""
+        await self.stop_and_start(number, 0.0)
+
+    @classmethod
+    async def play(
+        cls, root: pathlib.Path, seed: int, seconds: float
+    ) -> "Soak":
+        """Run a site under one seed for some seconds."""
+        async with crashing_site.site(root) as site:
+            soak = cls(site=site, seed=seed)
+            await soak.run(seconds)
+            return soak
 
     def started(self, number: int) -> None:
         """Prepare a gateway that has started."""
--- a/tests/test_backoff_soak.py
+++ b/tests/test_backoff_soak.py
@@ -194,27 +194,15 @@
             f"{self._arrivals.worst} unwanted {violations}"
         )
 
-    async def restart(self, group: asyncio.TaskGroup, number: int) -> None:
-        await self.stop_and_start(number, 0.0)
-
-
-async def _play(
-    root: pathlib.Path, seed: int, seconds: float
-) -> endpoint_soak.Soak:
-    async with crashing_site.site(root) as site:
-        soak = _Soak(site=site, seed=seed)
-        await soak.run(seconds)
-        return soak
-
 
 @pytest.mark.parametrize("seed", [1])
 def test_endpoints_get_no_requests_while_they_accept_none(
     tmp_path: pathlib.Path, seed: int
 ) -> None:
-    asyncio.run(_play(tmp_path, seed, _SECONDS_IN_CI))
+    asyncio.run(_Soak.play(tmp_path, seed, _SECONDS_IN_CI))
 
 
 if __name__ == "__main__":
     endpoint_soak.play_by_hand(
-        _play, int(sys.argv[1]), int(sys.argv[2]), _SECONDS
+        _Soak.play, int(sys.argv[1]), int(sys.argv[2]), _SECONDS
     )
--- a/tests/test_rate_soak.py
+++ b/tests/test_rate_soak.py
@@ -167,23 +167,14 @@
         group.create_task(self.stop_and_start(number, down_s))
 
 
-async def _play(
-    root: pathlib.Path, seed: int, seconds: float
-) -> endpoint_soak.Soak:
-    async with crashing_site.site(root) as site:
-        soak = _Soak(site=site, seed=seed)
-        await soak.run(seconds)
-        return soak
-
-
 @pytest.mark.parametrize("seed", [3])
 def test_no_endpoint_gets_more_requests_than_its_rate(
     tmp_path: pathlib.Path, seed: int
 ) -> None:
-    asyncio.run(_play(tmp_path, seed, _SECONDS_IN_CI))
+    asyncio.run(_Soak.play(tmp_path, seed, _SECONDS_IN_CI))
 
 
 if __name__ == "__main__":
     endpoint_soak.play_by_hand(
-        _play, int(sys.argv[1]), int(sys.argv[2]), _SECONDS
+        _Soak.play, int(sys.argv[1]), int(sys.argv[2]), _SECONDS
     )
