Name the state of an address in the connection pool

Cause: the state of one address was called found throughout, and a method of the pool, a set of the state and a flag of the connection were all called open.

Change: renames alone: _AddressState, state, _establish.

--- a/rackpost/http1/pool.py
+++ b/rackpost/http1/pool.py
@@ -18,7 +18,7 @@
 _SLOT_TIMEOUT_S = 0.25
 
 
-class _Address:
+class _AddressState:
     """The connections to one address."""
 
     def __init__(self) -> None:
@@ -36,7 +36,7 @@
 
     @property
     def is_unused(self) -> bool:
-        """Whether nothing is known of the address but its limit."""
+        """Whether there is nothing to keep but the limit."""
         return not (self.exchanges or self.open or self.waiters)
 
 
@@ -46,13 +46,13 @@
     def __init__(self, *, id_header: bytes) -> None:
         self._loop = asyncio.get_running_loop()
         self._id_header = id_header
-        self._addresses: dict[str, _Address] = {}
+        self._addresses: dict[str, _AddressState] = {}
         self.opened = 0
 
     @property
     def open_count(self) -> int:
         """Connections that are open or being opened, to all addresses."""
-        return sum(len(found.open) for found in self._addresses.values())
+        return sum(len(state.open) for state in self._addresses.values())
 
     @contextlib.asynccontextmanager
     async def connection(
@@ -70,71 +70,73 @@
         not carried `request_id` before.  Raises ExchangeError, with `sent`
         false, if no connection is available.
         """
-        found = self._addresses.setdefault(address, _Address())
-        found.limit = limit
-        await self._acquire_slot(found)
+        state = self._addresses.setdefault(address, _AddressState())
+        state.limit = limit
+        await self._acquire_slot(state)
         try:
-            conn = None if fresh else self._take_idle(found, request_id)
+            conn = None if fresh else self._take_idle(state, request_id)
             if conn is None:
-                await _make_room(found)
+                await _make_room(state)
                 conn = await self._connect(address)
             try:
                 yield conn
             finally:
-                _put_back(found, conn, keeps=not fresh)
+                _put_back(state, conn, keeps=not fresh)
         finally:
-            _release_slot(found)
+            _release_slot(state)
 
-    async def _acquire_slot(self, found: _Address) -> None:
+    async def _acquire_slot(self, state: _AddressState) -> None:
         """Count one more exchange, or wait until one ends."""
-        if found.exchanges < found.limit:
-            found.exchanges += 1
+        if state.exchanges < state.limit:
+            state.exchanges += 1
             return
         waiter: asyncio.Future[None] = self._loop.create_future()
-        found.waiters.append(waiter)
+        state.waiters.append(waiter)
         try:
             async with asyncio.timeout(_SLOT_TIMEOUT_S):
                 await waiter
         except (TimeoutError, asyncio.CancelledError) as exc:
             if not waiter.cancelled():
                 # The slot was handed over just as the wait ended.
-                _release_slot(found)
+                _release_slot(state)
             if isinstance(exc, TimeoutError):
                 raise exceptions.ConnectionLimitReached from exc
             raise
 
     def _take_idle(
-        self, found: _Address, request_id: bytes | None
+        self, state: _AddressState, request_id: bytes | None
     ) -> client.ClientConnection | None:
         """Take the connection that was used last, of those that may be."""
         now = self._loop.time()
         kept = []
         taken = None
-        while found.idle and taken is None:
-            conn = found.idle.pop()
+        while state.idle and taken is None:
+            conn = state.idle.pop()
             if not conn.is_open or conn.idle_until <= now:
                 conn.abort()
             elif conn.may_send(request_id):
                 taken = conn
             else:
                 kept.append(conn)
-        found.idle.extend(reversed(kept))
+        state.idle.extend(reversed(kept))
         return taken
 
     async def _connect(self, address: str) -> client.ClientConnection:
-        found = self._addresses[address]
+        state = self._addresses[address]
         conn = client.ClientConnection(
-            id_header=self._id_header, on_closed=found.open.discard
+            id_header=self._id_header, on_closed=state.open.discard
         )
-        found.open.add(conn)
+        state.open.add(conn)
         try:
-            await self._open(conn, address)
+            await self._establish(conn, address)
         except BaseException:
-            found.open.discard(conn)
+            state.open.discard(conn)
             raise
         return conn
 
-    async def _open(self, conn: client.ClientConnection, address: str) -> None:
+    async def _establish(
+        self, conn: client.ClientConnection, address: str
+    ) -> None:
         try:
             target = address_mod.split(address)
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
@@ -159,55 +161,55 @@
     def sweep(self) -> None:
         """Close expired idle connections; forget addresses without any."""
         now = self._loop.time()
-        for address, found in list(self._addresses.items()):
+        for address, state in list(self._addresses.items()):
             kept = []
-            for conn in found.idle:
+            for conn in state.idle:
                 if conn.is_open and conn.idle_until > now:
                     kept.append(conn)
                 else:
                     conn.abort()
-            found.idle = kept
-            if found.is_unused:
+            state.idle = kept
+            if state.is_unused:
                 del self._addresses[address]
 
     def close(self) -> None:
         """Close all idle connections."""
-        for found in self._addresses.values():
-            for conn in found.idle:
+        for state in self._addresses.values():
+            for conn in state.idle:
                 conn.abort()
-            found.idle.clear()
+            state.idle.clear()
 
 
-async def _make_room(found: _Address) -> None:
+async def _make_room(state: _AddressState) -> None:
     """Close idle connections until one more may be opened.
 
     Returns once they are closed, so that the endpoint sees that first.
     """
     # Each exchange opens one connection at most, also after the limit fell.
-    while len(found.open) >= max(found.limit, found.exchanges):
-        if found.idle:
-            found.idle.pop(0).abort()
+    while len(state.open) >= max(state.limit, state.exchanges):
+        if state.idle:
+            state.idle.pop(0).abort()
         # An aborted connection is closed in the next turn of the loop.
         await asyncio.sleep(0)
 
 
 def _put_back(
-    found: _Address, conn: client.ClientConnection, *, keeps: bool
+    state: _AddressState, conn: client.ClientConnection, *, keeps: bool
 ) -> None:
     """End an exchange; with `keeps`, keep the connection if it is reusable."""
     if not conn.release():
         return
-    if keeps and len(found.open) <= found.limit:
-        found.idle.append(conn)
+    if keeps and len(state.open) <= state.limit:
+        state.idle.append(conn)
     else:
         conn.abort()
 
 
-def _release_slot(found: _Address) -> None:
+def _release_slot(state: _AddressState) -> None:
     """Hand the slot to the longest waiter, or count one exchange less."""
-    while found.waiters and found.exchanges <= found.limit:
-        waiter = found.waiters.popleft()
+    while state.waiters and state.exchanges <= state.limit:
+        waiter = state.waiters.popleft()
         if not waiter.done():
             waiter.set_result(None)
             return
-    found.exchanges -= 1
+    state.exchanges -= 1
