Test that only its own answer reaches a request, for any late answers

Change: a test by hypothesis, derandomised: any answers with an earlier id or none, in any framing, before and behind the request's own, cut into segments anywhere. The request gets its own answer, and a connection on which more came is not reused.

--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import itertools
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from rackpost import exceptions
@@ -160,3 +163,104 @@
         _exchange_whole([answer + b"x" * size], limit=1000, waits=True)
     )
     assert found == (None, False)
+
+
+class _Transport(asyncio.Transport):
+    """Takes what is written."""
+
+    def write(self, data: object) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+
+def _answer(status: int, ident: bytes, body: bytes, chunked: bool) -> bytes:
+    """Return an answer; one without an id if that is empty."""
+    lines = [b"HTTP/1.1 %d -" % status]
+    if ident:
+        lines.append(b"X-Id: " + ident)
+    if chunked:
+        lines.append(b"Transfer-Encoding: chunked")
+        pieces = [body[at : at + 3] for at in range(0, len(body), 3)]
+        body = b"".join(b"%x\r\n%b\r\n" % (len(one), one) for one in pieces)
+        body += b"0\r\n\r\n"
+    else:
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+_STATUSES = strategies.sampled_from([200, 404, 421, 500, 503])
+_LATE_ANSWERS = strategies.lists(
+    strategies.one_of(
+        strategies.builds(
+            _answer,
+            _STATUSES,
+            strategies.sampled_from([b"r0", b""]),
+            strategies.sampled_from([b"", b"late", b"HTTP/1.1 200 OK\r\n"]),
+            strategies.booleans(),
+        ),
+        strategies.just(b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ),
+    max_size=4,
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+@hypothesis.given(
+    status=_STATUSES,
+    chunked=strategies.booleans(),
+    before=_LATE_ANSWERS,
+    behind=_LATE_ANSWERS,
+    cuts=strategies.sets(strategies.integers(1, 600), max_size=6),
+)
+def test_only_its_own_answer_reaches_a_request(
+    status: int,
+    chunked: bool,
+    before: list[bytes],
+    behind: list[bytes],
+    cuts: set[int],
+) -> None:
+    """Whatever comes late before it or behind it, and however it is cut."""
+    own = _answer(status, b"r1", b"own body", chunked)
+    sent = b"".join([*before, own, *behind])
+    inner = sorted(at for at in cuts if at < len(sent))
+    bounds = [0, *inner, len(sent)]
+
+    async def main() -> None:
+        conn = client.ClientConnection(
+            id_header=b"x-id", on_closed=lambda closed: None
+        )
+        conn.connection_made(_Transport())
+        for ident, segments in (
+            (b"r0", [_answer(200, b"r0", b"", False)]),
+            (b"r1", [sent[a:b] for a, b in itertools.pairwise(bounds)]),
+        ):
+            exchange = asyncio.create_task(_exchange(conn, ident))
+            await asyncio.sleep(0)
+            for segment in segments:
+                conn.data_received(segment)
+                await asyncio.sleep(0)
+            found = await exchange
+            conn.release()
+        assert found == (status, b"own body")
+        # What came behind it can't meet the next request.
+        assert conn.is_open is not any(behind)
+
+    asyncio.run(main())
+
+
+async def _exchange(
+    conn: client.ClientConnection, ident: bytes
+) -> tuple[int, bytes]:
+    head = await conn.request(head=_CALL, body=b"", request_id=ident)
+    return head.status, await conn.read_whole(1000)
