Read a connection's local port once, as it opens

Cause: the port was asked of the transport for each log line, also after the connection was closed, where transports need not know it any more. asyncio's and uvloop's do (tried); nothing failed.

Change: it is kept as the connection opens.

Evidence: tests/test_http1_client.py, test_pool.py and test_repeated_answers.py pass.

--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -54,6 +54,8 @@
         self._reusable = True
         self._open = False
         self._paused = False
+        # The port by which both ends' logs identify the connection.
+        self.local_port = 0
         self.opened_at = self._loop.time()
         # When bytes arrived last.
         self.received_at = self.opened_at
@@ -81,13 +83,6 @@
 
     # For the user of the connection.
 
-    @property
-    def local_port(self) -> int:
-        """The port by which both ends' logs identify the connection."""
-        if self._transport is None:
-            return 0
-        return int(self._transport.get_extra_info("sockname")[1])
-
     @property
     def is_open(self) -> bool:
         """Whether a request can be sent on this connection."""
@@ -207,6 +202,9 @@
         """Record the open transport."""
         self._transport = cast(asyncio.Transport, transport)
         self._open = True
+        sockname = transport.get_extra_info("sockname")
+        if sockname is not None:
+            self.local_port = sockname[1]
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
