Tell memory, descriptors and age of a process in metrics and log

A process that is killed for memory, or that dies of a signal, leaves no line that tells the two apart. /metrics of gateways and coordinators now has the peak and present memory, open descriptors and the age; the log has a line as the peak passes half, three quarters and nine tenths of the VM's limit. No decision reads them.

tests/test_process_figures.py: both pages have the figures, a share is logged once.

--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -36,6 +36,7 @@
 from rackpost import metrics as metrics_mod
 from rackpost.platform import documents
 from rackpost.platform import settings
+from rackpost import process_figures
 from rackpost.routing import endpoints
 from rackpost.routing import model
 from rackpost.scheduler import host as scheduler_host
@@ -72,6 +73,9 @@
         self._host = host
         self.metrics = metrics_mod.Metrics()
         self.tasks = background.Tasks(part=logs.Part.COORDINATOR)
+        self._memory = process_figures.MemoryWatch(
+            part=logs.Part.COORDINATOR, limit_mb=host.limits.memory_mb
+        )
         first = {links.host_of(item) for item in host.seeds}
         self._file_disk, loaded = disk_mod.open_disk(
             pathlib.Path(host.data_dir),
@@ -304,6 +308,10 @@
             in features.features_for(item, self._parts)
         )
 
+    def _metrics_page(self) -> tuple[int, str]:
+        process_figures.record(self.metrics)
+        return 200, self.metrics.text()
+
     def _status_page(self) -> tuple[int, str]:
         found = overview.overview(
             vm=self._host.vm,
@@ -339,6 +347,7 @@
                 self.node.broadcast(notice)
             self.directory.query_silent()
             self.directory.forget_silent()
+            self._memory.look()
 
     @contextlib.asynccontextmanager
     async def serving(self) -> AsyncIterator[None]:
@@ -375,7 +384,7 @@
             await stack.enter_async_context(
                 pages.serving(
                     {
-                        b"/metrics": lambda: (200, self.metrics.text()),
+                        b"/metrics": self._metrics_page,
                         b"/status": self._status_page,
                     },
                     host=ip,
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -22,6 +22,7 @@
 from rackpost.platform import headers
 from rackpost.platform import paths
 from rackpost.platform import settings
+from rackpost import process_figures
 
 # The load balancer probes each second and removes a gateway after two
 # failures; until then it sends new connections.
@@ -70,6 +71,9 @@
         self.stopping = False
         self._ready = False
         self._closes_unread = False
+        self._memory = process_figures.MemoryWatch(
+            part=logs.Part.GATEWAY, limit_mb=host.limits.memory_mb
+        )
         self._began = self.site.loop_time()
 
     def is_ready(self) -> bool:
@@ -125,6 +129,7 @@
             if self.site.routes is not None:
                 self._server.limits = self.site.routes.limits
             self._log_overload()
+            self._memory.look()
             self._refusals.log_if_due(
                 self._links.linked_count, self._links.offered_version
             )
@@ -201,6 +206,7 @@
         return (200, "ready\n") if self.is_ready() else (503, "not ready\n")
 
     def _metrics_page(self) -> tuple[int, str]:
+        process_figures.record(self.site.metrics)
         self.site.metrics.gauge("document_version", self.site.version)
         self.site.metrics.gauge("connections_opened", self.site.pool.opened)
         self.site.metrics.gauge("unread_bytes", self._server.held_bytes)
