Wait for settings that can't be used at the start

What callers saw: a gateway or coordinator ended at once with exit status 2 where its settings file was cut at 200 bytes, empty or missing as it started, and so at each restart until the file was whole; a rolling change of the file could end it for that alone.

Cause: the first read of the file was the one read whose failure ended the process; a running one has always kept its settings and logged the reason. A file that could be read and not be used (no address to listen on, no data folder) failed later, with a traceback.

Change: the file is read until it can be used, with the line 'Waits.' that says for what, why and for how long, and SIGTERM ends the wait. Signals are handled from the start of the event loop on, before the file is read. What the file looked like is noted before it is read, so that a change between the first read and the first check is no longer lost. Only a missing variable, which can't appear later, still ends a program.

--- a/rackpost/background.py
+++ b/rackpost/background.py
@@ -5,10 +5,13 @@
 from typing import Any
 from typing import Callable
 from typing import Coroutine
+from typing import TypeVar
 
 from rackpost import logs
 
-__all__ = ["Tasks"]
+__all__ = ["Tasks", "unless_set"]
+
+T = TypeVar("T")
 
 # Delay before a failed task restarts; bounds the rate of its log lines.
 _RESTART_DELAY_S = 0.2
@@ -74,3 +77,17 @@
         for task in tasks:
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+
+
+async def unless_set(
+    event: asyncio.Event, coro: Coroutine[Any, Any, T]
+) -> T | None:
+    """Return the result of a coroutine; None if an event is set before."""
+    work = asyncio.create_task(coro)
+    stop = asyncio.create_task(event.wait())
+    try:
+        await asyncio.wait((work, stop), return_when=asyncio.FIRST_COMPLETED)
+        return work.result() if work.done() else None
+    finally:
+        work.cancel()
+        stop.cancel()
--- a/rackpost/cmd_coordinator.py
+++ b/rackpost/cmd_coordinator.py
@@ -44,7 +44,11 @@
     parts = site_program.read_or_exit(
         lambda: policy.part_overrides(os.environ)
     )
-    site_program.run(logs.Part.COORDINATOR, functools.partial(serve, parts))
+    site_program.run(
+        logs.Part.COORDINATOR,
+        functools.partial(serve, parts),
+        check=settings.check_coordinator,
+    )
 
 
 if __name__ == "__main__":
--- a/rackpost/cmd_gateway.py
+++ b/rackpost/cmd_gateway.py
@@ -35,7 +35,11 @@
     policy = site_program.read_or_exit(
         lambda: policy_mod.from_environment(os.environ)
     )
-    site_program.run(logs.Part.GATEWAY, functools.partial(serve, policy))
+    site_program.run(
+        logs.Part.GATEWAY,
+        functools.partial(serve, policy),
+        check=settings.check_gateway,
+    )
 
 
 if __name__ == "__main__":
--- a/rackpost/logs.py
+++ b/rackpost/logs.py
@@ -145,11 +145,16 @@
 def to_stdout(**common: str) -> BoundedOutput:
     """Write logs to standard output; `common` fields are on each line."""
     output = BoundedOutput(fd=1)
-    eliot.add_global_fields(**common)
+    add_fields(**common)
     eliot.add_destinations(output)
     return output
 
 
+def add_fields(**common: str) -> None:
+    """Put further fields on each line."""
+    eliot.add_global_fields(**common)
+
+
 def say(part: Part, sentence: str, **fields: Any) -> None:
     """Log a sentence with fields."""
     eliot.log_message(
--- a/rackpost/platform/settings.py
+++ b/rackpost/platform/settings.py
@@ -6,10 +6,12 @@
 import msgspec
 
 from rackpost import exceptions
+from rackpost.http1 import address
 from rackpost import types
 
 # Environment variable with the file's path, set for each process.
 PATH_VARIABLE = "RACKPOST_BOOT"
+_MAX_PORT = (1 << 16) - 1
 
 
 class Tolerance(msgspec.Struct, frozen=True, kw_only=True):
@@ -128,3 +130,25 @@
         return decode(where.read_bytes())
     except OSError as exc:
         raise exceptions.ConfigError(f"{where}: {exc.strerror}") from exc
+
+
+def check_gateway(host: HostSettings) -> None:
+    """Raise ConfigError if a gateway can't run with these settings."""
+    _check_address("front", host.listen.clients)
+    _check_address("ready", host.listen.ready)
+
+
+def check_coordinator(host: HostSettings) -> None:
+    """Raise ConfigError if a coordinator can't run with these settings."""
+    _check_address("control", host.listen.control)
+    if host.data_dir is None:
+        raise exceptions.ConfigError("dataDir: a coordinator needs one")
+
+
+def _check_address(name: str, text: str) -> None:
+    try:
+        found = address.split(text)
+    except ValueError:
+        found = address.Address(host="", port=0)
+    if not found.host or not 0 < found.port <= _MAX_PORT:
+        raise exceptions.ConfigError(f"{name}: {text!r} is not host:port")
--- a/rackpost/site_program.py
+++ b/rackpost/site_program.py
@@ -2,37 +2,95 @@
 
 Their settings come from the platform's file.  No command line is parsed,
 and imports are few, to keep restarts fast.
+
+A program ends only when it is asked to.  What it lacks at its start is waited
+for, and a program that fails starts again in the same process.
 """
 
 import asyncio
 import contextlib
 import os
+import pathlib
 import signal
 import sys
 from typing import Awaitable
 from typing import Callable
 from typing import TypeVar
 
+from rackpost import background
 from rackpost import clock
 from rackpost import exceptions
 from rackpost import logs
 from rackpost.platform import settings
 from rackpost.version import VERSION
+from rackpost import waiting
 
 # How often the settings file is checked for changes.
 _CHECK_INTERVAL_S = 1.0
+# How often a file that is not usable yet is read again.
+_RETRY_INTERVAL_S = 0.1
 BAD_USE = 2
 
 T = TypeVar("T")
 
 Reload = Callable[[settings.HostSettings], None]
+Check = Callable[[settings.HostSettings], None]
+
+
+class SettingsFile:
+    """The settings file, and whether it has changed since it was read."""
+
+    def __init__(self, *, check: Check = lambda host: None) -> None:
+        """`check` raises ConfigError for settings that can't be used."""
+        self._check = check
+        self._seen = _stamp(settings.path())
+
+    @property
+    def has_changed(self) -> bool:
+        """Whether the file is another than the one that was read."""
+        return _stamp(settings.path()) != self._seen
+
+    def read(self) -> settings.HostSettings:
+        """Return the settings; raises ConfigError."""
+        # First, so that a change while the file is read is seen later.
+        self._seen = _stamp(settings.path())
+        host = settings.load()
+        self._check(host)
+        return host
+
+    async def wait_until_usable(
+        self, part: logs.Part
+    ) -> settings.HostSettings:
+        """Return the settings once they can be used."""
+        wait = waiting.Wait(part=part, what="settings")
+        while True:
+            try:
+                host = self.read()
+            except exceptions.ConfigError as exc:
+                wait.record(str(exc))
+                await asyncio.sleep(_RETRY_INTERVAL_S)
+            else:
+                wait.end()
+                return host
+
+
+def _stamp(path: pathlib.Path) -> tuple[int, int, int]:
+    try:
+        found = os.stat(path)
+    except OSError:
+        # The file may be in the middle of a replacement; checked again soon.
+        return (0, 0, 0)
+    return (found.st_mtime_ns, found.st_size, found.st_ino)
 
 
 class Signals:
     """Stop and reload signals, and changes of the settings file."""
 
-    def __init__(self, *, part: logs.Part) -> None:
+    def __init__(
+        self, *, part: logs.Part, file: SettingsFile | None = None
+    ) -> None:
         self._part = part
+        self._file = file or SettingsFile()
         self.stop = asyncio.Event()
         self._reload = asyncio.Event()
         loop = asyncio.get_running_loop()
@@ -42,32 +100,19 @@
 
     async def watch(self, reload: Reload) -> None:
         """Call `reload` with the new settings whenever they change."""
-        path = settings.path()
-        seen = _stamp(path)
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_CHECK_INTERVAL_S):
                     await self._reload.wait()
-            stamp = _stamp(path)
-            if not self._reload.is_set() and stamp == seen:
+            if not self._reload.is_set() and not self._file.has_changed:
                 continue
             self._reload.clear()
-            seen = stamp
             try:
-                reload(settings.load())
+                reload(self._file.read())
             except exceptions.ConfigError as exc:
                 logs.say(self._part, "Settings not reloaded.", why=str(exc))
 
 
-def _stamp(path: os.PathLike) -> tuple[float, int]:
-    try:
-        found = os.stat(path)
-    except OSError:
-        # The file may be in the middle of a replacement; checked again soon.
-        return (0.0, 0)
-    return (found.st_mtime, found.st_size)
-
-
 def read_or_exit(read: Callable[[], T]) -> T:
     """Return what `read` returns; exits with one line on a ConfigError."""
     try:
@@ -77,26 +122,28 @@
         sys.exit(BAD_USE)
 
 
+Main = Callable[[settings.HostSettings, Signals], Awaitable[None]]
+
+
 def run(
-    part: logs.Part,
-    main: Callable[[settings.HostSettings, Signals], Awaitable[None]],
+    part: logs.Part, main: Main, *, check: Check = lambda host: None
 ) -> None:
-    """Run a program; invalid settings and errors end it with one line."""
-    host = read_or_exit(settings.load)
-    output = logs.to_stdout(program=part.value, vm=host.vm)
+    """Run a program; errors end it with one line.
+
+    `check` raises ConfigError for settings that `main` can't use.  Exits
+    where no settings file is named.
+    """
+    read_or_exit(settings.path)
+    output = logs.to_stdout(program=part.value)
 
     async def start() -> None:
-        logs.say(
-            part,
-            "Starting.",
-            software=VERSION,
-            data_centre=host.data_centre,
-            seeds=list(host.seeds),
-            first_start=host.first_start,
+        file = SettingsFile(check=check)
+        signals = Signals(part=part, file=file)
+        host = await background.unless_set(
+            signals.stop, file.wait_until_usable(part)
         )
-        watch = asyncio.create_task(clock.SuspendWatch(part=part).run())
-        await main(host, Signals(part=part))
-        watch.cancel()
+        if host is not None:
+            await _serve(part, main, host, signals)
         logs.say(part, "Ended.", lines_dropped=output.dropped)
         output.flush()
         # Durable state is synced already.  A regular exit would wait for
@@ -109,3 +156,23 @@
         logs.say(part, "Ended by an error.", why=str(exc))
         output.flush()
         sys.exit(1)
+
+
+async def _serve(
+    part: logs.Part,
+    main: Main,
+    host: settings.HostSettings,
+    signals: Signals,
+) -> None:
+    logs.add_fields(vm=host.vm)
+    logs.say(
+        part,
+        "Starting.",
+        software=VERSION,
+        data_centre=host.data_centre,
+        seeds=list(host.seeds),
+        first_start=host.first_start,
+    )
+    watch = asyncio.create_task(clock.SuspendWatch(part=part).run())
+    await main(host, signals)
+    watch.cancel()
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -12,6 +12,7 @@
 # Loaded by all programs, long before their event loop runs.
 _LIBRARY = "msgspec"
 _SIGHUP_INTERVAL_S = 0.005
+_WAITING = "Waits."
 
 
 @pytest.mark.parametrize("role", ROLES)
@@ -39,3 +40,66 @@
             time.sleep(_SIGHUP_INTERVAL_S)
             assert one.exit_status() is None
         programs.wait_until(lambda: one.is_up)
+
+
+@pytest.mark.parametrize("text", [None, b"", "cut", b"[]", b'{"node": 1}'])
+@pytest.mark.parametrize("role", ROLES)
+def test_settings_that_are_not_whole_at_the_start_are_waited_for(
+    tmp_path: pathlib.Path, role: str, text: bytes | str | None
+) -> None:
+    """A file in the middle of its replacement ended a starting program."""
+    with programs.program(role, tmp_path) as one:
+        if text is None:
+            one.settings.unlink()
+        elif isinstance(text, bytes):
+            one.write_settings(text)
+        else:
+            one.write_settings(one.text()[:200])
+        one.start()
+        programs.wait_until(
+            lambda: one.lines(_WAITING) or one.exit_status() is not None
+        )
+        assert one.exit_status() is None
+        one.write_settings()
+        programs.wait_until(lambda: one.is_up)
+
+
+@pytest.mark.parametrize(
+    "role, field, value",
+    [
+        ("gateway", "listen", {"front": "", "ready": "", "control": ""}),
+        ("gateway", "listen", {"front": "127.0.0.31", "ready": "x:y"}),
+        ("coordinator", "listen", {"front": "", "control": ":"}),
+        ("coordinator", "dataDir", None),
+    ],
+)
+def test_settings_that_a_program_can_not_use_are_waited_for(
+    tmp_path: pathlib.Path, role: str, field: str, value: object
+) -> None:
+    """Settings that could be read and not be used ended the program."""
+    with programs.program(role, tmp_path) as one:
+        usable = one.raw[field]
+        one.raw[field] = value
+        one.write_settings()
+        one.start()
+        programs.wait_until(
+            lambda: one.lines(_WAITING) or one.exit_status() is not None
+        )
+        assert one.exit_status() is None
+        one.raw[field] = usable
+        one.write_settings()
+        programs.wait_until(lambda: one.is_up)
+
+
+@pytest.mark.parametrize("role", ROLES)
+def test_a_program_that_waits_ends_when_it_is_asked_to(
+    tmp_path: pathlib.Path, role: str
+) -> None:
+    """What it waits for must not keep it from ending."""
+    with programs.program(role, tmp_path) as one:
+        one.settings.unlink()
+        one.start()
+        programs.wait_until(lambda: one.lines(_WAITING))
+        began = time.monotonic()
+        assert one.stop() == 0
+        assert time.monotonic() - began < 2.0
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -5,6 +5,8 @@
 import os
 import pathlib
 
+import pytest
+
 from rackpost.coordinator import messages
 from rackpost.decide import endpoint_load
 from rackpost.decide import queue_order
@@ -364,3 +366,29 @@
     finally:
         del os.environ["RACKPOST_BOOT"]
     assert seen == [("other:1", "third:1")]
+
+
+def test_settings_that_change_before_the_first_check_are_reloaded(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A change between the first read and the first check was lost."""
+    path = tmp_path / "node.json"
+    raw = {"node": "a", "ip": "127.0.0.1", "zone": "z", "seeds": ["h:1"]}
+    path.write_text(json.dumps(raw))
+    monkeypatch.setenv("RACKPOST_BOOT", str(path))
+    seen: list[tuple[str, ...]] = []
+
+    async def main() -> None:
+        file = site_program.SettingsFile()
+        signals = site_program.Signals(part=logs.Part.GATEWAY, file=file)
+        assert file.read().seeds == ("h:1",)
+        raw["seeds"] = ["other:1"]
+        path.write_text(json.dumps(raw))
+        task = asyncio.create_task(
+            signals.watch(lambda host: seen.append(host.seeds))
+        )
+        await platform_site.until(lambda: bool(seen))
+        task.cancel()
+
+    asyncio.run(main())
+    assert seen == [("other:1",)]
--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -63,6 +63,7 @@
     monkeypatch.setattr(logs, "to_stream", lambda: None)
     monkeypatch.setattr(logs, "to_stdout", lambda **common: output)
     monkeypatch.setattr(settings, "load", lambda: host)
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(tmp_path / "node.json"))
     # Programs of a site exit without waiting for their threads.
     monkeypatch.setattr(os, "_exit", lambda code: None)
     program.run(clocks.main)
