Wait for an address that is in use, and serve the others meanwhile

Cause: all listeners were opened once, in order, and any OSError ended the program.

Change: listening.kept opens each listener as soon as its address can be had, with a line that says what is waited for; one that is in use does not hold up the others. A gateway says that it is ready only while it listens for clients. A socket that can't be bound is closed, so that retries leak no descriptors.

The seven cases of test_an_address_in_use_at_the_start_is_waited_for fail without it: the program had ended.

--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -27,11 +27,13 @@
 from rackpost.coordinator import routing_feed
 from rackpost.decide import features
 from rackpost import exceptions
+from rackpost.http1 import address
 from rackpost.http1 import message
 from rackpost.http1 import pages
 from rackpost.http1 import server
 from rackpost.link import channel
 from rackpost.link import websocket
+from rackpost import listening
 from rackpost import logs
 from rackpost import metrics as metrics_mod
 from rackpost.platform import documents
@@ -349,6 +351,28 @@
             self.directory.forget_silent()
             self._memory.look()
 
+    def _serving_links(self) -> contextlib.AbstractAsyncContextManager:
+        return websocket.serving(
+            self._host.ip,
+            self._port + links.LINKS_PORT,
+            security=links.SECURITY,
+            kinds=messages.FromAny,
+            accept=self._accept,
+            refused=_refused,
+            timeouts=links.TIMEOUTS,
+        )
+
+    def _serving_pages(self) -> contextlib.AbstractAsyncContextManager:
+        return pages.serving(
+            {
+                b"/metrics": self._metrics_page,
+                b"/status": self._status_page,
+            },
+            host=self._host.ip,
+            port=self._port + links.METRICS_PORT,
+            failed=_failed,
+        )
+
     @contextlib.asynccontextmanager
     async def serving(self) -> AsyncIterator[None]:
         """Serve while the context is open."""
@@ -366,34 +390,27 @@
             failed=_failed,
             limits=model.Limits(body_bytes=16 << 20, idle_s=30.0),
         )
+        control_at = address.split(self._host.listen.control)
         ip = self._host.ip
         tasks = self.tasks
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._file_disk.close)
-            await stack.enter_async_context(
-                websocket.serving(
-                    ip,
-                    self._port + links.LINKS_PORT,
-                    security=links.SECURITY,
-                    kinds=messages.FromAny,
-                    accept=self._accept,
-                    refused=_refused,
-                    timeouts=links.TIMEOUTS,
-                )
-            )
-            await stack.enter_async_context(
-                pages.serving(
-                    {
-                        b"/metrics": self._metrics_page,
-                        b"/status": self._status_page,
-                    },
-                    host=ip,
-                    port=self._port + links.METRICS_PORT,
-                    failed=_failed,
+            for serve, at in (
+                (self._serving_links, f"{ip}:{self._port + links.LINKS_PORT}"),
+                (
+                    self._serving_pages,
+                    f"{ip}:{self._port + links.METRICS_PORT}",
+                ),
+                (
+                    lambda: http.serving(control_at.host, control_at.port),
+                    self._host.listen.control,
+                ),
+            ):
+                await stack.enter_async_context(
+                    listening.kept(
+                        serve, part=logs.Part.COORDINATOR, address=at
+                    )
                 )
-            )
-            host, _, port = self._host.listen.control.rpartition(":")
-            await stack.enter_async_context(http.serving(host, int(port)))
             stack.enter_context(self.node.watched(self._on_changes))
             tasks.spawn(self.node.run(), vital=True)
             tasks.keep(self.commit_marks.run)
--- a/rackpost/gateway/load_exchange.py
+++ b/rackpost/gateway/load_exchange.py
@@ -61,7 +61,7 @@
         self._sequence = 0
         host = site.host
         port = host.internal_ports[0] + links.LOADS_PORT
-        self._address = f"{host.ip}:{port}"
+        self.address = f"{host.ip}:{port}"
         # What complete reports may use of the link; None if it is unknown.
         self._budget: load_sync.LinkBudget | None = None
         if host.limits.link_mbps > 0.0:
@@ -261,7 +261,7 @@
         site = self._site
         return messages.GatewayLoad(
             vm=site.host.vm,
-            load_address=self._address,
+            load_address=self.address,
             incarnation=self._incarnation,
             sequence=self._next_sequence(),
             loads=site.loads.own,
@@ -279,7 +279,7 @@
         """Send and receive reports until the block ends."""
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=address.split(self._address)
+            lambda: self, local_addr=address.split(self.address)
         )
         try:
             async with self.running_on(transport):
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -18,6 +18,7 @@
 from rackpost.http1 import message
 from rackpost.http1 import pages
 from rackpost.http1 import server
+from rackpost import listening
 from rackpost import logs
 from rackpost.platform import headers
 from rackpost.platform import paths
@@ -78,7 +79,11 @@
 
     def is_ready(self) -> bool:
         """Whether the load balancer may send new connections."""
-        ready = self._has_routes_and_endpoints() and not self.stopping
+        ready = (
+            self._server.is_listening
+            and self._has_routes_and_endpoints()
+            and not self.stopping
+        )
         if ready != self._ready:
             self._ready = ready
             logs.say(
@@ -172,13 +177,15 @@
             stack.callback(self._links.close)
             stack.callback(self.site.pool.close)
             stack.push_async_callback(self.site.tasks.close)
-            await stack.enter_async_context(exchange.running())
-            await stack.enter_async_context(self._serving_ready())
-            await stack.enter_async_context(self._serving_metrics())
-            at = address.split(self._host.listen.clients)
-            await stack.enter_async_context(
-                self._server.serving(at.host, at.port)
-            )
+            for serve, at in (
+                (exchange.running, exchange.address),
+                (self._serving_ready, self._host.listen.ready),
+                (self._serving_metrics, self._metrics_address),
+                (self._serving_clients, self._host.listen.clients),
+            ):
+                await stack.enter_async_context(
+                    listening.kept(serve, part=logs.Part.GATEWAY, address=at)
+                )
             self.site.tasks.keep(self._sweep)
             self.site.tasks.keep(self._report_new_demands)
             self.site.tasks.keep(self.site.admission_queue.run)
@@ -194,11 +201,21 @@
             failed=_log_failure,
         )
 
+    def _serving_clients(self) -> contextlib.AbstractAsyncContextManager:
+        at = address.split(self._host.listen.clients)
+        return self._server.serving(at.host, at.port)
+
+    @property
+    def _metrics_address(self) -> str:
+        port = self._host.internal_ports[0] + links.METRICS_PORT
+        return f"{self._host.ip}:{port}"
+
     def _serving_metrics(self) -> contextlib.AbstractAsyncContextManager:
+        at = address.split(self._metrics_address)
         return pages.serving(
             {b"/metrics": self._metrics_page},
-            host=self._host.ip,
-            port=self._host.internal_ports[0] + links.METRICS_PORT,
+            host=at.host,
+            port=at.port,
             failed=_log_failure,
         )
 
--- a/rackpost/http1/server.py
+++ b/rackpost/http1/server.py
@@ -434,6 +434,7 @@
         self.limits = limits or model.Limits()
         self.connections: set[ServerConnection] = set()
         self.stopping = False
+        self.is_listening = False
         self._guard = guard
         # Connections that were closed before anything was read from them.
         self.closed_unread = 0
@@ -454,15 +455,23 @@
         sock = socket.socket(
             socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
         )
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, port))
-        listener = await loop.create_server(
-            lambda: ServerConnection(server=self), sock=sock, backlog=_BACKLOG
-        )
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((host, port))
+            listener = await loop.create_server(
+                lambda: ServerConnection(server=self),
+                sock=sock,
+                backlog=_BACKLOG,
+            )
+        except BaseException:
+            sock.close()
+            raise
         sweeper = asyncio.create_task(self._sweep())
+        self.is_listening = True
         try:
             yield sock.getsockname()[1]
         finally:
+            self.is_listening = False
             sweeper.cancel()
             listener.close()
             for conn in list(self.connections):
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import signal
+import socket
 import time
 
 import pytest
@@ -9,12 +10,20 @@
 from tests import programs
 
 ROLES = ("gateway", "coordinator")
+LISTENERS = {
+    "gateway": ("clients", "ready", "metrics", "loads"),
+    "coordinator": ("control", "links", "metrics"),
+}
 # Loaded by all programs, long before their event loop runs.
 _LIBRARY = "msgspec"
 _SIGHUP_INTERVAL_S = 0.005
 _WAITING = "Waits."
 
 
+def _listeners() -> list[tuple[str, str]]:
+    return [(role, name) for role in ROLES for name in LISTENERS[role]]
+
+
 @pytest.mark.parametrize("role", ROLES)
 def test_sighup_is_handled_before_libraries_are_loaded(
     tmp_path: pathlib.Path, role: str
@@ -91,6 +100,31 @@
         programs.wait_until(lambda: one.is_up)
 
 
+@pytest.mark.parametrize("role, name", _listeners())
+def test_an_address_in_use_at_the_start_is_waited_for(
+    tmp_path: pathlib.Path, role: str, name: str
+) -> None:
+    """An address that another process still held ended the program."""
+    with programs.program(role, tmp_path) as one:
+        is_udp = name == "loads"
+        kind = socket.SOCK_DGRAM if is_udp else socket.SOCK_STREAM
+        with socket.socket(socket.AF_INET, kind) as holder:
+            holder.bind((one.ip, one.port(name)))
+            if not is_udp:
+                holder.listen()
+            one.start()
+            programs.wait_until(
+                lambda: one.lines(_WAITING) or one.exit_status() is not None
+            )
+            assert one.exit_status() is None
+            # The others do not wait for it.
+            for other in LISTENERS[role]:
+                if other not in (name, "loads"):
+                    programs.wait_until(lambda: one.listens(other))
+        programs.wait_until(lambda: one.lines("Wait is over."))
+        programs.wait_until(lambda: is_udp or one.listens(name))
+
+
 @pytest.mark.parametrize("role", ROLES)
 def test_a_program_that_waits_ends_when_it_is_asked_to(
     tmp_path: pathlib.Path, role: str
