Open the null device in place of closed standard streams

What callers saw: a program that was started with its standard output closed ended with a traceback and exit status 1, before any line.

Cause: the log's descriptor was made non-blocking without a look at whether it is open. Without that error the next file or socket would have taken the free descriptor, and log lines would have been written into it, on a coordinator into its log of records.

Change: closed standard streams are opened on the null device before anything else is; a log that can't be made non-blocking no longer ends the program.

The six cases of test_a_program_without_standard_streams_serves fail without it; they also look at what descriptors 0 to 2 are.

--- a/rackpost/logs.py
+++ b/rackpost/logs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import enum
 import os
 import sys
@@ -42,7 +43,8 @@
         self._partial = b""
         self._timer: asyncio.TimerHandle | None = None
         self.dropped = 0
-        os.set_blocking(fd, False)
+        with contextlib.suppress(OSError):
+            os.set_blocking(fd, False)
 
     def __call__(self, record: dict[str, Any]) -> None:
         """Buffer a record and schedule a flush."""
@@ -137,6 +139,20 @@
         return suppressed
 
 
+def open_standard_streams() -> None:
+    """Open the null device in place of closed standard streams.
+
+    The next file or socket would otherwise take the descriptor of the closed
+    one, and log lines would be written to it.
+    """
+    for fd in (0, 1, 2):
+        try:
+            os.fstat(fd)
+        except OSError:
+            # The lowest free descriptor, which is this one.
+            os.open(os.devnull, os.O_RDWR)
+
+
 def to_stream(stream: TextIO | None = None) -> None:
     """Write logs as JSON lines, to standard error by default."""
     eliot.to_file(stream or sys.stderr)
--- a/rackpost/site_program.py
+++ b/rackpost/site_program.py
@@ -133,6 +133,7 @@
     `check` raises ConfigError for settings that `main` can't use.  Exits
     where no settings file is named.
     """
+    logs.open_standard_streams()
     read_or_exit(settings.path)
     output = logs.to_stdout(program=part.value)
 
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -1,5 +1,6 @@
 """The programs as real processes: they end only when they are asked to."""
 
+import os
 import pathlib
 import signal
 import socket
@@ -125,6 +126,30 @@
         programs.wait_until(lambda: is_udp or one.listens(name))
 
 
+@pytest.mark.parametrize("closed", [(1,), (2,), (0, 1, 2)])
+@pytest.mark.parametrize("role", ROLES)
+def test_a_program_without_standard_streams_serves(
+    tmp_path: pathlib.Path, role: str, closed: tuple[int, ...]
+) -> None:
+    """A closed standard output ended the program with a traceback.
+
+    What is opened next must not take the place of the closed descriptor: log
+    lines would be written there.
+    """
+
+    def close() -> None:
+        for number in closed:
+            os.close(number)
+
+    with programs.program(role, tmp_path) as one:
+        one.start(preexec_fn=close)
+        programs.wait_until(lambda: one.is_up or one.exit_status() is not None)
+        assert one.exit_status() is None
+        for number in closed:
+            where = os.readlink(f"/proc/{one.pid}/fd/{number}")
+            assert where == "/dev/null"
+
+
 @pytest.mark.parametrize("role", ROLES)
 def test_a_program_that_waits_ends_when_it_is_asked_to(
     tmp_path: pathlib.Path, role: str
