Wait for a disk that can't be used at a coordinator's start

What callers saw: a coordinator ended with exit status 1 at its first start on a full or faulty disk, with a folder in the place of a file, or where its data folder was not there yet, and so at each restart.

Cause: the disk was opened in the constructor, once; only writes of a running replica are retried. A folder in the place of a file raises OSError, which was not taken for damage.

Change: the disk is opened before the coordinator is made, off the event loop, again and again until it succeeds, with a line that says what is waited for; SIGTERM ends the wait.

Eleven cases of tests/test_process_start.py (disk, folder) fail without it; the disk is made to refuse writes by the kernel's limit on file sizes.

--- a/rackpost/cmd_coordinator.py
+++ b/rackpost/cmd_coordinator.py
@@ -4,6 +4,7 @@
 import functools
 import os
 
+from rackpost import background
 from rackpost.coordinator import process
 from rackpost.decide import features
 from rackpost import exceptions
@@ -19,7 +20,12 @@
     signals: site_program.Signals,
 ) -> None:
     """Run a coordinator until a stop signal or a vital failure."""
-    coordinator = process.Coordinator(host=host, parts=parts)
+    opened = await background.unless_set(
+        signals.stop, process.wait_for_disk(host)
+    )
+    if opened is None:
+        return
+    coordinator = process.Coordinator(host=host, opened=opened, parts=parts)
     async with coordinator.serving():
         watch = asyncio.create_task(signals.watch(coordinator.reload))
         await _wait_for_any(signals.stop, coordinator.tasks.vital_failed)
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import pathlib
 import random
 from typing import AsyncIterator
@@ -56,6 +57,30 @@
 _HEARTBEAT_NOTICE_S = 0.5
 
 
+def data_folder(host: settings.HostSettings) -> pathlib.Path:
+    """Return a coordinator's data folder; raises ConfigError without one."""
+    settings.check_coordinator(host)
+    assert host.data_dir is not None
+    return pathlib.Path(host.data_dir)
+
+
+def open_disk(host: settings.HostSettings) -> disk_mod.OpenDisk:
+    """Open a coordinator's disk; raises OSError if it fails now."""
+    first = {links.host_of(item) for item in host.seeds}
+    return disk_mod.open_disk(
+        data_folder(host),
+        host=host.ip,
+        first_hosts=tuple(sorted(first)) if host.first_start else (),
+    )
+
+
+async def wait_for_disk(host: settings.HostSettings) -> disk_mod.OpenDisk:
+    """Open a coordinator's disk once it can be read and written."""
+    return await disk_mod.wait_until_open(
+        data_folder(host), functools.partial(open_disk, host)
+    )
+
+
 class Coordinator:
     """A running coordinator."""
 
@@ -63,14 +88,13 @@
         self,
         *,
         host: settings.HostSettings,
+        opened: disk_mod.OpenDisk,
         parts: features.Overrides = features.NO_OVERRIDES,
     ) -> None:
-        """Open the disk; the coordinator runs within `serving`.
+        """The coordinator runs within `serving`, which closes its disk.
 
         `parts` are the parts of load management that a setting switches.
         """
-        if host.data_dir is None:
-            raise exceptions.ConfigError("a coordinator needs a data folder")
         self._loop = asyncio.get_running_loop()
         self._host = host
         self.metrics = metrics_mod.Metrics()
@@ -78,12 +102,7 @@
         self._memory = process_figures.MemoryWatch(
             part=logs.Part.COORDINATOR, limit_mb=host.limits.memory_mb
         )
-        first = {links.host_of(item) for item in host.seeds}
-        self._file_disk, loaded = disk_mod.open_disk(
-            pathlib.Path(host.data_dir),
-            host=host.ip,
-            first_hosts=tuple(sorted(first)) if host.first_start else (),
-        )
+        self._file_disk, loaded = opened
         # A record survives the loss of as many disks as the site tolerates.
         copies = host.tolerance.vms + 1
         self.node = node_mod.Node(
@@ -100,9 +119,7 @@
             heartbeat_s=host.heartbeat_ms / 1000.0, rng=random.Random()
         )
         self.quarantine = quarantine_keeper.QuarantineKeeper(
-            file=quarantine_keeper.QuarantineFile(
-                folder=pathlib.Path(host.data_dir)
-            ),
+            file=quarantine_keeper.QuarantineFile(folder=data_folder(host)),
             endpoint_table=self.directory.table,
             send_to_gateways=self.directory.send_to_gateways,
             send_to_replicas=self.node.broadcast,
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -125,7 +125,9 @@
 async def coordinator(
     host: settings.HostSettings,
 ) -> AsyncIterator[coordinator_process.Coordinator]:
-    running = coordinator_process.Coordinator(host=host)
+    running = coordinator_process.Coordinator(
+        host=host, opened=coordinator_process.open_disk(host)
+    )
     async with running.serving():
         yield running
 
--- a/tests/test_large_documents.py
+++ b/tests/test_large_documents.py
@@ -44,7 +44,10 @@
     """Run five coordinators with a document, and a gateway without one."""
     plan = platform_site.Plan(root=root)
     hosts = [plan.host(11 + idx, kind="core", seeds=()) for idx in range(5)]
-    found = [process.Coordinator(host=host) for host in hosts]
+    found = [
+        process.Coordinator(host=host, opened=process.open_disk(host))
+        for host in hosts
+    ]
     slow_link.apply_document(found, version, source(version, routes))
     edge = plan.host(31, kind="edge", seeds=())
     link = slow_link.SlowLink(edge=edge, bytes_per_s=RATE)
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -56,7 +56,8 @@
     async def main() -> None:
         plan = platform_site.Plan(root=tmp_path)
         host = plan.host(11, kind="core", seeds=())
-        coordinator = process.Coordinator(host=host)
+        opened = process.open_disk(host)
+        coordinator = process.Coordinator(host=host, opened=opened)
         gateways = [Gateway(number=number) for number in range(GATEWAYS)]
         for gateway in gateways:
             gateway.link(coordinator)
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import resource
 import signal
 import socket
 import time
@@ -150,6 +151,64 @@
             assert where == "/dev/null"
 
 
+def test_a_disk_that_can_not_be_written_at_the_start_is_waited_for(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A full disk at the first start ended the coordinator."""
+    infinite = resource.RLIM_INFINITY
+
+    def limit() -> None:
+        resource.setrlimit(resource.RLIMIT_FSIZE, (0, infinite))
+
+    with programs.program("coordinator", tmp_path) as one:
+        reader, writer = os.pipe()
+        one.start(preexec_fn=limit, stdout=writer)
+        os.close(writer)
+        with open(reader, "rb") as output:
+            while one.exit_status() is None:
+                if _WAITING.encode() in output.readline():
+                    break
+            assert one.exit_status() is None
+            resource.prlimit(
+                one.pid, resource.RLIMIT_FSIZE, (infinite, infinite)
+            )
+            programs.wait_until(lambda: one.is_up)
+
+
+@pytest.mark.parametrize("has_replica", [False, True])
+@pytest.mark.parametrize("name", ["identity", "log", "snapshot", "committed"])
+def test_a_folder_in_the_place_of_a_data_file_is_set_aside(
+    tmp_path: pathlib.Path, name: str, has_replica: bool
+) -> None:
+    """It ended the coordinator at each start."""
+    with programs.program("coordinator", tmp_path) as one:
+        if has_replica:
+            one.start()
+            programs.wait_until(lambda: one.is_up)
+            one.kill()
+            (one.data / name).unlink(missing_ok=True)
+        (one.data / name).mkdir(parents=True)
+        (one.data / name / "file").touch()
+        one.start()
+        programs.wait_until(lambda: one.is_up or one.exit_status() is not None)
+        assert one.exit_status() is None
+
+
+def test_a_data_folder_that_is_not_there_yet_is_waited_for(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A file in its place, as before a mount, ended the coordinator."""
+    with programs.program("coordinator", tmp_path) as one:
+        one.data.write_bytes(b"")
+        one.start()
+        programs.wait_until(
+            lambda: one.lines(_WAITING) or one.exit_status() is not None
+        )
+        assert one.exit_status() is None
+        one.data.unlink()
+        programs.wait_until(lambda: one.is_up)
+
+
 @pytest.mark.parametrize("role", ROLES)
 def test_a_program_that_waits_ends_when_it_is_asked_to(
     tmp_path: pathlib.Path, role: str
@@ -162,3 +221,13 @@
         began = time.monotonic()
         assert one.stop() == 0
         assert time.monotonic() - began < 2.0
+
+
+def test_a_coordinator_that_waits_for_its_disk_ends_when_asked_to(
+    tmp_path: pathlib.Path,
+) -> None:
+    with programs.program("coordinator", tmp_path) as one:
+        one.data.write_bytes(b"")
+        one.start()
+        programs.wait_until(lambda: one.lines(_WAITING))
+        assert one.stop() == 0
