Start a program again in place of ending it after an error

What callers saw: any error that was not foreseen ended the process; a coordinator ended by design where its one vital task, the replica, raised, whatever the exception.

Cause: the process was the unit of recovery. A supervisor that counts ends takes it for a process that ends by itself, and its delay and the interpreter's start are added to the outage.

Change: the program runs again in the same process, from its settings and its disk, after a pause that grows from 0.1 to 5 s while failures repeat; the line 'Failed, starts again.' says why. A coordinator's replica has no write under way where it raises, so that its disk can be opened again. The task that applies changed settings also goes on after an error.

--- a/rackpost/background.py
+++ b/rackpost/background.py
@@ -42,6 +42,7 @@
     async def _run_forever(
         self, factory: Callable[[], Coroutine[Any, Any, Any]]
     ) -> None:
+        name = getattr(factory, "__qualname__", repr(factory))
         while True:
             try:
                 await factory()
@@ -51,7 +52,7 @@
                 logs.say(
                     self._part,
                     "A task began again.",
-                    task=factory.__qualname__,
+                    task=name,
                     why=repr(exc),
                 )
             await asyncio.sleep(_RESTART_DELAY_S)
--- a/rackpost/cmd_coordinator.py
+++ b/rackpost/cmd_coordinator.py
@@ -27,12 +27,13 @@
         return
     coordinator = process.Coordinator(host=host, opened=opened, parts=parts)
     async with coordinator.serving():
-        watch = asyncio.create_task(signals.watch(coordinator.reload))
+        coordinator.tasks.keep(
+            functools.partial(signals.watch, coordinator.reload)
+        )
         await _wait_for_any(signals.stop, coordinator.tasks.vital_failed)
         logs.say(logs.Part.COORDINATOR, "Stopping.")
-        watch.cancel()
         if coordinator.tasks.vital_failed.is_set():
-            # The state in memory is unreliable; a restart reads the disk.
+            # The state in memory is unreliable; the next run reads the disk.
             raise exceptions.StorageError("the replica has failed")
         await coordinator.hand_over()
 
--- a/rackpost/cmd_gateway.py
+++ b/rackpost/cmd_gateway.py
@@ -25,7 +25,9 @@
         )
     gateway = process.Gateway(host=host, policy=policy)
     async with gateway.serving():
-        gateway.site.spawn(signals.watch(gateway.reload))
+        gateway.site.tasks.keep(
+            functools.partial(signals.watch, gateway.reload)
+        )
         await signals.stop.wait()
         await gateway.stop()
 
--- a/rackpost/site_program.py
+++ b/rackpost/site_program.py
@@ -29,6 +29,9 @@
 _CHECK_INTERVAL_S = 1.0
 # How often a file that is not usable yet is read again.
 _RETRY_INTERVAL_S = 0.1
+# Pauses before a program that has failed starts again.
+_MIN_RESTART_PAUSE_S = 0.1
+_MAX_RESTART_PAUSE_S = 5.0
 BAD_USE = 2
 
 T = TypeVar("T")
@@ -37,6 +40,25 @@
 Check = Callable[[settings.HostSettings], None]
 
 
+class RestartPause:
+    """How long a program that has failed waits before it starts again.
+
+    A single failure costs callers little; one that repeats uses little of
+    the processor.
+    """
+
+    def __init__(self) -> None:
+        self._pause_s = _MIN_RESTART_PAUSE_S
+
+    def next_s(self, ran_s: float) -> float:
+        """Return the pause after a run of `ran_s` seconds."""
+        if ran_s > _MAX_RESTART_PAUSE_S:
+            self._pause_s = _MIN_RESTART_PAUSE_S
+        pause_s = self._pause_s
+        self._pause_s = min(2.0 * pause_s, _MAX_RESTART_PAUSE_S)
+        return pause_s
+
+
 class SettingsFile:
     """The settings file, and whether it has changed since it was read."""
 
@@ -128,7 +150,7 @@
 def run(
     part: logs.Part, main: Main, *, check: Check = lambda host: None
 ) -> None:
-    """Run a program; errors end it with one line.
+    """Run a program until a stop signal.
 
     `check` raises ConfigError for settings that `main` can't use.  Exits
     where no settings file is named.
@@ -140,31 +162,49 @@
     async def start() -> None:
         file = SettingsFile(check=check)
         signals = Signals(part=part, file=file)
-        host = await background.unless_set(
-            signals.stop, file.wait_until_usable(part)
-        )
-        if host is not None:
-            await _serve(part, main, host, signals)
+        watch = asyncio.create_task(clock.SuspendWatch(part=part).run())
+        await _serve(part, main, file, signals)
+        watch.cancel()
         logs.say(part, "Ended.", lines_dropped=output.dropped)
         output.flush()
         # Durable state is synced already.  A regular exit would wait for
         # threads that hang on a stalled disk.
         os._exit(0)
 
-    try:
-        clock.run(start())
-    except (exceptions.RackpostError, OSError) as exc:
-        logs.say(part, "Ended by an error.", why=str(exc))
-        output.flush()
-        sys.exit(1)
+    clock.run(start())
 
 
 async def _serve(
-    part: logs.Part,
-    main: Main,
-    host: settings.HostSettings,
-    signals: Signals,
+    part: logs.Part, main: Main, file: SettingsFile, signals: Signals
 ) -> None:
+    """Run `main` until it returns; start it again after an error."""
+    loop = asyncio.get_running_loop()
+    pause = RestartPause()
+    while True:
+        host = await background.unless_set(
+            signals.stop, file.wait_until_usable(part)
+        )
+        if host is None:
+            return
+        _log_start(part, host)
+        began = loop.time()
+        try:
+            await main(host, signals)
+            return
+        except Exception as exc:
+            pause_s = pause.next_s(loop.time() - began)
+            logs.say(
+                part,
+                "Failed, starts again.",
+                why=repr(exc),
+                pause_s=pause_s,
+            )
+        await background.unless_set(signals.stop, asyncio.sleep(pause_s))
+        if signals.stop.is_set():
+            return
+
+
+def _log_start(part: logs.Part, host: settings.HostSettings) -> None:
     logs.add_fields(vm=host.vm)
     logs.say(
         part,
@@ -174,6 +214,3 @@
         seeds=list(host.seeds),
         first_start=host.first_start,
     )
-    watch = asyncio.create_task(clock.SuspendWatch(part=part).run())
-    await main(host, signals)
-    watch.cancel()
