Bound what callers' requests take in memory, each and all together

What callers saw: 20 callers that send one header value without end take a gateway over the 150 MB of its VM within seconds; a process over its memory is ended, with all requests under way.

Cause: a parser keeps a header until it is whole, so that the limit on heads, counted as headers are handed over, was never reached; the same for trailers and chunk extensions. Bodies were lists with an object for each chunk, some 40 bytes for one. There was no bound over all connections. Memory of lost connections waited for the garbage collector, as connection and parser refer to each other.

Change: bytes that a parser keeps count against the limit on heads (http1/parser_feed.py); bodies are byte arrays; all requests of a server share a budget, a tenth of the VM's memory (decide/buffer_budget.py), beyond which the largest that is still being read is refused as not run, with Retry-After. What is being answered is never shed. A log line and two gauges tell of it.

Why a budget with the largest first and not a fixed share for each: 4,100 connections times any useful share is more than the VM has, and callers that send little must not pay for those that send without end.

--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -53,6 +53,8 @@
 _SILENT_HEARTBEATS = 8.0
 # Schedulers use an endpoint without this many heartbeats last, as gateways do.
 _MAX_MISSED_HEARTBEATS = 3.5
+# Share of the VM's memory for calls of operators and endpoints.
+_REQUESTS_MEMORY_SHARE = 0.1
 # How often received heartbeats are published.
 _HEARTBEAT_NOTICE_S = 0.5
 
@@ -406,6 +408,9 @@
             handler=http_api.handle,
             failed=_failed,
             limits=model.Limits(body_bytes=16 << 20, idle_s=30.0),
+            max_request_bytes=self._host.limits.memory_bytes(
+                _REQUESTS_MEMORY_SHARE
+            ),
         )
         control_at = address.split(self._host.listen.control)
         ip = self._host.ip
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -37,6 +37,9 @@
 _SWEEP_S = 1.0
 # Share of the VM's memory for answers that clients have not read yet.
 _READERS_MEMORY_SHARE = 0.125
+# Share of the VM's memory for clients' requests.  Each of them is copied when
+# it is sent to an endpoint.
+_REQUESTS_MEMORY_SHARE = 0.1
 
 
 class SlowReader(enum.Enum):
@@ -62,16 +65,16 @@
             handler=handler_mod.Handler(site=self.site).handle,
             failed=_log_failure,
             reader_budget=slow_readers.ReaderBudget(
-                max_bytes=int(
-                    _READERS_MEMORY_SHARE * host.limits.memory_mb * (1 << 20)
-                )
+                max_bytes=host.limits.memory_bytes(_READERS_MEMORY_SHARE)
             ),
+            max_request_bytes=host.limits.memory_bytes(_REQUESTS_MEMORY_SHARE),
             disconnected=self._on_slow_reader,
             guard=self.site.overload,
         )
         self.stopping = False
         self._ready = False
         self._closes_unread = False
+        self._shed_requests = 0
         self._memory = process_figures.MemoryWatch(
             part=logs.Part.GATEWAY, limit_mb=host.limits.memory_mb
         )
@@ -135,10 +138,25 @@
                 self._server.limits = self.site.routes.limits
             self._log_overload()
             self._memory.look()
+            self._log_shed()
             self._refusals.log_if_due(
                 self._links.linked_count, self._links.offered_version
             )
 
+    def _log_shed(self) -> None:
+        """Log how many requests were refused for memory, if any were."""
+        shed = self._server.requests.shed
+        if shed == self._shed_requests:
+            return
+        logs.say(
+            logs.Part.GATEWAY,
+            "Requests too large for the memory were refused, not run.",
+            count=shed - self._shed_requests,
+            held_bytes=self._server.requests.held_bytes,
+            max_bytes=self._server.requests.max_bytes,
+        )
+        self._shed_requests = shed
+
     def _log_overload(self) -> None:
         """Log when the gateway starts or stops to close new connections."""
         guard = self.site.overload
@@ -228,6 +246,9 @@
         self.site.metrics.gauge("connections_opened", self.site.pool.opened)
         self.site.metrics.gauge("unread_bytes", self._server.held_bytes)
         self.site.metrics.gauge("closed_unread", self._server.closed_unread)
+        requests = self._server.requests
+        self.site.metrics.gauge("request_bytes", requests.held_bytes)
+        self.site.metrics.gauge("requests_shed", requests.shed)
         self.site.metrics.gauge("own_delay_s", self.site.overload.lag_s)
         return 200, self.site.metrics.text()
 
--- a/rackpost/http1/pages.py
+++ b/rackpost/http1/pages.py
@@ -6,9 +6,14 @@
 
 from rackpost.http1 import message
 from rackpost.http1 import server
+from rackpost.routing import model
 
 _TEXT_HEADERS = [(b"content-type", b"text/plain; version=0.0.4")]
 
+# Calls of pages have no bodies to speak of.
+_LIMITS = model.Limits(body_bytes=4 << 10)
+_MAX_REQUEST_BYTES = 1 << 20
+
 Page = Callable[[], tuple[int, str]]
 
 
@@ -32,6 +37,11 @@
         status, text = page()
         responder.send(status, _TEXT_HEADERS, text.encode())
 
-    page_server = server.Server(handler=handle, failed=failed)
+    page_server = server.Server(
+        handler=handle,
+        failed=failed,
+        limits=_LIMITS,
+        max_request_bytes=_MAX_REQUEST_BYTES,
+    )
     async with page_server.serving(host, port):
         yield page_server
--- a/rackpost/http1/server.py
+++ b/rackpost/http1/server.py
@@ -16,9 +16,11 @@
 
 import httptools
 
+from rackpost.decide import buffer_budget
 from rackpost.decide import overload
 from rackpost.decide import slow_readers
 from rackpost.http1 import message
+from rackpost.http1 import parser_feed
 from rackpost.routing import model
 
 _BACKLOG = 1024
@@ -34,8 +36,12 @@
 # Writing pauses while more than this is unsent, unless the budget for all
 # clients has room.
 _HIGH_WATER_BYTES = 64 << 10
-# Budget of a server whose owner sets none.
+# Budgets of a server whose owner sets none.
 _DEFAULT_BUDGET_BYTES = 16 << 20
+# Memory of a header besides its bytes.
+_HEADER_OVERHEAD_BYTES = 160
+# Retry-After of a request that was not read for lack of memory, in seconds.
+_NOT_READ_RETRY_AFTER_S = 1
 
 
 class Responder:
@@ -105,14 +111,18 @@
 Handler = Callable[[message.Request, Responder], Awaitable[None]]
 
 
-class ServerConnection(asyncio.Protocol):
-    """A client's connection."""
+class ServerConnection(asyncio.Protocol, buffer_budget.Holder):
+    """A client's connection; it holds the requests that it has sent."""
 
     def __init__(self, *, server: "Server") -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        # None once the connection is lost.
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
+        self._feed = parser_feed.ParserFeed()
         self._pipelined: collections.deque[tuple[message.Request, bool]] = (
             collections.deque()
         )
@@ -126,6 +136,9 @@
         # Only while something is held: most connections need none.
         self._read_rate: slow_readers.ReadRate | None = None
         self._latest_req: message.Request | None = None
+        # Sizes of the requests that wait, and of the one being answered.
+        self._waiting_bytes = 0
+        self._served_bytes = 0
         self.idle_since = self._loop.time()
         self._received_at = self.idle_since
         self.head_since: float | None = None
@@ -135,8 +148,7 @@
         self._target = b""
         self._headers: list[message.Header] = []
         self._head_size = 0
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = bytearray()
         self._reading = False
         self._has_head = False
 
@@ -222,6 +234,12 @@
         self._counted_bytes = 0
         self.resume_writing()
         self._pipelined.clear()
+        self._waiting_bytes = 0
+        self._new_request()
+        self._record_held()
+        # The parser refers to this object as well: without the cycle the
+        # memory of both is free at once.
+        self._parser = None
         if self._task is not None:
             self._task.cancel()
 
@@ -238,37 +256,74 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._discarding:
+        if self._discarding or self._parser is None:
             return
         self._received_at = self._loop.time()
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
-        except httptools.HttpParserError:
+            is_bounded = self._feed.feed(
+                self._parser,
+                data,
+                max_kept=self._server.limits.header_bytes,
+                is_ended=lambda: self._discarding,
+            )
+            if not is_bounded:
+                self._refuse(431)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._refuse(400)
+        self._record_held()
+
+    def _record_held(self) -> None:
+        """Record what is held of requests; shed those beyond the budget."""
+        held_bytes = self._waiting_bytes + self._served_bytes
+        if self._reading:
+            held_bytes += self._feed.kept_bytes + len(self._body)
+            held_bytes += self._head_size
+            held_bytes += _HEADER_OVERHEAD_BYTES * len(self._headers)
+        for holder in self._server.requests.record(self, held_bytes):
+            holder.shed()
+
+    @property
+    def can_shed(self) -> bool:
+        """Whether a request is still being read."""
+        return self._reading
+
+    def shed(self) -> None:
+        """Refuse the request that is being read; it has not been passed on."""
+        self._refuse(503)
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
+        self._feed.record_progress()
+        if self._discarding:
+            return
         self._new_request()
         self._reading = True
         self.head_since = self._loop.time()
 
     def on_url(self, data: bytes) -> None:
         """Collect a part of the target."""
+        self._feed.record_progress()
+        if self._discarding:
+            return
         self._target += data
         self._count_head(len(data))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are dropped."""
+        self._feed.record_progress()
+        if self._discarding:
+            return
         if not self._has_head:
             self._headers.append((name.lower(), value))
         self._count_head(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
         """Mark the head as complete, and answer Expect: 100-continue."""
+        self._feed.record_progress()
+        if self._discarding:
+            return
         self.head_since = None
         self._has_head = True
         expect = message.find(self._headers, b"expect")
@@ -278,17 +333,18 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a chunk of the body; refuses one over the limit."""
+        self._feed.record_progress()
         if self._discarding:
             return
-        self._body_size += len(data)
-        if self._body_size > self._server.limits.body_bytes:
+        if len(self._body) + len(data) > self._server.limits.body_bytes:
             self._refuse(413)
             return
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Queue the complete request for its handler."""
-        if self._discarding:
+        self._feed.record_progress()
+        if self._discarding or self._parser is None:
             return
         self._reading = False
         headers = self._headers
@@ -296,13 +352,15 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             has_body=_has_body(headers),
         )
         is_http10 = self._parser.get_http_version() == "1.0"
         if not self._parser.should_keep_alive():
             self.closing = True
         self._pipelined.append((req, is_http10))
+        self._waiting_bytes += _size(req)
+        self._body = bytearray()
         if len(self._pipelined) > _MAX_PIPELINED:
             self.abort()
         elif self._task is None:
@@ -319,9 +377,13 @@
         try:
             while self._pipelined and not self._is_gone():
                 req, is_http10 = self._pipelined.popleft()
+                self._served_bytes = _size(req)
+                self._waiting_bytes -= self._served_bytes
                 await self._serve_one(req, is_http10)
         finally:
             self._task = None
+            self._served_bytes = 0
+            self._record_held()
             self.idle_since = self._loop.time()
 
     async def _serve_one(self, req: message.Request, is_http10: bool) -> None:
@@ -351,10 +413,15 @@
         self._discarding = True
         self.closing = True
         self._reading = False
+        self._new_request()
+        self._record_held()
         if self._task is not None:
             # The answer to an earlier request comes first.
             return
-        Responder(conn=self, is_http10=False).send(status, [], b"")
+        lines = []
+        if status == 503:
+            lines = [(b"retry-after", b"%d" % _NOT_READ_RETRY_AFTER_S)]
+        Responder(conn=self, is_http10=False).send(status, lines, b"")
         if self._transport is not None and self._transport.can_write_eof():
             self._transport.write_eof()
         self._loop.call_later(_LINGER_S, self.abort)
@@ -395,6 +462,13 @@
     return expect is not None and expect.lower() == b"100-continue"
 
 
+def _size(req: message.Request) -> int:
+    """Return the memory that a request takes, in bytes."""
+    lines = sum(len(key) + len(value) for key, value in req.headers)
+    overhead = _HEADER_OVERHEAD_BYTES * len(req.headers)
+    return len(req.target) + lines + overhead + len(req.body)
+
+
 def _has_body(headers: list[message.Header]) -> bool:
     for key, _ in headers:
         if key in (b"content-length", b"transfer-encoding"):
@@ -412,6 +486,7 @@
         failed: Callable[[message.Request, Exception], None],
         limits: model.Limits | None = None,
         reader_budget: slow_readers.ReaderBudget | None = None,
+        max_request_bytes: int = _DEFAULT_BUDGET_BYTES,
         disconnected: Callable[
             [message.Request, slow_readers.Reader], None
         ] = lambda req, reader: None,
@@ -420,7 +495,8 @@
         """Create a server that does not listen yet.
 
         `failed` is called for a handler's exception, `disconnected` for a
-        client that reads too slowly, with its latest request.  `guard` limits
+        client that reads too slowly, with its latest request.
+        `max_request_bytes` bounds all requests in memory.  `guard` limits
         new connections in an overload; by default all are taken.
         """
         self.handler = handler
@@ -429,6 +505,8 @@
         self._budget = reader_budget or slow_readers.ReaderBudget(
             max_bytes=_DEFAULT_BUDGET_BYTES
         )
+        # What is held of all clients' requests.
+        self.requests = buffer_budget.BufferBudget(max_bytes=max_request_bytes)
         # Bytes held for all clients; of each as of its last write or sweep.
         self.held_bytes = 0
         self.limits = limits or model.Limits()
--- a/rackpost/platform/settings.py
+++ b/rackpost/platform/settings.py
@@ -70,6 +70,10 @@
     descriptors: int = msgspec.field(default=1024, name="maxFds")
     disk_mb: float = msgspec.field(default=0, name="diskMb")
 
+    def memory_bytes(self, share: float) -> int:
+        """Return a share of the memory in bytes."""
+        return int(share * self.memory_mb * (1 << 20))
+
 
 class Listen(msgspec.Struct, frozen=True, kw_only=True):
     """`host:port` of each interface that this process serves."""
