Bound what endpoints' answers take in memory and in time

Cause: heads of answers had no limit at all; a parser keeps a value until it is whole and skips other bytes without a word; each answer was allowed 16 MB with no bound over all; a body was a list with an object for each chunk, and an event without end was kept and searched from its start for each part.

Change: at most 64 KB of heads and trailers, 64 heads and 16 MB of late answers in an exchange, and 64 KB that the parser keeps; a tenth of the VM's memory for all answers together, beyond which the largest is broken off and never looks whole; 256 KB for an event. The exchange fails as for any broken answer.

--- a/rackpost/gateway/answer_relay.py
+++ b/rackpost/gateway/answer_relay.py
@@ -45,6 +45,8 @@
                 fresh.append(event.data)
             _record_event(call, event)
             has_event = True
+        if len(splitter.rest) > events.MAX_EVENT_BYTES:
+            raise exceptions.ExchangeError("an event is too long")
         if call.last_event_id is not None and call.record_first_event(
             endpoint
         ):
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -246,6 +246,9 @@
         self.site.metrics.gauge("connections_opened", self.site.pool.opened)
         self.site.metrics.gauge("unread_bytes", self._server.held_bytes)
         self.site.metrics.gauge("closed_unread", self._server.closed_unread)
+        answers = self.site.pool.answers
+        self.site.metrics.gauge("answer_bytes", answers.held_bytes)
+        self.site.metrics.gauge("answers_shed", answers.shed)
         requests = self._server.requests
         self.site.metrics.gauge("request_bytes", requests.held_bytes)
         self.site.metrics.gauge("requests_shed", requests.shed)
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -58,6 +58,8 @@
 _MAX_MISSED_HEARTBEATS = 3.5
 # Gateways send load reports at least each second.
 _GATEWAY_TIMEOUT_S = 1.3
+# Share of the VM's memory for endpoints' answers that are being read.
+_ANSWERS_MEMORY_SHARE = 0.1
 
 
 class Site:
@@ -89,7 +91,10 @@
         )
         self.capacity_changed = asyncio.Event()
         self.health = endpoint_health.HealthTracker()
-        self.pool = pool_mod.Pool(id_header=headers.REQUEST_ID)
+        self.pool = pool_mod.Pool(
+            id_header=headers.REQUEST_ID,
+            max_answer_bytes=host.limits.memory_bytes(_ANSWERS_MEMORY_SHARE),
+        )
         self.group = gateway_groups.Group(vm=host.vm)
         self.eligibility = eligibility.Eligibility(
             table=self.table, rng=self.rng
--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -14,11 +14,19 @@
 
 import httptools
 
+from rackpost.decide import buffer_budget
 from rackpost import exceptions
 from rackpost.http1 import message
+from rackpost.http1 import parser_feed
 
 # Reading pauses while more of an answer than this is unread.
 _MAX_BUFFERED_BYTES = 256 << 10
+# Bytes of heads and trailers in one exchange, of interim and late answers too.
+_MAX_HEAD_BYTES = 64 << 10
+# Heads in one exchange; those of interim answers may be empty.
+_MAX_HEADS = 64
+# Bytes of late answers that are skipped in one exchange.
+_MAX_SKIPPED_BYTES = 16 << 20
 # Requests after which a connection is closed; bounds the ids it remembers.
 MAX_REQUESTS = 256
 # Idle time of a connection whose endpoint sends no Keep-Alive timeout.
@@ -35,7 +43,7 @@
     NO_ID = "no-id"
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.Protocol, buffer_budget.Holder):
     """A connection to an endpoint, used by one request at a time."""
 
     def __init__(
@@ -43,13 +51,22 @@
         *,
         id_header: bytes,
         on_closed: Callable[["ClientConnection"], None],
+        answers: buffer_budget.BufferBudget,
     ) -> None:
-        """`on_closed` is called once the connection is closed."""
+        """`on_closed` is called once the connection is closed.
+
+        `answers` bounds what is held of the answers on all connections.
+        """
         self._loop = asyncio.get_running_loop()
         self._id_header = id_header
         self._on_closed = on_closed
+        self._answers = answers
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        # None once the connection is lost.
+        self._parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
+        self._feed = parser_feed.ParserFeed()
         self._busy = False
         self._reusable = True
         self._open = False
@@ -75,8 +92,12 @@
         # Answers skipped in the present exchange, and the last one's status.
         self.skipped: collections.Counter[SkipReason] = collections.Counter()
         self.skipped_status = 0
-        self._chunks: collections.deque[bytes] = collections.deque()
-        self._buffered_bytes = 0
+        self._head_bytes = 0
+        self._heads = 0
+        self._skipped_bytes = 0
+        # What has arrived of the body, and what `read_whole` has taken of it.
+        self._buffer = bytearray()
+        self._whole = bytearray()
         self._done = False
         self._error: str | None = None
         self._wake: asyncio.Future[None] | None = None
@@ -122,32 +143,37 @@
         return self._head
 
     async def read(self) -> bytes:
-        """Return the next bytes of the body, b"" at its end."""
-        while not self._chunks:
+        """Return the bytes of the body that have arrived, b"" at its end."""
+        while not self._buffer:
             if self._done:
                 return b""
             self._raise_error()
             await self._wait()
-        chunk = self._chunks.popleft()
-        self._buffered_bytes -= len(chunk)
-        if self._paused and self._buffered_bytes < _MAX_BUFFERED_BYTES // 2:
+        chunk = bytes(self._buffer)
+        self._buffer.clear()
+        self._record_held()
+        if self._paused:
             self._resume()
         return chunk
 
     async def read_whole(self, limit: int) -> bytes:
         """Return the whole body; ExchangeError if it is cut or too long."""
-        chunks = []
-        size = 0
         while chunk := await self.read():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > limit:
+            self._whole += chunk
+            self._record_held()
+            if len(self._whole) > limit:
+                self._cut("the answer is too long")
                 raise exceptions.ExchangeError("the answer is too long")
-        return b"".join(chunks)
+        whole = bytes(self._whole)
+        self._whole.clear()
+        self._record_held()
+        return whole
 
     def release(self) -> bool:
         """End an exchange; return whether the connection can be reused."""
-        if not self._done or not self._can_reuse():
+        is_reusable = self._done and self._can_reuse()
+        self._drop()
+        if not is_reusable:
             self.abort()
             return False
         self._busy = False
@@ -163,7 +189,7 @@
         if not self._open or not self._reusable or self._transport is None:
             return False
         # Reading may be paused while bytes are unread.
-        if self._chunks or self.requests >= MAX_REQUESTS:
+        if self._buffer or self.requests >= MAX_REQUESTS:
             return False
         # An endpoint may answer before it has read the whole request.
         return self._transport.get_write_buffer_size() == 0
@@ -196,6 +222,44 @@
         if self._transport is not None and self._open:
             self._transport.resume_reading()
 
+    # What is held of answers.
+
+    @property
+    def can_shed(self) -> bool:
+        """Whether an answer is being read."""
+        return self._busy
+
+    def shed(self) -> None:
+        """Break the answer off: others need the memory."""
+        # It may have arrived whole and not have been taken yet.
+        self._done = False
+        self._cut("all answers together are too large")
+
+    def _record_held(self) -> None:
+        held_bytes = len(self._buffer) + len(self._whole)
+        held_bytes += self._feed.kept_bytes + self._head_bytes
+        for holder in self._answers.record(self, held_bytes):
+            holder.shed()
+
+    def _cut(self, reason: str) -> None:
+        """Break off an answer without end; the endpoint sees a close."""
+        if self._done:
+            # The answer is whole; what follows belongs to no request.
+            self._reusable = False
+            return
+        self._fail(reason)
+        self._drop()
+        self.abort()
+
+    def _drop(self) -> None:
+        """Release what is held of the answer."""
+        self._headers = []
+        self._head_bytes = 0
+        self._buffer.clear()
+        self._whole.clear()
+        self._feed.kept_bytes = 0
+        self._record_held()
+
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -209,17 +273,28 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         self.received_at = self._loop.time()
-        if not self._busy or self._done:
+        if not self._busy or self._done or self._parser is None:
             # Unsolicited bytes.
             self.abort()
             return
+        if self._error is not None:
+            return
         try:
-            self._parser.feed_data(data)
+            is_bounded = self._feed.feed(
+                self._parser,
+                data,
+                max_kept=_MAX_HEAD_BYTES,
+                is_ended=lambda: self._error is not None,
+            )
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as exc:
             self._fail(f"not an answer: {exc}")
+        else:
+            if not is_bounded:
+                self._cut("a part of the answer is too long")
+        self._record_held()
 
     def eof_received(self) -> bool:
         """Handle the end of the stream; it ends a body without a length."""
@@ -233,12 +308,16 @@
         """Fail a running exchange."""
         self._open = False
         self._fail(f"connection lost: {exc or 'closed'}")
+        # The parser refers to this object as well: without the cycle the
+        # memory of both is free at once.
+        self._parser = None
         self._on_closed(self)
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Reset the headers for a new answer."""
+        self._feed.record_progress()
         if self._done:
             self._reusable = False
         self._headers = []
@@ -246,13 +325,25 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are dropped."""
+        self._feed.record_progress()
+        if self._error is not None:
+            return
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            self._cut("its head is too long")
+            return
         if not self._has_headers:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Accept the answer unless it is interim or of another request."""
+        self._feed.record_progress()
         self._has_headers = True
-        if self._done:
+        if self._done or self._error is not None or self._parser is None:
+            return
+        self._heads += 1
+        if self._heads > _MAX_HEADS:
+            self._cut("too many answers")
             return
         status = self._parser.get_status_code()
         if status < 200:
@@ -265,7 +356,7 @@
             self.skipped_status = status
             return
         self._skip = False
-        self._accept_head(status)
+        self._accept_head(status, self._parser.should_keep_alive())
 
     def _skip_reason(self) -> SkipReason | None:
         """Return why the answer is not the request's; None if it is."""
@@ -278,7 +369,7 @@
             return SkipReason.NO_ID
         return None if echoed == self._request_id else SkipReason.OTHER_ID
 
-    def _accept_head(self, status: int) -> None:
+    def _accept_head(self, status: int, keeps_alive: bool) -> None:
         headers = self._headers
         framing = _framing(status, headers)
         if self._is_head:
@@ -286,18 +377,23 @@
             self._reusable = False
             self._done = True
         self._head = message.Head(status, headers, framing)
-        if not self._parser.should_keep_alive():
+        if not keeps_alive:
             self._reusable = False
         self.idle_until = self._loop.time() + _idle_s(headers)
         self._notify()
 
     def on_body(self, data: bytes) -> None:
-        """Buffer a chunk of the body; pauses reading at the limit."""
-        if self._skip or self._done:
+        """Buffer a part of the body; pauses reading at the limit."""
+        self._feed.record_progress()
+        if self._done or self._error is not None:
+            return
+        if self._skip:
+            self._skipped_bytes += len(data)
+            if self._skipped_bytes > _MAX_SKIPPED_BYTES:
+                self._cut("a late answer is too long")
             return
-        self._chunks.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > _MAX_BUFFERED_BYTES and not self._paused:
+        self._buffer += data
+        if len(self._buffer) > _MAX_BUFFERED_BYTES and not self._paused:
             if self._transport is not None:
                 self._paused = True
                 self._transport.pause_reading()
@@ -305,6 +401,9 @@
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
+        self._feed.record_progress()
+        if self._error is not None:
+            return
         if self._skip:
             self._skip = False
             return
--- a/rackpost/http1/events.py
+++ b/rackpost/http1/events.py
@@ -8,6 +8,8 @@
 
 _TERMINATOR = b"\n\n"
 _ID_FIELD = b"id:"
+# Longest event; one without end would be held for ever.
+MAX_EVENT_BYTES = 256 << 10
 
 
 class Event(NamedTuple):
@@ -25,9 +27,12 @@
 
     def feed(self, received: bytes) -> list[Event]:
         """Add bytes; return the events completed by them."""
+        # A terminator may have begun with the last byte from before.
+        since = max(0, len(self.rest) - 1)
         self.rest += received
         events = []
-        while (at := self.rest.find(_TERMINATOR)) >= 0:
+        while (at := self.rest.find(_TERMINATOR, since)) >= 0:
+            since = 0
             data = self.rest[: at + len(_TERMINATOR)]
             self.rest = self.rest[at + len(_TERMINATOR) :]
             events.append(Event(data, _event_id(data)))
--- a/rackpost/http1/pool.py
+++ b/rackpost/http1/pool.py
@@ -6,6 +6,7 @@
 import socket
 from typing import AsyncIterator
 
+from rackpost.decide import buffer_budget
 from rackpost import exceptions
 from rackpost.http1 import address as address_mod
 from rackpost.http1 import client
@@ -16,6 +17,8 @@
 # covers a short burst.  Refused at once, callers were told that there is no
 # endpoint just as power came back.
 _SLOT_TIMEOUT_S = 0.25
+# Bound of a pool whose owner sets none.
+_DEFAULT_ANSWER_BYTES = 16 << 20
 
 
 class _AddressState:
@@ -43,7 +46,14 @@
 class Pool:
     """Connections by address, with a limit of open ones per address."""
 
-    def __init__(self, *, id_header: bytes) -> None:
+    def __init__(
+        self,
+        *,
+        id_header: bytes,
+        max_answer_bytes: int = _DEFAULT_ANSWER_BYTES,
+    ) -> None:
+        """`max_answer_bytes` bounds what is held of all answers."""
+        self.answers = buffer_budget.BufferBudget(max_bytes=max_answer_bytes)
         self._loop = asyncio.get_running_loop()
         self._id_header = id_header
         self._addresses: dict[str, _AddressState] = {}
@@ -124,7 +134,9 @@
     async def _connect(self, address: str) -> client.ClientConnection:
         state = self._addresses[address]
         conn = client.ClientConnection(
-            id_header=self._id_header, on_closed=state.open.discard
+            id_header=self._id_header,
+            on_closed=state.open.discard,
+            answers=self.answers,
         )
         state.open.add(conn)
         try:
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import pytest
 
+from rackpost.decide import buffer_budget
 from rackpost import exceptions
 from rackpost.http1 import client
 from rackpost.http1 import message
@@ -238,7 +239,9 @@
 
     async def main() -> None:
         conn = client.ClientConnection(
-            id_header=b"x-id", on_closed=lambda closed: None
+            id_header=b"x-id",
+            on_closed=lambda closed: None,
+            answers=buffer_budget.BufferBudget(max_bytes=1 << 20),
         )
         conn.connection_made(_Transport())
         for ident, segments in (
