Resume no unnamed stream at a version that is merely known now

What callers saw (a report from a system like ours, reproduced here): two versions in a release, the old one leaves, all gateways restart at once; of 24 clients that take their streams up with their own id and no Resumes, 12 got the rest from the other version, with 200 and nothing that shows it (ORDER).

Cause: for clients that do not name the request that began their stream, a gateway took the one version of the endpoints that it knows now. A gateway that has just started knows only who is there now. The origin, recorded under the client's own id with three coordinators, was not asked for.

Change: the one version counts only if it has been alone for as long as a stream may be resumed, and if this gateway has known all endpoints for that long without a break (VersionHistory, pure). Else the stream is searched for by the request's own id, which clients may keep; what is not found is refused. Routes with several services have no sole version. Nothing changes for clients that name their stream.

Two new tests of test_stream_versions.py fail before with 200 in place of 503. test_a_client_that_does_not_name_its_stream_needs_one_version asserted that a stream goes on while a second version had left a second ago, which is the fault; in its place one asks for the same with a version that was alone all the while, and for a refusal otherwise.

--- a/rackpost/decide/stream_origins.py
+++ b/rackpost/decide/stream_origins.py
@@ -9,7 +9,6 @@
 """
 
 import hashlib
-from typing import Collection
 from typing import Iterable
 
 import msgspec
@@ -22,6 +21,10 @@
 _PURPOSE = b"rackpost stream"
 # Bounds the memory for streams; the oldest are dropped.
 _MAX_STREAMS = 50_000
+# Longest time between two records of the endpoints that are there, and for how
+# long one that has left is remembered, in seconds.
+_MAX_RECORD_INTERVAL_S = 2.0
+_HISTORY_S = 3600.0
 # The version of a stream that began at an endpoint which may have restarted
 # since its last heartbeat; no endpoint has it.
 UNKNOWN_SOFTWARE = types.SoftwareVersion("\0unknown")
@@ -67,17 +70,60 @@
     return types.StreamKey(found.digest())
 
 
-def sole_origin(
-    service: types.ServiceName, versions: Collection[types.SoftwareVersion]
-) -> StreamOrigin | None:
-    """Return the origin that all streams of a service have.
+class VersionHistory:
+    """Which software versions a service's endpoints have had, and when.
 
-    For clients that do not name the request that began their stream.  None
-    if the known endpoints have several versions, or there are none.
+    For clients that do not name the request that began their stream: it
+    began at the one version that was there all the while, if that is known.
     """
-    if len(versions) != 1:
-        return None
-    return StreamOrigin(service=service, software=next(iter(versions)))
+
+    def __init__(self) -> None:
+        # Since when all endpoints are known; None while they are not.
+        self._known_since: float | None = None
+        # When each service's versions were there last, in order of time.
+        self._last_seen: dict[StreamOrigin, float] = {}
+
+    def record(self, alive: Iterable[endpoints.Endpoint], now: float) -> None:
+        """Record the endpoints that are there, which are all of them."""
+        if self._known_since is None:
+            self._known_since = now
+        for item in alive:
+            self.record_endpoint(item, now)
+        self._forget(now)
+
+    def record_endpoint(self, item: endpoints.Endpoint, now: float) -> None:
+        """Record that an endpoint is there."""
+        found = StreamOrigin(service=item.service, software=item.software)
+        self._last_seen.pop(found, None)
+        self._last_seen[found] = now
+
+    def restart(self) -> None:
+        """Record that endpoints may come and leave unseen from now on."""
+        self._known_since = None
+
+    def sole_origin(
+        self, service: types.ServiceName, lifetime_s: float, now: float
+    ) -> StreamOrigin | None:
+        """Return the origin of all streams that began within a lifetime.
+
+        None if there may have been several.
+        """
+        since = now - lifetime_s - _MAX_RECORD_INTERVAL_S
+        if self._known_since is None or self._known_since > since:
+            return None
+        found = [
+            origin
+            for origin, last_at in self._last_seen.items()
+            if origin.service == service and last_at >= since
+        ]
+        return found[0] if len(found) == 1 else None
+
+    def _forget(self, now: float) -> None:
+        while self._last_seen:
+            origin = next(iter(self._last_seen))
+            if self._last_seen[origin] > now - _HISTORY_S:
+                return
+            del self._last_seen[origin]
 
 
 class OriginTable:
--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -265,18 +265,10 @@
                 types.OrganisationName(self.caller.name), self.request_id
             ),
             self.origin,
-            self._stream_lifetime_s(),
+            stream_lifetime_s(self.route, self.req),
         )
         return True
 
-    def _stream_lifetime_s(self) -> float:
-        """Return for how long the client may resume the stream."""
-        left_ms = headers.parse_int(
-            message.find(self.req.headers, headers.DEADLINE_MS)
-        )
-        client_s = min(left_ms or 0, _MAX_DEADLINE_MS) / 1000.0
-        return max(self.route.timeout_s, client_s)
-
     @property
     def is_head(self) -> bool:
         """Whether the client asks for headers alone."""
@@ -459,6 +451,13 @@
                 metrics.count("pauses", self.times.pause_cause, name)
 
 
+def stream_lifetime_s(route: model.Route, req: message.Request) -> float:
+    """Return for how long a client may resume a stream, in seconds."""
+    left_ms = headers.parse_int(message.find(req.headers, headers.DEADLINE_MS))
+    client_s = min(left_ms or 0, _MAX_DEADLINE_MS) / 1000.0
+    return max(route.timeout_s, client_s)
+
+
 def ignore() -> None:
     """Ignore an event or an answer."""
 
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -228,6 +228,8 @@
     ) -> None:
         table = self._site.table
         before = {item.id: table.alive.get(item.id) for item in msg.alive}
+        for item in msg.alive:
+            self._site.versions.record_endpoint(item, self._loop.time())
         changed = directory.apply_update(table, msg, self._loop.time())
         for item in changed:
             old = before.get(item.id)
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -77,7 +77,7 @@
         if routed is None:
             return
         origin = None
-        if _names_first_request(routed.route, req):
+        if _resumes_stream(routed.route, req):
             origin = await self._find_origin(routed, req)
             if origin is None:
                 reason = call_mod.Reason.ORIGIN_UNKNOWN
@@ -87,7 +87,7 @@
             routed = self._route(routes, req, responder)
             if routed is None:
                 return
-        target = self._target(routed.route, req, origin)
+        target = self._target(routed.route, origin)
         if isinstance(target, call_mod.Reason):
             self._refuse_resumed(target, req, responder)
             return
@@ -99,25 +99,18 @@
     def _target(
         self,
         route: model.Route,
-        req: message.Request,
         origin: stream_origins.StreamOrigin | None,
     ) -> _Target | call_mod.Reason:
         """Return where a request goes, or why its stream can't be resumed.
 
-        `origin` is where the stream began of which the client named the first
-        request.
+        `origin` is where the stream began that the request resumes.
         """
-        if origin is not None:
-            if origin.service in route.services:
-                return _Target(origin.service, origin)
-            return call_mod.Reason.VERSION_GONE
-        name = match.choose_service(route, self._site.rng)
-        if not _resumes_stream(route, req):
+        if origin is None:
+            name = match.choose_service(route, self._site.rng)
             return _Target(name, None)
-        versions = self._site.table.versions(name)
-        if len(versions) > 1:
-            return call_mod.Reason.ORIGIN_UNKNOWN
-        return _Target(name, stream_origins.sole_origin(name, versions))
+        if origin.service in route.services:
+            return _Target(origin.service, origin)
+        return call_mod.Reason.VERSION_GONE
 
     def _route(
         self,
@@ -155,14 +148,35 @@
     async def _find_origin(
         self, routed: _Routed, req: message.Request
     ) -> stream_origins.StreamOrigin | None:
-        """Return where the stream began that a request resumes."""
-        first = message.find(req.headers, headers.RESUMES) or b""
+        """Return where the stream began that a request resumes.
+
+        A client that does not name the request that began it may have kept
+        that request's id.
+        """
+        first = message.find(req.headers, headers.RESUMES)
+        if first is None:
+            sole = self._sole_origin(routed.route, req)
+            if sole is not None:
+                return sole
+            first = message.find(req.headers, headers.REQUEST_ID)
         return await self._site.origins.find(
             stream_origins.stream_key(
-                types.OrganisationName(routed.caller.name), first
+                types.OrganisationName(routed.caller.name), first or b""
             )
         )
 
+    def _sole_origin(
+        self, route: model.Route, req: message.Request
+    ) -> stream_origins.StreamOrigin | None:
+        """Return where all streams of a route began that may be resumed."""
+        if len(route.services) != 1:
+            return None
+        return self._site.versions.sole_origin(
+            next(iter(route.services)),
+            call_mod.stream_lifetime_s(route, req),
+            self._site.loop_time(),
+        )
+
     async def _wait_for_routes(
         self, req: message.Request, now: float
     ) -> match.RouteTable | None:
@@ -332,14 +346,6 @@
     )
 
 
-def _names_first_request(route: model.Route, req: message.Request) -> bool:
-    """Whether a client names the request that began the stream it resumes."""
-    return (
-        _resumes_stream(route, req)
-        and message.find(req.headers, headers.RESUMES) is not None
-    )
-
-
 def _header(req: message.Request, name: bytes) -> str:
     """Return a header's value for the log."""
     return (message.find(req.headers, name) or b"").decode("latin-1")
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -132,6 +132,7 @@
             self.site.loads.expire(self.site.loop_time())
             self.site.quotas.forget(self.site.loop_time())
             self.site.drop_silent_gateways()
+            self.site.record_versions(self._links.linked_count > 0)
             self.site.rate_grants.sweep()
             self.site.crash_tracker.recheck(self.site.loop_time())
             if self.site.routes is not None:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -32,6 +32,7 @@
 from rackpost.decide import recent_refusals as recent_refusals_mod
 from rackpost.decide import retry_budget
 from rackpost.decide import role_balance
+from rackpost.decide import stream_origins
 from rackpost.decide import token_timing as token_timing_mod
 from rackpost.decide.waiting import decisions as decisions_mod
 from rackpost.decide.waiting import orders as orders_mod
@@ -83,6 +84,7 @@
         # Set once there are routes.
         self.routes_loaded = asyncio.Event()
         self.table = endpoints.EndpointTable()
+        self.versions = stream_origins.VersionHistory()
         self.crash_tracker = crash_tracker_mod.CrashTracker(table=self.table)
         self.loads_changed = asyncio.Event()
         self.loads = endpoint_load.LoadTable(on_change=self.loads_changed.set)
@@ -278,6 +280,16 @@
             # A new gateway needs this one's load report.
             self.loads_changed.set()
 
+    def record_versions(self, is_linked: bool) -> None:
+        """Record the endpoints' software versions, as far as all are known.
+
+        Without a link to a coordinator endpoints come and leave unseen.
+        """
+        if is_linked:
+            self.versions.record(self.table.alive.values(), self.loop_time())
+        else:
+            self.versions.restart()
+
     def drop_silent_gateways(self) -> None:
         """Drop gateways without load reports that no coordinator lists.
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -143,19 +143,97 @@
     asyncio.run(main())
 
 
-def test_a_client_that_does_not_name_its_stream_needs_one_version(
+# Longer than a client may resume a stream of the test site.
+_LONG_S = 60.0
+
+
+async def _restart_gateways(site: versioned_site.Site) -> None:
+    """Restart all gateways at once."""
+    for number in crashing_site.GATEWAYS:
+        await site.stop(number)
+    for number in crashing_site.GATEWAYS:
+        await site.start(number)
+    await site.wait_until_known()
+
+
+async def _age(site: versioned_site.Site, seconds: float) -> None:
+    """Let the gateways have known their endpoints for longer."""
+    for running in site.gateways.values():
+        history = running.site.versions
+        await platform_site.until(lambda: history._known_since is not None)
+        history._known_since -= seconds
+
+
+def test_a_client_that_keeps_its_id_resumes_at_its_version(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Events of two software versions, for clients that name no request.
+
+    The version that began the stream has left, and no gateway has been there
+    before: each of them knows one version.
+    """
+
+    async def main() -> None:
+        async with versioned_site.site(tmp_path) as site:
+            await site.take_away(*site.new, site.prefill[1])
+            for number in range(_STREAMS):
+                await site.begin(31, f"r{number}")
+            await site.bring_back(*site.new, site.prefill[1])
+            await site.take_away(*site.old, site.prefill[0])
+            await _restart_gateways(site)
+            for number in range(_STREAMS):
+                got = await site.resume(16, f"r{number}", None)
+                assert got.status == 503
+            assert not any(one.streams for one in site.new)
+            await site.bring_back(*site.old, site.prefill[0])
+            for number in range(_STREAMS):
+                got = await site.resume(16, f"r{number}", None)
+                assert got.versions == {versioned_site.OLD}
+                assert got.ids == [2, 3, 4]
+
+    asyncio.run(main())
+
+
+def test_a_stream_that_nothing_names_is_refused_by_a_gateway_that_started(
     tmp_path: pathlib.Path,
 ) -> None:
-    """Older clients resume streams while no two versions are there."""
+    """Events of two software versions, for clients that take a new id."""
 
     async def main() -> None:
         async with versioned_site.site(tmp_path) as site:
             await site.take_away(*site.new, site.prefill[1])
             await site.begin(31, "r1")
+            await site.bring_back(*site.new, site.prefill[1])
+            await site.take_away(*site.old, site.prefill[0])
+            await _restart_gateways(site)
+            got = await site.resume(16, "again", None)
+            assert got.status == 503
+            assert not any(one.streams for one in site.new)
+
+    asyncio.run(main())
+
+
+def test_a_stream_that_nothing_names_needs_one_version_all_the_while(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Older clients resume streams while no two versions have been there."""
+
+    async def main() -> None:
+        async with versioned_site.site(tmp_path) as site:
+            await site.take_away(*site.new, site.prefill[1])
+            await site.begin(31, "r1")
+            await _age(site, _LONG_S)
             got = await site.resume(16, "again1", None)
+            assert got.status == 503
+            await _restart_gateways(site)
+            await _age(site, _LONG_S)
+            got = await site.resume(16, "again2", None)
             assert got.ids == [2, 3, 4]
             await site.bring_back(*site.new)
-            got = await site.resume(16, "again2", None)
+            got = await site.resume(16, "again3", None)
+            assert got.status == 503
+            await site.take_away(*site.new)
+            got = await site.resume(16, "again4", None)
             assert got.status == 503
 
     asyncio.run(main())
