Take no empty success that is framed by its end for whole

What callers saw (a report of other operators): an endpoint stops in the middle of its answer's head and closes, and clients get a 200 with an empty body that is framed as whole.

Here a head that is cut at any byte is no answer, on new and kept connections, after interim and late answers, by a close and by a reset: it was so before, and tests/test_cut_heads.py now covers it. Its neighbour was open: a whole head without length or chunks whose connection closes before any byte of a body came to the client as 200 with Content-Length: 0, on streams' routes too.

Change: a success that is framed by its end and has no byte of a body counts as broken. A process that ends just after the head closes its connection alike, and an endpoint with nothing to say has a length of 0 or a 204 to say it. Such a request is sent again where it may be, else it ends with 502. Failures and answers to our own calls need no body.

--- a/rackpost/gateway/answer_check.py
+++ b/rackpost/gateway/answer_check.py
@@ -24,6 +24,15 @@
     return head.status == 200 and kind.startswith(b"text/event-stream")
 
 
+def needs_body(head: message.Head) -> bool:
+    """Whether an empty body would show that the answer was cut.
+
+    A success whose end is that of its connection: an endpoint that stops just
+    after the head closes it alike.
+    """
+    return head.status < 300 and head.framing is message.Framing.CLOSE
+
+
 def why_unsound(head: message.Head) -> str:
     """Return why an answer may not be passed on; "" if it may."""
     found = head.headers
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -348,6 +348,8 @@
 ) -> retry_decision.AttemptEnd | None:
     body = await reply.conn.read_whole(_MAX_ANSWER_BYTES)
     head = reply.head
+    if not body and answer_check.needs_body(head):
+        raise exceptions.ExchangeError("ended before its body")
     if call.responder.started:
         # A stream that has begun can only be resumed by a stream.
         raise exceptions.ExchangeError(
