Let streams wait at their endpoints where the memory for answers is used up

A stream is passed on as it comes and can wait at its endpoint: beyond the budget reading pauses at 16 KB in place of 256 KB, and only heads and answers that are read whole are broken off. The end of a connection completes no answer that was cut before.

Two new tests of test_answer_floods.py: 400 stalled streams within a budget of 1 MB stay open and hold 24 KB each at most beyond it; before, they were broken off. A body without a length that was cut stays cut.

--- a/rackpost/decide/buffer_budget.py
+++ b/rackpost/decide/buffer_budget.py
@@ -36,6 +36,11 @@
         self.shed = 0
         self._held: dict[Holder, int] = {}
 
+    @property
+    def has_room(self) -> bool:
+        """Whether more may be held."""
+        return self.held_bytes < self.max_bytes
+
     def record(self, holder: Holder, held_bytes: int) -> list[Holder]:
         """Record what one holds; return those to shed, the largest first."""
         self.held_bytes += held_bytes - self._held.pop(holder, 0)
--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -19,8 +19,10 @@
 from rackpost.http1 import message
 from rackpost.http1 import parser_feed
 
-# Reading pauses while more of an answer than this is unread.
+# Reading pauses while more of an answer than this is unread; the second where
+# the budget for all answers has no room.
 _MAX_BUFFERED_BYTES = 256 << 10
+_MIN_BUFFERED_BYTES = 16 << 10
 # Bytes of heads and trailers in one exchange, of interim and late answers too.
 _MAX_HEAD_BYTES = 64 << 10
 # Heads in one exchange; those of interim answers may be empty.
@@ -98,6 +100,7 @@
         # What has arrived of the body, and what `read_whole` has taken of it.
         self._buffer = bytearray()
         self._whole = bytearray()
+        self._reads_whole = False
         self._done = False
         self._error: str | None = None
         self._wake: asyncio.Future[None] | None = None
@@ -158,6 +161,7 @@
 
     async def read_whole(self, limit: int) -> bytes:
         """Return the whole body; ExchangeError if it is cut or too long."""
+        self._reads_whole = True
         while chunk := await self.read():
             self._whole += chunk
             self._record_held()
@@ -226,8 +230,11 @@
 
     @property
     def can_shed(self) -> bool:
-        """Whether an answer is being read."""
-        return self._busy
+        """Whether a head or a whole answer is being read.
+
+        A stream waits at its endpoint instead.
+        """
+        return self._busy and (self._reads_whole or self._head is None)
 
     def shed(self) -> None:
         """Break the answer off: others need the memory."""
@@ -299,7 +306,11 @@
     def eof_received(self) -> bool:
         """Handle the end of the stream; it ends a body without a length."""
         head = self._head
-        if head is not None and head.framing is message.Framing.CLOSE:
+        if (
+            head is not None
+            and head.framing is message.Framing.CLOSE
+            and self._error is None
+        ):
             self._done = True
         self._fail("ended before the answer was whole")
         return False
@@ -393,12 +404,18 @@
                 self._cut("a late answer is too long")
             return
         self._buffer += data
-        if len(self._buffer) > _MAX_BUFFERED_BYTES and not self._paused:
+        if len(self._buffer) > self._max_buffered() and not self._paused:
             if self._transport is not None:
                 self._paused = True
                 self._transport.pause_reading()
         self._notify()
 
+    def _max_buffered(self) -> int:
+        """Return how much of the body may be unread, in bytes."""
+        if self._answers.has_room:
+            return _MAX_BUFFERED_BYTES
+        return _MIN_BUFFERED_BYTES
+
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
         self._feed.record_progress()
--- a/tests/test_answer_floods.py
+++ b/tests/test_answer_floods.py
@@ -53,6 +53,13 @@
     def __init__(self) -> None:
         super().__init__()
         self.is_open = True
+        self.is_paused = False
+
+    def pause_reading(self) -> None:
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        self.is_paused = False
 
     def abort(self) -> None:
         self.is_open = False
@@ -147,6 +154,54 @@
     asyncio.run(main())
 
 
+def test_streams_wait_at_their_endpoints_beyond_the_memory() -> None:
+    """400 clients that stall must not break off each other's streams."""
+
+    async def main() -> None:
+        budget = buffer_budget.BufferBudget(max_bytes=1 << 20)
+        conns = []
+        for number in range(400):
+            transport = _Transport()
+            conn = client.ClientConnection(
+                id_header=b"x-id", on_closed=lambda conn: None, answers=budget
+            )
+            conn.connection_made(transport)
+            own = asyncio.create_task(
+                conn.request(head=b"-", body=b"", request_id=b"r1")
+            )
+            await asyncio.sleep(0)
+            conn.data_received(_OK + b"\r\n")
+            await own
+            while not transport.is_paused:
+                conn.data_received(b"x" * 4096)
+            conns.append(conn)
+            assert transport.is_open
+        # Each of them may hold a little beyond the budget.
+        assert budget.held_bytes < (1 << 20) + 400 * (24 << 10)
+        for conn in conns:
+            assert (await conn.read()).strip(b"x") == b""
+
+    asyncio.run(main())
+
+
+def test_the_end_of_a_connection_does_not_complete_an_answer_that_was_cut() -> (
+    None
+):
+    """A body without a length ends with its connection."""
+
+    async def main() -> None:
+        budget = buffer_budget.BufferBudget(max_bytes=1 << 20)
+        exchange = _Exchange(budget=budget)
+        await asyncio.sleep(0)
+        await exchange.receive(_OK + b"\r\npart")
+        exchange.conn.shed()
+        exchange.conn.eof_received()
+        exchange.conn.connection_lost(None)
+        assert "together" in await exchange.task
+
+    asyncio.run(main())
+
+
 def test_what_follows_a_whole_answer_does_not_spoil_it() -> None:
     async def main() -> None:
         budget = buffer_budget.BufferBudget(max_bytes=64 << 20)
