Close the disk of a coordinator that can't be made

Found by reading: since an error no longer ends the process, a coordinator whose constructor raises, as for a record of a newer release, left its log open at each new attempt: a descriptor every 5 s, until none is left.

The disk is closed where it was opened. The new test of test_site_program.py counts descriptors over five attempts and fails without it.

--- a/rackpost/cmd_coordinator.py
+++ b/rackpost/cmd_coordinator.py
@@ -1,10 +1,12 @@
 """The program `rackpost-coordinator`."""
 
 import asyncio
+import contextlib
 import functools
 import os
 
 from rackpost import background
+from rackpost.coordinator import disk
 from rackpost.coordinator import process
 from rackpost.decide import features
 from rackpost import exceptions
@@ -25,6 +27,17 @@
     )
     if opened is None:
         return
+    # Also where the coordinator can't be made: it is made again soon.
+    with contextlib.closing(opened.disk):
+        await _serve_from(opened, parts, host, signals)
+
+
+async def _serve_from(
+    opened: disk.OpenDisk,
+    parts: features.Overrides,
+    host: settings.HostSettings,
+    signals: site_program.Signals,
+) -> None:
     coordinator = process.Coordinator(host=host, opened=opened, parts=parts)
     async with coordinator.serving():
         coordinator.tasks.keep(
--- a/tests/test_answer_floods.py
+++ b/tests/test_answer_floods.py
@@ -184,9 +184,7 @@
     asyncio.run(main())
 
 
-def test_the_end_of_a_connection_does_not_complete_an_answer_that_was_cut() -> (
-    None
-):
+def test_the_end_of_a_connection_completes_no_answer_that_was_cut() -> None:
     """A body without a length ends with its connection."""
 
     async def main() -> None:
--- a/tests/test_site_program.py
+++ b/tests/test_site_program.py
@@ -10,6 +10,7 @@
 from rackpost import cmd_coordinator
 from rackpost.decide import features
 from rackpost import logs
+from rackpost import process_figures
 from rackpost import site_program
 from tests import platform_site
 
@@ -148,3 +149,28 @@
         await served
 
     asyncio.run(main())
+
+
+def test_a_coordinator_that_can_not_be_made_leaves_no_file_open(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each new attempt took one more descriptor, until none was left."""
+    plan = platform_site.Plan(root=tmp_path)
+    host = plan.host(11, kind="core", seeds=(11,), lost=0)
+
+    def fail(**how: object) -> None:
+        raise ValueError
+
+    monkeypatch.setattr(cmd_coordinator.process, "Coordinator", fail)
+
+    async def main() -> None:
+        counts = set()
+        for _ in range(5):
+            with pytest.raises(ValueError):
+                await cmd_coordinator.serve(
+                    features.NO_OVERRIDES, host, _Signals()
+                )
+            counts.add(process_figures.open_descriptors())
+        assert len(counts) == 1
+
+    asyncio.run(main())
