Do not time the end of a program that waits

The test allowed 2 s for the end of a program that waits for its settings, by the wall clock of a machine that may be busy. What it guards against is a drain of a gateway that serves nothing: it now asserts that none is logged, and that the end is.

--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -218,9 +218,10 @@
         one.settings.unlink()
         one.start()
         programs.wait_until(lambda: one.lines(_WAITING))
-        began = time.monotonic()
         assert one.stop() == 0
-        assert time.monotonic() - began < 2.0
+        # There is nothing to drain.
+        assert not one.lines("Stopped.")
+        assert one.lines("Ended.")
 
 
 def test_a_coordinator_that_waits_for_its_disk_ends_when_asked_to(
