--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -26,6 +26,20 @@
     return [(role, name) for role in ROLES for name in LISTENERS[role]]
 
 
+def _wait_until_it_waits(one: programs.Program) -> None:
+    """Wait until the program says so; it must not end."""
+    programs.wait_until(
+        lambda: one.lines(_WAITING) or one.exit_status() is not None
+    )
+    assert one.exit_status() is None
+
+
+def _wait_until_up(one: programs.Program) -> None:
+    """Wait until the program serves; it must not end."""
+    programs.wait_until(lambda: one.is_up or one.exit_status() is not None)
+    assert one.exit_status() is None
+
+
 @pytest.mark.parametrize("role", ROLES)
 def test_sighup_is_handled_before_libraries_are_loaded(
     tmp_path: pathlib.Path, role: str
@@ -67,10 +81,7 @@
         else:
             one.write_settings(one.text()[:200])
         one.start()
-        programs.wait_until(
-            lambda: one.lines(_WAITING) or one.exit_status() is not None
-        )
-        assert one.exit_status() is None
+        _wait_until_it_waits(one)
         one.write_settings()
         programs.wait_until(lambda: one.is_up)
 
@@ -93,10 +104,7 @@
         one.raw[field] = value
         one.write_settings()
         one.start()
-        programs.wait_until(
-            lambda: one.lines(_WAITING) or one.exit_status() is not None
-        )
-        assert one.exit_status() is None
+        _wait_until_it_waits(one)
         one.raw[field] = usable
         one.write_settings()
         programs.wait_until(lambda: one.is_up)
@@ -115,10 +123,7 @@
             if not is_udp:
                 holder.listen()
             one.start()
-            programs.wait_until(
-                lambda: one.lines(_WAITING) or one.exit_status() is not None
-            )
-            assert one.exit_status() is None
+            _wait_until_it_waits(one)
             # The others do not wait for it.
             for other in LISTENERS[role]:
                 if other not in (name, "loads"):
@@ -201,10 +206,7 @@
     with programs.program("coordinator", tmp_path) as one:
         one.data.write_bytes(b"")
         one.start()
-        programs.wait_until(
-            lambda: one.lines(_WAITING) or one.exit_status() is not None
-        )
-        assert one.exit_status() is None
+        _wait_until_it_waits(one)
         one.data.unlink()
         programs.wait_until(lambda: one.is_up)
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -156,6 +156,13 @@
     await site.wait_until_known()
 
 
+async def _replace_old_version(site: versioned_site.Site) -> None:
+    """Let the new version take the place of the old one, unseen by all."""
+    await site.bring_back(*site.new, site.prefill[1])
+    await site.take_away(*site.old, site.prefill[0])
+    await _restart_gateways(site)
+
+
 def test_a_client_that_keeps_its_id_resumes_at_its_version(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -170,9 +177,7 @@
             await site.take_away(*site.new, site.prefill[1])
             for number in range(_STREAMS):
                 await site.begin(31, f"r{number}")
-            await site.bring_back(*site.new, site.prefill[1])
-            await site.take_away(*site.old, site.prefill[0])
-            await _restart_gateways(site)
+            await _replace_old_version(site)
             for number in range(_STREAMS):
                 got = await site.resume(16, f"r{number}", None)
                 assert got.status == 503
@@ -195,9 +200,7 @@
         async with versioned_site.site(tmp_path) as site:
             await site.take_away(*site.new, site.prefill[1])
             await site.begin(31, "r1")
-            await site.bring_back(*site.new, site.prefill[1])
-            await site.take_away(*site.old, site.prefill[0])
-            await _restart_gateways(site)
+            await _replace_old_version(site)
             got = await site.resume(16, "again", None)
             assert got.status == 503
             assert not any(one.streams for one in site.new)
