--- a/tests/programs.py
+++ b/tests/programs.py
@@ -25,6 +25,11 @@
 _POLL_S = 0.002
 
 
+def by_module(role: str) -> list[str]:
+    """The command that names a role's module, as by hand."""
+    return [sys.executable, "-m", f"rackpost.cmd_{role}"]
+
+
 def command(role: str) -> list[str]:
     """The command of a role in the deploy file."""
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
@@ -86,19 +91,30 @@
         part.write_bytes(self.text() if text is None else text)
         part.replace(self.settings)
 
-    def start(self, **how: Any) -> None:
-        """Start the program; `how` goes to Popen."""
+    def start(
+        self,
+        words: list[str] | None = None,
+        *,
+        has_path: bool = True,
+        **how: Any,
+    ) -> None:
+        """Start the program, by default as deployed; `how` goes to Popen.
+
+        Without `has_path`, libraries are found by the interpreter alone.
+        """
+        env = {
+            "PATH": os.environ["PATH"],
+            "RACKPOST_BOOT": str(self.settings),
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
+        if has_path:
+            env["PYTHONPATH"] = sysconfig.get_path("purelib")
         with open(self.log, "ab") as log:
             how.setdefault("stdout", log)
             self.process = subprocess.Popen(
-                command(self.role),
+                words or command(self.role),
                 cwd=ROOT,
-                env={
-                    "PATH": os.environ["PATH"],
-                    "RACKPOST_BOOT": str(self.settings),
-                    "PYTHONPATH": sysconfig.get_path("purelib"),
-                    "PYTHONDONTWRITEBYTECODE": "1",
-                },
+                env=env,
                 stdin=subprocess.DEVNULL,
                 stderr=subprocess.STDOUT,
                 **how,
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import time
+from typing import Callable
 
 import pytest
 
@@ -40,18 +41,30 @@
     assert one.exit_status() is None
 
 
+@pytest.mark.parametrize("words", [programs.command, programs.by_module])
 @pytest.mark.parametrize("role", ROLES)
 def test_sighup_is_handled_before_libraries_are_loaded(
-    tmp_path: pathlib.Path, role: str
+    tmp_path: pathlib.Path, role: str, words: Callable[[str], list[str]]
 ) -> None:
     """SIGHUP within the first second ended a program, without a line."""
     with programs.program(role, tmp_path) as one:
-        one.start()
+        one.start(words(role))
         while not one.handles(signal.SIGHUP):
             assert _LIBRARY not in one.proc("maps")
             assert one.exit_status() is None
 
 
+@pytest.mark.parametrize("words", [programs.command, programs.by_module])
+@pytest.mark.parametrize("role", ROLES)
+def test_a_program_finds_the_libraries_of_its_interpreter(
+    tmp_path: pathlib.Path, role: str, words: Callable[[str], list[str]]
+) -> None:
+    """The deploy file starts it without `site`, which knows a venv's."""
+    with programs.program(role, tmp_path) as one:
+        one.start(words(role), has_path=False)
+        _wait_until_up(one)
+
+
 @pytest.mark.parametrize("role", ROLES)
 def test_sighup_in_series_ends_no_starting_program(
     tmp_path: pathlib.Path, role: str
