Move the answer to a request into a module of its own

Responder needs three methods and a flag of its connection, which are now an abstract base class beside it; the name server.Responder stays. No behaviour changes: test_http1_server, test_gateway, test_request_floods, test_slow_readers and test_connection_surge pass.

--- a/rackpost/http1/server.py
+++ b/rackpost/http1/server.py
@@ -21,6 +21,7 @@
 from rackpost.decide import slow_readers
 from rackpost.http1 import message
 from rackpost.http1 import parser_feed
+from rackpost.http1 import responder
 from rackpost.routing import model
 
 _BACKLOG = 1024
@@ -44,74 +45,13 @@
 _NOT_READ_RETRY_AFTER_S = 1
 
 
-class Responder:
-    """The answer to one request."""
-
-    def __init__(self, *, conn: "ServerConnection", is_http10: bool) -> None:
-        self._conn = conn
-        self._is_http10 = is_http10
-        self._chunked = False
-        self.started = False
-        self.ended = False
-
-    def send(
-        self, status: int, headers: list[message.Header], body: bytes
-    ) -> None:
-        """Send a complete answer."""
-        self.started = True
-        self.ended = True
-        rest = list(headers)
-        if not message.has_no_body(status):
-            rest.append((b"content-length", b"%d" % len(body)))
-        self._conn.write(self._head(status, rest) + body)
-
-    def send_head(self, status: int, headers: list[message.Header]) -> None:
-        """Send a head without a body, as for HEAD; headers stay as given."""
-        self.started = True
-        self.ended = True
-        self._conn.write(self._head(status, headers))
-
-    def start(self, status: int, headers: list[message.Header]) -> None:
-        """Send the head of an answer whose body follows in chunks."""
-        self.started = True
-        self._chunked = not self._is_http10
-        rest = list(headers)
-        if self._chunked:
-            rest.append((b"transfer-encoding", b"chunked"))
-        else:
-            self._conn.closing = True
-        self._conn.write(self._head(status, rest))
-
-    async def send_chunk(self, data: bytes) -> None:
-        """Send a chunk; returns when the write buffer has room."""
-        if not data:
-            return
-        if self._chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._conn.write(data)
-        await self._conn.drain()
-
-    def finish(self) -> None:
-        """End the body."""
-        self.ended = True
-        if self._chunked:
-            self._conn.write(b"0\r\n\r\n")
-
-    def abort(self) -> None:
-        """Abort the connection, which marks the answer as incomplete."""
-        self.ended = True
-        self._conn.abort()
-
-    def _head(self, status: int, headers: list[message.Header]) -> bytes:
-        if self._conn.closing:
-            headers = [*headers, (b"connection", b"close")]
-        return message.response_head(status, headers)
-
-
+Responder = responder.Responder
 Handler = Callable[[message.Request, Responder], Awaitable[None]]
 
 
-class ServerConnection(asyncio.Protocol, buffer_budget.Holder):
+class ServerConnection(
+    asyncio.Protocol, buffer_budget.Holder, responder.Connection
+):
     """A client's connection; it holds the requests that it has sent."""
 
     def __init__(self, *, server: "Server") -> None:
@@ -387,19 +327,19 @@
             self.idle_since = self._loop.time()
 
     async def _serve_one(self, req: message.Request, is_http10: bool) -> None:
-        responder = Responder(conn=self, is_http10=is_http10)
+        answer = Responder(conn=self, is_http10=is_http10)
         self._latest_req = req
         if self._server.stopping:
             self.closing = True
         try:
-            await self._server.handler(req, responder)
+            await self._server.handler(req, answer)
         except Exception as exc:
             # The client still gets an answer: 502 below.
             self._server.failed(req, exc)
-        if not responder.started:
-            responder.send(502, [], b"")
-        elif not responder.ended:
-            responder.abort()
+        if not answer.started:
+            answer.send(502, [], b"")
+        elif not answer.ended:
+            answer.abort()
         if self.closing and self._transport is not None:
             self._pipelined.clear()
             self._transport.close()
