--- a/rackpost/decide/buffer_budget.py
+++ b/rackpost/decide/buffer_budget.py
@@ -1,9 +1,9 @@
 """Decide whose buffers are released when other parties fill too much memory.
 
-Each connection holds what its peer has sent and nobody has taken yet.  All of
-them together stay within a budget that follows from the VM's memory: beyond
-it the connections that hold most are shed first, so that many that send
-little are not affected by a few that send without end.
+Each connection holds what its peer has sent until it has been processed.  All
+of them together stay within a budget that follows from the VM's memory: beyond
+it the connections that hold most are shed first, so that many that send little
+are not affected by a few that send without end.
 
 Pure: sizes are in bytes.
 """
--- a/rackpost/http1/parser_feed.py
+++ b/rackpost/http1/parser_feed.py
@@ -1,8 +1,8 @@
-"""Feeds received bytes to a parser, and bounds what it keeps to itself.
+"""Feeds received bytes to a parser, and bounds what it keeps.
 
-A parser hands a header over once it is whole, and skips line ends, chunk
-extensions and reason phrases without a word: bytes without end in one of these
-would be kept, or read, for ever.
+A parser hands a header over once it is whole, and reports nothing for line
+ends, chunk extensions and reason phrases.  Without a bound, a peer that sends
+one of these without end would be read until it stops.
 """
 
 from typing import Callable
