Start programs in tests with the default action of SIGHUP

Found by reading the change: a process hands ignored signals on to those that it starts.

Tests reset the signal in the program that they start, and a program's module ignores it only where it is run, not where it is imported.

--- a/rackpost/cmd_gateway.py
+++ b/rackpost/cmd_gateway.py
@@ -1,7 +1,8 @@
 """The program `rackpost-gateway`."""
 
-# First, as it ignores SIGHUP until the program handles it.
-from rackpost import start  # noqa: F401, I100
+if __name__ == "__main__":
+    # First, as it ignores SIGHUP until the program handles it.
+    from rackpost import start  # noqa: F401
 
 import functools
 import os
--- a/tests/programs.py
+++ b/tests/programs.py
@@ -109,12 +109,21 @@
         }
         if has_path:
             env["PYTHONPATH"] = sysconfig.get_path("purelib")
+        prepare = how.pop("preexec_fn", None)
+
+        def begin() -> None:
+            # What this process ignores, as under nohup, the program would.
+            signal.signal(signal.SIGHUP, signal.SIG_DFL)
+            if prepare is not None:
+                prepare()
+
         with open(self.log, "ab") as log:
             how.setdefault("stdout", log)
             self.process = subprocess.Popen(
                 words or command(self.role),
                 cwd=ROOT,
                 env=env,
+                preexec_fn=begin,
                 stdin=subprocess.DEVNULL,
                 stderr=subprocess.STDOUT,
                 **how,
