Let a test hold an address where earlier connections are in TIME_WAIT

Cause: a test process uses one base of ports for all its sites, and the socket with which the test holds an address did not allow for connections of earlier tests that are in TIME_WAIT; run alone, there are none. A listening socket still keeps the program from binding, which is what the test asserts.

--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -132,6 +132,9 @@
         is_udp = name == "loads"
         kind = socket.SOCK_DGRAM if is_udp else socket.SOCK_STREAM
         with socket.socket(socket.AF_INET, kind) as holder:
+            if not is_udp:
+                # Connections of earlier tests may still be in TIME_WAIT.
+                holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             holder.bind((one.ip, one.port(name)))
             if not is_udp:
                 holder.listen()
