Read only a test's own lines of log

test_a_gateway_without_coordinators_says_so_in_one_line failed once, as the test files were played in seven groups: the first destination of a process's log also gets up to 1,000 lines from before, here refusals of an earlier test. Reproduced with the six files before it in one process: it fails without the cleared list and passes with it. What it asserts is unchanged.

--- a/tests/test_refusal_report.py
+++ b/tests/test_refusal_report.py
@@ -74,6 +74,8 @@
             await platform_site.until(lambda: bool(_reports(lines)))
 
     eliot.add_destinations(lines.append)
+    # The first destination of a process gets what was logged before.
+    lines.clear()
     try:
         asyncio.run(main())
     finally:
