--- a/review/replica2.py
+++ b/review/replica2.py
@@ -37,7 +37,6 @@
         self.busy = False
         self.running = 0
         self.state = "ready"
-        self.leaving = None
         self.log_file = open(conf["log"], "a", buffering=1)
         self.control = list(conf["control"])
         self.beat_at = 0
@@ -70,12 +69,6 @@
             found["models"] = [{"name": "m", "version": 1, "adapters": []}]
         return found
 
-    def drain(self):
-        """Say `draining` from now on, and at once."""
-        self.state = "draining"
-        self.log("drains")
-        self.leaving = asyncio.create_task(self.beat(self.heartbeat()))
-
     async def beat(self, body):
         """Send one heartbeat to the first node that acknowledges it."""
         text = json.dumps(body).encode()
@@ -189,7 +182,8 @@
         self.log("runs", id=ident, target=target)
         if "crash" in target:
             self.log("crashes", id=ident)
-            os.kill(os.getpid(), signal.SIGKILL)
+            self.crash()
+            await asyncio.Event().wait()
         self.running += 1
         try:
             if self.stage == "decode":
@@ -202,6 +196,11 @@
             self.running -= 1
         self.log("ran", id=ident)
 
+    def crash(self):
+        """End at once; with `dark`, the case cuts its network before."""
+        number = signal.SIGSTOP if self.conf.get("dark") else signal.SIGKILL
+        os.kill(os.getpid(), number)
+
     async def stream(self, reader, writer, headers, ident):
         """Write the events of a stream, from where the client has them."""
         after = _number(headers.get("last-event-id"), 0)
@@ -261,10 +260,6 @@
     host, _, port = replica.conf["listen"].rpartition(":")
     server = await asyncio.start_server(replica.serve, host, int(port))
     replica.log("starts")
-    # A planned leave: later heartbeats say so.
-    asyncio.get_running_loop().add_signal_handler(
-        signal.SIGUSR1, replica.drain
-    )
     beats = asyncio.create_task(replica.beats())
     async with server:
         await server.serve_forever()
--- a/review/site2.py
+++ b/review/site2.py
@@ -77,8 +77,11 @@
         self.record_file = open(self.case / "record.txt", "w")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="site-"))
         self.began = now()
-        self.core_ips = [f"127.0.0.{11 + n}" for n in range(cores)]
-        self.edge_ips = [f"127.0.0.{31 + n}" for n in range(gateways)]
+        # A loopback network of its own for each site.
+        net = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
+        self.core_ips = [f"{net}.{11 + n}" for n in range(cores)]
+        self.edge_ips = [f"{net}.{31 + n}" for n in range(gateways)]
+        self.replica_ip = f"{net}.101"
         self.base = self._free_base()
         self.processes = {}
         self.version = 0
@@ -97,7 +100,7 @@
         for base in bases:
             if all(
                 self._is_free(ip, port)
-                for ip in ["127.0.0.1", *self.core_ips, *self.edge_ips]
+                for ip in [self.replica_ip, *self.core_ips, *self.edge_ips]
                 for port in range(base, base + 40)
             ):
                 return base
@@ -113,10 +116,10 @@
                 return False
         return True
 
-    def free_port(self):
-        """A port of 127.0.0.1 for a replica or a proxy."""
+    def free_address(self):
+        """An address for a replica or a proxy."""
         self.next_port += 1
-        return self.next_port
+        return f"{self.replica_ip}:{self.next_port}"
 
     @property
     def control(self):
