--- a/review/5/case.py
+++ b/review/5/case.py
@@ -36,7 +36,7 @@
 async def main(site):
     await site.start(site2.document(FIRST))
     for number in range(3):
-        at = f"127.0.0.1:{site.free_port()}"
+        at = site.free_address()
         site.start_replica(f"i-{number}", "plain", at)
     await asyncio.sleep(6.0)
     before = await ask(site, "/safe/x", REQUESTS, "before")
