Show a leave without effect after a foreign heartbeat

Claim: DRAIN is broken after another writer's heartbeat without born under a replica's id: the replica's own heartbeats, those with draining too, are acknowledged and have no effect.

--- a/review/replica2.py
+++ b/review/replica2.py
@@ -37,6 +37,7 @@
         self.busy = False
         self.running = 0
         self.state = "ready"
+        self.leaving = None
         self.log_file = open(conf["log"], "a", buffering=1)
         self.control = list(conf["control"])
         self.beat_at = 0
@@ -69,6 +70,12 @@
             found["models"] = [{"name": "m", "version": 1, "adapters": []}]
         return found
 
+    def drain(self):
+        """Leave as planned: say `draining` at once and from now on."""
+        self.state = "draining"
+        self.log("drains")
+        self.leaving = asyncio.create_task(self.beat(self.heartbeat()))
+
     async def beat(self, body):
         """Send one heartbeat to the first node that acknowledges it."""
         text = json.dumps(body).encode()
@@ -88,7 +95,8 @@
                     writer.write(head + text)
                     status = (await reader.readline()).split(b" ")
                     if len(status) > 1 and status[1][:1] == b"2":
-                        self.log("beat", sequence=body["sequence"])
+                        self.log("beat", sequence=body["sequence"],
+                                 state=body["state"], at=self.control[0])
                         return
             except (OSError, TimeoutError):
                 pass
@@ -145,6 +153,8 @@
         ident = headers.get("x-request-id")
         if ident is not None:
             head.append(f"X-Request-Id: {ident}")
+        if self.state == "draining":
+            head.append("Server-Leaving: 1")
         head += [*self.conf.get("lines", ()), *lines]
         writer.write("\r\n".join([*head, "", ""]).encode() + body)
 
@@ -260,6 +270,9 @@
     host, _, port = replica.conf["listen"].rpartition(":")
     server = await asyncio.start_server(replica.serve, host, int(port))
     replica.log("starts")
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGUSR1, replica.drain
+    )
     beats = asyncio.create_task(replica.beats())
     async with server:
         await server.serve_forever()
