Send versions beyond 64 bits to gateways

Callers saw: after an operator's version changed from 14 to 20 digits (date and time with microseconds), added routes were answered with 404 and dropped ones were served, for good; gateways that restarted refused everything with 503. The version was acknowledged and read back.

Cause: a document passes through two encodings. The version was checked by neither. changes.encode raised OverflowError in the handler of FetchRouting, the link logged "Message left out." and the gateway waited for a chunk that never came, at each coordinator in turn.

The change holds base and version as decimal text where they exceed 64 bits, and is byte for byte as before where they don't, so that gateways of the release before still read it.

Weighed: CBOR or JSON for the whole change have larger integers too, but CBOR is slower to decode and JSON holds bytes only as text; both would stop gateways of the release before from reading any change.

Tests that failed before: test_a_version_beyond_64_bits_reaches_gateways for 2**64 - 1 followed by the next, 2**64, 20 and 4,001 digits, and test_a_version_beyond_64_bits_is_in_force_at_all_gateways, which restarts coordinators and a gateway.

--- a/rackpost/routing/changes.py
+++ b/rackpost/routing/changes.py
@@ -155,7 +155,23 @@
     removed.difference_update(step_put)
 
 
-_DECODER = msgspec.msgpack.Decoder(Change)
+class _WireChange(Change, frozen=True, kw_only=True):
+    """A change as it is encoded.
+
+    MessagePack has no integers beyond 64 bits.  Versions, which have no
+    limit, are encoded as decimal text where they are larger.
+    """
+
+    base: int | str  # type: ignore[assignment]
+    version: int | str  # type: ignore[assignment]
+
+
+_DECODER = msgspec.msgpack.Decoder(_WireChange)
+
+
+def _version_to_wire(version: int) -> int | str:
+    fits = model.MIN_INTEGER <= version <= model.MAX_INTEGER
+    return version if fits else str(version)
 
 
 def encode(change: Change) -> bytes:
@@ -164,7 +180,12 @@
     MessagePack in place of the links' CBOR: msgspec decodes it straight into
     structs, which shortens the pause of a gateway's event loop.
     """
-    return zlib.compress(msgspec.msgpack.encode(change), _COMPRESSION_LEVEL)
+    wire = msgspec.structs.replace(
+        change,
+        base=_version_to_wire(change.base),
+        version=_version_to_wire(change.version),
+    )
+    return zlib.compress(msgspec.msgpack.encode(wire), _COMPRESSION_LEVEL)
 
 
 def decode(data: bytes) -> Change:
@@ -174,6 +195,10 @@
         raw = decompressor.decompress(data, _MAX_DECOMPRESSED_BYTES)
         if not decompressor.eof:
             raise exceptions.RoutingError("change is truncated or too large")
-        return _DECODER.decode(raw)
-    except (zlib.error, msgspec.MsgspecError) as exc:
+        wire = _DECODER.decode(raw)
+        fields = msgspec.structs.asdict(wire)
+        fields["base"] = int(wire.base)
+        fields["version"] = int(wire.version)
+        return Change(**fields)
+    except (zlib.error, msgspec.MsgspecError, ValueError) as exc:
         raise exceptions.RoutingError(f"bad change: {exc}") from exc
--- a/rackpost/routing/model.py
+++ b/rackpost/routing/model.py
@@ -11,6 +11,11 @@
 
 from rackpost import types
 
+# Range of the integers in a document, apart from its version.  Every encoding
+# between processes and every integer field of the endpoints' protocol has it.
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**63 - 1
+
 
 class RouteKind(enum.Enum):
     """How requests of a route may be repeated and are answered."""
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -10,6 +10,7 @@
 
 from rackpost.coordinator import process
 from tests import platform_site
+from tests import test_routing_changes
 
 CORE = (11, 12, 13, 14, 15)
 
@@ -109,6 +110,41 @@
     asyncio.run(main())
 
 
+def test_a_version_beyond_64_bits_is_in_force_at_all_gateways(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Gateways kept the version before; restarted ones had no document."""
+
+    async def main() -> None:
+        async with cluster(tmp_path) as found:
+            edge = found.plan.host(31, kind="edge")
+            async with platform_site.gateway(edge) as running:
+                for number, version in enumerate(
+                    (7, *test_routing_changes.LARGE_VERSIONS)
+                ):
+                    doc = platform_site.document(version)
+                    doc["routes"][0]["name"] = f"of-{version}"
+                    at = CORE[number % len(CORE)]
+                    await found.operator.put_until_accepted(at, doc)
+                    await platform_site.until(
+                        lambda: running.site.version == version
+                    )
+            for number in CORE:
+                assert await found.read(number) == doc
+            # A gateway and coordinators that start anew.
+            for number in CORE:
+                await found.stop(number)
+            for number in CORE:
+                await found.start(number)
+            async with platform_site.gateway(edge) as running:
+                await platform_site.until(
+                    lambda: running.site.version == version
+                )
+            assert await found.read(11) == doc
+
+    asyncio.run(main())
+
+
 def test_two_lost_disks_lose_nothing_and_come_back_by_themselves(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_routing_changes.py
+++ b/tests/test_routing_changes.py
@@ -1,9 +1,11 @@
 """Changes of the routing document, and the chunks they are sent in."""
 
 import json
+import zlib
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from rackpost.coordinator import messages
@@ -66,6 +68,38 @@
     assert has_content_of(table(change), docs[-1])
 
 
+# The last of 64 bits with and without a sign, and a time in microseconds.
+LARGE_VERSIONS = (2**63 - 1, 2**63, 2**64 - 1, 2**64, 20261206213500000000)
+
+
+@pytest.mark.parametrize(
+    "version",
+    [*LARGE_VERSIONS, 10**4000],
+    ids=lambda version: f"{version.bit_length()} bits",
+)
+def test_a_version_beyond_64_bits_reaches_gateways(version: int) -> None:
+    """Such a version was acknowledged, but no gateway could be sent it."""
+    old, new = document(version, {1: 1}), document(version + 1, {1: 2})
+    for change in (changes.from_empty(new), changes.diff(old, new)):
+        assert changes.decode(changes.encode(change)) == change
+    feed = routing_feed.RoutingFeed()
+    feed.publish(old)
+    feed.publish(new)
+    for held in (0, 1, version):
+        part = feed.chunk(messages.FetchRouting(held_version=held))
+        assert part is not None and len(part.data) == part.size
+        found = table(changes.from_empty(old), changes.decode(part.data))
+        assert has_content_of(found, new)
+
+
+def test_a_change_of_a_64_bit_version_is_encoded_as_before() -> None:
+    """Gateways of the release before decode versions as integers only."""
+    change = changes.from_empty(document(2**63 - 1, {1: 1}))
+    raw = msgspec.msgpack.decode(zlib.decompress(changes.encode(change)))
+    assert raw["version"] == 2**63 - 1
+    assert raw["base"] == 0
+
+
 def test_a_change_that_does_not_fit_is_refused() -> None:
     docs = [document(at, {at: 1}) for at in (1, 2, 3)]
     change = changes.diff(docs[1], docs[2])
