Refuse integers that gateways can't be sent, and clamp stored ones

Callers saw: a document in which a route's priority or maxAttempts, a service's maxConnections, its engine's slots, kvCapacityTokens or stride, a limit, or an organisation's priority or plainTokens was outside 64 bits was acknowledged and read back; no gateway applied it, and gateways that started anew refused everything.

It is refused before it is proposed, with a 400 that names the item and the field. The check goes over all integer fields of a message, so that a new field is included. What an earlier release has acknowledged, on disk or from a coordinator that is not upgraded yet, is put in force all the same, with the nearest integer in range; the text is read back unchanged, and the next version replaces it.

Weighed: clamping new documents too would acknowledge what is not obeyed to the letter; refusing stored ones would leave gateways that restart without any document, which is the fault.

Tests that failed before: test_an_integer_that_gateways_cannot_be_sent_is_ refused, test_a_committed_integer_that_is_too_large_is_clamped, test_a_stored_document_with_a_too_large_integer_is_put_in_force (with restarts of all coordinators).

--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -302,7 +302,7 @@
         if routing is None or routing.version <= self.feed.version:
             return
         try:
-            doc = self._decoder.decode(routing.source)
+            doc = self._decoder.decode_committed(routing.source)
             self.feed.publish(doc)
         except exceptions.RoutingError as exc:
             # Accepted by a newer release; gateways keep their version.
--- a/rackpost/platform/documents.py
+++ b/rackpost/platform/documents.py
@@ -1,5 +1,8 @@
 """Decodes the operators' routing document into `routing.model`."""
 
+import functools
+import typing
+
 import msgspec
 
 from rackpost import exceptions
@@ -88,6 +91,58 @@
     )
 
 
+_Wire = typing.TypeVar("_Wire", bound=msgspec.Struct)
+
+
+@functools.cache
+def _integer_fields(
+    kind: type[msgspec.Struct],
+) -> tuple[msgspec.structs.FieldInfo, ...]:
+    return tuple(
+        field
+        for field in msgspec.structs.fields(kind)
+        if int in (field.type, *typing.get_args(field.type))
+    )
+
+
+class _IntegerRange:
+    """Keeps integers within the range that all processes can hold.
+
+    Attributes:
+        clamp: integers outside are set to the nearest one in the range;
+            otherwise they make a document invalid.
+        clamped: whether there was one.
+    """
+
+    def __init__(self, *, clamp: bool) -> None:
+        self.clamp = clamp
+        self.clamped = False
+
+    def apply(self, item: _Wire, owner: str) -> _Wire:
+        """Return an item whose integers are all in range.
+
+        Raises RoutingError, which names the field of `owner`.
+        """
+        found: dict[str, int] = {}
+        for field in _integer_fields(type(item)):
+            value = getattr(item, field.name)
+            if value is None:
+                continue
+            nearest = max(model.MIN_INTEGER, min(model.MAX_INTEGER, value))
+            if nearest == value:
+                continue
+            if not self.clamp:
+                raise exceptions.RoutingError(
+                    f"{owner}: {field.encode_name} must be from "
+                    f"{model.MIN_INTEGER} to {model.MAX_INTEGER}"
+                )
+            found[field.name] = nearest
+        if not found:
+            return item
+        self.clamped = True
+        return msgspec.structs.replace(item, **found)
+
+
 _DECODER = msgspec.json.Decoder(_Document)
 _ROUTE_DECODER = msgspec.json.Decoder(_Route)
 _ORGANISATION_DECODER = msgspec.json.Decoder(_Organisation)
@@ -108,47 +163,71 @@
 
     def decode(self, text: bytes) -> model.Document:
         """Decode and validate a document; raises RoutingError."""
+        return self._decode(text, _IntegerRange(clamp=False))
+
+    def decode_committed(self, text: bytes) -> model.Document:
+        """Decode a document that has been acknowledged.
+
+        Releases that have no range for integers accept those outside of it.
+        They are clamped, so that the document can be put in force.
+
+        Raises RoutingError.
+        """
+        return self._decode(text, _IntegerRange(clamp=True))
+
+    def _decode(self, text: bytes, integers: _IntegerRange) -> model.Document:
         try:
             wire = _DECODER.decode(text)
-            routes = [self._decode_route(bytes(raw)) for raw in wire.routes]
+            routes = [
+                self._decode_route(bytes(raw), integers) for raw in wire.routes
+            ]
             raw_organisations = wire.organisations or []
             organisations = [
-                self._decode_organisation(bytes(raw))
+                self._decode_organisation(bytes(raw), integers)
                 for raw in raw_organisations
             ]
         except (msgspec.DecodeError, msgspec.ValidationError) as exc:
             raise exceptions.RoutingError(f"bad document: {exc}") from exc
+        limits = integers.apply(wire.limits, "limits")
         doc = model.Document(
             version=wire.version,
             routes=tuple(routes),
-            services=tuple(_service(item) for item in wire.services),
+            services=tuple(_service(item, integers) for item in wire.services),
             limits=model.Limits(
-                header_bytes=wire.limits.max_header_bytes,
-                body_bytes=wire.limits.max_body_bytes,
-                header_s=wire.limits.header_timeout_ms / _MS,
-                idle_s=wire.limits.idle_timeout_ms / _MS,
+                header_bytes=limits.max_header_bytes,
+                body_bytes=limits.max_body_bytes,
+                header_s=limits.header_timeout_ms / _MS,
+                idle_s=limits.idle_timeout_ms / _MS,
             ),
             keys_required=wire.organisations is not None,
             organisations=tuple(organisations),
         )
         check.check(doc)
-        self._known_routes = dict(zip(map(bytes, wire.routes), routes))
-        self._known_organisations = dict(
-            zip(map(bytes, raw_organisations), organisations)
-        )
+        if not integers.clamped:
+            # A clamped item must not pass for a valid one later.
+            self._known_routes = dict(zip(map(bytes, wire.routes), routes))
+            self._known_organisations = dict(
+                zip(map(bytes, raw_organisations), organisations)
+            )
         return doc
 
-    def _decode_route(self, raw: bytes) -> model.Route:
+    def _decode_route(
+        self, raw: bytes, integers: _IntegerRange
+    ) -> model.Route:
         known = self._known_routes.get(raw)
         if known is not None:
             return known
-        return _route(_ROUTE_DECODER.decode(raw))
+        wire = _ROUTE_DECODER.decode(raw)
+        return _route(integers.apply(wire, f"route {wire.name}"))
 
-    def _decode_organisation(self, raw: bytes) -> model.Organisation:
+    def _decode_organisation(
+        self, raw: bytes, integers: _IntegerRange
+    ) -> model.Organisation:
         known = self._known_organisations.get(raw)
         if known is not None:
             return known
-        return _organisation(_ORGANISATION_DECODER.decode(raw))
+        wire = _ORGANISATION_DECODER.decode(raw)
+        return _organisation(integers.apply(wire, f"organisation {wire.name}"))
 
 
 def decode(text: bytes) -> model.Document:
@@ -198,15 +277,18 @@
     return (target,)
 
 
-def _service(wire: _Service) -> model.Service:
+def _service(wire: _Service, integers: _IntegerRange) -> model.Service:
+    owner = f"service {wire.name}"
+    wire = integers.apply(wire, owner)
     engine = None
     if wire.engine is not None:
+        sizes = integers.apply(wire.engine, owner)
         engine = model.Engine(
-            slots=wire.engine.slots,
-            memory_tokens=wire.engine.kv_capacity_tokens,
-            event_tokens=wire.engine.stride,
-            handle_ttl_s=wire.engine.handle_ttl_s,
-            hold_s=wire.engine.hold_ms / 1000.0,
+            slots=sizes.slots,
+            memory_tokens=sizes.kv_capacity_tokens,
+            event_tokens=sizes.stride,
+            handle_ttl_s=sizes.handle_ttl_s,
+            hold_s=sizes.hold_ms / _MS,
         )
     return model.Service(
         name=types.ServiceName(wire.name),
--- a/rackpost/routing/model.py
+++ b/rackpost/routing/model.py
@@ -11,8 +11,8 @@
 
 from rackpost import types
 
-# Range of the integers in a document, apart from its version.  Every encoding
-# between processes and every integer field of the endpoints' protocol has it.
+# Range of the integers in a document, apart from its version, which has no
+# limit.  MessagePack, in which gateways receive changes, has no larger ones.
 MIN_INTEGER = -(2**63)
 MAX_INTEGER = 2**63 - 1
 
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import pathlib
 import shutil
 from typing import AsyncIterator
@@ -9,6 +10,7 @@
 import aiohttp
 
 from rackpost.coordinator import process
+from rackpost.state import commands
 from tests import platform_site
 from tests import test_routing_changes
 
@@ -145,6 +147,36 @@
     asyncio.run(main())
 
 
+def test_a_stored_document_with_a_too_large_integer_is_put_in_force(
+    tmp_path: pathlib.Path,
+) -> None:
+    """An earlier release acknowledged it; gateways got no document at all."""
+
+    async def main() -> None:
+        async with cluster(tmp_path) as found:
+            await found.put_version(11, 1)
+            doc = platform_site.document(2)
+            doc["services"][0]["maxConnections"] = 2**64
+            assert await found.operator.put(11, doc) == 400
+            cmd = commands.SetRouting(
+                version=2, source=json.dumps(doc).encode()
+            )
+            assert await found.up[11].node.commit(cmd) is not None
+            for number in CORE:
+                await found.stop(number)
+            for number in CORE:
+                await found.start(number)
+            edge = found.plan.host(31, kind="edge")
+            async with platform_site.gateway(edge) as running:
+                await platform_site.until(lambda: running.site.version == 2)
+                assert await found.read(12) == doc
+                # The next document replaces it.
+                await found.put_version(13, 3)
+                await platform_site.until(lambda: running.site.version == 3)
+
+    asyncio.run(main())
+
+
 def test_two_lost_disks_lose_nothing_and_come_back_by_themselves(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,6 +1,8 @@
 """Validation and matching of routes, and the order of heartbeats."""
 
+import functools
 import json
+import operator
 import random
 
 import pytest
@@ -90,6 +92,81 @@
     assert str(caught.value)
 
 
+# Each integer of a document apart from its version, by its place.
+INTEGERS = [
+    ("routes", 0, "priority"),
+    ("routes", 0, "maxAttempts"),
+    ("services", 0, "maxConnections"),
+    ("services", 1, "engine", "slots"),
+    ("services", 1, "engine", "kvCapacityTokens"),
+    ("services", 1, "engine", "stride"),
+    ("limits", "maxHeaderBytes"),
+    ("limits", "maxBodyBytes"),
+    ("tenants", 0, "priority"),
+    ("tenants", 0, "plainTokens"),
+]
+
+
+def with_integer(
+    version: int, place: tuple[str | int, ...], value: int
+) -> bytes:
+    """Return a document with an integer at a place."""
+    doc = platform_site.document(version)
+    if place[0] == "tenants":
+        doc["tenants"] = [{"name": "t", "apiKeys": ["key"], "ratePerS": 1}]
+    item = functools.reduce(operator.getitem, place[:-1], doc)
+    item[place[-1]] = value
+    return json.dumps(doc).encode()
+
+
+def bits(value: int) -> str:
+    """Return the name of a test case with a large integer."""
+    return f"{'-' if value < 0 else ''}{value.bit_length()} bits"
+
+
+@pytest.mark.parametrize(
+    "value", [2**63, 2**64, -(2**63) - 1, 10**400], ids=bits
+)
+@pytest.mark.parametrize("place", INTEGERS, ids=str)
+def test_an_integer_that_gateways_cannot_be_sent_is_refused(
+    place: tuple[str | int, ...], value: int
+) -> None:
+    """It was acknowledged, and no gateway ever applied the document."""
+    with pytest.raises(exceptions.RoutingError) as caught:
+        documents.decode(with_integer(1, place, value))
+    assert str(place[-1]) in str(caught.value)
+
+
+@pytest.mark.parametrize("place", INTEGERS, ids=str)
+def test_the_largest_integers_reach_gateways(
+    place: tuple[str | int, ...],
+) -> None:
+    for value in (model.MIN_INTEGER, model.MAX_INTEGER):
+        if place[-1] == "plainTokens" and value < 0:
+            continue
+        doc = documents.decode(with_integer(1, place, value))
+        change = changes.from_empty(doc)
+        assert changes.decode(changes.encode(change)) == change
+
+
+@pytest.mark.parametrize("value", [2**63, 2**64, 10**400], ids=bits)
+@pytest.mark.parametrize("place", INTEGERS, ids=str)
+def test_a_committed_integer_that_is_too_large_is_clamped(
+    place: tuple[str | int, ...], value: int
+) -> None:
+    """Earlier releases acknowledged it; gateways have to get the document."""
+    reader = documents.IncrementalDecoder()
+    found = reader.decode_committed(with_integer(1, place, value))
+    change = changes.from_empty(found)
+    assert changes.decode(changes.encode(change)) == change
+    # The largest integer in range stands in its place.
+    largest = reader.decode(with_integer(1, place, model.MAX_INTEGER))
+    assert found == largest
+    # It does not make the same text valid in a new document.
+    with pytest.raises(exceptions.RoutingError):
+        reader.decode(with_integer(2, place, value))
+
+
 def test_incremental_decoding_equals_full_decoding() -> None:
     """Unchanged routes are reused; a refused document changes nothing."""
     reader = documents.IncrementalDecoder()
