Apply a document whose version is 0 or negative at gateways

Callers saw: where the first document had the version 0 or a negative one, it was acknowledged and read back, and gateways refused every request with 503 until a version of 1 or more came.

Cause: 0 stood for "no document" in the feed, in the messages between coordinators and gateways and at the gateway. A version below 1 was not newer than nothing.

Why it works: "no document" is None in the processes.

--- a/rackpost/coordinator/messages.py
+++ b/rackpost/coordinator/messages.py
@@ -43,7 +43,8 @@
     """Request for a chunk of the change to the newest routing document.
 
     Attributes:
-        held_version: version that the gateway holds; 0 if none.
+        held_version: version that the gateway holds; `changes.NO_BASE`
+            requests the whole document.
         digest: digest of the transfer to continue; 0 starts a new one.
         offset: bytes of that transfer that were received.
     """
@@ -54,9 +55,13 @@
 
 
 class RoutingVersion(_Message, frozen=True, tag="at"):
-    """Announces the version of the routing document that a replica holds."""
+    """Announces the version of the routing document that a replica holds.
+
+    Without `has_document` it holds none, and `version` has no meaning.
+    """
 
     version: int
+    has_document: bool = True
 
 
 class RoutingChunk(_Message, frozen=True, tag="part"):
--- a/rackpost/coordinator/overview.py
+++ b/rackpost/coordinator/overview.py
@@ -108,7 +108,7 @@
     """The site as one coordinator knows it.
 
     Attributes:
-        version: version of the routing document that it holds; 0 if none.
+        version: version of the routing document that it holds, if any.
         hears_quorum: it leads, or was lately in contact with the leader.
         held: quarantined requests and parts of prompts.
         waiting: generations that wait for capacity.
@@ -121,7 +121,7 @@
     hears_quorum: bool
     voters: tuple[str, ...]
     learners: tuple[str, ...]
-    version: int
+    version: int | None
     gateways: tuple[types.VmId, ...]
     routes: tuple[RouteLine, ...]
     endpoints: tuple[EndpointLine, ...]
@@ -150,7 +150,7 @@
         hears_quorum=node.is_leader or node.in_quorum_contact(),
         voters=tuple(node.config.voters),
         learners=tuple(node.config.learners),
-        version=0 if routing is None else routing.version,
+        version=None if routing is None else routing.version,
         gateways=tuple(
             sorted({item.vm for item in directory.gateways.values()})
         ),
--- a/rackpost/coordinator/process.py
+++ b/rackpost/coordinator/process.py
@@ -218,7 +218,7 @@
         if evidence is not None:
             # Before the document, with which the gateway starts to serve.
             conn.send(evidence)
-        conn.send(messages.RoutingVersion(version=self.feed.version))
+        conn.send(self.feed.announcement())
         conn.send(self.directory.full_update())
         conn.send(messages.ChangingEndpoints(ids=self._roles.changing))
         self._peers.greet_gateway(conn)
@@ -292,14 +292,15 @@
 
     def _on_changes(self, changes: list[machine.Change] | None) -> None:
         self._publish_routing()
-        self.directory.send_to_gateways(
-            messages.RoutingVersion(version=self.feed.version)
-        )
+        self.directory.send_to_gateways(self.feed.announcement())
 
     def _publish_routing(self) -> None:
         """Publish the committed routing document if it is newer."""
         routing = self.node.machine.routing
-        if routing is None or routing.version <= self.feed.version:
+        if routing is None:
+            return
+        published = self.feed.version
+        if published is not None and routing.version <= published:
             return
         try:
             doc = self._decoder.decode_committed(routing.source)
--- a/rackpost/coordinator/routing_feed.py
+++ b/rackpost/coordinator/routing_feed.py
@@ -34,6 +34,12 @@
     data: bytes
 
 
+def _is_held(request: messages.FetchRouting, doc: model.Document) -> bool:
+    """Whether the sender of a request holds this document or a newer one."""
+    held = request.held_version
+    return held != changes.NO_BASE and held >= doc.version
+
+
 class RoutingFeed:
     """The newest document, the latest changes to it, and their encodings."""
 
@@ -49,9 +55,15 @@
         self._digests: dict[int, int] = {}
 
     @property
-    def version(self) -> int:
-        """Version of the newest document, 0 if there is none."""
-        return 0 if self._doc is None else self._doc.version
+    def version(self) -> int | None:
+        """Version of the newest document; None if there is none."""
+        return None if self._doc is None else self._doc.version
+
+    def announcement(self) -> messages.RoutingVersion:
+        """Return the message that announces the newest document."""
+        if self._doc is None:
+            return messages.RoutingVersion(version=0, has_document=False)
+        return messages.RoutingVersion(version=self._doc.version)
 
     @property
     def services(self) -> frozenset[types.ServiceName]:
@@ -84,7 +96,7 @@
         """
         encoded = self._cache.get(request.digest)
         if encoded is None:
-            if self._doc is None or request.held_version >= self._doc.version:
+            if self._doc is None or _is_held(request, self._doc):
                 return None
             encoded = self._encoded(request.held_version, self._doc)
         offset = request.offset if request.digest == encoded.digest else 0
@@ -116,6 +128,8 @@
     def _change_from(
         self, held_version: int, doc: model.Document
     ) -> changes.Change:
+        if held_version == changes.NO_BASE:
+            return changes.from_empty(doc)
         steps = list(self._steps)
         while steps and steps[0].base != held_version:
             del steps[0]
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -67,8 +67,8 @@
         return len(self._linked)
 
     @property
-    def offered_version(self) -> int:
-        """The newest document version of linked coordinators; 0 if none."""
+    def offered_version(self) -> int | None:
+        """The newest document version of linked coordinators, if any."""
         return self._updates.newest
 
     def reload(self, host: settings.HostSettings) -> None:
@@ -186,7 +186,7 @@
         if isinstance(msg, messages.RoutingVersion):
             if conn not in self._linked:
                 self._on_linked(host, conn)
-            self._updates.record_version(conn, host, msg.version)
+            self._updates.record_version(conn, host, msg)
         elif isinstance(msg, messages.RoutingChunk):
             self._updates.receive_chunk(conn, msg)
         elif isinstance(msg, messages.EndpointUpdate):
--- a/rackpost/gateway/document_fetch.py
+++ b/rackpost/gateway/document_fetch.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 from rackpost.coordinator import messages
+from rackpost.routing import changes
 
 Peer = TypeVar("Peer", bound=Hashable)
 
@@ -79,9 +80,9 @@
         self._paused_until: float | None = None
 
     @property
-    def newest(self) -> int:
-        """The newest version that a peer has."""
-        return max(self._versions.values(), default=0)
+    def newest(self) -> int | None:
+        """The newest version that a peer has; None if none has any."""
+        return max(self._versions.values(), default=None)
 
     @property
     def wake_at(self) -> float | None:
@@ -101,13 +102,13 @@
             self._in_flight = None
 
     def next_request(
-        self, *, held_version: int, now: float
+        self, *, held_version: int | None, now: float
     ) -> FetchRequest[Peer] | None:
         """Return the request to send now, None if there is none.
 
-        `held_version` is the version that the gateway has.
+        `held_version` is the version that the gateway has, if it has any.
         """
-        if self.newest <= held_version:
+        if not self._is_behind(held_version):
             self._in_flight = None
             self._partial = None
             self._paused_until = None
@@ -129,6 +130,12 @@
             peer, self._message(held_version), silent_peer is not None
         )
 
+    def _is_behind(self, held_version: int | None) -> bool:
+        newest = self.newest
+        if newest is None:
+            return False
+        return held_version is None or held_version < newest
+
     def _choose(self, silent_peer: Peer | None) -> Peer:
         """Return the peer of the last request, unless it did not answer.
 
@@ -145,8 +152,10 @@
         others = [key for key in candidates if key != silent_peer]
         return self._rng.choice(others or candidates)
 
-    def _message(self, held_version: int) -> messages.FetchRouting:
-        base = 0 if held_version == self._unusable_base else held_version
+    def _message(self, held_version: int | None) -> messages.FetchRouting:
+        base = held_version
+        if base is None or base == self._unusable_base:
+            base = changes.NO_BASE
         if self._partial is None:
             return messages.FetchRouting(held_version=base)
         return messages.FetchRouting(
@@ -176,7 +185,7 @@
         self._partial = None
         return Transfer(bytes(partial.data), now - partial.began)
 
-    def reject_document(self, *, held_version: int, now: float) -> None:
+    def reject_document(self, *, held_version: int | None, now: float) -> None:
         """Record that the transfer for version `held_version` was unusable."""
         self._unusable_base = held_version
         self._paused_until = now + _REJECT_PAUSE_S
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -243,7 +243,10 @@
 
     def _metrics_page(self) -> tuple[int, str]:
         process_figures.record(self.site.metrics)
-        self.site.metrics.gauge("document_version", self.site.version)
+        self.site.metrics.gauge(
+            "document_version",
+            0 if self.site.version is None else self.site.version,
+        )
         self.site.metrics.gauge("connections_opened", self.site.pool.opened)
         self.site.metrics.gauge("unread_bytes", self._server.held_bytes)
         self.site.metrics.gauge("closed_unread", self._server.closed_unread)
--- a/rackpost/gateway/refusal_report.py
+++ b/rackpost/gateway/refusal_report.py
@@ -36,16 +36,16 @@
 
     Attributes:
         linked: coordinators that are linked.
-        offered_version: newest document of these; 0 if there is none.
-        version: document in force at the gateway; 0 if there is none.
+        offered_version: newest document of these; None if there is none.
+        version: document in force at the gateway; None if there is none.
         endpoints: known endpoints.
         overloaded: whether new connections are closed unread.
         quarantined: subjects in quarantine.
     """
 
     linked: int
-    offered_version: int
-    version: int
+    offered_version: int | None
+    version: int | None
     endpoints: int
     overloaded: bool
     quarantined: int
@@ -53,10 +53,10 @@
 
 def obstacle(found: Situation) -> Obstacle:
     """Return what keeps a gateway from serving."""
-    if not found.version:
+    if found.version is None:
         if not found.linked:
             return Obstacle.NO_COORDINATOR
-        if not found.offered_version:
+        if found.offered_version is None:
             return Obstacle.NO_DOCUMENT
         return Obstacle.DOCUMENT_UNDER_WAY
     if not found.endpoints:
@@ -74,7 +74,7 @@
         self._reported: dict[str, int] = {}
         self._next_at = site.loop_time()
 
-    def log_if_due(self, linked: int, offered_version: int) -> None:
+    def log_if_due(self, linked: int, offered_version: int | None) -> None:
         """Log what was refused since the last line; call each second."""
         site = self._site
         now = site.loop_time()
--- a/rackpost/gateway/routing_updates.py
+++ b/rackpost/gateway/routing_updates.py
@@ -38,16 +38,17 @@
         self._hosts: dict[channel.Channel, str] = {}
 
     @property
-    def newest(self) -> int:
-        """The newest version of linked coordinators; 0 if there is none."""
+    def newest(self) -> int | None:
+        """The newest version of linked coordinators; None without any."""
         return self._fetch.newest
 
     def record_version(
-        self, conn: channel.Channel, host: str, version: int
+        self, conn: channel.Channel, host: str, msg: messages.RoutingVersion
     ) -> None:
         """Record the version that a linked coordinator has."""
         self._hosts[conn] = host
-        self._fetch.record_version(conn, version)
+        if msg.has_document:
+            self._fetch.record_version(conn, msg.version)
         self._request_next()
 
     def link_lost(self, conn: channel.Channel) -> None:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -249,9 +249,9 @@
         self.tasks.spawn(coro)
 
     @property
-    def version(self) -> int:
-        """Version of the routing document in force here, 0 if none is."""
-        return 0 if self.routes is None else self.routes.version
+    def version(self) -> int | None:
+        """Version of the routing document in force here, if one is."""
+        return None if self.routes is None else self.routes.version
 
     @property
     def gateway_count(self) -> int:
@@ -309,7 +309,8 @@
         Returns whether it was applied.  Raises RoutingError where the change
         does not fit the present version.
         """
-        if change.version <= self.version:
+        held = self.version
+        if held is not None and change.version <= held:
             return False
         routes = self.routes or match.RouteTable()
         routes.apply(change)
--- a/rackpost/routing/changes.py
+++ b/rackpost/routing/changes.py
@@ -16,6 +16,9 @@
 from rackpost.routing import model
 from rackpost import types
 
+# The base of a change that holds a whole document.
+NO_BASE = 0
+
 # The fastest level of zlib: documents compress to a tenth, and 4,200 routes
 # take 4 ms of one core.
 _COMPRESSION_LEVEL = 1
@@ -27,7 +30,10 @@
 
 
 class Change(msgspec.Struct, frozen=True, kw_only=True):
-    """A change from version `base` to `version`; base 0 is no document.
+    """A change from version `base` to `version`.
+
+    With base `NO_BASE` it holds the whole document, also where a document of
+    that version exists.
 
     `routes` and `organisations` are their numbers in the new version.
     """
@@ -67,7 +73,7 @@
 def from_empty(doc: model.Document) -> Change:
     """Return the change from no document to this one."""
     return Change(
-        base=0,
+        base=NO_BASE,
         version=doc.version,
         put=doc.routes,
         removed=(),
--- a/rackpost/routing/match.py
+++ b/rackpost/routing/match.py
@@ -63,7 +63,7 @@
 
     def __init__(self) -> None:
         """Create the table of no document."""
-        self.version = 0
+        self.version: int | None = None
         self.services: dict[types.ServiceName, model.Service] = {}
         self.limits = model.Limits()
         self.organisations = organisations.OrganisationTable(organisations={})
@@ -86,13 +86,13 @@
         Raises RoutingError and leaves the table as it is if the change has
         another base version or its result has an unexpected size.
         """
-        if change.base not in (0, self.version):
+        if change.base not in (changes.NO_BASE, self.version):
             raise exceptions.RoutingError(
                 f"a change of version {change.base} does not fit "
                 f"{self.version}"
             )
         changed_organisations = self.organisations.with_change(change)
-        if change.base == 0:
+        if change.base == changes.NO_BASE:
             self._replace(change)
         else:
             self._update(change)
--- a/rackpost/site_overview.py
+++ b/rackpost/site_overview.py
@@ -52,7 +52,7 @@
             f"leader     {found.leader or 'none'}, term {found.term}",
             f"voters     {', '.join(found.voters) or 'none'}",
             f"learners   {', '.join(found.learners) or 'none'}",
-            f"document   version {found.version}, "
+            f"document   version {_version(found)}, "
             f"{len(found.routes)} routes",
             f"gateways   {len(found.gateways)}: {', '.join(found.gateways)}",
             f"endpoints  {len(found.endpoints)}",
@@ -60,6 +60,10 @@
     )
 
 
+def _version(found: overview.Overview) -> str:
+    return "none" if found.version is None else str(found.version)
+
+
 def routes(found: overview.Overview) -> str:
     """Return a table of the routes."""
     rows = [
@@ -88,7 +92,7 @@
         "priority",
         "attempts",
     )
-    return f"version {found.version}\n" + _table(head, rows)
+    return f"version {_version(found)}\n" + _table(head, rows)
 
 
 def endpoints(found: overview.Overview) -> str:
--- a/tests/crashing_site.py
+++ b/tests/crashing_site.py
@@ -218,7 +218,7 @@
         for running in self.gateways.values():
             site = running.site
             await platform_site.until(
-                lambda: site.version > 0
+                lambda: site.version is not None
                 and idents == set(site.table.alive)
                 and not site.health.failed_endpoints(site.loop_time())
             )
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -112,6 +112,26 @@
     asyncio.run(main())
 
 
+def test_versions_below_1_are_in_force_at_gateways(
+    tmp_path: pathlib.Path,
+) -> None:
+    """They were acknowledged and read back, and no gateway applied them."""
+
+    async def main() -> None:
+        async with cluster(tmp_path) as found:
+            edge = found.plan.host(31, kind="edge")
+            for version in (-(2**64), -1, 0, 1):
+                async with platform_site.gateway(edge) as running:
+                    assert running.site.version != version
+                    doc = await found.put_version(12, version)
+                    await platform_site.until(
+                        lambda: running.site.version == version
+                    )
+                    assert await found.read(14) == doc
+
+    asyncio.run(main())
+
+
 def test_a_version_beyond_64_bits_is_in_force_at_all_gateways(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_document_fetch.py
+++ b/tests/test_document_fetch.py
@@ -4,8 +4,11 @@
 import random
 import zlib
 
+import pytest
+
 from rackpost.coordinator import messages
 from rackpost.gateway import document_fetch
+from rackpost.routing import changes
 
 DATA = bytes(range(200))
 CHUNK = 50
@@ -144,6 +147,20 @@
     assert fetch.next_request(held_version=0, now=0.0) is None
 
 
+@pytest.mark.parametrize("version", [0, -1, -(2**70)])
+def test_a_first_version_below_1_is_requested(version: int) -> None:
+    """It was taken for no document at all."""
+    fetch = new_fetch()
+    assert fetch.next_request(held_version=None, now=0.0) is None
+    fetch.record_version("a", version)
+    request = fetch.next_request(held_version=None, now=0.0)
+    assert request is not None
+    assert request.msg.held_version == changes.NO_BASE
+    fetch = new_fetch()
+    fetch.record_version("a", version)
+    assert fetch.next_request(held_version=version, now=0.0) is None
+
+
 def test_gateways_spread_over_the_coordinators() -> None:
     requests: collections.Counter[str] = collections.Counter()
     for seed in range(100):
--- a/tests/test_document_updates.py
+++ b/tests/test_document_updates.py
@@ -26,7 +26,9 @@
 class Run:
     """Three coordinators and one gateway; each step is 50 ms."""
 
-    def __init__(self, *, seed: int) -> None:
+    def __init__(self, *, seed: int, before_first: int) -> None:
+        """Versions start above `before_first`."""
+        self.before_first = before_first
         self.rng = random.Random(seed)
         self.docs: dict[int, model.Document] = {}
         self.feeds = {name: routing_feed.RoutingFeed() for name in NAMES}
@@ -40,7 +42,8 @@
 
     def new_document(self) -> None:
         """Add a version that follows the last, with some routes changed."""
-        version = max(self.docs, default=0) + self.rng.randint(1, 4)
+        last = max(self.docs, default=self.before_first)
+        version = last + self.rng.randint(1, 4)
         routes = {
             key: self.rng.randint(1, 2)
             for key in range(60)
@@ -51,11 +54,18 @@
     def catch_up(self, name: str) -> None:
         """Let a coordinator skip to one of the versions that it lacks."""
         feed = self.feeds[name]
-        missing = [v for v in self.docs if v > feed.version]
+        held = feed.version
+        missing = [v for v in self.docs if held is None or v > held]
         if missing:
             version = self.rng.choice(missing)
             feed.publish(self.docs[version])
-        self.fetch.record_version(name, feed.version)
+        self.announce(name)
+
+    def announce(self, name: str) -> None:
+        """Let the gateway receive a coordinator's announcement."""
+        msg = self.feeds[name].announcement()
+        if msg.has_document:
+            self.fetch.record_version(name, msg.version)
 
     def inject_fault(self) -> None:
         """Inject a fault at one coordinator."""
@@ -71,11 +81,12 @@
         elif kind == 2:
             # A restart: it knows only its newest version.
             feed = routing_feed.RoutingFeed()
-            if self.feeds[name].version:
-                feed.publish(self.docs[self.feeds[name].version])
+            held = self.feeds[name].version
+            if held is not None:
+                feed.publish(self.docs[held])
             self.feeds[name] = feed
             self.fetch.remove_peer(name)
-            self.fetch.record_version(name, feed.version)
+            self.announce(name)
         else:
             self.catch_up(name)
 
@@ -104,24 +115,26 @@
         """Apply a complete transfer, as a gateway does."""
         before = self.table.version
         change = changes.decode(data)
-        if change.version <= before:
+        if before is not None and change.version <= before:
             return
         try:
             self.table.apply(change)
         except exceptions.RoutingError:
             self.fetch.reject_document(held_version=before, now=self.now)
             return
-        assert self.table.version > before
+        assert self.table.version is not None
+        assert before is None or self.table.version > before
         doc = self.docs[self.table.version]
         assert test_routing_changes.has_content_of(self.table, doc)
 
 
+@pytest.mark.parametrize("before_first", [0, -8, -400, 2**64 - 9])
 @pytest.mark.parametrize("seed", range(60))
 def test_a_gateway_has_one_version_whole_and_ends_with_the_newest(
-    seed: int, monkeypatch: pytest.MonkeyPatch
+    seed: int, before_first: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(routing_feed, "CHUNK_BYTES", PART_BYTES)
-    run = Run(seed=seed)
+    run = Run(seed=seed, before_first=before_first)
     for _ in range(STEPS):
         if run.rng.random() < 0.1:
             run.new_document()
--- a/tests/test_large_documents.py
+++ b/tests/test_large_documents.py
@@ -64,7 +64,7 @@
     """Wait for a version at the gateway; return the time in seconds."""
     loop = asyncio.get_running_loop()
     began = loop.time()
-    while link.site.version < version and loop.time() - began < 10.0:
+    while (link.site.version or 0) < version and loop.time() - began < 10.0:
         await asyncio.sleep(0.01)
     return loop.time() - began
 
--- a/tests/test_refusal_report.py
+++ b/tests/test_refusal_report.py
@@ -30,14 +30,19 @@
     [
         ({}, refusal_report.Obstacle.NONE),
         (
-            {"linked": 0, "offered_version": 0, "version": 0},
+            {"linked": 0, "offered_version": None, "version": None},
             refusal_report.Obstacle.NO_COORDINATOR,
         ),
         (
-            {"offered_version": 0, "version": 0},
+            {"offered_version": None, "version": None},
             refusal_report.Obstacle.NO_DOCUMENT,
         ),
-        ({"version": 0}, refusal_report.Obstacle.DOCUMENT_UNDER_WAY),
+        ({"version": None}, refusal_report.Obstacle.DOCUMENT_UNDER_WAY),
+        (
+            {"offered_version": 0, "version": None},
+            refusal_report.Obstacle.DOCUMENT_UNDER_WAY,
+        ),
+        ({"version": 0}, refusal_report.Obstacle.NONE),
         ({"endpoints": 0}, refusal_report.Obstacle.NO_ENDPOINT),
         (
             {"overloaded": True, "quarantined": 1},
