Serve routes and organisations whose figures add up to infinity

Callers saw: after a document was acknowledged, each request of a route was answered with 502 where the sum of its weights exceeds the largest floating point number, and each request of an organisation whose rate does, over the quota's window.

Why it works: weights are divided by the largest where their sum is infinite, which keeps their proportions; rates and bursts are capped at 2**63 - 1 units, which no gateway can use up.

Tests that failed before: test_weights_whose_sum_is_infinite_are_used, test_an_organisation_with_the_largest_quota_is_served[ratePerS]. Its case with burst held before.

--- a/rackpost/platform/documents.py
+++ b/rackpost/platform/documents.py
@@ -146,6 +146,7 @@
 _DECODER = msgspec.json.Decoder(_Document)
 _ROUTE_DECODER = msgspec.json.Decoder(_Route)
 _ORGANISATION_DECODER = msgspec.json.Decoder(_Organisation)
+_MAX_UNITS = float(model.MAX_INTEGER)
 # Quotas in this unit count tokens; all others count requests.
 _TOKENS_UNIT = "token_stream"
 
@@ -311,9 +312,10 @@
 def _quota(wire: _Organisation) -> model.Quota | None:
     if wire.rate_per_s == 0.0:
         return None
+    # Larger ones are no limit either, and their sums may not be finite.
     return model.Quota(
-        rate_per_s=wire.rate_per_s,
-        burst=wire.burst,
+        rate_per_s=min(wire.rate_per_s, _MAX_UNITS),
+        burst=min(wire.burst, _MAX_UNITS),
         by_tokens=wire.unit == _TOKENS_UNIT,
         plain_units=wire.plain_tokens,
     )
--- a/rackpost/routing/match.py
+++ b/rackpost/routing/match.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import math
 import random
 from typing import Iterator
 
@@ -146,4 +147,7 @@
     if len(route.targets) == 1:
         return route.targets[0].service
     weights = [target.weight for target in route.targets]
+    if math.isinf(sum(weights)):
+        largest = max(weights)
+        weights = [weight / largest for weight in weights]
     return rng.choices(route.targets, weights)[0].service
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -3,6 +3,8 @@
 import asyncio
 import pathlib
 
+import pytest
+
 from rackpost.gateway import call
 from rackpost.http1 import message
 from rackpost.http1 import server
@@ -73,6 +75,26 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("figure", ["ratePerS", "burst"])
+def test_an_organisation_with_the_largest_quota_is_served(
+    figure: str, tmp_path: pathlib.Path
+) -> None:
+    """Its document was acknowledged, and each request failed with 502."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            large = test_keys.organisation("nord", "k1", ratePerS=1000)
+            large[figure] = 1.7e308
+            await set_document(site, document(2, large))
+            for path in ("/safe/x", "/gen/x"):
+                got = await site.raw(
+                    test_gateway.request(path, more=key("k1"))
+                )
+                assert test_gateway.status(got) == 200
+
+    asyncio.run(main())
+
+
 def test_endpoints_get_the_organisation_and_never_the_key(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -50,6 +50,22 @@
     assert 50 < chosen.count(types.ServiceName("model")) < 150
 
 
+def test_weights_whose_sum_is_infinite_are_used() -> None:
+    """The document was acknowledged, and each request failed with 502."""
+    doc = platform_site.document()
+    route = doc["routes"][0]
+    del route["service"]
+    route["trafficSplit"] = [
+        {"service": "plain", "weight": 1.5e308},
+        {"service": "model", "weight": 0.5e308},
+        {"service": "model", "weight": 5e-324},
+    ]
+    found = decode(doc).routes[0]
+    rng = random.Random(1)
+    chosen = [match.choose_service(found, rng) for _ in range(1000)]
+    assert 200 < chosen.count(types.ServiceName("model")) < 300
+
+
 def _bad(name: str) -> bytes:
     doc = platform_site.document()
     route = doc["routes"][0]
