Refuse deeply nested JSON where it is decoded

Callers saw: an operator's document with a field nested some thousand levels deep was answered with 502, for which operators try again, in place of a 4xx. A heartbeat with such a field was answered with 502 too, and an endpoint's answer to a prefill or a report ended the request in the gateway in place of being taken for malformed.

Cause: msgspec raises RecursionError for deep nesting, which is none of its own errors, and seven decoders caught only those.

Why it works: one tuple names what decoding malformed data raises, and all decoders of the platform's formats and of engines use it.

Tests that failed before: test_deeply_nested_json_is_malformed (7 cases), test_a_bad_document_is_refused_with_a_reason[deep document, deep route].

--- a/rackpost/agent/engine_http.py
+++ b/rackpost/agent/engine_http.py
@@ -185,7 +185,7 @@
                 found = msgspec.json.decode(
                     await resp.read(), type=_PrefillAnswer
                 )
-            except msgspec.MsgspecError as exc:
+            except exceptions.DECODE_ERRORS as exc:
                 raise exceptions.EngineError(f"bad answer: {exc}") from exc
         return engine.PrefillResult(
             kv=found.kv_transfer_params, cached_tokens=found.cached_tokens
@@ -284,7 +284,7 @@
                 found = msgspec.json.decode(
                     await resp.read(), type=_CacheEvents
                 )
-            except msgspec.MsgspecError:
+            except exceptions.DECODE_ERRORS:
                 return engine.CacheEvents()
         self._events_after = found.last
         return engine.CacheEvents(
@@ -299,7 +299,7 @@
                 return types.SoftwareVersion("")
             try:
                 found = msgspec.json.decode(await resp.read(), type=_Version)
-            except msgspec.MsgspecError:
+            except exceptions.DECODE_ERRORS:
                 return types.SoftwareVersion("")
         return types.SoftwareVersion(found.version)
 
@@ -354,7 +354,7 @@
             return
         try:
             chunk = msgspec.json.decode(data, type=_Chunk)
-        except msgspec.MsgspecError as exc:
+        except exceptions.DECODE_ERRORS as exc:
             raise exceptions.EngineError(f"bad event: {exc}") from exc
         if chunk.error is not None:
             raise exceptions.EngineError(chunk.error)
--- a/rackpost/control/operators.py
+++ b/rackpost/control/operators.py
@@ -184,7 +184,7 @@
                 return _error("bad-key", "the operators' key is needed", 401)
             try:
                 return await handler(req)
-            except msgspec.MsgspecError as exc:
+            except exceptions.DECODE_ERRORS as exc:
                 return _error("bad-request", str(exc), 400)
             except exceptions.SettingsError as exc:
                 return _error("not-valid", str(exc), 422)
--- a/rackpost/control/platform.py
+++ b/rackpost/control/platform.py
@@ -63,7 +63,7 @@
             aiohttp.ClientError,
             TimeoutError,
             OSError,
-            msgspec.MsgspecError,
+            *exceptions.DECODE_ERRORS,
         ) as exc:
             raise exceptions.ControlError(f"platform list: {exc}") from exc
 
--- a/rackpost/exceptions.py
+++ b/rackpost/exceptions.py
@@ -1,5 +1,10 @@
 """The exceptions of rackpost."""
 
+import msgspec
+
+# What msgspec raises on malformed data; RecursionError on deep nesting.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+
 
 class RackpostError(Exception):
     """Base class of all errors of rackpost."""
--- a/rackpost/platform/documents.py
+++ b/rackpost/platform/documents.py
@@ -187,7 +187,7 @@
                 self._decode_organisation(bytes(raw), integers)
                 for raw in raw_organisations
             ]
-        except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        except exceptions.DECODE_ERRORS as exc:
             raise exceptions.RoutingError(f"bad document: {exc}") from exc
         limits = integers.apply(wire.limits, "limits")
         doc = model.Document(
--- a/rackpost/platform/heartbeats.py
+++ b/rackpost/platform/heartbeats.py
@@ -49,7 +49,7 @@
     """Decode a heartbeat; raises CodecError if it is invalid."""
     try:
         wire = _DECODER.decode(text)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except exceptions.DECODE_ERRORS as exc:
         raise exceptions.CodecError(f"heartbeat: {exc}") from exc
     why = _invalid_reason(wire)
     if why:
@@ -104,7 +104,7 @@
     if text:
         try:
             born = _GONE_DECODER.decode(text).born
-        except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        except exceptions.DECODE_ERRORS as exc:
             raise exceptions.CodecError(f"end of endpoint: {exc}") from exc
     return endpoints.Endpoint(
         id=types.EndpointId(endpoint_id),
--- a/rackpost/platform/holds.py
+++ b/rackpost/platform/holds.py
@@ -39,7 +39,7 @@
     """
     try:
         ident = _DECODER.decode(body).hold
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except exceptions.DECODE_ERRORS as exc:
         raise exceptions.CodecError(f"hold: {exc}") from exc
     if (
         not 0 < len(ident) <= _MAX_ID_LENGTH
--- a/rackpost/platform/orders.py
+++ b/rackpost/platform/orders.py
@@ -49,7 +49,7 @@
     """Decode a report; raises CodecError if it is malformed."""
     try:
         wire = _DECODER.decode(body)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except exceptions.DECODE_ERRORS as exc:
         raise exceptions.CodecError(f"report: {exc}") from exc
     return Report(
         role=stages.role_of(wire.stage),
--- a/rackpost/platform/prefill.py
+++ b/rackpost/platform/prefill.py
@@ -19,7 +19,7 @@
     """Decode the answer to a prefill; raises CodecError if malformed."""
     try:
         return _DECODER.decode(body)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except exceptions.DECODE_ERRORS as exc:
         raise exceptions.CodecError(f"prefill: {exc}") from exc
 
 
--- a/rackpost/platform/settings.py
+++ b/rackpost/platform/settings.py
@@ -115,7 +115,7 @@
     """Decode the file's text; raises ConfigError with the reason."""
     try:
         return msgspec.json.decode(text, type=HostSettings)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except exceptions.DECODE_ERRORS as exc:
         raise exceptions.ConfigError(f"{PATH_VARIABLE}: {exc}") from exc
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,11 +3,16 @@
 import json
 import pathlib
 import re
+from typing import Callable
 
 import pytest
 
 from rackpost import exceptions
+from rackpost.platform import documents
 from rackpost.platform import headers
+from rackpost.platform import heartbeats
+from rackpost.platform import holds
+from rackpost.platform import orders
 from rackpost.platform import paths
 from rackpost.platform import prefill
 from rackpost.platform import settings
@@ -30,6 +35,35 @@
     assert found == []
 
 
+@pytest.mark.parametrize(
+    "decode",
+    [
+        documents.decode,
+        lambda text: heartbeats.decode("i-1", text),
+        lambda text: heartbeats.gone("i-1", text),
+        holds.decode,
+        orders.decode_report,
+        prefill.decode,
+        settings.decode,
+    ],
+    ids=[
+        "documents.decode",
+        "heartbeats.decode",
+        "heartbeats.gone",
+        "holds.decode",
+        "orders.decode_report",
+        "prefill.decode",
+        "settings.decode",
+    ],
+)
+def test_deeply_nested_json_is_malformed(
+    decode: Callable[[bytes], object],
+) -> None:
+    """It ended calls and requests with an unforeseen error."""
+    with pytest.raises(exceptions.RackpostError):
+        decode(b'{"note":' + b"[" * 60_000 + b"]" * 60_000 + b"}")
+
+
 def test_the_adapter_is_small() -> None:
     lines = sum(
         len(path.read_text().splitlines())
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -84,6 +84,12 @@
         del route["service"]
     elif name == "open prefix":
         route["pathPrefix"] = "/safe"
+    elif name.startswith("deep "):
+        # In a field that is passed over.
+        item = doc if name == "deep document" else route
+        item["note"] = "@"
+        deep = b"[" * 100_000 + b"]" * 100_000
+        return json.dumps(doc).encode().replace(b'"@"', deep)
     elif name == "no version":
         del doc["version"]
     return json.dumps(doc).encode()
@@ -100,6 +106,9 @@
         "no service",
         "open prefix",
         "no version",
+        # It was answered with 502, and operators sent it again and again.
+        "deep document",
+        "deep route",
     ],
 )
 def test_a_bad_document_is_refused_with_a_reason(name: str) -> None:
