Read back records that exceed a link's frame together

Operators saw: nothing yet; found while looking for what can be acknowledged and not be read back.

Cause: files are decoded with the limit of a link's frames.

Why it works: data that the process has written itself, with a checksum, is decoded without a limit; the limit protects links.

--- a/rackpost/consensus/storage.py
+++ b/rackpost/consensus/storage.py
@@ -189,7 +189,7 @@
     frames, good = read_frames(path.read_bytes())
     if len(frames) != 1 or good != path.stat().st_size:
         raise exceptions.StorageError(f"{path.name} is damaged")
-    return codec.Decoder(kinds=kind).decode(frames[0])
+    return codec.Decoder(kinds=kind, max_bytes=None).decode(frames[0])
 
 
 def create(
@@ -231,7 +231,7 @@
         hard = m.HardState(term=snapshot.term)
         data = self._log_path.read_bytes() if self._log_path.exists() else b""
         frames, good = read_frames(data)
-        decoder = codec.Decoder(kinds=Batch)
+        decoder = codec.Decoder(kinds=Batch, max_bytes=None)
         for payload in frames:
             batch: Batch = decoder.decode(payload)
             hard = batch.hard or hard
--- a/rackpost/link/codec.py
+++ b/rackpost/link/codec.py
@@ -34,18 +34,22 @@
 
 
 class Decoder:
-    """Decodes bytes into one of a union of message types."""
+    """Decodes bytes into one of a union of message types.
 
-    def __init__(self, *, kinds: Any):
+    `max_bytes` is None for data that was written by this process.
+    """
+
+    def __init__(self, *, kinds: Any, max_bytes: int | None = MAX_FRAME):
         self._kinds = kinds
+        self._max_bytes = max_bytes
 
     def decode(self, data: bytes) -> Any:
         """Return the message in `data`.
 
-        Raises CodecError if the bytes exceed MAX_FRAME, are not CBOR, or
+        Raises CodecError if the bytes exceed the limit, are not CBOR, or
         are not a message of the expected types.
         """
-        if len(data) > MAX_FRAME:
+        if self._max_bytes is not None and len(data) > self._max_bytes:
             raise exceptions.CodecError("frame is too large")
         try:
             raw = cbor2.loads(data)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -13,6 +13,7 @@
 from rackpost.consensus import storage
 from rackpost.coordinator import disk as coordinator_disk
 from rackpost import exceptions
+from rackpost.link import codec
 
 CONFIG = m.Config(voters=(m.ReplicaId("c0"),))
 
@@ -55,6 +56,38 @@
     assert found.torn_bytes == 0
 
 
+def test_records_larger_than_a_frame_together_are_there_after_a_restart(
+    tmp_path: pathlib.Path,
+) -> None:
+    """They are written at once; the replica could not start any more."""
+    storage.create(tmp_path, replica=m.ReplicaId("c0"), config=CONFIG)
+    disk = storage.FileDisk(folder=tmp_path)
+    disk.load()
+    size = codec.MAX_FRAME // 5
+    out = one_record(1, data=bytes(size))
+    for index in range(2, 7):
+        out.append += one_record(index, data=bytes(size)).append
+    snapshot = m.Snapshot(
+        index=m.Index(3),
+        term=m.Term(1),
+        config=CONFIG,
+        data=bytes(codec.MAX_FRAME),
+    )
+
+    async def main() -> None:
+        await disk.save(out)
+        assert load(tmp_path).log.last_index == 6
+        log = log_mod.Log()
+        log.append(out.append)
+        log.compact(snapshot)
+        await disk.compact(snapshot, m.HardState(term=m.Term(1)), log)
+
+    asyncio.run(main())
+    disk.close()
+    assert load(tmp_path).log.last_index == 6
+    assert load(tmp_path).log.snapshot == snapshot
+
+
 def write_mark(folder: pathlib.Path, index: int, term: int) -> None:
     """Write a commit mark to a folder."""
     mark = storage.CommitMark(index=m.Index(index), term=m.Term(term))
