Refuse a document that is too large to be replicated

Callers saw: after an operator sent a document of 9 MB, it was answered with 503, and for as long as the trial ran (27 s) no later document was acknowledged either; links between coordinators broke with each attempt.

Cause: a coordinator reads a body of up to 16 MB, and a link takes a frame of 8 MB. The leader proposed the record, each follower closed the link on it, and Raft sends records in order, so that nothing after it could be committed.

Why it works: what can't be sent is not proposed.

A record of this kind that an earlier release has left in a log is dropped at the start, where no other replica can have it.

--- a/rackpost/consensus/storage.py
+++ b/rackpost/consensus/storage.py
@@ -107,6 +107,20 @@
         log.append([entry])
 
 
+def drop_unsendable(log: log_mod.Log, committed: m.Index) -> None:
+    """Drop a record that no link can carry, and all after it.
+
+    Earlier releases proposed such records, and nothing could be committed
+    after one.  No other replica has received it, so that it can't be
+    committed where a quorum has more than one replica.
+    """
+    for entry in log.entries_between(committed, log.last_index):
+        is_alone = log.config_at(entry.index).quorum < 2
+        if len(entry.data) > codec.MAX_FRAME and not is_alone:
+            log.truncate_from(entry.index)
+            return
+
+
 def frame(payload: bytes) -> bytes:
     """Return a payload with its header."""
     head = _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload))
@@ -237,11 +251,13 @@
             hard = batch.hard or hard
             replay(log, batch)
         self._open_log(good)
+        committed = self._load_committed(log)
+        drop_unsendable(log, committed)
         return StoredState(
             identity=identity,
             hard=hard,
             log=log,
-            committed=self._load_committed(log),
+            committed=committed,
             torn_bytes=len(data) - good,
         )
 
--- a/rackpost/control/node.py
+++ b/rackpost/control/node.py
@@ -29,6 +29,9 @@
 # Bytes of commands in the log at which it is compacted.  Keeps the log, the
 # snapshot and its copy well below the smallest disk (128 MB).
 COMPACT_BYTES = 8 << 20
+# Largest encoded command.  A link takes a frame of 8 MB, which has to hold a
+# record, or a snapshot with the state of all commands.
+MAX_COMMAND_BYTES = 7 << 20
 # The time limit of a command or a confirmed read.
 _TIMEOUT_S = 3.0
 _REPORT_INTERVAL_S = 1.0
@@ -226,10 +229,17 @@
 
         None means that the result is unknown: the command may have been
         committed, and may be sent again with the same operation id.
+
+        Raises TooLargeError for one that can't be sent to other replicas; it
+        would keep all later ones from being committed.
         """
         fut: asyncio.Future[commands.Result | None]
         fut = self._loop.create_future()
         data = codec.encode(cmd)
+        if len(data) > MAX_COMMAND_BYTES:
+            raise exceptions.TooLargeError(
+                f"a change has at most {MAX_COMMAND_BYTES} bytes"
+            )
         await self._wait_for_leader()
         if self.is_leader:
             self._propose(data, fut)
--- a/rackpost/coordinator/api.py
+++ b/rackpost/coordinator/api.py
@@ -178,6 +178,10 @@
         except TimeoutError:
             # The outcome is unknown; the client may send the document again.
             pass
+        except exceptions.TooLargeError as exc:
+            self._log_answer(doc, 413, str(exc))
+            _respond(responder, 413, str(exc))
+            return
         if result is None:
             self._log_answer(doc, 503, "no quorum in time")
             _respond(responder, 503, "not confirmed by a quorum in time")
--- a/rackpost/exceptions.py
+++ b/rackpost/exceptions.py
@@ -38,6 +38,10 @@
         self.status = status
 
 
+class TooLargeError(UserError):
+    """A change is too large to be replicated; the message says the limit."""
+
+
 class LinkError(RackpostError):
     """A link between two processes of rackpost failed."""
 
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from rackpost.control import node as node_mod
 from rackpost.coordinator import process
 from rackpost.state import commands
 from tests import platform_site
@@ -197,6 +198,28 @@
     asyncio.run(main())
 
 
+def test_a_document_too_large_for_a_link_does_not_block_later_ones(
+    tmp_path: pathlib.Path,
+) -> None:
+    """No replica could be sent it, so that nothing was committed after it."""
+
+    async def main() -> None:
+        async with cluster(tmp_path) as found:
+            await found.put_version(11, 1)
+            for version, size in ((2, 9 << 20), (3, 15 << 20)):
+                doc = platform_site.document(version, note="x" * size)
+                for number in CORE:
+                    assert await found.operator.put(number, doc) == 413
+            # The largest one that is accepted, and the next.
+            size = node_mod.MAX_COMMAND_BYTES - 4000
+            doc = platform_site.document(4, note="x" * size)
+            await found.operator.put_until_accepted(11, doc)
+            assert await found.read(13) == doc
+            await found.put_version(12, 5)
+
+    asyncio.run(main())
+
+
 def test_two_lost_disks_lose_nothing_and_come_back_by_themselves(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -88,6 +88,36 @@
     assert load(tmp_path).log.snapshot == snapshot
 
 
+@pytest.mark.parametrize(
+    "voters, committed, last_index",
+    [(("c0", "c1", "c2"), 0, 1), (("c0", "c1", "c2"), 2, 3), (("c0",), 0, 3)],
+)
+def test_a_record_that_no_link_can_carry_blocks_no_later_ones(
+    voters: tuple[m.ReplicaId, ...],
+    committed: int,
+    last_index: int,
+    tmp_path: pathlib.Path,
+) -> None:
+    """A leader that restarted with it could commit nothing any more."""
+    storage.create(
+        tmp_path, replica=m.ReplicaId("c0"), config=m.Config(voters=voters)
+    )
+    disk = storage.FileDisk(folder=tmp_path)
+    disk.load()
+
+    async def main() -> None:
+        await disk.save(one_record(1))
+        await disk.save(one_record(2, data=bytes(codec.MAX_FRAME + 1)))
+        await disk.save(one_record(3))
+        if committed:
+            mark = storage.CommitMark(index=m.Index(committed), term=m.Term(1))
+            await disk.record_committed(mark)
+
+    asyncio.run(main())
+    disk.close()
+    assert load(tmp_path).log.last_index == last_index
+
+
 def write_mark(folder: pathlib.Path, index: int, term: int) -> None:
     """Write a commit mark to a folder."""
     mark = storage.CommitMark(index=m.Index(index), term=m.Term(term))
