Take an answer whose status HTTP does not have for none

Callers saw: from an endpoint whose status was 000, or any below 200 with a body, nothing until the deadline (504 after 3 s of 3 s), also where the route allowed a second attempt and the other endpoint was sound, for plain requests and streams alike. 600, 666 and 999 reached clients as they were, signed, and so did answers with the status line of HTTP/0.9 or HTTP/2.

Cause: the parser accepts any three digits and some versions more than HTTP/1; each status below 200 was passed over as interim, whether it is one or not, and the answer to the request was awaited behind it.

Why it works: a final answer has a status from 200 to 599 and HTTP/1.x; anything else breaks the exchange at once, as bytes that are no answer do: a safe request is sent again, it counts against the endpoint, and the client gets a 502 at the end. An interim answer is one of the class 1xx without a length or chunks, as RFC 9110 has it; clients have to pass over these, known or not, so that 150 and 199 without any body are still passed over. An answer that names an earlier request is skipped as before, whatever its status is.

--- a/rackpost/http1/client.py
+++ b/rackpost/http1/client.py
@@ -357,10 +357,16 @@
             self._cut("too many answers")
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        if _is_interim(status, self._headers):
             self._skip = True
             return
         reason = self._skip_reason()
+        if reason is not SkipReason.OTHER_ID:
+            # A late answer is skipped whatever its status is.
+            invalid = _invalid_reason(status, self._parser.get_http_version())
+            if invalid:
+                self._cut(f"not an answer: {invalid}")
+                return
         if reason is not None:
             self._skip = True
             self.skipped[reason] += 1
@@ -428,6 +434,29 @@
         self._notify()
 
 
+def _is_interim(status: int, headers: list[message.Header]) -> bool:
+    """Whether an answer precedes the one to the request.
+
+    These have no body, and 101 is sent only to clients that asked for
+    another protocol.
+    """
+    if not 100 <= status < 200 or status == 101:
+        return False
+    return (
+        message.find(headers, b"content-length") is None
+        and message.find(headers, b"transfer-encoding") is None
+    )
+
+
+def _invalid_reason(status: int, version: str) -> str:
+    """Return what of a final answer's first line HTTP/1.1 does not have."""
+    if not version.startswith("1."):
+        return f"HTTP version {version}"
+    if not message.is_final_status(status):
+        return f"status {status:03d}"
+    return ""
+
+
 def _framing(status: int, headers: list[message.Header]) -> message.Framing:
     if message.has_no_body(status):
         return message.Framing.NONE
--- a/rackpost/http1/message.py
+++ b/rackpost/http1/message.py
@@ -105,6 +105,11 @@
         return b"Other"
 
 
+def is_final_status(status: int) -> bool:
+    """Whether HTTP has a status, and it ends a request (RFC 9110, 15)."""
+    return 200 <= status < 600
+
+
 def has_no_body(status: int) -> bool:
     """Whether answers of a status never carry a body."""
     return status < 200 or status in (204, 304)
