Take an engine's answer with such a status for none at an agent

Callers saw: a status of 000, 099 or from 600 on of an engine or a plain endpoint behind an agent was passed on to the caller.

Evidence: test_a_status_that_http_does_not_have_is_no_answer fails in all four cases without the check.

Why it works: the same predicate for both clients; the call has failed and may have run, so that what may not be repeated is not.

--- a/rackpost/agent/engine_http.py
+++ b/rackpost/agent/engine_http.py
@@ -16,6 +16,7 @@
 from rackpost.agent import engine
 from rackpost.decide import slots
 from rackpost import exceptions
+from rackpost.http1 import message
 from rackpost.http1 import retry_after
 from rackpost import logs
 from rackpost import types
@@ -142,6 +143,10 @@
         self._check_backoff()
         try:
             async with self._session.request(method, url, **more) as resp:
+                if not message.is_final_status(resp.status):
+                    raise exceptions.EngineError(
+                        f"not an answer: status {resp.status:03d}"
+                    )
                 self._record_backoff(resp)
                 yield resp
         except _NOT_STARTED as exc:
