Start no request that a planned stop would cut, and answer the rest

Callers saw: requests that a stopping gateway read, passed on and cut with no answer 7 s after the signal, just as their answers were due; among them ones that may not be repeated.

Cause: three bounds. For 3 s from when the process had seen the signal, each request was taken whatever it needed, as the balancer still sent them; the switch was found by a poll of 50 ms, so that requests sent later than 3 s after the SIGTERM were taken as well, more beside load; and what ran at the end was closed without an answer, a second before the grace time was over.

Why it works: while the balancer sends, a request is started if its deadline, or the longest request of its service in the last one or two minutes, ends before the stop; where nothing is known, only if it may be repeated. The stop ends 0.5 s before the grace time, and what still runs then is answered, with 502 if an endpoint may have it and with 503 if none has; a stream that has begun is broken off, as before.

--- a/rackpost/gateway/call.py
+++ b/rackpost/gateway/call.py
@@ -403,6 +403,7 @@
         took_s = now - self.began
         self._clear_suspicion(head, now)
         self._record_times(took_s)
+        self.record_duration()
         late = self._is_late(took_s)
         if self.sampled or late or head.status >= 400:
             self.log(
@@ -414,6 +415,11 @@
                 **self.times.log_fields(),
             )
 
+    def record_duration(self) -> None:
+        """Record how long the request has taken until now."""
+        now = self.site.loop_time()
+        self.site.durations.record(self.service.name, now - self.began, now)
+
     def _clear_suspicion(self, head: message.Head, now: float) -> None:
         """Clear the request of suspicion if its answer was complete.
 
--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -235,7 +235,7 @@
     ) -> None:
         route = routed.route
         deadline = began + min(route.timeout_s, _client_timeout_s(req))
-        if not self._site.planned_stop.may_start(deadline):
+        if not self._may_start(route, service, deadline):
             # It might be interrupted at the end of the grace time.
             self._count_own_answer(call_mod.Reason.STOPPING, req)
             call_mod.refuse(responder, call_mod.STOPPING_RETRY_AFTER_S)
@@ -269,6 +269,20 @@
             if call.charge is not None:
                 call.charge.release(self._site.loop_time())
 
+    def _may_start(
+        self, route: model.Route, service: model.Service, deadline: float
+    ) -> bool:
+        """Whether a planned stop leaves time for a request."""
+        now = self._site.loop_time()
+        expected_s = self._site.durations.longest_s(service.name, now)
+        return self._site.planned_stop.may_start(
+            deadline=deadline,
+            now=now,
+            # Generations are estimated by their sizes where they wait.
+            expected_s=expected_s if service.engine is None else 0.0,
+            is_repeatable=route.repeatable,
+        )
+
     def _is_over_quota(self, call: call_mod.Call) -> bool:
         """Refuse a request over its organisation's quota, else charge it."""
         organisation = call.caller.organisation
@@ -315,9 +329,23 @@
         except TimeoutError:
             self._on_timeout(call)
         except asyncio.CancelledError:
-            self._record_left(call)
+            if self._site.planned_stop.has_ended(self._site.loop_time()):
+                self._end_at_stop(call)
+            else:
+                self._record_left(call)
             raise
 
+    def _end_at_stop(self, call: call_mod.Call) -> None:
+        """Answer a request for which the planned stop left too little time."""
+        if call.responder.ended:
+            return
+        if call.may_have_run or call.responder.started:
+            call.fail(call_mod.Reason.STOPPING, 502)
+        else:
+            call.refuse(
+                call_mod.Reason.STOPPING, call_mod.STOPPING_RETRY_AFTER_S
+            )
+
     def _record_left(self, call: call_mod.Call) -> None:
         self._site.metrics.count("left", call_mod.Reason.TIME_UP)
         if call.sampled:
@@ -332,6 +360,7 @@
             await generate.generate(call, engine)
 
     def _on_timeout(self, call: call_mod.Call) -> None:
+        call.record_duration()
         if call.may_have_run:
             call.fail(call_mod.Reason.TIME_UP, 504)
         else:
--- a/rackpost/gateway/process.py
+++ b/rackpost/gateway/process.py
@@ -25,11 +25,10 @@
 from rackpost.platform import settings
 from rackpost import process_figures
 
-# The load balancer probes each second and removes a gateway after two
-# failures; until then it sends new connections.
-_BALANCER_DELAY_S = 3.0
-# Part of the grace time reserved for closing links, in seconds.
-_CLOSING_S = 1.0
+# Part of the grace time reserved for the last answers and for closing links,
+# in seconds.
+_CLOSING_S = 0.5
+_LAST_ANSWERS_S = 0.2
 _POLL_S = 0.05
 # A started gateway waits this long for endpoints before it reports ready
 # without any, in seconds.
@@ -269,6 +268,7 @@
         logs.say(
             logs.Part.GATEWAY,
             "Stopped.",
+            ended_unanswered=self._server.ended_requests,
             cut_off=self._server.busy,
             took_s=round(self.site.loop_time() - began, 2),
         )
@@ -276,14 +276,15 @@
     async def _drain(self, began: float) -> None:
         """Wait until no request runs, up to the end of the grace time."""
         stop = self.site.planned_stop
-        stop.begin(began + self._host.bounds.grace_s - _CLOSING_S)
-        while (now := self.site.loop_time()) < stop.ends_at:
-            if now - began >= _BALANCER_DELAY_S:
-                stop.restrict()
+        grace_s = self._host.bounds.grace_s
+        stop.begin(now=began, ends_at=began + grace_s - _CLOSING_S)
+        while not stop.has_ended(now := self.site.loop_time()):
+            if stop.is_restricted(now):
                 self._server.close_idle()
                 if not self._server.busy:
                     return
-            await asyncio.sleep(_POLL_S)
+            await asyncio.sleep(min(_POLL_S, max(0.0, stop.ends_at - now)))
+        await self._server.end_requests(_LAST_ANSWERS_S)
 
 
 def _request_id(req: message.Request) -> str:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -30,6 +30,7 @@
 from rackpost.decide import quota_buckets
 from rackpost.decide import quota_use
 from rackpost.decide import recent_refusals as recent_refusals_mod
+from rackpost.decide import request_durations
 from rackpost.decide import retry_budget
 from rackpost.decide import role_balance
 from rackpost.decide import stream_origins
@@ -188,6 +189,7 @@
             rng=self.rng,
         )
         self.planned_stop = planned_stop.PlannedStop()
+        self.durations = request_durations.RequestDurations()
         self.hold_pauses = holds.Pauses()
         self._listed_vms: set[types.VmId] = set()
         # The decisions of the contention order that are on, by service.
--- a/rackpost/http1/server.py
+++ b/rackpost/http1/server.py
@@ -34,6 +34,8 @@
 # How long input is discarded after an early error answer; closing at once
 # could reset the connection before the client reads the answer.
 _LINGER_S = 1.0
+# How often is checked whether ended requests have been answered.
+_END_POLL_S = 0.01
 # Writing pauses while more than this is unsent, unless the budget for all
 # clients has room.
 _HIGH_WATER_BYTES = 64 << 10
@@ -67,6 +69,8 @@
             collections.deque()
         )
         self._task: asyncio.Task[None] | None = None
+        # Whether the server has ended the request that is being answered.
+        self._ending = False
         self._writable: asyncio.Future[None] | None = None
         self._discarding = False
         self.closing = False
@@ -333,6 +337,9 @@
             self.closing = True
         try:
             await self._server.handler(req, answer)
+        except asyncio.CancelledError:
+            if not self._ending:
+                raise
         except Exception as exc:
             # The client still gets an answer: 502 below.
             self._server.failed(req, exc)
@@ -344,6 +351,14 @@
             self._pipelined.clear()
             self._transport.close()
 
+    def end_request(self) -> None:
+        """Cancel the handler of a request and close after its answer."""
+        if self._task is not None and not self._is_gone():
+            self._ending = True
+            self.closing = True
+            self._server.ended_requests += 1
+            self._task.cancel()
+
     def _is_gone(self) -> bool:
         return self._transport is None or self._transport.is_closing()
 
@@ -456,6 +471,8 @@
         self._guard = guard
         # Connections that were closed before anything was read from them.
         self.closed_unread = 0
+        # Requests that `end_requests` has ended.
+        self.ended_requests = 0
 
     def admits(self) -> bool:
         """Whether to take a new connection."""
@@ -523,6 +540,20 @@
         for conn in self.connections:
             conn.recheck_room()
 
+    async def end_requests(self, timeout_s: float) -> None:
+        """End all running requests with the answers of their handlers.
+
+        A handler may answer when it is cancelled; otherwise the answer is
+        502, or a begun answer is broken off.  Waits until all is written, at
+        most `timeout_s`.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout_s
+        for conn in list(self.connections):
+            conn.end_request()
+        while self.busy and loop.time() < until:
+            await asyncio.sleep(_END_POLL_S)
+
     def close_idle(self) -> None:
         """Close the connections that have no request in flight."""
         for conn in list(self.connections):
--- a/tests/test_gateway_holds.py
+++ b/tests/test_gateway_holds.py
@@ -571,7 +571,8 @@
                 one.answer_hold = answer
             task = asyncio.create_task(site.raw(_generation()))
             await platform_site.until(lambda: bool(_calls(site, b"POST")))
-            gateway.planned_stop.begin(gateway.loop_time() + 0.2)
+            now = gateway.loop_time()
+            gateway.planned_stop.begin(now=now, ends_at=now + 0.2)
             go_on.set()
             assert test_gateway.status(await task) == 503
             assert _prefills(site) == 0
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -28,8 +28,10 @@
 
 def stop_late(site: site_mod.Site, *, remaining_s: float) -> None:
     """Put a planned stop into its last `remaining_s` seconds."""
-    site.planned_stop.begin(site.loop_time() + remaining_s)
-    site.planned_stop.restrict()
+    now = site.loop_time()
+    # The load balancer sends nothing new after 3 s.
+    site.planned_stop.begin(now=now - 3.0, ends_at=now + remaining_s)
+    assert site.planned_stop.is_restricted(now)
 
 
 def hinted(tokens: int) -> bytes:
@@ -106,8 +108,15 @@
             assert not any(one.requests for one in site.endpoints)
             own.planned_stop = planned_stop.PlannedStop()
             await site.gateway.stop()
-            assert own.planned_stop.ends_at < own.loop_time() + 8.0
-            assert not own.planned_stop.may_start(own.loop_time() + 8.0)
+            now = own.loop_time()
+            assert own.planned_stop.ends_at < now + 8.0
+            for is_repeatable in (False, True):
+                assert not own.planned_stop.may_start(
+                    deadline=now + 8.0,
+                    now=now,
+                    expected_s=0.1,
+                    is_repeatable=is_repeatable,
+                )
 
     asyncio.run(main())
 
@@ -135,14 +144,16 @@
         async with platform_site.small_site(tmp_path) as site:
             own = site.gateway.site
             own.token_timing.record_decode(10, 10.0)
-            own.planned_stop.begin(own.loop_time() + 5.0)
+            now = own.loop_time()
+            own.planned_stop.begin(now=now, ends_at=now + 5.0)
             got = await site.raw(hinted(8))
             assert test_gateway.status(got) == 503
             assert b"retry-after: 0.05" in got
             assert not site.prefill.requests
             # No capacity was lacking: another gateway must treat it as new.
             assert not own.refusals.recent(own.loop_time())
-            own.planned_stop.begin(own.loop_time() + 30.0)
+            now = own.loop_time()
+            own.planned_stop.begin(now=now, ends_at=now + 30.0)
             got = await site.raw(hinted(1))
             assert test_gateway.status(got) == 200
 
@@ -158,7 +169,8 @@
         async with platform_site.small_site(tmp_path) as site:
             own = site.gateway.site
             own.token_timing.record_decode(10, 10.0)
-            own.planned_stop.begin(own.loop_time() + 5.0)
+            now = own.loop_time()
+            own.planned_stop.begin(now=now, ends_at=now + 5.0)
             await asyncio.sleep(admission_queue._PROBE_INTERVAL_S + 0.1)
             got = await site.raw(hinted(8))
             assert test_gateway.status(got) == 503
