Split streams into events whatever ends their lines

Callers saw: from endpoints that end the lines of their events with CR LF, the head of an answer and not one event; the answer ended incomplete as the stream did, and the endpoint's work was lost, on resumable routes again and again.

Cause: an event's end was known as two LF alone. The format of text/event-stream lets a line end with LF, CR or CR LF, and the page that names it restricts nothing.

Ruled out: the parser of chunks (the bytes arrive; the record of the case has whole runs at the endpoints).

Why it works: an empty line ends an event, and CR LF is never taken for two line ends. A CR that is the last byte so far ends the event at once, as each event is passed on as it arrives; an LF behind it comes with the next one, so that the body stays as it was. Streams without a CR take the search that there was.

--- a/rackpost/gateway/answer_relay.py
+++ b/rackpost/gateway/answer_relay.py
@@ -55,10 +55,11 @@
         began = call.site.loop_time()
         await responder.send_chunk(b"".join(fresh))
         call.times.client_s += call.site.loop_time() - began
-    if splitter.rest:
+    if not splitter.is_between_events:
         raise exceptions.ExchangeError("ended within an event")
     if not has_event and head.framing is message.Framing.CLOSE:
         raise exceptions.ExchangeError("ended before its first event")
+    await responder.send_chunk(splitter.rest)
     responder.finish()
 
 
