Let a foreign heartbeat without a start time change no endpoint

Callers saw: requests that were sent to an endpoint for seconds after it had said that it drains, and was acknowledged, until it had told each gateway in an answer.

Cause: a heartbeat without `born` under the id of a known endpoint was given the known start time, and its sequence, which says nothing of the endpoint's own, made all later heartbeats old. These were acknowledged and ignored.

Why it works: an endpoint that names its start time names it in all that it says of itself, so that a heartbeat without one is another writer's: 400, logged at the limited rate. Where a coordinator does not know the endpoint yet, it is taken as before, but any heartbeat with a start time supersedes one without, whatever their sequences are, at every process. Endpoints that never name one, and notices of an end, are handled as before.

Tests that failed before: test_a_heartbeat_without_a_start_time_hides_no_later_ ones (both orders), test_a_foreign_heartbeat_does_not_keep_an_endpoint_from_ draining.

--- a/rackpost/coordinator/api.py
+++ b/rackpost/coordinator/api.py
@@ -117,6 +117,7 @@
         try:
             item = decode(name, req.body)
             self._check_service(item)
+            item = self._directory.with_incarnation(item)
         except exceptions.CodecError as exc:
             self._log_refused(name, str(exc))
             _respond(responder, 400, str(exc))
@@ -149,8 +150,7 @@
                 why=why,
             )
 
-    def _apply_update(self, update: endpoints.Endpoint) -> None:
-        item = self._directory.with_incarnation(update)
+    def _apply_update(self, item: endpoints.Endpoint) -> None:
         if self._directory.update(item):
             self._send_to_replicas(item)
 
--- a/rackpost/coordinator/directory.py
+++ b/rackpost/coordinator/directory.py
@@ -12,6 +12,7 @@
 from rackpost.coordinator import messages
 from rackpost.decide import quota_use
 from rackpost.decide.waiting import waiting_use
+from rackpost import exceptions
 from rackpost.link import channel
 from rackpost import logs
 from rackpost.routing import digests
@@ -102,11 +103,15 @@
         """Return an endpoint's update with its incarnation filled in.
 
         A notice of an end that names no incarnation refers to the one known
-        here; other coordinators may already know a later one.
+        here; other coordinators may already know a later one.  Raises
+        CodecError for a heartbeat without the start time that the endpoint
+        names in its own.
         """
         known = self.table.alive.get(item.id)
-        if item.born or known is None:
+        if item.born or known is None or not known.born:
             return item
+        if item.state is not endpoints.EndpointState.GONE:
+            raise exceptions.CodecError("heartbeat: no start time")
         return msgspec.structs.replace(item, born=known.born)
 
     def full_update(self) -> messages.EndpointUpdate:
--- a/rackpost/routing/endpoints.py
+++ b/rackpost/routing/endpoints.py
@@ -309,9 +309,15 @@
 
 
 def _is_newer(old: Endpoint, new: Endpoint) -> bool:
-    """Whether an update of an endpoint supersedes the known state."""
+    """Whether an update of an endpoint supersedes the known state.
+
+    One without a start time may come from another writer, whose sequence
+    numbers say nothing: it never supersedes one with a start time.
+    """
     if _is_later(old.born, new.born):
         return True
+    if (old.born > 0) != (new.born > 0):
+        return new.born > 0
     if _is_later(new.born, old.born) or new.sequence <= old.sequence:
         return False
     return _STATE_ORDER[new.state] >= _STATE_ORDER[old.state]
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -75,6 +75,22 @@
     assert not table.is_current(old) and table.has_restarted(old)
 
 
+@pytest.mark.parametrize("foreign_first", [False, True])
+def test_a_heartbeat_without_a_start_time_hides_no_later_ones(
+    foreign_first: bool,
+) -> None:
+    """An endpoint's own heartbeats, `draining` too, had no effect."""
+    table = endpoints.EndpointTable()
+    foreign = heartbeat(sequence=1_000_000)
+    own = heartbeat(sequence=5, born=1000)
+    for item in (foreign, own) if foreign_first else (own, foreign):
+        table.update(item, 1.0)
+    assert table.alive[_ID].sequence == 5
+    leaving = heartbeat(sequence=6, born=1000, state="draining")
+    assert table.update(leaving, 2.0)
+    assert table.alive[_ID].state is endpoints.EndpointState.DRAINING
+
+
 UPDATES = strategies.tuples(
     strategies.integers(1, 3),
     strategies.integers(0, 3),
@@ -211,3 +227,36 @@
             assert await beat == 200
 
     asyncio.run(main())
+
+
+def test_a_foreign_heartbeat_does_not_keep_an_endpoint_from_draining(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Gateways sent requests to an endpoint that drained for seconds."""
+
+    async def main() -> None:
+        async with platform_site.small_site(tmp_path) as site:
+            one = site.plain[0]
+            url = site.plan.control_url(11)
+            url = f"{url}/v1/instances/{one.ident}"
+
+            async def put(body: dict) -> int:
+                data = json.dumps(body)
+                async with site.operator.http.put(url, data=data) as resp:
+                    return resp.status
+
+            assert await put(one.heartbeat(born=1000)) == 200
+            foreign = {**one.heartbeat(slots=4), "sequence": 1_000_000}
+            assert await put(foreign) == 400
+            assert await put(one.heartbeat("draining", born=1000)) == 200
+            table = site.gateway.site.table
+            ident = types.EndpointId(one.ident)
+            await platform_site.until(
+                lambda: table.alive[ident].state
+                is endpoints.EndpointState.DRAINING
+            )
+            # A notice of its end may lack the start time.
+            assert await site.operator.leave(11, one) == 200
+            await platform_site.until(lambda: ident not in table.alive)
+
+    asyncio.run(main())
