Resume a stream only at an endpoint that has not restarted

Callers saw: streams that hold events of two software versions, after the endpoint that ran them, or another one of their version, had started again under its id with other software: where it was dark meanwhile and its first heartbeats were late, and at a gateway that was cut off from the coordinators and the other gateways while clients and endpoints reached it.

Cause: a version is known from the last heartbeat. A restart that no heartbeat has told of was noticed only where a connection was refused meanwhile; an endpoint that is dark refuses none, and a gateway that is cut off need not have sent it anything. X-Expect-Instance names the id alone, which the new incarnation shares.

The report of a gateway out of step was reproduced for a gateway that is cut off: each of the streams that were resumed there went on at the new version.

Why it works: all that an endpoint says of itself names its start, so its report does. Before a gateway continues a stream at an endpoint, it asks for the report on the connection that then carries the request: a restart in between breaks the connection, so that no moment is left. It costs a probe for each stream that goes on; streams that begin are not checked, and endpoints that name no start get another id when they restart. An endpoint that has restarted counts as unseen restarted from then on, and the stream goes on at another one of its version or is refused.

Weighed: waiting for a heartbeat after the break would delay each stream by up to a heartbeat, and helps no gateway that is cut off; refusing all streams at such gateways would refuse those whose endpoints are unchanged.

Tests that failed before: test_a_stream_does_not_go_on_at_an_endpoint_that_has_ restarted_unseen, test_a_gateway_that_is_cut_off_resumes_at_no_endpoint_that_ has_restarted. Not covered: a stream that begins at an endpoint whose restart is unseen is recorded under the version before.

--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -10,6 +10,7 @@
 from rackpost.gateway import answer_relay
 from rackpost.gateway import call as call_mod
 from rackpost.gateway import endpoint_calls
+from rackpost.gateway import incarnation_check
 from rackpost.gateway import rate_grants
 from rackpost.http1 import client
 from rackpost.http1 import message
@@ -115,6 +116,8 @@
     # It may have restarted with other software meanwhile, and the request may
     # have been quarantined.
     call.check_version(endpoint)
+    if incarnation_check.is_needed(call, endpoint):
+        await incarnation_check.confirm(call, endpoint, conn)
     call.check_not_quarantined()
     request_lines = (
         request_headers(call, endpoint, call.site.loop_time()) + extra_headers
--- a/rackpost/platform/orders.py
+++ b/rackpost/platform/orders.py
@@ -16,13 +16,15 @@
     """State that an endpoint reports.
 
     `orders_taken` counts the orders accepted in this incarnation; `changing`
-    is set while one of them is in progress.
+    is set while one of them is in progress.  `born` is the start time of the
+    incarnation in milliseconds, 0 if the endpoint names none.
     """
 
     role: types.Role
     changing: bool
     orders_taken: int
     running: int
+    born: int = 0
 
 
 class _Report(msgspec.Struct, kw_only=True):
@@ -31,6 +33,7 @@
     # Counts orders, unlike the field of this name in heartbeats.
     sequence: int = 0
     running: int = 0
+    born: int = 0
 
 
 class _Order(msgspec.Struct, kw_only=True, rename="camel"):
@@ -56,6 +59,7 @@
         changing=wire.busy,
         orders_taken=wire.sequence,
         running=wire.running,
+        born=wire.born,
     )
 
 
--- a/tests/test_unseen_restarts.py
+++ b/tests/test_unseen_restarts.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import contextlib
+import json
 import pathlib
 from typing import AsyncIterator
 
+from rackpost.http1 import message
 from rackpost.http1 import server
 from tests import platform_site
 from tests import versioned_site
@@ -43,6 +45,31 @@
         await self._listening.aclose()
 
 
+class _Dated(_Endpoint):
+    """Names its start time in all that it says of itself."""
+
+    born = 1000
+
+    def heartbeat(self, state: str = "ready", **more: object) -> dict:
+        return super().heartbeat(state, born=self.born, **more)
+
+    async def _handle(
+        self, req: message.Request, responder: server.Responder
+    ) -> None:
+        if req.path != b"/v1/report":
+            await super()._handle(req, responder)
+            return
+        report = {"stage": self.stage, "born": self.born}
+        responder.send(200, [], json.dumps(report).encode())
+
+    async def restart(self, software: str) -> None:
+        """Start again, under the same id and with other software."""
+        await self.crash()
+        self.born += 1
+        self.software = software
+        await self.listen()
+
+
 async def _until_refused(site: versioned_site.Site, gone: _Endpoint) -> None:
     """Send streams until the gateway has tried an endpoint that is gone."""
     clients = []
@@ -83,6 +110,73 @@
     asyncio.run(main())
 
 
+def test_a_stream_does_not_go_on_at_an_endpoint_that_has_restarted_unseen(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Within one answer; no gateway had met the restart."""
+
+    async def main() -> None:
+        async with versioned_site.site(tmp_path, endpoint=_Dated) as site:
+            await site.take_away(*site.new)
+            client = await site.open(31, "r1")
+            await client.first_event()
+            ran = next(one for one in site.old if one.streams)
+            other = next(one for one in site.old if one is not ran)
+            await other.restart(versioned_site.NEW)
+            await ran.crash()
+            got = await client.rest()
+            assert got.versions == {versioned_site.OLD}
+            assert not other.streams
+            other.go_on.set()
+
+    asyncio.run(main())
+
+
+def test_a_gateway_that_is_cut_off_resumes_at_no_endpoint_that_has_restarted(
+    tmp_path: pathlib.Path,
+) -> None:
+    """It knew the endpoints as they were before it lost its links."""
+
+    async def main() -> None:
+        async with versioned_site.site(tmp_path, endpoint=_Dated) as site:
+            await site.take_away(*site.new)
+            for number in range(6):
+                begun = await site.begin(31, f"r{number}")
+                assert begun.versions == {versioned_site.OLD}
+            origins = site.gateways[16].site.origins._table
+            await platform_site.until(lambda: len(origins) >= 6)
+            for number in site.core:
+                await site.stop(number)
+            for one in site.old:
+                await one.restart(versioned_site.NEW)
+                one.go_on.set()
+            for number in range(6):
+                got = await site.resume(16, f"again{number}", f"r{number}")
+                assert versioned_site.NEW not in got.versions
+                assert got.status == 503
+
+    asyncio.run(main())
+
+
+def test_a_stream_goes_on_at_an_endpoint_that_has_not_restarted(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with versioned_site.site(tmp_path, endpoint=_Dated) as site:
+            await site.take_away(*site.new)
+            client = await site.open(31, "r1")
+            await client.first_event()
+            ran = next(one for one in site.old if one.streams)
+            for one in site.old:
+                one.go_on.set()
+            await ran.crash()
+            got = await client.rest()
+            assert got.versions == {versioned_site.OLD}
+            assert got.ids == list(range(1, versioned_site.EVENTS + 1))
+
+    asyncio.run(main())
+
+
 # Guards against an endpoint that stays barred although it did not restart.
 def test_an_endpoint_counts_again_once_it_is_heard(
     tmp_path: pathlib.Path,
