Look up durations only while a gateway stops

Each request looked up the longest recent duration of its service, which only a planned stop needs. Without a stop the answer is known; no behaviour changes (test_planned_stop and test_stop pass as before).

--- a/rackpost/gateway/handler.py
+++ b/rackpost/gateway/handler.py
@@ -273,9 +273,12 @@
         self, route: model.Route, service: model.Service, deadline: float
     ) -> bool:
         """Whether a planned stop leaves time for a request."""
+        stop = self._site.planned_stop
+        if not stop.has_begun:
+            return True
         now = self._site.loop_time()
         expected_s = self._site.durations.longest_s(service.name, now)
-        return self._site.planned_stop.may_start(
+        return stop.may_start(
             deadline=deadline,
             now=now,
             # Generations are estimated by their sizes where they wait.
