--- a/rackpost/crash_tracker.py
+++ b/rackpost/crash_tracker.py
@@ -142,7 +142,10 @@
             self._reported.discard(oldest)
 
     def record_refused(self, endpoint: endpoints.Endpoint, now: float) -> None:
-        """Record that nothing listened at an endpoint's address."""
+        """Record that an endpoint is not at its address as it is known.
+
+        Nothing listened there, or another incarnation answered.
+        """
         self._refused_at[endpoint.incarnation] = now
 
     def may_have_restarted(self, endpoint: endpoints.Endpoint) -> bool:
