Hold back requests under which endpoints go dark

Cause: the only evidence against a request was a broken connection, and a machine without power closes none. The request ended with its own time or its client, like one at a slow endpoint, and the later start that the endpoint's heartbeats name was not compared with what the endpoint had.

Change: gateways remember the requests in flight at each endpoint, and those that were given up there (decide/unanswered.py, pure). When a later start of the endpoint, or another one at its address, is known, each of them is a suspect, as if its connection had broken then. They are forgotten once the endpoint is known to have lived on, or announces that it leaves. Requests that were sent later than two heartbeats after its last one do not count: until gateways avoid a dark endpoint it is sent more than it ran as it ended.

Why it works: the end of the endpoint is certain, and the evidence is the same as before: what it had at that moment, three different starts needed.

--- a/rackpost/crash_tracker.py
+++ b/rackpost/crash_tracker.py
@@ -1,7 +1,8 @@
 """Tracks requests that were in flight when endpoints crashed.
 
 Each broken connection is a suspicion against its request and the parts of its
-prompt; gateways share them through the coordinators.  It is cleared when
+prompt, and so is each request that has no answer from an endpoint whose end
+was not seen; gateways share them through the coordinators.  It is cleared when
 the request is answered, the part turns out to run well, or the endpoint turns
 out to be alive.
 """
@@ -17,6 +18,8 @@
 from rackpost.decide import life_signs
 from rackpost.decide import part_soundness
 from rackpost.decide import quarantine
+from rackpost.decide import suspicions
+from rackpost.decide import unanswered
 from rackpost import logs
 from rackpost.routing import endpoints
 from rackpost import types
@@ -37,22 +40,14 @@
 _RUNS_WELL = "runs well"
 _ENDPOINT_ALIVE = "endpoint is alive"
 
-Publish = Callable[[tuple[quarantine.Suspicion, ...]], None]
-
+_DEFAULT_HEARTBEAT_S = 1.0
+# Requests named in one line of the log.
+_MAX_LOGGED = 20
 
-class Subjects(NamedTuple):
-    """What a request can be recognised by when it comes again.
-
-    `parts` are those of its prompt that other requests may share, in order.
-    """
+Publish = Callable[[tuple[quarantine.Suspicion, ...]], None]
 
-    request: types.Fingerprint
-    parts: tuple[types.Fingerprint, ...] = ()
 
-    @property
-    def all(self) -> tuple[types.Fingerprint, ...]:
-        """The request, and the parts of its prompt."""
-        return (self.request, *self.parts)
+Subjects = suspicions.Subjects
 
 
 class QuarantineReason(NamedTuple):
@@ -80,14 +75,19 @@
         self,
         *,
         table: endpoints.EndpointTable,
+        heartbeat_s: float = _DEFAULT_HEARTBEAT_S,
         part: logs.Part = logs.Part.GATEWAY,
     ) -> None:
+        """`heartbeat_s` is the interval of the endpoints' heartbeats."""
         self._part = part
         self.quarantine = quarantine.Quarantine()
         # Sends suspicions to the coordinators; set by ControlLinks.
         self.publish: Publish = _publish_nothing
         self._table = table
         self._life_signs = life_signs.LifeSigns()
+        self.unanswered = unanswered.UnansweredRequests(
+            table=table, heartbeat_s=heartbeat_s
+        )
         # When the last connection to an incarnation broke, as far as known.
         self._broke_at: dict[endpoints.Incarnation, float] = {}
         # When a connection to an incarnation was last refused.
@@ -131,6 +131,40 @@
         self._reported.add(endpoint.incarnation)
         self._add(tuple(found), now)
 
+    def record_ends(self, now: float) -> None:
+        """Suspect the requests at endpoints that ended unseen.
+
+        Call after each change of the endpoints.
+        """
+        found = [
+            item
+            for item in self.unanswered.take_ended(now)
+            if not self._was_served_since(item.subjects, item.began_at)
+        ]
+        if not found:
+            return
+        logs.say(
+            self._part,
+            "Endpoints ended unseen, with requests.",
+            endpoints=sorted({item.endpoint.id for item in found}),
+            requests=len(found),
+            fingerprints=[
+                item.subjects.request.hex() for item in found[:_MAX_LOGGED]
+            ],
+        )
+        for item in found:
+            self.record_broken(
+                item.subjects,
+                item.endpoint,
+                ran_s=item.until - item.began_at,
+                now=now,
+                progress=item.progress,
+            )
+
+    def _was_served_since(self, subjects: Subjects, began_at: float) -> bool:
+        """Whether another attempt of a request was answered in full."""
+        return self._served_at.get(subjects.request, -math.inf) >= began_at
+
     def _record_broken_at(
         self, incarnation: endpoints.Incarnation, at: float
     ) -> None:
@@ -270,10 +304,16 @@
         after the connection broke, whichever process has reported that.
         """
         self.quarantine.forget(now)
-        if not len(self.quarantine) and not self._refused_at:
+        self.record_ends(now)
+        if not (
+            len(self.quarantine)
+            or self._refused_at
+            or self.unanswered.has_given_up
+        ):
             return
         self._life_signs.sample(self._table)
         lived_until = self._life_signs.lived_until()
+        self.unanswered.forget(lived_until)
         self._forget_refused(lived_until)
         cleared = self.quarantine.clearances_by_life(lived_until)
         reported = tuple(
--- a/rackpost/decide/suspicions.py
+++ b/rackpost/decide/suspicions.py
@@ -33,6 +33,21 @@
 _MAX_SUSPICIONS = 16
 
 
+class Subjects(NamedTuple):
+    """What a request can be recognised by when it comes again.
+
+    `parts` are those of its prompt that other requests may share, in order.
+    """
+
+    request: types.Fingerprint
+    parts: tuple[types.Fingerprint, ...] = ()
+
+    @property
+    def all(self) -> tuple[types.Fingerprint, ...]:
+        """The request, and the parts of its prompt."""
+        return (self.request, *self.parts)
+
+
 class Suspicion(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """An incarnation of an endpoint seems to have ended under a subject.
 
--- a/rackpost/gateway/attempt.py
+++ b/rackpost/gateway/attempt.py
@@ -10,6 +10,7 @@
 from rackpost.gateway import answer_relay
 from rackpost.gateway import call as call_mod
 from rackpost.gateway import endpoint_calls
+from rackpost.gateway import in_flight
 from rackpost.gateway import incarnation_check
 from rackpost.gateway import rate_grants
 from rackpost.http1 import client
@@ -213,9 +214,10 @@
     call.tried.append(endpoint.id)
     call.may_have_run = True
     try:
-        reply = await send(call, endpoint, conn, extra_headers, grant)
-        call.record_life_sign()
-        ended = await _receive_answer(call, endpoint, reply, began)
+        with in_flight.recorded(call, endpoint):
+            reply = await send(call, endpoint, conn, extra_headers, grant)
+            call.record_life_sign()
+            ended = await _receive_answer(call, endpoint, reply, began)
     except exceptions.EndpointIneligible as exc:
         call.tried.remove(endpoint.id)
         ended = _record_ineligible(call, endpoint, exc)
--- a/rackpost/gateway/control_links.py
+++ b/rackpost/gateway/control_links.py
@@ -231,6 +231,8 @@
         for item in msg.alive:
             self._site.versions.record_endpoint(item, self._loop.time())
         changed = directory.apply_update(table, msg, self._loop.time())
+        if changed:
+            self._site.crash_tracker.record_ends(self._loop.time())
         for item in changed:
             old = before.get(item.id)
             if item.state is endpoints.EndpointState.GONE or (
--- a/rackpost/gateway/prefill.py
+++ b/rackpost/gateway/prefill.py
@@ -11,6 +11,7 @@
 from rackpost.gateway import attempt
 from rackpost.gateway import call as call_mod
 from rackpost.gateway import endpoint_calls
+from rackpost.gateway import in_flight
 from rackpost.gateway import slow_prefill
 from rackpost.http1 import message
 from rackpost.platform import headers
@@ -452,8 +453,9 @@
 ) -> wire.PrefillResult | None:
     extra_headers = [(headers.STAGE, headers.PREFILL)]
     async with attempt.connected(call, endpoint) as conn:
-        reply = await attempt.send(call, endpoint, conn, extra_headers)
-        body = await conn.read_whole(_MAX_RESULT_BYTES)
+        with in_flight.recorded(call, endpoint):
+            reply = await attempt.send(call, endpoint, conn, extra_headers)
+            body = await conn.read_whole(_MAX_RESULT_BYTES)
     if answer_check.is_not_run(reply.head) or reply.head.status != 200:
         attempt.record_replaced(call, endpoint, reply.head)
         if reply.head.status == 503:
--- a/rackpost/gateway/site.py
+++ b/rackpost/gateway/site.py
@@ -86,7 +86,9 @@
         self.routes_loaded = asyncio.Event()
         self.table = endpoints.EndpointTable()
         self.versions = stream_origins.VersionHistory()
-        self.crash_tracker = crash_tracker_mod.CrashTracker(table=self.table)
+        self.crash_tracker = crash_tracker_mod.CrashTracker(
+            table=self.table, heartbeat_s=host.heartbeat_ms / 1000.0
+        )
         self.loads_changed = asyncio.Event()
         self.loads = endpoint_load.LoadTable(on_change=self.loads_changed.set)
         self.overload.others_have_room = lambda: overload_mod.is_crowded(
