--- a/tests/crashing_site.py
+++ b/tests/crashing_site.py
@@ -83,20 +83,25 @@
     """Some coordinators, two gateways, and endpoints of each role."""
 
     def __init__(
-        self, *, plan: platform_site.Plan, core: tuple[int, ...], lost: int
+        self,
+        *,
+        plan: platform_site.Plan,
+        core: tuple[int, ...],
+        lost: int,
+        endpoint: type[Endpoint] = Endpoint,
     ) -> None:
         self.plan = plan
         self.core = core
         self.lost = lost
         self.plain = [
-            Endpoint(ident=f"p{n}", service="plain") for n in range(2)
+            endpoint(ident=f"p{n}", service="plain") for n in range(2)
         ]
         self.prefill = [
-            Endpoint(ident=f"pre{n}", service="model", stage="prefill")
+            endpoint(ident=f"pre{n}", service="model", stage="prefill")
             for n in range(2)
         ]
         self.decode = [
-            Endpoint(ident=f"dec{n}", service="model", stage="decode")
+            endpoint(ident=f"dec{n}", service="model", stage="decode")
             for n in range(4)
         ]
         self.operator: platform_site.Operator
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -424,3 +424,14 @@
         await until(lambda: site.gateway.site.version == 1)
         await until(lambda: len(site.gateway.site.table.alive) == 5)
         yield site
+
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+@contextlib.asynccontextmanager
+async def listening(serve: Serve) -> AsyncIterator[str]:
+    """Listen for connections; yields the address."""
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with listener:
+        yield "127.0.0.1:%d" % listener.sockets[0].getsockname()[1]
--- a/tests/test_answer_floods.py
+++ b/tests/test_answer_floods.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import pathlib
-from typing import AsyncIterator
 
 import pytest
 
@@ -244,11 +243,8 @@
         finally:
             writer.close()
 
-    @contextlib.asynccontextmanager
-    async def running(self) -> AsyncIterator[str]:
-        listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        async with listener:
-            yield "127.0.0.1:%d" % listener.sockets[0].getsockname()[1]
+    def running(self) -> contextlib.AbstractAsyncContextManager[str]:
+        return platform_site.listening(self._serve)
 
 
 _STREAM = (
--- a/tests/test_dark_endpoints.py
+++ b/tests/test_dark_endpoints.py
@@ -67,22 +67,6 @@
 class _Site(crashing_site.Site):
     """Endpoints that go dark."""
 
-    def __init__(
-        self, *, endpoint: type[_DarkEndpoint], **more: object
-    ) -> None:
-        super().__init__(**more)
-        self.plain = [
-            endpoint(ident=f"p{n}", service="plain") for n in range(2)
-        ]
-        self.prefill = [
-            endpoint(ident=f"pre{n}", service="model", stage="prefill")
-            for n in range(2)
-        ]
-        self.decode = [
-            endpoint(ident=f"dec{n}", service="model", stage="decode")
-            for n in range(4)
-        ]
-
     async def send_until_dark(
         self, number: int, path: str, body: bytes, *, leaves: bool
     ) -> bytes | None:
--- a/tests/test_flooding_endpoints.py
+++ b/tests/test_flooding_endpoints.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import resource
-from typing import AsyncIterator
 
 import aiohttp
 import pytest
@@ -67,11 +66,8 @@
                         self.sent_bytes += len(_BLOCK)
         writer.close()
 
-    @contextlib.asynccontextmanager
-    async def running(self) -> AsyncIterator[str]:
-        listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        async with listener:
-            yield "127.0.0.1:%d" % listener.sockets[0].getsockname()[1]
+    def running(self) -> contextlib.AbstractAsyncContextManager[str]:
+        return platform_site.listening(self._serve)
 
 
 async def _statuses(
--- a/tests/test_unseen_restarts.py
+++ b/tests/test_unseen_restarts.py
@@ -9,6 +9,7 @@
 import json
 import pathlib
 from typing import AsyncIterator
+from typing import NamedTuple
 
 from rackpost.http1 import message
 from rackpost.http1 import server
@@ -84,16 +85,30 @@
         client.close()
 
 
+class _Begun(NamedTuple):
+    """A stream of the old version that has its first event."""
+
+    client: versioned_site.Client
+    # The endpoint that began it, and the only other one of its version.
+    ran: _Endpoint
+    other: _Endpoint
+
+
+async def _begin(site: versioned_site.Site) -> _Begun:
+    """Begin a stream; only endpoints of the old version are left."""
+    await site.take_away(*site.new)
+    client = await site.open(31, "r1")
+    await client.first_event()
+    ran, other = sorted(site.old, key=lambda one: not one.streams)
+    return _Begun(client, ran, other)
+
+
 def test_a_stream_does_not_go_on_at_an_endpoint_that_may_have_restarted(
     tmp_path: pathlib.Path,
 ) -> None:
     async def main() -> None:
         async with versioned_site.site(tmp_path, endpoint=_Endpoint) as site:
-            await site.take_away(*site.new)
-            client = await site.open(31, "r1")
-            await client.first_event()
-            ran = next(one for one in site.old if one.streams)
-            other = next(one for one in site.old if one is not ran)
+            client, ran, other = await _begin(site)
             await other.crash()
             await _until_refused(site, other)
             other.software = versioned_site.NEW
@@ -117,11 +132,7 @@
 
     async def main() -> None:
         async with versioned_site.site(tmp_path, endpoint=_Dated) as site:
-            await site.take_away(*site.new)
-            client = await site.open(31, "r1")
-            await client.first_event()
-            ran = next(one for one in site.old if one.streams)
-            other = next(one for one in site.old if one is not ran)
+            client, ran, other = await _begin(site)
             await other.restart(versioned_site.NEW)
             await ran.crash()
             got = await client.rest()
@@ -163,10 +174,7 @@
 ) -> None:
     async def main() -> None:
         async with versioned_site.site(tmp_path, endpoint=_Dated) as site:
-            await site.take_away(*site.new)
-            client = await site.open(31, "r1")
-            await client.first_event()
-            ran = next(one for one in site.old if one.streams)
+            client, ran, _ = await _begin(site)
             for one in site.old:
                 one.go_on.set()
             await ran.crash()
