--- a/rackpost/decide/unanswered.py
+++ b/rackpost/decide/unanswered.py
@@ -21,7 +21,7 @@
 # endpoint's last heartbeat was sent to an endpoint that had ended.
 _MAX_MISSED_HEARTBEATS = 2
 # Bounds the requests that are remembered after they were given up.
-_MAX_GIVEN_UP = 4096
+_MAX_GIVEN_UP = 1024
 
 
 @dataclasses.dataclass(eq=False, frozen=True, kw_only=True)
