Refuse documents that are not UTF-8

What operators saw: a document with invalid UTF-8, or the bytes of a lone surrogate, in a field that rackpost does not know was acknowledged and put in force, and could not be decoded as JSON when it was read back.

Cause: the decoder skips the texts of unknown fields without checking them; in known fields they were refused. The document is stored and returned as sent.

Change: decode() checks all of the text before. decode_committed() does not, so that a document that a release before has acknowledged stays in force.

Evidence: test_a_document_that_is_not_utf_8_is_refused, 4 cases, all failed before and pass.

--- a/rackpost/platform/documents.py
+++ b/rackpost/platform/documents.py
@@ -164,6 +164,11 @@
 
     def decode(self, text: bytes) -> model.Document:
         """Decode and validate a document; raises RoutingError."""
+        try:
+            # The decoder skips the texts of unknown fields unread.
+            text.decode("utf-8")
+        except UnicodeDecodeError as exc:
+            raise exceptions.RoutingError(f"bad document: {exc}") from exc
         return self._decode(text, _IntegerRange(clamp=False))
 
     def decode_committed(self, text: bytes) -> model.Document:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -117,6 +117,23 @@
     assert str(caught.value)
 
 
+@pytest.mark.parametrize("place", [("more",), ("routes", 0, "more")])
+@pytest.mark.parametrize(
+    "text", [b"\xff\xfe", b"\xed\xa0\x80"], ids=["no UTF-8", "surrogate"]
+)
+def test_a_document_that_is_not_utf_8_is_refused(
+    place: tuple[str | int, ...], text: bytes
+) -> None:
+    """In an unknown field it was acknowledged, and could not be read back."""
+    marked = with_integer(1, place, 12345)
+    doc = marked.replace(b"12345", b'"' + text + b'"')
+    with pytest.raises(exceptions.RoutingError):
+        documents.decode(doc)
+    # A release before may have acknowledged it.
+    known = documents.IncrementalDecoder().decode_committed(doc)
+    assert known.version == 1
+
+
 # Each integer of a document apart from its version, by its place.
 INTEGERS = [
     ("routes", 0, "priority"),
