Say in the usual terms which endpoints have crashed

From a reading of the whole change: "ended unseen" and "its own time" become crash, restart and time-out in decide/unanswered.py, crash_tracker.py and one log line; two comments say what a constant is for instead of how it is measured; two test modules begin with one line on their failure.

--- a/rackpost/crash_tracker.py
+++ b/rackpost/crash_tracker.py
@@ -1,10 +1,9 @@
 """Tracks requests that were in flight when endpoints crashed.
 
 Each broken connection is a suspicion against its request and the parts of its
-prompt, and so is each request that has no answer from an endpoint whose end
-was not seen; gateways share them through the coordinators.  It is cleared when
-the request is answered, the part turns out to run well, or the endpoint turns
-out to be alive.
+prompt, and so is each unanswered request at an endpoint that has restarted;
+gateways share them through the coordinators.  It is cleared when the request
+is answered, the part is known to run well, or the endpoint is found alive.
 """
 
 import math
@@ -45,8 +44,6 @@
 _MAX_LOGGED = 20
 
 Publish = Callable[[tuple[quarantine.Suspicion, ...]], None]
-
-
 Subjects = suspicions.Subjects
 
 
@@ -132,7 +129,7 @@
         self._add(tuple(found), now)
 
     def record_ends(self, now: float) -> None:
-        """Suspect the requests at endpoints that ended unseen.
+        """Suspect the unanswered requests at endpoints that have crashed.
 
         Call after each change of the endpoints.
         """
@@ -145,7 +142,7 @@
             return
         logs.say(
             self._part,
-            "Endpoints ended unseen, with requests.",
+            "Endpoints crashed with unanswered requests.",
             endpoints=sorted({item.endpoint.id for item in found}),
             requests=len(found),
             fingerprints=[
--- a/rackpost/decide/overload.py
+++ b/rackpost/decide/overload.py
@@ -37,7 +37,7 @@
 _MIN_FACTOR = 0.5
 _MAX_FACTOR = 0.9
 _INCREASE_STEP = 0.05
-# Samples between two decreases: round trips are measured about as often.
+# Samples between two decreases, about one round trip of the links.
 _DECREASE_SAMPLES = 3
 # Callers that reach no other gateway still get in within a few tries.
 _MIN_SHARE = 0.25
--- a/rackpost/decide/unanswered.py
+++ b/rackpost/decide/unanswered.py
@@ -1,9 +1,8 @@
-"""Requests without an answer, at endpoints that may have ended unseen.
+"""Requests without an answer, at endpoints that may have crashed.
 
-An endpoint that goes dark with its machine closes no connection: a request
-there ends with its own time, like one that was merely slow.  Only when
-another process turns out to run in the endpoint's place is it known that the
-endpoint ended, and which requests it had then.
+An endpoint whose machine loses power or is cut off closes no connection: a
+request there times out, as at a slow endpoint.  The crash is known once a
+later incarnation, or another endpoint at the same address, is heard.
 """
 
 import dataclasses
@@ -109,7 +108,7 @@
             del self._given_up[:-_MAX_GIVEN_UP]
 
     def take_ended(self, now: float) -> list[Unanswered]:
-        """Return and forget the requests whose endpoints ended unannounced."""
+        """Return and forget the requests whose endpoints have crashed."""
         taken = self._take_in_flight(now)
         kept = []
         for item in self._given_up:
@@ -134,9 +133,9 @@
     def forget(
         self, lived_until: Mapping[endpoints.Incarnation, float]
     ) -> None:
-        """Forget the requests that were given up while endpoints lived on.
+        """Forget the requests given up before the endpoint's last life sign.
 
-        `lived_until` tells up to when incarnations are known to have lived.
+        `lived_until` maps incarnations to the time of that sign.
         """
         self._given_up = [
             item
--- a/rackpost/http1/server.py
+++ b/rackpost/http1/server.py
@@ -27,7 +27,7 @@
 _BACKLOG = 1024
 # How often idle and slow connections are looked for.
 _SWEEP_INTERVAL_S = 0.25
-# Duration of the timer by which the lag of the event loop is measured.
+# Period of the timer that samples the lag of the event loop.
 _LAG_TIMER_S = 0.01
 # Pipelined requests that may wait on one connection.
 _MAX_PIPELINED = 8
--- a/tests/test_planned_leave.py
+++ b/tests/test_planned_leave.py
@@ -1,8 +1,6 @@
 """Coordinators that leave as planned while others are silent or lose disks.
 
-Guards against votes that stay with coordinators which are gone: with two
-lost disks no leader could be elected, and gateways and operators would get
-no document for good.
+Guards against votes that stay with coordinators which are gone.
 """
 
 import asyncio
--- a/tests/test_recovery_soak.py
+++ b/tests/test_recovery_soak.py
@@ -1,9 +1,7 @@
 """Coordinators that leave, fall silent, lose disks and lose power in series.
 
-Guards against sites that get no document any more although no more disks
-were lost than they tolerate.
-
-    python -m tests.test_recovery_soak FIRST_SEED COUNT
+Guards against sites that get no document within the losses they tolerate.
+By hand: `python -m tests.test_recovery_soak FIRST_SEED COUNT`.
 """
 
 import asyncio
